Set up the package, settings schema, store client and platform stand-in

Cause: nothing exists yet; every later part needs the same tooling, verdict, errors, settings and store interface. Ruled out: versions per object; one store-wide revision makes late watch events and digests comparable.

--- /dev/null
+++ b/gentianstair/__init__.py
@@ -0,0 +1,1 @@
+"""Serve language-model requests from a limited fleet of engines."""
--- /dev/null
+++ b/gentianstair/config/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the configuration a node has in force."""
--- /dev/null
+++ b/gentianstair/control/__init__.py
@@ -0,0 +1,1 @@
+"""Plan and order what upstreams do, under a lease."""
--- /dev/null
+++ b/gentianstair/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers: keys, admission, routing and relay."""
--- /dev/null
+++ b/gentianstair/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Join the processes of the fleet to one another."""
--- /dev/null
+++ b/gentianstair/platform/store.py
@@ -0,0 +1,83 @@
+"""Define what the platform's object store offers, whatever carries it."""
+
+import abc
+import typing
+
+Value = dict[str, typing.Any]
+
+
+class StoredObject(typing.NamedTuple):
+    """One object; ``value`` is None when it is absent or was deleted.
+
+    ``version`` is the store-wide revision of the object's last change, so
+    versions of different objects compare too. An object that never was has
+    version 0.
+    """
+
+    kind: str
+    name: str
+    version: int
+    value: Value | None
+
+
+class Listing(typing.NamedTuple):
+    """Objects as of one store revision."""
+
+    revision: int
+    objects: list[StoredObject]
+
+
+class Store(abc.ABC):
+    """The object API: reads, conditional updates and watches.
+
+    All calls may raise StoreUnavailableError (no effect). Writes may also
+    raise StoreUnknownError: the answer was lost, the effect is unknown and
+    is settled by reading back. ``purpose`` names the caller's reason for the
+    accounting of calls, for example ``lease`` or ``claim``.
+    """
+
+    @abc.abstractmethod
+    async def get(self, kind: str, name: str, *, purpose: str) -> StoredObject:
+        """Return the object, with version 0 and no value when absent."""
+
+    @abc.abstractmethod
+    async def list(
+        self, kind: str, *, purpose: str, prefix: str = ''
+    ) -> Listing:
+        """Return all live objects of a kind whose name has the prefix."""
+
+    @abc.abstractmethod
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        value: Value,
+        expect_version: int,
+        *,
+        purpose: str,
+    ) -> int:
+        """Write if the version is as expected; 0 means create if absent.
+
+        Return the new version. Raise StoreConflictError otherwise.
+        """
+
+    @abc.abstractmethod
+    async def delete(
+        self, kind: str, name: str, expect_version: int, *, purpose: str
+    ) -> int:
+        """Delete if the version is as expected; return the new version."""
+
+    @abc.abstractmethod
+    async def watch(
+        self,
+        kinds: typing.Sequence[str],
+        after_revision: int,
+        timeout_s: float,
+        *,
+        purpose: str,
+    ) -> Listing:
+        """Wait for changes after a revision; deletions have no value.
+
+        Return an empty listing after timeout_s. Raise WatchTooOldError
+        when the store no longer keeps the changes asked for.
+        """
--- /dev/null
+++ b/gentianstair/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the operators' command line."""
--- /dev/null
+++ b/gentianstair/ui/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Hold one module for each operator command."""
--- /dev/null
+++ b/gentianstair/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Meet engines and plain services."""
--- /dev/null
+++ b/gentianstair/util/__init__.py
@@ -0,0 +1,1 @@
+"""Hold small helpers that know nothing of serving."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the outside systems in tests, demo and bench."""
--- /dev/null
+++ b/test/__init__.py
@@ -0,0 +1,1 @@
+"""Test gentianstair; the layout mirrors the package."""
--- /dev/null
+++ b/test/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Test the platform clients and their stand-in."""
--- /dev/null
+++ b/test/platform/test_store.py
@@ -0,0 +1,83 @@
+"""Test the store's promises on the in-process and the HTTP client alike."""
+
+import contextlib
+
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair.platform import http_store
+from standins import history
+from standins import memory_store
+from standins import serving
+from standins.platform import app as platform_app
+
+
+@contextlib.asynccontextmanager
+async def open_store(kind):
+    """Yield a client and the faults that its stand-in obeys."""
+    if kind == 'memory':
+        client = memory_store.MemoryStore()
+        yield client, client.faults
+        return
+    platform = platform_app.make_platform(history.History('platform'))
+    sock = serving.listen('127.0.0.1:0')
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        app = platform_app.create_app(platform)
+        port = sock.getsockname()[1]
+        nursery.start_soon(serving.serve, app, sock, stop.wait)
+        url = f'http://127.0.0.1:{port}'
+        yield http_store.connect(url, 0.5), platform.faults
+        stop.set()
+        nursery.cancel_scope.cancel()
+
+
+KINDS = pytest.mark.parametrize('kind', ['memory', 'http'])
+
+
+@KINDS
+async def test_conditional_writes(kind):
+    async with open_store(kind) as (store, _):
+        first = await store.put('a', 'x', {'n': 1}, 0, purpose='test')
+        with pytest.raises(errors.StoreConflictError) as caught:
+            await store.put('a', 'x', {'n': 2}, 0, purpose='test')
+        assert caught.value.current_version == first
+        second = await store.put('a', 'x', {'n': 2}, first, purpose='test')
+        assert second > first
+        found = await store.get('a', 'x', purpose='test')
+        assert found.value == {'n': 2}
+        await store.delete('a', 'x', second, purpose='test')
+        assert (await store.list('a', purpose='test')).objects == []
+        await store.put('a', 'x', {'n': 3}, 0, purpose='test')
+
+
+@KINDS
+async def test_watch_wakes_on_change_and_times_out(kind):
+    async with open_store(kind) as (store, _):
+        got = []
+
+        async def watch():
+            found = await store.watch(['a'], 0, 5.0, purpose='test')
+            got.extend(found.objects)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            await store.put('b', 'y', {}, 0, purpose='test')
+            await store.put('a', 'x', {'n': 1}, 0, purpose='test')
+        assert [item.name for item in got] == ['x']
+        empty = await store.watch(['a'], 2, 0.01, purpose='test')
+        assert empty.objects == []
+
+
+@KINDS
+async def test_lost_answer_is_told_apart_from_no_effect(kind):
+    async with open_store(kind) as (store, faults):
+        faults.lose_answers = 1.0
+        with pytest.raises(errors.StoreUnknownError):
+            await store.put('a', 'x', {'n': 1}, 0, purpose='test')
+        found = await store.get('a', 'x', purpose='test')
+        assert found.value == {'n': 1}
+        faults.down = True
+        with pytest.raises(errors.StoreUnavailableError):
+            await store.put('a', 'y', {}, 0, purpose='test')
