--- a/gentianstair/entry/work.py
+++ b/gentianstair/entry/work.py
@@ -33,7 +33,10 @@
     output_token: float = 4.0
 
 
-def cost(work: Work, weights: CostWeights = CostWeights()) -> float:
+DEFAULT_WEIGHTS = CostWeights()
+
+
+def cost(work: Work, weights: CostWeights = DEFAULT_WEIGHTS) -> float:
     """Return the work's expected cost in prompt-token units.
 
     >>> cost(Work('r', 'c', 'm', 100, 10, 1.0))
