--- /dev/null
+++ b/gentianstair/entry/callers.py
@@ -0,0 +1,102 @@
+"""Tell which customer a request is from, and what it may use."""
+
+import hashlib
+import typing
+
+from gentianstair import errors
+from gentianstair.config import view as views
+from gentianstair.generated import messages
+
+BEARER = 'bearer '
+
+
+class Caller(typing.NamedTuple):
+    """The customer behind a request, by its key's digest."""
+
+    customer: str
+    key_digest: str
+
+
+class Model(typing.NamedTuple):
+    """What a public model name stands for in the bundle of one request."""
+
+    name: str
+    engine_model: str
+    adapter: str | None
+    cache_salt: str
+    bundle_number: int
+
+
+def digest(key: str) -> str:
+    """Return the name under which a key is kept.
+
+    >>> digest('a')[:8]
+    'ca978112'
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def authenticate(view: views.View, authorization: str | None) -> Caller:
+    """Return the caller of a request; raise RequestError with 401."""
+    refused = errors.RequestError(
+        401, 'bad-key', 'the request carries no valid key'
+    )
+    if not authorization or not authorization.lower().startswith(BEARER):
+        raise refused
+    key_digest = digest(authorization[len(BEARER) :].strip())
+    key = view.key(key_digest)
+    if key is None or key['revoked']:
+        raise refused
+    customer = view.customer(key['customer'])
+    if customer is None or not customer['enabled']:
+        raise refused
+    return Caller(key['customer'], key_digest)
+
+
+def still_valid(view: views.View, caller: Caller) -> bool:
+    """Return whether the caller's key stands; false once it is revoked."""
+    key = view.key(caller.key_digest)
+    return key is not None and not key['revoked']
+
+
+def _may_use(entry: messages.ModelEntry, customer: str) -> bool:
+    return not entry['customers'] or customer in entry['customers']
+
+
+def resolve_model(
+    bundle: messages.BundleValue | None, caller: Caller, name: str
+) -> Model:
+    """Return what name stands for; raise RequestError with 404 or 503.
+
+    A model of another customer is answered as one that does not exist.
+    """
+    if bundle is None:
+        raise errors.RequestError(
+            503, 'no-bundle', 'no bundle is in force yet', retry_after_s=1.0
+        )
+    entry = bundle['models'].get(name)
+    if entry is None or not _may_use(entry, caller.customer):
+        raise errors.RequestError(
+            404, 'no-such-model', f'there is no model {name!r}'
+        )
+    salt = '' if entry['share_prefixes'] else caller.customer
+    return Model(
+        name,
+        entry['engine_model'],
+        entry['adapter'],
+        salt,
+        bundle['number'],
+    )
+
+
+def list_models(
+    bundle: messages.BundleValue | None, caller: Caller
+) -> list[str]:
+    """Return the public names that the caller may use."""
+    if bundle is None:
+        return []
+    return [
+        name
+        for name, entry in sorted(bundle['models'].items())
+        if _may_use(entry, caller.customer)
+    ]
--- /dev/null
+++ b/gentianstair/entry/completions.py
@@ -0,0 +1,153 @@
+"""Read a caller's completion request and write the engine's."""
+
+import json
+import typing
+
+from gentianstair import errors
+from gentianstair.entry import callers
+
+DEFAULT_MAX_TOKENS = 256
+MAX_DEPTH = 32
+MAX_PRIORITY = 9
+CHAT_PATH = '/v1/chat/completions'
+TEXT_PATH = '/v1/completions'
+PATHS = (CHAT_PATH, TEXT_PATH)
+
+
+class Completion(typing.NamedTuple):
+    """A checked completion request.
+
+    ``body`` is the caller's object: a field that is unknown here goes
+    through to the engine as it came.
+    """
+
+    path: str
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    wants_usage: bool
+    priority: int
+    body: dict[str, typing.Any]
+
+
+def _bad(detail: str) -> errors.RequestError:
+    return errors.RequestError(400, 'bad-request', detail)
+
+
+def _depth_ok(value: typing.Any, left: int) -> bool:
+    if left < 0:
+        return False
+    if isinstance(value, dict):
+        return all(_depth_ok(item, left - 1) for item in value.values())
+    if isinstance(value, list):
+        return all(_depth_ok(item, left - 1) for item in value)
+    return True
+
+
+def _decode(data: bytes) -> dict[str, typing.Any]:
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError):
+        raise _bad('the body is not JSON') from None
+    if not isinstance(body, dict):
+        raise _bad('the body is not a JSON object')
+    if not _depth_ok(body, MAX_DEPTH):
+        raise _bad(f'the body is nested deeper than {MAX_DEPTH}')
+    return body
+
+
+def _message_text(message: typing.Any) -> str:
+    if not isinstance(message, dict):
+        raise _bad('each message must be an object')
+    content = message.get('content')
+    if isinstance(content, str):
+        return content
+    if isinstance(content, list):
+        parts = [part for part in content if isinstance(part, dict)]
+        return ' '.join(str(part.get('text', '')) for part in parts)
+    if content is None:
+        return ''
+    raise _bad('content must be text or a list of parts')
+
+
+def _prompt(path: str, body: dict[str, typing.Any]) -> str:
+    if path == CHAT_PATH:
+        messages = body.get('messages')
+        if not isinstance(messages, list) or not messages:
+            raise _bad('messages must be a list that is not empty')
+        return ' '.join(_message_text(message) for message in messages)
+    prompt = body.get('prompt')
+    if not isinstance(prompt, str):
+        raise _bad('prompt must be text')
+    return prompt
+
+
+def _integer(
+    body: dict[str, typing.Any], name: str, default: int, low: int, high: int
+) -> int:
+    value = body.get(name, default)
+    if value is None:
+        return default
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise _bad(f'{name} must be a whole number')
+    if not low <= value <= high:
+        raise _bad(f'{name} must be {low} to {high}')
+    return value
+
+
+def _max_tokens(body: dict[str, typing.Any]) -> int:
+    name = 'max_tokens'
+    if 'max_completion_tokens' in body:
+        name = 'max_completion_tokens'
+    return _integer(body, name, DEFAULT_MAX_TOKENS, 1, 1_000_000)
+
+
+def parse(path: str, data: bytes) -> Completion:
+    """Return the request in data; raise RequestError with 400."""
+    body = _decode(data)
+    model = body.get('model')
+    if not isinstance(model, str) or not model:
+        raise _bad('model must be text')
+    stream = body.get('stream') or False
+    if not isinstance(stream, bool):
+        raise _bad('stream must be true or false')
+    options = body.get('stream_options') or {}
+    if not isinstance(options, dict):
+        raise _bad('stream_options must be an object')
+    return Completion(
+        path=path,
+        model=model,
+        prompt=_prompt(path, body),
+        max_tokens=_max_tokens(body),
+        stream=stream,
+        wants_usage=bool(options.get('include_usage')),
+        priority=_integer(body, 'priority', 0, 0, MAX_PRIORITY),
+        body=body,
+    )
+
+
+def engine_body(
+    completion: Completion,
+    model: callers.Model,
+    resume_text: str = '',
+) -> bytes:
+    """Return the engine's body, without anything that names the key.
+
+    With resume_text the engine goes on after what was delivered already;
+    the limit of tokens still counts from the answer's start.
+    """
+    body = dict(completion.body)
+    body['model'] = model.adapter or model.engine_model
+    body['cache_salt'] = model.cache_salt
+    body['priority'] = completion.priority
+    body.pop('max_completion_tokens', None)
+    body['max_tokens'] = completion.max_tokens
+    if completion.stream:
+        options = dict(body.get('stream_options') or {})
+        # Usage is billed from the engine's own count.
+        body['stream_options'] = {**options, 'include_usage': True}
+    body.pop('resume_text', None)
+    if resume_text:
+        body['resume_text'] = resume_text
+    return json.dumps(body).encode()
--- /dev/null
+++ b/gentianstair/entry/exchange.py
@@ -0,0 +1,207 @@
+"""Hold one caller's request and answer, on the server's ASGI interface.
+
+Relayed answers bypass Quart's response objects, which cost more than the
+relay itself for each chunk; see docs/design/relay.md.
+"""
+
+import collections.abc
+import email.message
+import json
+import math
+import typing
+
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+
+Headers = list[tuple[bytes, bytes]]
+TIMEOUT_HEADER = 'x-request-timeout-s'
+HTTP_TOO_LARGE = 413
+HTTP_TIMEOUT = 408
+MAX_ID_LENGTH = 128
+
+
+class CallerGoneError(errors.GentianstairError):
+    """Report that the caller hung up or stopped reading."""
+
+
+class Exchange:
+    """One request of a caller and the answer to it.
+
+    ``started`` tells whether the answer's status has been sent, after which
+    a failure can only be told inside the body.
+    """
+
+    def __init__(
+        self,
+        scope: dict[str, typing.Any],
+        receive: collections.abc.Callable,
+        send: collections.abc.Callable,
+    ) -> None:
+        self.path: str = scope['path']
+        self.method: str = scope['method']
+        self.query: bytes = scope.get('query_string', b'')
+        self.raw_headers: Headers = list(scope['headers'])
+        self.started = False
+        self.ended = False
+        self._receive = receive
+        self._send = send
+
+    def header(self, name: str) -> str | None:
+        """Return a header's value, or None.
+
+        Raise RequestError when it is there twice: two readers could
+        otherwise take different ones.
+        """
+        wanted = name.encode()
+        found = [value for key, value in self.raw_headers if key == wanted]
+        if len(found) > 1:
+            raise errors.RequestError(
+                400, 'duplicate-header', f'{name} is given more than once'
+            )
+        return found[0].decode('latin-1') if found else None
+
+    def timeout_s(self, limit_s: float) -> float:
+        """Return how long the caller waits for its whole answer."""
+        text = self.header(TIMEOUT_HEADER)
+        if text is None:
+            return limit_s
+        try:
+            value_s = float(text)
+        except ValueError:
+            value_s = math.nan
+        if not 0 < value_s <= limit_s:
+            raise errors.RequestError(
+                400,
+                'impossible-deadline',
+                f'{TIMEOUT_HEADER} must be above 0 and at most {limit_s:g}',
+            )
+        return value_s
+
+    def _declared_bytes(self) -> int:
+        text = self.header('content-length')
+        return int(text) if text and text.isdigit() else 0
+
+    async def read_body(self, limit_bytes: int, timeout_s: float) -> bytes:
+        """Return the whole body.
+
+        Raise RequestError as soon as it is known to be too long, and when
+        the caller takes longer than timeout_s to send it.
+        """
+        too_long = errors.RequestError(
+            HTTP_TOO_LARGE,
+            'body-too-long',
+            f'a body may have {limit_bytes} bytes',
+        )
+        if self._declared_bytes() > limit_bytes:
+            raise too_long
+        parts: list[bytes] = []
+        size = 0
+        with trio.move_on_after(timeout_s) as scope:
+            more = True
+            while more:
+                message = await self._receive()
+                if message['type'] == 'http.disconnect':
+                    raise CallerGoneError('hung up while sending')
+                parts.append(message.get('body', b''))
+                size += len(parts[-1])
+                if size > limit_bytes:
+                    raise too_long
+                more = message.get('more_body', False)
+        if scope.cancelled_caught:
+            raise errors.RequestError(
+                HTTP_TIMEOUT,
+                'body-timeout',
+                f'the body did not arrive within {timeout_s:g} s',
+            )
+        return b''.join(parts)
+
+    async def wait_gone(self) -> None:
+        """Return when the caller hangs up; call after read_body."""
+        while True:
+            message = await self._receive()
+            if message['type'] == 'http.disconnect':
+                return
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send status and headers."""
+        self.started = True
+        await self._send(
+            {
+                'type': 'http.response.start',
+                'status': status,
+                'headers': headers,
+            }
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits while the caller reads slowly."""
+        await self._send(
+            {'type': 'http.response.body', 'body': data, 'more_body': True}
+        )
+
+    async def end(self, data: bytes = b'') -> None:
+        """Send the last part of the body."""
+        self.ended = True
+        await self._send({'type': 'http.response.body', 'body': data})
+
+    async def answer(
+        self, status: int, content_type: str, body: bytes, extra: Headers = ()
+    ) -> None:
+        """Send a whole answer."""
+        headers = [
+            (b'content-type', content_type.encode()),
+            (b'content-length', b'%d' % len(body)),
+            *extra,
+        ]
+        await self.start(status, headers)
+        await self.end(body)
+
+    async def refuse(
+        self, error: errors.RequestError, request_id: str
+    ) -> None:
+        """Send a problem body that carries the verdict."""
+        body, extra = problem(error, request_id)
+        await self.answer(
+            error.status, 'application/problem+json', body, extra
+        )
+
+
+def problem(
+    error: errors.RequestError, request_id: str
+) -> tuple[bytes, Headers]:
+    """Return body and headers of a refusal (RFC 9457)."""
+    content = {**error.to_problem(), 'request_id': request_id}
+    headers = [
+        (b'x-request-id', request_id.encode()),
+        (b'x-verdict', error.verdict.name.encode()),
+    ]
+    if error.retry_after_s is not None:
+        # The header takes whole seconds; rounding up keeps it honest.
+        after = math.ceil(error.retry_after_s)
+        headers.append((b'retry-after', b'%d' % max(after, 1)))
+    if error.status == 401:
+        headers.append((b'www-authenticate', b'Bearer'))
+    return json.dumps(content).encode(), headers
+
+
+def media_type(content_type: str | None) -> str:
+    """Return the media type without parameters, in lower case.
+
+    >>> media_type('application/JSON; charset=utf-8')
+    'application/json'
+    """
+    message = email.message.Message()
+    message['content-type'] = content_type or ''
+    return message.get_content_type()
+
+
+def gone() -> errors.RequestError:
+    """Return the note of a request whose caller went away."""
+    return errors.RequestError(
+        499,
+        'caller-gone',
+        'the caller hung up',
+        verdicts.Verdict.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/gentianstair/upstreams/transport.py
@@ -0,0 +1,231 @@
+"""Carry HTTP requests to upstreams over trio, at little cost per chunk.
+
+It is an httpx transport: httpx gives the request and response types, the
+httptools library parses. Measured against httpx's own transport it spends
+about a quarter of the processor time on each relayed chunk; see
+docs/design/relay.md.
+"""
+
+import collections
+import collections.abc
+import contextlib
+import select
+import ssl
+
+import httptools
+import httpx
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+
+READ_BYTES = 65536
+MAX_HEADER_BYTES = 65536
+IDLE_CONNECTIONS = 64
+HTTPS_PORT = 443
+HTTP_PORT = 80
+
+
+class _Message:
+    """Collect what the parser finds in one response."""
+
+    def __init__(self) -> None:
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.parts: list[bytes] = []
+        self.head_done = False
+        self.done = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self.head_done = True
+
+    def on_body(self, body: bytes) -> None:
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        # An interim (1xx) response is complete before the final one starts.
+        self.done = True
+
+
+class Body(httpx.AsyncByteStream):
+    """The body of one response, read as it comes.
+
+    Each item is all that one read brought. An upstream that closes too
+    early raises UpstreamError with MAY_HAVE_RUN.
+    """
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        message: _Message,
+        parser: httptools.HttpResponseParser,
+        give_back: collections.abc.Callable[[trio.abc.Stream], None],
+    ) -> None:
+        self._stream = stream
+        self._message = message
+        self._parser = parser
+        self._give_back = give_back
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        message = self._message
+        while True:
+            if message.parts:
+                found = b''.join(message.parts)
+                message.parts.clear()
+                yield found
+            if message.done:
+                return
+            await _feed(self._stream, self._parser)
+
+    async def aclose(self) -> None:
+        """Keep the connection if the body is whole, else cut it.
+
+        Cutting it is how the upstream learns that the work is cancelled.
+        """
+        if self._message.done and self._parser.should_keep_alive():
+            self._give_back(self._stream)
+        else:
+            await trio.aclose_forcefully(self._stream)
+
+
+async def _feed(
+    stream: trio.abc.Stream, parser: httptools.HttpResponseParser
+) -> None:
+    try:
+        data = await stream.receive_some(READ_BYTES)
+        if data:
+            parser.feed_data(data)
+    except (trio.BrokenResourceError, httptools.HttpParserError) as error:
+        raise _lost(f'{type(error).__name__} while reading') from error
+    if not data:
+        raise _lost('the upstream closed the connection')
+
+
+def _lost(message: str) -> errors.UpstreamError:
+    return errors.UpstreamError(message, verdicts.Verdict.MAY_HAVE_RUN)
+
+
+def _head(request: httpx.Request) -> bytes:
+    lines = [
+        b'%s %s HTTP/1.1' % (request.method.encode(), request.url.raw_path)
+    ]
+    lines += [b'%s: %s' % pair for pair in request.headers.raw]
+    return b'\r\n'.join(lines) + b'\r\n\r\n'
+
+
+def _socket(stream: trio.abc.Stream) -> trio.socket.SocketType:
+    if isinstance(stream, trio.SSLStream):
+        return stream.transport_stream.socket
+    return stream.socket
+
+
+def _is_closed(stream: trio.abc.Stream) -> bool:
+    """Return whether an idle connection has been closed or written to.
+
+    An upstream that stopped while the connection was idle shows as a
+    readable socket; sending on it would lose a request that never ran.
+    """
+    poller = select.poll()
+    poller.register(_socket(stream).fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
+class Transport(httpx.AsyncBaseTransport):
+    """Connections to upstreams, kept open by address.
+
+    With the request extension ``fresh`` a new connection is opened, as an
+    unrepeatable request needs: a kept one may die after the first byte, for
+    reasons that have nothing to do with the request.
+    """
+
+    def __init__(self, ssl_context: ssl.SSLContext | None = None) -> None:
+        self._ssl_context = ssl_context
+        self._idle: dict[tuple[str, int], collections.deque] = {}
+
+    async def _connect(self, url: httpx.URL) -> trio.abc.Stream:
+        secure = url.scheme == 'https'
+        port = url.port or (HTTPS_PORT if secure else HTTP_PORT)
+        try:
+            if secure:
+                stream = await trio.open_ssl_over_tcp_stream(
+                    url.host, port, ssl_context=self._ssl_context
+                )
+                await stream.do_handshake()
+                return stream
+            return await trio.open_tcp_stream(url.host, port)
+        except (OSError, trio.BrokenResourceError) as error:
+            message = f'cannot connect: {error}'
+            verdict = verdicts.Verdict.NOT_RUN
+            raise errors.UpstreamError(message, verdict) from error
+
+    def _take(self, url: httpx.URL) -> trio.abc.Stream | None:
+        idle = self._idle.get((url.host, url.port or 0))
+        while idle:
+            stream = idle.pop()
+            if not _is_closed(stream):
+                return stream
+            with contextlib.suppress(OSError):
+                _socket(stream).close()
+        return None
+
+    def _keep(self, url: httpx.URL, stream: trio.abc.Stream) -> None:
+        address = (url.host, url.port or 0)
+        idle = self._idle.setdefault(address, collections.deque())
+        idle.append(stream)
+        if len(idle) > IDLE_CONNECTIONS:
+            _socket(idle.popleft()).close()
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Send a request whose body is in memory; return at the headers.
+
+        Raise UpstreamError: NOT_RUN until the first byte was handed to the
+        kernel, MAY_HAVE_RUN from then on.
+        """
+        stream = None
+        if not request.extensions.get('fresh'):
+            stream = self._take(request.url)
+        if stream is None:
+            stream = await self._connect(request.url)
+        try:
+            return await self._exchange(stream, request)
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+
+    async def _exchange(
+        self, stream: trio.abc.Stream, request: httpx.Request
+    ) -> httpx.Response:
+        try:
+            await stream.send_all(_head(request) + request.content)
+        except trio.BrokenResourceError as error:
+            raise _lost('the connection broke while sending') from error
+        message = _Message()
+        parser = httptools.HttpResponseParser(message)
+        while not message.head_done or parser.get_status_code() < 200:
+            await _feed(stream, parser)
+            if parser.get_status_code() < 200 and message.done:
+                message = _Message()
+                parser = httptools.HttpResponseParser(message)
+        body = Body(
+            stream,
+            message,
+            parser,
+            lambda kept: self._keep(request.url, kept),
+        )
+        status = parser.get_status_code()
+        return httpx.Response(status, headers=message.headers, stream=body)
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            while idle:
+                await trio.aclose_forcefully(idle.pop())
+
+
+def make_transport(ssl_context: ssl.SSLContext | None = None) -> Transport:
+    """Return a transport without connections."""
+    return Transport(ssl_context)
