--- /dev/null
+++ b/gentianstair/entry/admission.py
@@ -0,0 +1,228 @@
+"""Admit requests in fair order, and refuse early what would come late."""
+
+import collections.abc
+import contextlib
+import itertools
+import uuid
+
+import loguru
+import trio
+
+from gentianstair import errors
+from gentianstair.entry import fairness
+from gentianstair.entry import pool as pools
+from gentianstair.entry import work as works
+from gentianstair.generated import messages
+from gentianstair.util import clock as clocks
+
+# A peer that was silent for this long no longer counts in the split.
+PEER_TIMEOUT_S = 10.0
+# All rows are sent again this often, so a lost message heals.
+FULL_SUMMARY_S = 10.0
+# Longest Retry-After; a longer line is not worth telling.
+LONGEST_RETRY_S = 3600.0
+
+Record = collections.abc.Callable[[pools.Decision], None]
+
+
+def _log(decision: pools.Decision) -> None:
+    loguru.logger.bind(**decision._asdict()).debug('admission')
+
+
+class Ticket:
+    """The right to run one request, and what it is charged."""
+
+    def __init__(self, waiter: pools.Waiter, decision: pools.Decision) -> None:
+        self.work = waiter.work
+        self.decision = decision
+        self.cost = waiter.cost
+
+    def charge(
+        self, prompt_tokens: int, output_tokens: int, cached_tokens: int = 0
+    ) -> None:
+        """Set the cost that the upstream's usage shows, in tokens.
+
+        Prompt tokens found in the engine's cache cost nothing. The last
+        call counts; without one the expected cost stands.
+        """
+        weights = works.DEFAULT_WEIGHTS
+        fresh = max(0, prompt_tokens - cached_tokens)
+        self.cost = (
+            fresh * weights.prompt_token + output_tokens * weights.output_token
+        )
+
+
+class Queue:
+    """Requests that wait for a share of the fleet, by model."""
+
+    def __init__(
+        self,
+        vm: str,
+        weight_of: fairness.WeightOf,
+        clock: clocks.Clock,
+        record: Record,
+    ) -> None:
+        self._vm = vm
+        self._weight_of = weight_of
+        self._clock = clock
+        self._record = record
+        self._pools: dict[str, pools.Pool] = {}
+        self._order = itertools.count()
+        self._incarnation = uuid.uuid4().hex[:12]
+        self._live: set[str] = {vm}
+        self._heard_s: dict[str, float] = {}
+        self._peer_incarnation: dict[str, str] = {}
+        self._sent: dict[tuple[str, str], messages.ServiceRow] = {}
+        self._full_s = -FULL_SUMMARY_S
+
+    def set_capacity(
+        self, model: str, slots: int, cost_per_s: float = 0.0
+    ) -> None:
+        """Set what the whole fleet's engines can carry for a model.
+
+        slots are requests that run at once, cost_per_s a first figure of
+        their speed in cost units; service measured here replaces it. This
+        VM uses its part, by what peers report to be asked of them.
+        """
+        pool = self._pool(model)
+        pool.set_capacity(slots, cost_per_s)
+        self._resplit(pool)
+
+    def set_vms(self, live: collections.abc.Iterable[str]) -> None:
+        """Set the entry VMs that share the fleet, this one included."""
+        self._live = {self._vm, *live}
+        for pool in self._pools.values():
+            self._resplit(pool)
+
+    def _pool(self, model: str) -> pools.Pool:
+        if model not in self._pools:
+            now_s = self._clock()
+            self._pools[model] = pools.Pool(model, self._weight_of, now_s)
+        return self._pools[model]
+
+    @contextlib.asynccontextmanager
+    async def admit(
+        self, work: works.Work
+    ) -> collections.abc.AsyncIterator[Ticket]:
+        """Wait for a slot in fair order and hold it for the block.
+
+        Raise RequestError (429 or 503, NOT_RUN) as soon as the deadline
+        cannot be met. A refusal is final: nothing of it stays queued.
+        """
+        pool = self._pool(work.model)
+        now_s = self._clock()
+        waiter = pools.Waiter(work, next(self._order), now_s)
+        decision = pool.offer(waiter, now_s)
+        self._record(decision)
+        if not decision.admitted:
+            raise _refusal(decision)
+        ticket = Ticket(waiter, decision)
+        started_s = None
+        try:
+            left_s = pool.latest_start_s(waiter) - self._clock()
+            with trio.move_on_after(max(0.0, left_s)):
+                await waiter.granted.wait()
+            if not waiter.running:
+                decision = waiter.refusal or pool.give_up(
+                    waiter, self._clock()
+                )
+                self._record(decision)
+                raise _refusal(decision)
+            started_s = self._clock()
+            yield ticket
+        finally:
+            # A caller that hung up arrives here too: its place in the
+            # queue or its slot is free at once.
+            pool.leave(waiter, ticket.cost, started_s, self._clock())
+
+    def waiting(self, model: str) -> int:
+        """Return how many requests of a model wait here."""
+        return self._pool(model).waiting_count()
+
+    def running(self, model: str) -> int:
+        """Return how many requests of a model hold a slot here."""
+        return self._pool(model).running_count
+
+    def counters(self, model: str) -> fairness.Counters:
+        """Return the service counters of a model."""
+        return self._pool(model).counters
+
+    def summary(self) -> messages.FairnessSummary | None:
+        """Return the rows that changed since the last call, or None."""
+        now_s = self._clock()
+        if now_s - self._full_s >= FULL_SUMMARY_S:
+            self._full_s = now_s
+            self._sent.clear()
+        rows = []
+        for pool in self._pools.values():
+            for row in pool.rows(now_s):
+                key = (row['model'], row['customer'])
+                if fairness.changed(row, self._sent.get(key)):
+                    self._sent[key] = row
+                    rows.append(row)
+            self._resplit(pool)
+        if not rows:
+            return None
+        return {
+            'version': fairness.SUMMARY_VERSION,
+            'vm': self._vm,
+            'incarnation': self._incarnation,
+            'rows': rows,
+        }
+
+    def merge(self, vm: str, summary: messages.FairnessSummary) -> None:
+        """Take a peer's summary; a repeat or a late one does no harm."""
+        if vm == self._vm or summary['version'] != fairness.SUMMARY_VERSION:
+            return
+        if self._peer_incarnation.get(vm) != summary['incarnation']:
+            # A peer that started anew counts from nothing: taken for the
+            # old one its totals would fall and give its customers credit.
+            self._forget(vm)
+            self._peer_incarnation[vm] = summary['incarnation']
+        self._heard_s[vm] = self._clock()
+        for row in summary['rows']:
+            self._pool(row['model']).merge(vm, row)
+
+    def _forget(self, vm: str) -> None:
+        self._peer_incarnation.pop(vm, None)
+        for pool in self._pools.values():
+            pool.forget(vm)
+
+    def _resplit(self, pool: pools.Pool) -> None:
+        now_s = self._clock()
+        for vm, heard_s in list(self._heard_s.items()):
+            if vm not in self._live or now_s - heard_s > PEER_TIMEOUT_S:
+                del self._heard_s[vm]
+                self._forget(vm)
+        pool.resplit(self._vm, self._live, now_s)
+        pool.drop_late(now_s)
+
+
+def _refusal(decision: pools.Decision) -> errors.RequestError:
+    retry_after_s = decision.retry_after_s
+    if retry_after_s is not None:
+        retry_after_s = min(retry_after_s, LONGEST_RETRY_S)
+    return errors.RequestError(
+        429 if decision.reason == 'over-share' else 503,
+        decision.reason,
+        f'expected to start after {decision.wait_s:.1f} s and to take '
+        f'{decision.service_s:.1f} s, of {decision.left_s:.1f} s left',
+        retry_after_s=retry_after_s,
+    )
+
+
+def make_queue(
+    vm: str = 'local',
+    weight_of: fairness.WeightOf = lambda customer: 1.0,
+    clock: clocks.Clock = clocks.trio_time_s,
+    record: Record = _log,
+) -> Queue:
+    """Return the queue of one entry process.
+
+    weight_of gives a customer's weight, for example from the view; record
+    takes each decision with its inputs.
+    """
+    return Queue(vm, weight_of, clock, record)
+
+
+__all__ = ('Queue', 'Record', 'Ticket', 'make_queue')
--- /dev/null
+++ b/gentianstair/entry/fairness.py
@@ -0,0 +1,162 @@
+"""Share the work of one model between customers and between VMs."""
+
+import collections.abc
+import typing
+
+from gentianstair.generated import messages
+
+# Version of the summaries this module writes.
+SUMMARY_VERSION = 1
+# A row is sent again once a figure of it moved by this share.
+CHANGED_SHARE = 0.05
+
+WeightOf = collections.abc.Callable[[str], float]
+
+
+class Rate:
+    """An average of a flow per second that forgets with a half-life."""
+
+    def __init__(self, half_life_s: float, now_s: float) -> None:
+        self._half_life_s = half_life_s
+        self._at_s = now_s
+        self._sum = 0.0
+
+    def _decay(self, now_s: float) -> None:
+        passed_s = max(0.0, now_s - self._at_s)
+        self._sum *= 0.5 ** (passed_s / self._half_life_s)
+        self._at_s = max(self._at_s, now_s)
+
+    def add(self, amount: float, now_s: float) -> None:
+        """Count an amount that flowed at now_s."""
+        self._decay(now_s)
+        self._sum += amount
+
+    def per_s(self, now_s: float) -> float:
+        """Return the average flow; a burst counts over the half-life."""
+        self._decay(now_s)
+        return self._sum * 0.6931 / self._half_life_s
+
+
+class Counters:
+    """Virtual service counters of one model's customers, as one VM knows.
+
+    A counter is the cost served to the customer, here and as peers report,
+    divided by its weight. The next slot goes to the backlogged customer with
+    the lowest counter. On one VM two backlogged customers whose requests
+    cost at most U, with at most n requests in flight, never differ by more
+    than (n + 1) * U / weight: a choice lifts only the lowest, by at most
+    U / weight, and refunds take back at most what is in flight. Each peer
+    adds at most what it served between two summaries.
+    """
+
+    def __init__(self, weight_of: WeightOf) -> None:
+        self._weight_of = weight_of
+        self.served: dict[str, float] = {}
+        self.own: dict[str, float] = {}
+        self._lift: dict[str, float] = {}
+
+    def value(self, customer: str) -> float:
+        """Return the customer's counter, in cost units by weight."""
+        served = self.served.get(customer, 0.0)
+        weight = max(self._weight_of(customer), 1e-9)
+        return served / weight + self._lift.get(customer, 0.0)
+
+    def add(self, customer: str, cost: float) -> None:
+        """Charge cost served here; a refund is negative."""
+        self.own[customer] = self.own.get(customer, 0.0) + cost
+        self.add_remote(customer, cost)
+
+    def add_remote(self, customer: str, cost: float) -> None:
+        """Charge cost that a peer served."""
+        self.served[customer] = self.served.get(customer, 0.0) + cost
+
+    def join(
+        self, customer: str, backlogged: collections.abc.Iterable[str]
+    ) -> None:
+        """Lift a customer that was idle to the lowest that was not.
+
+        Without this a customer that was idle for an hour would have saved
+        up an hour of service and shut all others out on its return.
+        """
+        others = [self.value(other) for other in backlogged]
+        if not others:
+            return
+        behind = min(others) - self.value(customer)
+        if behind > 0.0:
+            self._lift[customer] = self._lift.get(customer, 0.0) + behind
+
+    def lowest(self, backlogged: collections.abc.Iterable[str]) -> str:
+        """Return the backlogged customer whose turn it is.
+
+        Of equals the newcomer goes first, which was lifted the most.
+        """
+        return min(backlogged, key=self._turn)
+
+    def _turn(self, customer: str) -> tuple[float, float, str]:
+        lift = self._lift.get(customer, 0.0)
+        return round(self.value(customer), 6), -lift, customer
+
+
+def fill(
+    total: float,
+    demands: collections.abc.Mapping[str, float],
+    weight_of: WeightOf,
+) -> dict[str, float]:
+    """Return the weighted max-min fair split of total over demands.
+
+    >>> fill(10.0, {'a': 2.0, 'b': 30.0, 'c': 30.0}, lambda name: 1.0)
+    {'a': 2.0, 'b': 4.0, 'c': 4.0}
+    """
+    weights = {name: max(weight_of(name), 1e-9) for name in demands}
+    order = sorted(demands, key=lambda name: demands[name] / weights[name])
+    weight_left = sum(weights.values())
+    given = {}
+    for name in order:
+        part = total * weights[name] / weight_left
+        given[name] = min(demands[name], part)
+        total -= given[name]
+        weight_left -= weights[name]
+    return given
+
+
+def split(
+    total: float,
+    demands: collections.abc.Mapping[str, dict[str, float]],
+    weight_of: WeightOf,
+) -> dict[str, float]:
+    """Return each VM's part of total, from demands by VM and customer.
+
+    Every customer gets its fair part of the whole fleet, wherever its
+    callers arrive; what nobody asks for is spread evenly.
+
+    >>> split(9.0, {'v1': {'a': 50.0}, 'v2': {'b': 3.0}}, lambda name: 1.0)
+    {'v1': 6.0, 'v2': 3.0}
+    """
+    asked: dict[str, float] = {}
+    for rows in demands.values():
+        for customer, demand in rows.items():
+            asked[customer] = asked.get(customer, 0.0) + demand
+    given = fill(total, asked, weight_of)
+    spare = max(0.0, total - sum(given.values())) / max(1, len(demands))
+    parts = {}
+    for vm, rows in demands.items():
+        parts[vm] = spare + sum(
+            given[customer] * demand / asked[customer]
+            for customer, demand in rows.items()
+            if demand > 0.0
+        )
+    return parts
+
+
+def changed(
+    row: messages.ServiceRow, last: messages.ServiceRow | None
+) -> bool:
+    """Return whether a row moved enough since it was last sent."""
+    if last is None:
+        return True
+    for field in ('served_cost', 'demand_cost_per_s', 'waiting_cost'):
+        new = typing.cast(float, row[field])
+        old = typing.cast(float, last[field])
+        if abs(new - old) > CHANGED_SHARE * max(abs(old), 1.0):
+            return True
+    return False
--- /dev/null
+++ b/gentianstair/entry/limits.py
@@ -0,0 +1,279 @@
+"""Hold customers to their limits across all entry VMs without a write.
+
+Each VM enforces its part of a limit: a small even part, and the rest by the
+demand that the VMs told each other. A VM counts a rise of its own demand
+only one interval after it told it, a fall at once. So the parts never sum to
+more than the whole while summaries arrive within the interval, and a cut
+peer keeps the part it last told.
+
+The stated error, for N VMs: in any window of W seconds at most
+``limit * (W + BURST_S) + N`` requests pass; tokens likewise plus one request
+a VM; at most ``limit + N - 1`` requests run at once, and more than ``limit``
+only when VMs admit within one interval of each other.
+"""
+
+import collections.abc
+import contextlib
+import typing
+import uuid
+
+from gentianstair import errors
+from gentianstair.entry import fairness
+from gentianstair.generated import messages
+from gentianstair.util import clock as clocks
+
+SUMMARY_VERSION = 1
+# Seconds of the limit that an idle customer may use in one burst.
+BURST_S = 1.0
+# Part of a limit that is spread evenly, so that a new VM can start.
+EVEN_SHARE = 0.1
+DEMAND_HALF_LIFE_S = 2.0
+# Least time between two summaries, and the lag that they are allowed.
+INTERVAL_S = 0.5
+FULL_SUMMARY_S = 10.0
+
+
+class Terms(typing.NamedTuple):
+    """A customer's limits on the whole fleet; 0 is no limit."""
+
+    requests_per_s: float = 0.0
+    tokens_per_s: float = 0.0
+    concurrent: int = 0
+
+
+TermsOf = collections.abc.Callable[[str], Terms]
+
+
+class _Bucket:
+    """A token bucket whose level may fall below zero by one request."""
+
+    def __init__(self, now_s: float) -> None:
+        self.level: float | None = None
+        self._at_s = now_s
+
+    def refill(self, rate_per_s: float, least: float, now_s: float) -> None:
+        most = max(least, rate_per_s * BURST_S)
+        if self.level is None:
+            self.level = most
+        passed_s = max(0.0, now_s - self._at_s)
+        self.level = min(most, self.level + passed_s * rate_per_s)
+        self._at_s = now_s
+
+    def wait_s(self, needed: float, rate_per_s: float) -> float:
+        """Return how long until the level is reached; 0 if it is."""
+        assert self.level is not None
+        return max(0.0, needed - self.level) / max(rate_per_s, 1e-9)
+
+
+class _Use:
+    """One customer's use on this VM."""
+
+    def __init__(self, now_s: float) -> None:
+        self.requests = _Bucket(now_s)
+        self.tokens = _Bucket(now_s)
+        self.request_rate = fairness.Rate(DEMAND_HALF_LIFE_S, now_s)
+        self.token_rate = fairness.Rate(DEMAND_HALF_LIFE_S, now_s)
+        self.running = 0
+        # Requests and tokens a second: told now, and an interval before.
+        self.told = (0.0, 0.0)
+        self.told_before = (0.0, 0.0)
+
+    def demand(self, now_s: float) -> tuple[float, float]:
+        return self.request_rate.per_s(now_s), self.token_rate.per_s(now_s)
+
+    def counted(self, now_s: float) -> tuple[float, float]:
+        """Return the demand that peers certainly know of, or less."""
+        known = zip(
+            self.demand(now_s), self.told, self.told_before, strict=True
+        )
+        requests, tokens = (min(values) for values in known)
+        return requests, tokens
+
+
+class Hold:
+    """A request let through; settles what it really used."""
+
+    def __init__(self, use: _Use, tokens: int) -> None:
+        self._use = use
+        self._tokens = tokens
+
+    def used(self, tokens: int) -> None:
+        """Replace the expected tokens by those the upstream counted."""
+        level = self._use.tokens.level
+        if level is not None:
+            self._use.tokens.level = level + self._tokens - tokens
+        self._tokens = tokens
+
+
+class Limits:
+    """This VM's part of every customer's limits."""
+
+    def __init__(
+        self, vm: str, terms_of: TermsOf, clock: clocks.Clock
+    ) -> None:
+        self._vm = vm
+        self._terms_of = terms_of
+        self._clock = clock
+        self._live = {vm}
+        self._incarnation = uuid.uuid4().hex[:12]
+        self._uses: dict[str, _Use] = {}
+        self._peers: dict[str, dict[str, messages.UseRow]] = {}
+        self._peer_incarnation: dict[str, str] = {}
+        self._sent: dict[str, messages.UseRow] = {}
+        self._summary_s = -INTERVAL_S
+        self._full_s = -FULL_SUMMARY_S
+
+    def set_vms(self, live: collections.abc.Iterable[str]) -> None:
+        """Set the entry VMs; rows of those that left are dropped."""
+        self._live = {self._vm, *live}
+        for vm in set(self._peers) - self._live:
+            del self._peers[vm]
+
+    def _share(self, customer: str, use: _Use, kind: int) -> float:
+        own = use.counted(self._clock())[kind]
+        total = own
+        for rows in self._peers.values():
+            row = rows.get(customer)
+            if row is not None:
+                demand = (
+                    row['demand_requests_per_s'],
+                    row['demand_tokens_per_s'],
+                )
+                total += demand[kind]
+        even = 1.0 / len(self._live)
+        if total <= 1e-6:
+            return even
+        return EVEN_SHARE * even + (1.0 - EVEN_SHARE) * own / total
+
+    def _peers_running(self, customer: str) -> int:
+        return sum(
+            rows[customer]['running']
+            for rows in self._peers.values()
+            if customer in rows
+        )
+
+    @contextlib.contextmanager
+    def hold(
+        self, customer: str, tokens: int
+    ) -> collections.abc.Iterator[Hold]:
+        """Let a request of so many expected tokens through, or refuse it.
+
+        Raise RequestError 429, NOT_RUN, with the time to come back.
+        """
+        now_s = self._clock()
+        use = self._uses.setdefault(customer, _Use(now_s))
+        use.request_rate.add(1.0, now_s)
+        use.token_rate.add(tokens, now_s)
+        self._check(customer, use, self._terms_of(customer), now_s)
+        if use.requests.level is not None:
+            use.requests.level -= 1.0
+        if use.tokens.level is not None:
+            use.tokens.level -= tokens
+        use.running += 1
+        try:
+            yield Hold(use, tokens)
+        finally:
+            use.running -= 1
+
+    def _check(
+        self, customer: str, use: _Use, terms: Terms, now_s: float
+    ) -> None:
+        requests_share = self._share(customer, use, 0)
+        if terms.concurrent > 0:
+            part = max(1, int(terms.concurrent * requests_share))
+            total = use.running + self._peers_running(customer)
+            if use.running >= part or total >= terms.concurrent:
+                raise _refusal('concurrent-limit', INTERVAL_S * 2.0)
+        if terms.requests_per_s > 0.0:
+            rate = terms.requests_per_s * requests_share
+            use.requests.refill(rate, 1.0, now_s)
+            wait_s = use.requests.wait_s(1.0, rate)
+            if wait_s > 0.0:
+                raise _refusal('request-limit', wait_s)
+        if terms.tokens_per_s > 0.0:
+            rate = terms.tokens_per_s * self._share(customer, use, 1)
+            use.tokens.refill(rate, 1.0, now_s)
+            wait_s = use.tokens.wait_s(1.0, rate)
+            if wait_s > 0.0:
+                raise _refusal('token-limit', wait_s)
+
+    def summary(self) -> messages.LimitsSummary | None:
+        """Return the rows that changed, or None; call each INTERVAL_S."""
+        now_s = self._clock()
+        if now_s - self._summary_s < INTERVAL_S - 1e-9:
+            return None
+        self._summary_s = now_s
+        if now_s - self._full_s >= FULL_SUMMARY_S:
+            self._full_s = now_s
+            self._sent.clear()
+        rows = []
+        for customer, use in self._uses.items():
+            use.told_before = use.told
+            row = self._row(customer, use, now_s)
+            last = self._sent.get(customer)
+            if last is None or _moved(row, last):
+                self._sent[customer] = row
+                rows.append(row)
+            told = self._sent[customer]
+            use.told = (
+                told['demand_requests_per_s'],
+                told['demand_tokens_per_s'],
+            )
+        if not rows:
+            return None
+        return {
+            'version': SUMMARY_VERSION,
+            'vm': self._vm,
+            'incarnation': self._incarnation,
+            'rows': rows,
+        }
+
+    def _row(self, customer: str, use: _Use, now_s: float) -> messages.UseRow:
+        requests_per_s, tokens_per_s = use.demand(now_s)
+        return {
+            'customer': customer,
+            'demand_requests_per_s': requests_per_s,
+            'demand_tokens_per_s': tokens_per_s,
+            'running': use.running,
+        }
+
+    def merge(self, vm: str, summary: messages.LimitsSummary) -> None:
+        """Take a peer's summary; rows are absolute, so repeats are safe."""
+        if vm == self._vm or summary['version'] != SUMMARY_VERSION:
+            return
+        if self._peer_incarnation.get(vm) != summary['incarnation']:
+            self._peer_incarnation[vm] = summary['incarnation']
+            self._peers[vm] = {}
+        rows = self._peers.setdefault(vm, {})
+        for row in summary['rows']:
+            rows[row['customer']] = row
+
+
+def _moved(row: messages.UseRow, last: messages.UseRow) -> bool:
+    if row['running'] != last['running']:
+        return True
+    return any(
+        abs(new - old) > fairness.CHANGED_SHARE * max(old, 0.1)
+        for new, old in (
+            (row['demand_requests_per_s'], last['demand_requests_per_s']),
+            (row['demand_tokens_per_s'], last['demand_tokens_per_s']),
+        )
+    )
+
+
+def _refusal(kind: str, retry_after_s: float) -> errors.RequestError:
+    return errors.RequestError(
+        429, kind, 'a limit of this customer', retry_after_s=retry_after_s
+    )
+
+
+def make_limits(
+    vm: str,
+    terms_of: TermsOf,
+    clock: clocks.Clock = clocks.trio_time_s,
+) -> Limits:
+    """Return the limits of one entry process.
+
+    terms_of gives a customer's limits, for example from the view.
+    """
+    return Limits(vm, terms_of, clock)
--- /dev/null
+++ b/gentianstair/entry/pool.py
@@ -0,0 +1,360 @@
+"""Queue the requests of one model for this VM's part of its capacity."""
+
+import heapq
+import typing
+
+import trio
+
+from gentianstair.entry import fairness
+from gentianstair.entry import promises as promise_books
+from gentianstair.entry import work as works
+from gentianstair.generated import messages
+
+# How fast demand and speed are forgotten.
+DEMAND_HALF_LIFE_S = 2.0
+# Weight of the newest finished request in the learned figures.
+NEWEST = 0.05
+# Assumed until told or learned, in cost units a second for each slot.
+FIRST_SLOT_COST_PER_S = 200.0
+# Told to those refused for want of any upstream, which no queue can date.
+NO_UPSTREAM_RETRY_S = 5.0
+# Share of the patience that a promise leaves unused, against its error.
+PROMISE_SLACK = 0.5
+
+
+class Decision(typing.NamedTuple):
+    """One decision on a request with all it was based on."""
+
+    request_id: str
+    customer: str
+    model: str
+    admitted: bool
+    reason: str
+    priority: int
+    cost: float
+    ahead_cost: float
+    promised_cost: float
+    customer_cost_per_s: float
+    slots: float
+    running: int
+    backlogged_customers: int
+    wait_s: float
+    service_s: float
+    left_s: float
+    retry_after_s: float | None
+
+
+class Waiter:
+    """One request in the queue or on a slot."""
+
+    def __init__(self, work: works.Work, order: int, now_s: float) -> None:
+        self.work = work
+        self.order = order
+        self.queued_s = now_s
+        self.cost = works.cost(work)
+        self.granted = trio.Event()
+        self.running = False
+        self.refusal: Decision | None = None
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the place within its customer's line; lowest first."""
+        return (-self.work.priority, self.order)
+
+
+class Pool:
+    """The queue, the counters and the learned speed of one model."""
+
+    def __init__(
+        self, model: str, weight_of: fairness.WeightOf, now_s: float
+    ) -> None:
+        self.model = model
+        self.counters = fairness.Counters(weight_of)
+        self.running_count = 0
+        self.slots = 0.0
+        self._weight_of = weight_of
+        self._fleet_slots = 0
+        self._slot_cost_per_s = FIRST_SLOT_COST_PER_S
+        self._learned = False
+        self._mean_service_s = 0.0
+        # Waiters by customer, each line ordered by rank.
+        self._lines: dict[str, list[tuple[tuple[int, int], Waiter]]] = {}
+        self._line_cost: dict[str, float] = {}
+        self._demand: dict[str, fairness.Rate] = {}
+        self._promises: dict[str, promise_books.Book] = {}
+        self._peer_rows: dict[str, dict[str, messages.ServiceRow]] = {}
+
+    def set_capacity(self, slots: int, cost_per_s: float) -> None:
+        """Set the fleet's slots, and its speed until one is learned."""
+        self._fleet_slots = slots
+        if cost_per_s > 0.0 and slots > 0 and not self._learned:
+            self._slot_cost_per_s = cost_per_s / slots
+
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(line) for line in self._lines.values())
+
+    # Estimates.
+
+    def service_s(self, cost: float) -> float:
+        """Return how long a request of this cost is expected to run."""
+        return cost / self._slot_cost_per_s
+
+    def latest_start_s(self, waiter: Waiter) -> float:
+        """Return the time after which the deadline cannot be met."""
+        return waiter.work.deadline_s - self.service_s(waiter.cost)
+
+    def customer_cost_per_s(self, customer: str) -> float:
+        """Return the part of this VM's speed that a customer is sure of."""
+        others = sum(
+            self._weight_of(name) for name in self._lines if name != customer
+        )
+        weight = max(self._weight_of(customer), 1e-9)
+        speed = max(self.slots, 1e-9) * self._slot_cost_per_s
+        return speed * weight / (weight + others)
+
+    def _ahead_cost(self, waiter: Waiter) -> float:
+        """Return the cost in the customer's line before the waiter."""
+        line = self._lines.get(waiter.work.customer, [])
+        if not line or waiter.work.priority == 0:
+            return self._line_cost.get(waiter.work.customer, 0.0)
+        return sum(w.cost for rank, w in line if rank < waiter.rank)
+
+    def _free(self) -> bool:
+        # Rounding up leaves no VM without a slot while the fleet has one.
+        return self.running_count < max(self.slots, 1.0) - 1e-6
+
+    def _wait_s(self, customer: str, ahead_cost: float) -> float:
+        if self._free() and not self._lines:
+            return 0.0
+        # All slots are taken: the next one ends after this, on average.
+        first_s = self._mean_service_s / max(self.slots, 1.0)
+        return first_s + ahead_cost / self.customer_cost_per_s(customer)
+
+    # Entering and leaving.
+
+    def offer(self, waiter: Waiter, now_s: float) -> Decision:
+        """Queue the waiter, or refuse it; grant slots that are free."""
+        work = waiter.work
+        self._note_demand(work.customer, waiter.cost, now_s)
+        book = self._promises.setdefault(work.customer, promise_books.Book())
+        kept = book.redeem(now_s)
+        service_s = self.service_s(waiter.cost)
+        left_s = work.deadline_s - now_s
+        patience_s = left_s - service_s
+        ahead = self._ahead_cost(waiter)
+        promised = 0.0 if kept else book.due_cost(now_s + patience_s)
+        wait_s = self._wait_s(work.customer, ahead + promised)
+        reason = self._judge(work.customer, wait_s, patience_s)
+        retry_after_s = None
+        if reason == 'no-upstream':
+            retry_after_s = NO_UPSTREAM_RETRY_S
+        elif reason not in ('admitted', 'deadline-too-short'):
+            retry_after_s = self._promise(waiter, patience_s, now_s)
+        decision = self._decision(
+            waiter, reason, ahead, promised, wait_s, left_s, retry_after_s
+        )
+        if decision.admitted:
+            self._enter(waiter)
+        return decision
+
+    def _judge(self, customer: str, wait_s: float, patience_s: float) -> str:
+        if self._fleet_slots <= 0:
+            return 'no-upstream'
+        if patience_s < 0.0:
+            return 'deadline-too-short'
+        if wait_s <= patience_s:
+            return 'admitted'
+        others = [name for name in self._lines if name != customer]
+        return 'over-share' if others else 'busy'
+
+    def _promise(
+        self, waiter: Waiter, patience_s: float, now_s: float
+    ) -> float:
+        """Return when to come back, and keep the place for then."""
+        customer = waiter.work.customer
+        book = self._promises.setdefault(customer, promise_books.Book())
+        ahead = self._line_cost.get(customer, 0.0) + book.total_cost(now_s)
+        wait_s = self._wait_s(customer, ahead + waiter.cost)
+        delay_s = max(1.0, wait_s - PROMISE_SLACK * max(0.0, patience_s))
+        book.promise(now_s + delay_s, waiter.cost, patience_s)
+        return delay_s
+
+    def _decision(
+        self,
+        waiter: Waiter,
+        reason: str,
+        ahead_cost: float,
+        promised_cost: float,
+        wait_s: float,
+        left_s: float,
+        retry_after_s: float | None,
+    ) -> Decision:
+        work = waiter.work
+        return Decision(
+            request_id=work.request_id,
+            customer=work.customer,
+            model=work.model,
+            admitted=reason == 'admitted',
+            reason=reason,
+            priority=work.priority,
+            cost=waiter.cost,
+            ahead_cost=ahead_cost,
+            promised_cost=promised_cost,
+            customer_cost_per_s=self.customer_cost_per_s(work.customer),
+            slots=self.slots,
+            running=self.running_count,
+            backlogged_customers=len(self._lines),
+            wait_s=wait_s,
+            service_s=self.service_s(waiter.cost),
+            left_s=left_s,
+            retry_after_s=retry_after_s,
+        )
+
+    def _enter(self, waiter: Waiter) -> None:
+        customer = waiter.work.customer
+        if customer not in self._lines:
+            self.counters.join(customer, self._lines)
+            self._lines[customer] = []
+        heapq.heappush(self._lines[customer], (waiter.rank, waiter))
+        cost = self._line_cost.get(customer, 0.0) + waiter.cost
+        self._line_cost[customer] = cost
+        self._grant()
+
+    def _remove(self, waiter: Waiter) -> None:
+        customer = waiter.work.customer
+        line = self._lines[customer]
+        line.remove((waiter.rank, waiter))
+        heapq.heapify(line)
+        self._taken(customer, waiter)
+
+    def _taken(self, customer: str, waiter: Waiter) -> None:
+        self._line_cost[customer] -= waiter.cost
+        if not self._lines[customer]:
+            del self._lines[customer]
+            del self._line_cost[customer]
+
+    def _grant(self) -> None:
+        while self._lines and self._free():
+            customer = self.counters.lowest(self._lines)
+            _, waiter = heapq.heappop(self._lines[customer])
+            self._taken(customer, waiter)
+            waiter.running = True
+            self.running_count += 1
+            self.counters.add(customer, waiter.cost)
+            waiter.granted.set()
+
+    def give_up(self, waiter: Waiter, now_s: float) -> Decision:
+        """Refuse a waiter whose deadline can no longer be met."""
+        left_s = waiter.work.deadline_s - now_s
+        patience_s = waiter.work.deadline_s - waiter.queued_s
+        retry_after_s = self._promise(waiter, patience_s, now_s)
+        ahead = self._ahead_cost(waiter)
+        wait_s = self._wait_s(waiter.work.customer, ahead)
+        return self._decision(
+            waiter, 'waited', ahead, 0.0, wait_s, left_s, retry_after_s
+        )
+
+    def leave(
+        self,
+        waiter: Waiter,
+        cost: float,
+        started_s: float | None,
+        now_s: float,
+    ) -> None:
+        """Free the waiter's place or slot and settle its true cost."""
+        if not waiter.running:
+            if not waiter.granted.is_set():
+                self._remove(waiter)
+            return
+        self.running_count -= 1
+        if started_s is None:
+            # Granted in the same instant as its caller hung up.
+            cost = 0.0
+        self.counters.add(waiter.work.customer, cost - waiter.cost)
+        if started_s is not None and now_s > started_s and cost > 0.0:
+            self._learn(cost, now_s - started_s)
+        self._grant()
+
+    def _learn(self, cost: float, took_s: float) -> None:
+        self._learned = True
+        speed = cost / took_s
+        self._slot_cost_per_s += NEWEST * (speed - self._slot_cost_per_s)
+        self._mean_service_s += NEWEST * (took_s - self._mean_service_s)
+
+    def drop_late(self, now_s: float) -> None:
+        """Refuse waiters whom a loss of capacity has made too late."""
+        late = []
+        for customer, line in list(self._lines.items()):
+            speed = self.customer_cost_per_s(customer)
+            ahead = 0.0
+            for _, waiter in sorted(line):
+                # Half the estimate, since refusing a waiter that would
+                # have been served is worse than keeping one too long.
+                wait_s = 0.5 * ahead / speed
+                if self._fleet_slots <= 0:
+                    wait_s = NO_UPSTREAM_RETRY_S
+                if now_s + wait_s > self.latest_start_s(waiter):
+                    late.append(waiter)
+                else:
+                    ahead += waiter.cost
+        for waiter in late:
+            waiter.refusal = self.give_up(waiter, now_s)
+            self._remove(waiter)
+            waiter.granted.set()
+
+    # What VMs tell each other.
+
+    def _note_demand(self, customer: str, cost: float, now_s: float) -> None:
+        rate = self._demand.get(customer)
+        if rate is None:
+            rate = fairness.Rate(DEMAND_HALF_LIFE_S, now_s)
+            self._demand[customer] = rate
+        rate.add(cost, now_s)
+
+    def rows(self, now_s: float) -> list[messages.ServiceRow]:
+        """Return what this VM serves and is asked, a row a customer."""
+        return [
+            {
+                'model': self.model,
+                'customer': customer,
+                'served_cost': self.counters.own.get(customer, 0.0),
+                'demand_cost_per_s': rate.per_s(now_s),
+                'waiting_cost': self._line_cost.get(customer, 0.0),
+            }
+            for customer, rate in self._demand.items()
+        ]
+
+    def merge(self, vm: str, row: messages.ServiceRow) -> None:
+        """Take one row of a peer."""
+        rows = self._peer_rows.setdefault(vm, {})
+        last = rows.get(row['customer'])
+        if last is not None:
+            served = row['served_cost'] - last['served_cost']
+            self.counters.add_remote(row['customer'], served)
+        rows[row['customer']] = row
+
+    def forget(self, vm: str) -> None:
+        """Drop a peer's rows; what it served stays counted."""
+        self._peer_rows.pop(vm, None)
+
+    def resplit(self, own_vm: str, live: set[str], now_s: float) -> None:
+        """Set this VM's part of the fleet's slots."""
+        demands: dict[str, dict[str, float]] = {vm: {} for vm in live}
+        for vm, rows in self._peer_rows.items():
+            if vm in demands:
+                demands[vm] = {
+                    customer: row['demand_cost_per_s']
+                    for customer, row in rows.items()
+                }
+        demands[own_vm] = {
+            customer: rate.per_s(now_s)
+            for customer, rate in self._demand.items()
+        }
+        speed = self._fleet_slots * self._slot_cost_per_s
+        if speed <= 0.0:
+            self.slots = 0.0
+            return
+        parts = fairness.split(speed, demands, self._weight_of)
+        self.slots = parts[own_vm] / self._slot_cost_per_s
+        self._grant()
