--- /dev/null
+++ b/test/control/__init__.py
@@ -0,0 +1,1 @@
+"""Test the control plane."""
--- /dev/null
+++ b/test/entry/test_claims.py
@@ -0,0 +1,175 @@
+"""Test that unrepeatable requests run at most once."""
+
+import contextlib
+
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict
+from gentianstair.entry import claim_shard
+from gentianstair.entry import claims
+from gentianstair.util import clock
+from standins import memory_store
+from standins.platform import objects
+
+State = claim_shard.State
+RETENTION_S = 800.0
+
+
+@contextlib.asynccontextmanager
+async def open_vms(count, table=None, shards=2):
+    """Yield (claims, faults) of VMs that share one store."""
+    table = table or objects.ObjectTable()
+    async with trio.open_nursery() as nursery:
+        vms = []
+        for i in range(count):
+            store = memory_store.MemoryStore(table, objects.Faults(i))
+            made = claims.make_claims(
+                store, f'vm-{i}', clock.trio_time_s, shards, RETENTION_S
+            )
+            nursery.start_soon(made.run_batches)
+            vms.append((made, store.faults))
+        yield vms
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.promise
+async def test_one_of_many_racing_claims_is_granted(autojump_clock):
+    """A caller that lost its connection sends the registration again.
+
+    Both tries, and a third, reach different VMs in the same millisecond.
+    One may send; the others say that it may have run, then its outcome.
+    """
+    async with open_vms(3) as vms:
+        results = []
+
+        async def claim(vm):
+            results.append((vm, await vm.claim('c', 'k', 'd')))
+
+        async with trio.open_nursery() as nursery:
+            for vm, _ in vms * 2:
+                nursery.start_soon(claim, vm)
+        states = sorted(result.state.value for _, result in results)
+        assert states == ['granted'] + ['running_elsewhere'] * 5
+        vm, won = next(r for r in results if r[1].state is State.GRANTED)
+        vm.check_sendable(won)
+        await vm.finish(won, 201, 'text/plain', b'number 7')
+        for vm, _ in vms:
+            again = await vm.claim('c', 'k', 'd')
+            assert again.state is State.FINISHED
+            assert (again.status, again.body) == (201, b'number 7')
+            other = await vm.claim('c', 'k', 'other body')
+            assert other.state is State.MISMATCH
+            free = await vm.claim('other customer', 'k', 'd')
+            assert free.state is not State.FINISHED
+
+
+@pytest.mark.promise
+async def test_store_down_refuses_at_once_and_truly(autojump_clock):
+    """The store is down when a reservation comes in.
+
+    The caller hears at once that it was not run and when to come back; the
+    write that may have been lost on the way does not block the key later.
+    """
+    async with open_vms(1) as vms:
+        [(vm, faults)] = vms
+        faults.lose_answers = 1.0
+        with pytest.raises(errors.RequestError) as caught:
+            await vm.claim('c', 'k', 'd')
+        faults.down = True
+        await trio.sleep(5.0)
+        began_s = trio.current_time()
+        with pytest.raises(errors.RequestError) as caught:
+            await vm.claim('c', 'k', 'd')
+        assert trio.current_time() - began_s < 0.1
+        assert caught.value.status == 503
+        assert caught.value.verdict is verdict.Verdict.NOT_RUN
+        assert caught.value.retry_after_s
+        faults.down, faults.lose_answers = False, 0.0
+        await trio.sleep(2.0)
+        assert (await vm.claim('c', 'k', 'd')).state is State.GRANTED
+
+
+@pytest.mark.promise
+async def test_paused_vm_may_not_send_after_its_claim_aged(autojump_clock):
+    """A VM is paused between its claim and its send, for a day.
+
+    Meanwhile the key ages out and another VM runs the request. When the
+    first wakes it finds its claim too old and sends nothing.
+    """
+    async with open_vms(2) as vms:
+        (first, _), (second, _) = vms
+        won = await first.claim('c', 'k', 'd')
+        assert won.state is State.GRANTED
+        seen = []
+        for _ in range(40):
+            await trio.sleep(RETENTION_S / claim_shard.GENERATIONS)
+            found = await second.claim('c', 'k', 'd')
+            seen.append(found.state)
+            # Traffic on every shard moves its generation on.
+            for i in range(8):
+                await second.claim('c', f'{trio.current_time()}-{i}', 'd')
+            if found.state is State.GRANTED:
+                break
+        assert seen[-1] is State.GRANTED
+        assert trio.current_time() >= RETENTION_S
+        assert State.MAY_HAVE_RUN in seen
+        with pytest.raises(errors.RequestError) as caught:
+            first.check_sendable(won)
+        assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
+async def test_cancelled_claim_frees_its_key(autojump_clock):
+    async with open_vms(2) as vms:
+        (first, faults), (second, _) = vms
+        faults.delay_s = 0.2
+        with trio.move_on_after(0.25):
+            await first.claim('c', 'k', 'd')
+        await trio.sleep(2.0)
+        assert (await second.claim('c', 'k', 'd')).state is State.GRANTED
+
+
+async def test_release_frees_only_an_unfinished_claim(autojump_clock):
+    async with open_vms(1) as vms:
+        [(vm, _)] = vms
+        won = await vm.claim('c', 'k', 'd')
+        await vm.release(won)
+        again = await vm.claim('c', 'k', 'd')
+        assert again.state is State.GRANTED
+        await vm.release(won)
+        await vm.finish(again, 200, '', b'x' * 5000)
+        await vm.release(again)
+        last = await vm.claim('c', 'k', 'd')
+        assert (last.state, last.body) == (State.FINISHED, None)
+
+
+async def test_outcome_survives_an_outage(autojump_clock):
+    async with open_vms(2) as vms:
+        (first, faults), (second, _) = vms
+        won = await first.claim('c', 'k', 'd')
+        faults.down = True
+        await first.finish(won, 200, '', b'ok')
+        await trio.sleep(600.0)
+        faults.down = False
+        await first.flush()
+        found = await second.claim('c', 'k', 'd')
+        assert (found.state, found.body) == (State.FINISHED, b'ok')
+
+
+def test_shard_stays_below_its_limit_without_losing_keys():
+    entries = {}
+    count = 0
+    body = 'x' * 5000
+    while True:
+        name = f'{count:040d}'
+        take = claim_shard.Take(name, 'd', name, 'vm')
+        if claim_shard.apply(take, entries, 0).state is State.FULL:
+            break
+        keep = claim_shard.Keep(name, name, 200, '', body)
+        claim_shard.apply(keep, entries, 0)
+        count += 1
+    assert len(entries) == count > 1500
+    assert claim_shard.size_bytes(entries) < 1_000_000
+    assert claim_shard.age_out(entries, claim_shard.GENERATIONS) == entries
+    assert claim_shard.age_out(entries, claim_shard.GENERATIONS + 1) == {}
