--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -187,6 +187,7 @@
         del self.sequences[sequence.request.request_id]
         sequence.wake()
         if not self.sequences:
+            self._note_load()
             self._idle.unpark_all()
 
     # The batch
@@ -291,7 +292,10 @@
 
     def _note_load(self) -> None:
         now_s = trio.current_time()
-        if self._loads and now_s - self._loads[-1].at_s < LOAD_STEP_S:
+        # Notes are thinned out, but not the one that work has ended: an idle
+        # engine makes no more, and would be reported as busy for ever.
+        recent = self._loads and now_s - self._loads[-1].at_s < LOAD_STEP_S
+        if recent and self.sequences:
             return
         self._loads.append(self._load_now())
 
@@ -315,8 +319,6 @@
         lag_s = self.options.load_lag_s * self.options.time_scale
         if lag_s <= 0.0:
             return self._load_now()
-        # The end of the last work may fall between two notes.
-        self._note_load()
         found = None
         for load in reversed(self._loads):
             if load.at_s <= now_s - lag_s:
--- /dev/null
+++ b/test/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Test the stand-ins, whose truth the other tests lean on."""
