--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -70,6 +70,7 @@
         self.shared: list[int] = []
         self.private = 0
         self._progress = trio.lowlevel.ParkingLot()
+        self._end = trio.lowlevel.ParkingLot()
 
     @property
     def ended(self) -> bool:
@@ -90,11 +91,13 @@
     async def wait_end(self) -> None:
         """Return when no more tokens will come."""
         while not self.ended:
-            await self._progress.park()
+            await self._end.park()
 
     def wake(self) -> None:
         """Let the tasks that wait for this sequence look at it."""
         self._progress.unpark_all()
+        if self.ended:
+            self._end.unpark_all()
 
 
 class Load(typing.NamedTuple):
