--- a/gentianstair/entry/routing.py
+++ b/gentianstair/entry/routing.py
@@ -53,7 +53,8 @@
     score: float
     inputs: dict[str, float]
     prefill_tokens: int = 0
-    cached_tokens: int = 0
+    # Cached tokens that the index expects, before any distrust.
+    indexed_tokens: int = 0
 
 
 class _Pool(typing.NamedTuple):
@@ -76,6 +77,8 @@
         # were found, both of late.
         self.failing = 0.0
         self.trust = 1.0
+        # Cache events lost, for metrics.
+        self.gaps = 0
 
 
 _SMOOTHING = 0.1
@@ -211,11 +214,11 @@
         rates = self.rates
         state = self._states[name]
         load = state.load.estimate(now_s)
-        cached = 0
+        indexed = 0
         if samples.hashes:
             depth = self.index.depth_at(samples.hashes, name)
-            blocks = samples.blocks(depth) * state.trust
-            cached = int(blocks * works.BLOCK_TOKENS)
+            indexed = samples.blocks(depth) * works.BLOCK_TOKENS
+        cached = int(indexed * state.trust)
         unread = max(work.prompt_tokens - cached, 1)
         # A step reads one chunk and serves all sequences besides.
         step_s = rates.step_s + load.requests * rates.decode_s
@@ -246,7 +249,7 @@
             'slowness': state.slowness,
             'report_age_s': load.report_age_s,
         }
-        return Choice(name, score, inputs, unread, cached)
+        return Choice(name, score, inputs, unread, indexed)
 
     def started(self, choice: Choice, work: works.Work, now_s: float) -> None:
         """Count a request that is being sent to the choice."""
@@ -299,8 +302,8 @@
             for hash_ in prefixes.sample(work.block_hashes).hashes:
                 self.index.remove(hash_, choice.upstream)
             return
-        if choice.cached_tokens:
-            found = min(cached_tokens / choice.cached_tokens, 1.0)
+        if choice.indexed_tokens:
+            found = min(cached_tokens / choice.indexed_tokens, 1.0)
             state.trust = _smooth(state.trust, found)
 
     def on_load(
@@ -322,14 +325,15 @@
     ) -> None:
         """Take cache events; gap says that some were lost.
 
-        What was lost may be removals, so the upstream is trusted less until
-        its answers show that it holds what is expected.
+        Lost removals show in what the upstream then returns, which sets how
+        far it is trusted; lost additions only cost a hit. So a gap itself
+        changes nothing: distrust at each gap was tried and cost hits.
         """
         state = self._states.get(upstream)
         if state is None:
             return
         if gap:
-            state.trust = _smooth(state.trust, 0.5)
+            state.gaps += 1
         for event in events:
             stored = event['type'] == 'stored'
             for hash_ in event['hashes']:
