--- /dev/null
+++ b/gentianstair/entry/explain.py
@@ -0,0 +1,53 @@
+"""Keep why each recent request went as it did, for operators."""
+
+import collections
+import time
+import typing
+
+KEPT_REQUESTS = 5000
+MAX_STEPS = 40
+
+
+class Step(typing.NamedTuple):
+    """One decision or event of a request; ``at_s`` is Unix time."""
+
+    at_s: float
+    step: str
+    detail: dict[str, typing.Any]
+
+
+class Explanations:
+    """The steps of recent requests; the oldest requests go first."""
+
+    def __init__(self, kept: int = KEPT_REQUESTS) -> None:
+        self._kept = kept
+        self._requests: collections.OrderedDict[
+            str, tuple[str, list[Step]]
+        ] = collections.OrderedDict()
+
+    def add(
+        self, request_id: str, customer: str, step: str, **detail: typing.Any
+    ) -> None:
+        """Note a step."""
+        _, steps = self._requests.setdefault(request_id, (customer, []))
+        if len(steps) < MAX_STEPS:
+            steps.append(Step(time.time(), step, detail))
+        if len(self._requests) > self._kept:
+            self._requests.popitem(last=False)
+
+    def get(self, request_id: str) -> dict[str, typing.Any] | None:
+        """Return what is known of a request, or None."""
+        found = self._requests.get(request_id)
+        if found is None:
+            return None
+        customer, steps = found
+        return {
+            'request_id': request_id,
+            'customer': customer,
+            'steps': [step._asdict() for step in steps],
+        }
+
+
+def make_explanations(kept: int = KEPT_REQUESTS) -> Explanations:
+    """Return an empty record."""
+    return Explanations(kept)
--- /dev/null
+++ b/gentianstair/entry/main.py
@@ -0,0 +1,196 @@
+"""Run the program gentianstair-entry."""
+
+import functools
+import os
+import sys
+import typing
+
+import cappa
+import loguru
+import quart
+import quart_trio
+import trio
+
+from gentianstair import errors
+from gentianstair import settings
+from gentianstair.config import follow
+from gentianstair.config import view as views
+from gentianstair.entry import admission
+from gentianstair.entry import app as apps
+from gentianstair.entry import claims
+from gentianstair.entry import explain
+from gentianstair.entry import limits
+from gentianstair.entry import node as nodes
+from gentianstair.entry import retries
+from gentianstair.entry import routing
+from gentianstair.entry import streams
+from gentianstair.entry import upkeep
+from gentianstair.generated import settings as generated
+from gentianstair.platform import http_store
+from gentianstair.upstreams import transport
+from gentianstair.util import clock
+from gentianstair.util import serving
+
+GRACE_S = 1.0
+
+
+def _weight_of(view: views.View) -> typing.Callable[[str], float]:
+    def weight_of(name: str) -> float:
+        customer = view.customer(name)
+        return customer['weight'] if customer else 1.0
+
+    return weight_of
+
+
+def _terms_of(view: views.View) -> typing.Callable[[str], limits.Terms]:
+    def terms_of(name: str) -> limits.Terms:
+        customer = view.customer(name)
+        if customer is None:
+            return limits.Terms()
+        return limits.Terms(
+            customer['requests_per_s'],
+            customer['tokens_per_s'],
+            customer['concurrent'],
+        )
+
+    return terms_of
+
+
+def _no_meter(customer: str, kind: str, usage: streams.Usage) -> None:
+    loguru.logger.bind(customer=customer).debug('usage {} {}', kind, usage)
+
+
+def make_node(
+    config: generated.EntrySettings,
+) -> tuple[nodes.Node, follow.Follower]:
+    """Return the parts of an entry process, none of them running yet."""
+    view = views.View()
+    store = http_store.connect(config.platform_url, config.store_timeout_s)
+    now = clock.boottime_s
+    follower = follow.make_follower(view, store, now)
+    node = nodes.Node(
+        settings=config,
+        clock=now,
+        view=view,
+        freshness=follower,
+        queue=admission.make_queue(config.vm_name, _weight_of(view), now),
+        router=routing.make_router(config.vm_name, config.failure_domain),
+        retries=retries.make_retries(),
+        claims=claims.make_claims(
+            store,
+            config.vm_name,
+            now,
+            config.claim_shards,
+            config.claim_retention_s,
+        ),
+        limits=limits.make_limits(config.vm_name, _terms_of(view), now),
+        meter=_no_meter,
+        explanations=explain.make_explanations(),
+        transport=transport.make_transport(),
+    )
+    return node, follower
+
+
+def create_operator_app(
+    node: nodes.Node, leaving: trio.Event
+) -> quart_trio.QuartTrio:
+    """Return the application that operators and the balancer meet."""
+    app = quart_trio.QuartTrio('gentianstair.operator')
+    apps.add_health(app, node, leaving)
+
+    @app.get('/operator/status')
+    async def status():
+        bundle = node.view.bundle()
+        return {
+            'vm': node.settings.vm_name,
+            'failure_domain': node.settings.failure_domain,
+            'revision': node.view.revision,
+            'bundle_number': bundle['number'] if bundle else None,
+            'fresh': node.freshness.is_fresh(),
+            'ready': apps.ready_problem(node, leaving) is None,
+        }
+
+    @app.get('/operator/explain/<request_id>')
+    async def explanation(request_id: str):
+        found = node.explanations.get(request_id)
+        return (found, 200) if found else ({}, 404)
+
+    @app.get('/operator/key/<digest>')
+    async def key(digest: str):
+        return {'key': node.view.key(digest), 'revision': node.view.revision}
+
+    return quart_app(app)
+
+
+def quart_app(app: quart_trio.QuartTrio) -> quart_trio.QuartTrio:
+    """Answer unknown paths without a page for people."""
+
+    @app.errorhandler(404)
+    async def not_found(_):
+        return quart.Response('{}', 404, content_type='application/json')
+
+    return app
+
+
+async def run(config: generated.EntrySettings) -> None:
+    """Serve until stopped, then let running requests end."""
+    sock = serving.listen(config.listen, reuse_port=True)
+    operator_sock = serving.listen(config.operator_listen)
+    node, follower = make_node(config)
+    leaving = trio.Event()
+
+    async def leave() -> None:
+        await serving.wait_for_stop()
+        loguru.logger.info('stopping: no new requests, running ones end')
+        leaving.set()
+        # The balancer still sends here until it has seen that this VM is
+        # not ready; closing at once would refuse those callers.
+        await trio.sleep(config.leave_wait_s)
+
+    host, port = sock.getsockname()[:2]
+    operator_port = operator_sock.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        nursery.start_soon(node.claims.run_batches)
+        nursery.start_soon(upkeep.run, node)
+        nursery.start_soon(
+            functools.partial(
+                serving.serve,
+                create_operator_app(node, leaving),
+                operator_sock,
+                trio.sleep_forever,
+                GRACE_S,
+            )
+        )
+        print(f'listening {host}:{port} {operator_port}', flush=True)
+        await serving.serve(
+            apps.create_app(node, leaving),
+            sock,
+            leave,
+            config.drain_timeout_s,
+        )
+        with trio.move_on_after(GRACE_S):
+            await node.claims.flush()
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Read settings and run; a bad setting is told in one line."""
+    flags = settings.flags_class('entry', generated.ENTRY)
+    given = cappa.parse(flags, help=True)
+    try:
+        values = settings.collect(
+            generated.ENTRY,
+            vars(given),
+            os.environ,
+            {setting.variable for setting in generated.CONTROL},
+        )
+        config = generated.EntrySettings(**values)
+        trio.run(run, config)
+    except errors.UserError as error:
+        print(error, file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/gentianstair/entry/node.py
@@ -0,0 +1,49 @@
+"""Hold the parts of one entry process that its requests share."""
+
+import collections.abc
+import typing
+
+from gentianstair.config import view as views
+from gentianstair.entry import admission
+from gentianstair.entry import claims as claimses
+from gentianstair.entry import ejection
+from gentianstair.entry import explain
+from gentianstair.entry import limits
+from gentianstair.entry import retries
+from gentianstair.entry import routing
+from gentianstair.entry import streams
+from gentianstair.generated import settings
+from gentianstair.upstreams import transport
+from gentianstair.util import clock as clocks
+
+
+class Freshness(typing.Protocol):
+    """Tell whether the configuration in force is known to be current."""
+
+    def is_fresh(self) -> bool:
+        """Return whether requests may be served on it."""
+
+
+Meter = collections.abc.Callable[[str, str, streams.Usage], None]
+
+
+class Node(typing.NamedTuple):
+    """The parts of one entry process."""
+
+    settings: settings.EntrySettings
+    clock: clocks.Clock
+    view: views.View
+    freshness: Freshness
+    queue: admission.Queue
+    router: routing.Router
+    retries: retries.Retries
+    claims: claimses.Claims
+    limits: limits.Limits
+    meter: Meter
+    explanations: explain.Explanations
+    transport: transport.Transport
+
+    @property
+    def ejector(self) -> ejection.Ejector:
+        """Return who is ejected."""
+        return self.retries.ejector
--- /dev/null
+++ b/gentianstair/entry/relay.py
@@ -0,0 +1,268 @@
+"""Relay completions between callers and engines."""
+
+import collections.abc
+import contextlib
+import json
+
+import httpx
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.entry import callers
+from gentianstair.entry import completions
+from gentianstair.entry import exchange as exchanges
+from gentianstair.entry import node as nodes
+from gentianstair.entry import request as requests
+from gentianstair.entry import streams
+from gentianstair.entry import tries
+
+NOT_STARTED = 'x-not-started'
+EVENT_STREAM = b'text/event-stream'
+JSON = 'application/json'
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+def engine_request(
+    request: requests.Request,
+    tried: tries.Try,
+    path: str,
+    body: bytes,
+) -> httpx.Request:
+    """Return the request for an engine; no header of the caller is in it."""
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'x-request-id', request.request_id.encode()),
+    ]
+    url = tried.upstream['url'] + path
+    return httpx.Request('POST', url, headers=headers, content=body)
+
+
+def check_status(response: httpx.Response) -> None:
+    """Raise UpstreamError for an answer that is no answer.
+
+    An engine that says it did not start is believed, so such a try counts
+    as not run; any other failure may have run.
+    """
+    status = response.status_code
+    if status < 500 and status != 429:
+        return
+    verdict = verdicts.Verdict.MAY_HAVE_RUN
+    if response.headers.get(NOT_STARTED) == '1':
+        verdict = verdicts.Verdict.NOT_RUN
+    raise errors.UpstreamError(f'the upstream answered {status}', verdict)
+
+
+class Guard:
+    """End a try that stands still, for whichever side it waits.
+
+    An engine that falls silent counts as lost and another goes on. A caller
+    that stops reading would hold the engine's slot for as long as it likes;
+    it is given up, and its engine is not blamed.
+    """
+
+    def __init__(self, scope: trio.CancelScope) -> None:
+        self._scope = scope
+        self.caller_waits = False
+
+    def wait_upstream(self, limit_s: float) -> None:
+        """Allow the upstream limit_s from now on."""
+        self.caller_waits = False
+        self._scope.deadline = trio.current_time() + limit_s
+
+    def wait_caller(self, limit_s: float) -> None:
+        """Allow the caller limit_s from now on."""
+        self.caller_waits = True
+        self._scope.deadline = trio.current_time() + limit_s
+
+
+@contextlib.asynccontextmanager
+async def open_response(
+    node: nodes.Node, outgoing: httpx.Request, stall_s: float
+) -> collections.abc.AsyncIterator[tuple[httpx.Response, Guard]]:
+    """Yield the response at its headers, and the guard of its body."""
+    response = None
+    with trio.CancelScope() as scope:
+        guard = Guard(scope)
+        guard.wait_upstream(stall_s)
+        try:
+            response = await node.transport.handle_async_request(outgoing)
+            yield response, guard
+        finally:
+            if response is not None:
+                with trio.CancelScope(shield=True, deadline=_soon()):
+                    await response.stream.aclose()
+    if not scope.cancelled_caught:
+        return
+    if guard.caller_waits:
+        raise exchanges.CallerGoneError('the caller stopped reading')
+    raise errors.UpstreamError(
+        f'no data for {stall_s:g} s', verdicts.Verdict.MAY_HAVE_RUN
+    )
+
+
+def _soon() -> float:
+    return trio.current_time() + 1.0
+
+
+async def read_all(response: httpx.Response) -> bytes:
+    """Return a whole body; raise UpstreamError for one that is too long."""
+    parts = []
+    size = 0
+    async for part in response.stream:
+        parts.append(part)
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise errors.UpstreamError(
+                'the answer is too long', verdicts.Verdict.RAN
+            )
+    return b''.join(parts)
+
+
+class Streaming:
+    """A streamed answer over as many engines as it takes."""
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        exchange: exchanges.Exchange,
+        request: requests.Request,
+        completion: completions.Completion,
+        model: callers.Model,
+    ) -> None:
+        self._node = node
+        self._exchange = exchange
+        self._request = request
+        self._completion = completion
+        self._model = model
+        self.answer = streams.Answer(completion.wants_usage)
+
+    async def attempt(self, tried: tries.Try) -> streams.Usage:
+        """Stream from one engine, going on after what was delivered."""
+        node = self._node
+        if self.answer.finished:
+            # The engine was lost after the last word, before its end.
+            self.answer.done = True
+            return self.answer.total()
+        body = completions.engine_body(
+            self._completion, self._model, self.answer.resume_text()
+        )
+        outgoing = engine_request(
+            self._request, tried, self._completion.path, body
+        )
+        stall_s = node.settings.upstream_stall_s
+        async with open_response(node, outgoing, stall_s) as (found, guard):
+            check_status(found)
+            if found.status_code != 200:
+                await self._refused(found)
+                return streams.Usage()
+            await self._start()
+            await self._copy(found, tried, guard, stall_s)
+        self.answer.ending()
+        return self.answer.total()
+
+    async def _refused(self, found: httpx.Response) -> None:
+        """Hand on an engine's own refusal, such as a bad field."""
+        body = await read_all(found)
+        if self._exchange.started:
+            raise errors.UpstreamError(
+                f'the upstream answered {found.status_code} to a resumption',
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        await self._exchange.answer(
+            found.status_code,
+            found.headers.get('content-type', JSON),
+            body,
+            answer_headers(self._request),
+        )
+
+    async def _start(self) -> None:
+        if self._exchange.started:
+            return
+        headers = [
+            (b'content-type', EVENT_STREAM),
+            (b'cache-control', b'no-cache'),
+            *answer_headers(self._request),
+        ]
+        await self._exchange.start(200, headers)
+
+    async def _copy(
+        self,
+        found: httpx.Response,
+        tried: tries.Try,
+        guard: Guard,
+        stall_s: float,
+    ) -> None:
+        answer = self.answer
+        write = self._exchange.write
+        caller_stall_s = self._node.settings.caller_stall_s
+        first = True
+        async for data in found.stream:
+            out = answer.feed(data)
+            if out:
+                if first:
+                    first = False
+                    tried.first_token()
+                guard.wait_caller(caller_stall_s)
+                await write(out)
+            guard.wait_upstream(stall_s)
+
+    async def run(self) -> tuple[streams.Usage, str]:
+        """Stream the whole answer; raise RequestError if it can't be had."""
+        usage, upstream = await tries.run(
+            self._node, self._request, self.attempt
+        )
+        if not self._exchange.ended:
+            await self._exchange.end(self.answer.ending())
+        return usage, upstream
+
+
+class Whole:
+    """An answer that is sent at once when it is complete."""
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        request: requests.Request,
+        completion: completions.Completion,
+        model: callers.Model,
+    ) -> None:
+        self._node = node
+        self._request = request
+        self._completion = completion
+        self._model = model
+        self.status = 0
+        self.content_type = JSON
+        self.body = b''
+
+    async def attempt(self, tried: tries.Try) -> streams.Usage:
+        """Take the whole answer of one engine."""
+        node = self._node
+        body = completions.engine_body(self._completion, self._model)
+        outgoing = engine_request(
+            self._request, tried, self._completion.path, body
+        )
+        left_s = self._request.work.deadline_s - node.clock()
+        async with open_response(node, outgoing, left_s) as (found, _):
+            check_status(found)
+            self.status = found.status_code
+            self.content_type = found.headers.get('content-type', JSON)
+            self.body = await read_all(found)
+        tried.first_token()
+        if self.status != 200:
+            return streams.Usage()
+        try:
+            return streams.parse_usage(json.loads(self.body)['usage'])
+        except (ValueError, KeyError, TypeError) as error:
+            raise errors.UpstreamError(
+                'the answer is not whole', verdicts.Verdict.MAY_HAVE_RUN
+            ) from error
+
+    async def run(self) -> tuple[streams.Usage, str]:
+        """Return usage and upstream once status and body are set."""
+        return await tries.run(self._node, self._request, self.attempt)
+
+
+def answer_headers(request: requests.Request) -> exchanges.Headers:
+    """Return the headers that every answer of ours carries."""
+    return [(b'x-request-id', request.request_id.encode())]
--- /dev/null
+++ b/gentianstair/entry/streams.py
@@ -0,0 +1,162 @@
+"""Follow a streamed answer, so that it can be resumed and is never short."""
+
+import json
+import typing
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+
+EVENT_END = b'\n\n'
+DATA = b'data: '
+DONE = b'data: [DONE]\n\n'
+_USAGE = b'"usage"'
+_FINISHED = (b'"finish_reason": "', b'"finish_reason":"')
+
+
+class Usage(typing.NamedTuple):
+    """Tokens of one request, as engines counted them."""
+
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    cached_tokens: int = 0
+
+
+def parse_usage(found: dict[str, typing.Any]) -> Usage:
+    """Return the figures of an engine's ``usage`` object.
+
+    >>> parse_usage({'prompt_tokens': 3, 'completion_tokens': 2})
+    Usage(prompt_tokens=3, output_tokens=2, cached_tokens=0)
+    """
+    details = found.get('prompt_tokens_details') or {}
+    return Usage(
+        int(found.get('prompt_tokens') or 0),
+        int(found.get('completion_tokens') or 0),
+        int(details.get('cached_tokens') or 0),
+    )
+
+
+def _event_text(event: bytes) -> str:
+    """Return the text that one event adds to the answer."""
+    if not event.startswith(DATA) or event.startswith(b'data: [DONE]'):
+        return ''
+    try:
+        choices = json.loads(event[len(DATA) :]).get('choices') or []
+    except ValueError:
+        return ''
+    if not choices:
+        return ''
+    first = choices[0]
+    if 'text' in first:
+        return first['text'] or ''
+    return (first.get('delta') or {}).get('content') or ''
+
+
+class Answer:
+    """A streamed answer as it passes through.
+
+    Only whole events are handed on, so that what the caller has is always
+    known. Events are kept as bytes and parsed only if the engine is lost:
+    most streams are whole, and parsing each chunk costs more than relaying
+    it.
+    """
+
+    def __init__(self, wants_usage: bool) -> None:
+        self._wants_usage = wants_usage
+        self._events: list[bytes] = []
+        self._partial = b''
+        self._tokens_before = 0
+        self.tokens = 0
+        self.usage: Usage | None = None
+        self.finished = False
+        self.done = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return what may go to the caller of what the engine sent."""
+        if self._partial:
+            data = self._partial + data
+            self._partial = b''
+        if not data.endswith(EVENT_END):
+            cut = data.rfind(EVENT_END) + len(EVENT_END)
+            if cut < len(EVENT_END):
+                self._partial = data
+                return b''
+            self._partial = data[cut:]
+            data = data[:cut]
+        if _USAGE in data or b'[DONE]' in data:
+            data = self._take_ending(data)
+        elif any(mark in data for mark in _FINISHED):
+            self.finished = True
+        self.tokens += data.count(DATA)
+        self._events.append(data)
+        return data
+
+    def _take_ending(self, data: bytes) -> bytes:
+        """Take usage and the end out of the last events of a stream."""
+        kept = []
+        for event in data.split(EVENT_END)[:-1]:
+            if event == b'data: [DONE]':
+                self.done = True
+            elif _USAGE in event and self._take_usage(event):
+                pass
+            else:
+                if any(mark in event for mark in _FINISHED):
+                    self.finished = True
+                kept.append(event + EVENT_END)
+        return b''.join(kept)
+
+    def _take_usage(self, event: bytes) -> bool:
+        try:
+            body = json.loads(event[len(DATA) :])
+        except ValueError:
+            return False
+        if not body.get('usage'):
+            return False
+        self.usage = parse_usage(body['usage'])
+        self._usage_body = body
+        return not body.get('choices')
+
+    def resume_text(self) -> str:
+        """Return the text that was delivered; forget a partial event."""
+        self._partial = b''
+        self._tokens_before = self.tokens
+        events = b''.join(self._events).split(EVENT_END)
+        return ''.join(_event_text(event) for event in events)
+
+    def total(self) -> Usage:
+        """Return the usage of all runs together.
+
+        Tokens of a lost run are counted as delivered: its engine can no
+        longer tell.
+        """
+        if self.usage is None:
+            return Usage(0, self.tokens, 0)
+        made = self._tokens_before + self.usage.output_tokens
+        return self.usage._replace(output_tokens=made)
+
+    def ending(self) -> bytes:
+        """Return the last events of the whole answer.
+
+        Raise UpstreamError when the engine ended before its answer did.
+        """
+        if not self.done or self._partial:
+            raise errors.UpstreamError(
+                'the stream ended before the answer',
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        if self.usage is None or not self._wants_usage:
+            return DONE
+        total = self.total()
+        usage = {
+            **self._usage_body['usage'],
+            'completion_tokens': total.output_tokens,
+            'total_tokens': total.prompt_tokens + total.output_tokens,
+        }
+        body = {**self._usage_body, 'usage': usage}
+        return DATA + json.dumps(body).encode() + EVENT_END + DONE
+
+
+def error_event(error: errors.RequestError, request_id: str) -> bytes:
+    """Return the event that ends a stream which cannot be completed."""
+    problem = {**error.to_problem(), 'request_id': request_id}
+    body = {'error': {**problem, 'message': error.detail}}
+    return DATA + json.dumps(body).encode() + EVENT_END
--- /dev/null
+++ b/gentianstair/entry/upkeep.py
@@ -0,0 +1,138 @@
+"""Keep what an entry process knows of its upstreams up to date."""
+
+import typing
+
+import httpx
+import loguru
+import msgspec
+import trio
+
+from gentianstair import errors
+from gentianstair.entry import node as nodes
+from gentianstair.entry import relay
+from gentianstair.entry import routing
+from gentianstair.generated import messages
+
+LOAD_INTERVAL_S = 0.5
+LOAD_TIMEOUT_S = 2.0
+EVENTS_WAIT_S = 5.0
+RETRY_S = 1.0
+STATE_ACTIVE = 'active'
+TYPE_ENGINE = 'engine'
+
+
+def upstream_info(
+    name: str, value: messages.UpstreamValue
+) -> routing.UpstreamInfo:
+    """Return what routing needs of an upstream's object.
+
+    A plain service serves just the model of its own name.
+    """
+    state = 'serving' if value['state'] == STATE_ACTIVE else value['state']
+    return routing.UpstreamInfo(
+        name,
+        value['failure_domain'],
+        tuple(value['models']),
+        value['role'],
+        state,
+        value['concurrent'],
+    )
+
+
+def apply_upstreams(node: nodes.Node) -> dict[str, messages.UpstreamValue]:
+    """Tell routing, ejection and admission which upstreams there are.
+
+    A leaving upstream gets no new work from here on; requests that run
+    there go on.
+    """
+    found = {
+        name: typing.cast(messages.UpstreamValue, node.view.upstream(name))
+        for name in node.view.names('upstream')
+    }
+    infos = [upstream_info(name, value) for name, value in found.items()]
+    node.router.set_upstreams(infos)
+    node.ejector.set_upstreams(set(found))
+    slots: dict[str, int] = {}
+    for info in infos:
+        for model in info.models:
+            ready = info.concurrent if info.state == 'serving' else 0
+            slots[model] = slots.get(model, 0) + ready
+    for model, count in slots.items():
+        node.queue.set_capacity(model, count)
+    return found
+
+
+async def _get(node: nodes.Node, url: str, limit_s: float) -> typing.Any:
+    outgoing = httpx.Request('GET', url)
+    opened = relay.open_response(node, outgoing, limit_s)
+    async with opened as (found, _):
+        body = await relay.read_all(found)
+    try:
+        return msgspec.json.decode(body)
+    except msgspec.DecodeError as error:
+        raise errors.DecodeError(str(error)) from error
+
+
+async def _follow_load(node: nodes.Node, name: str, url: str) -> None:
+    while True:
+        try:
+            report = await _get(node, f'{url}/load', LOAD_TIMEOUT_S)
+            node.router.on_load(name, report, node.clock())
+        except errors.GentianstairError as error:
+            loguru.logger.debug('no load report of {}: {}', name, error)
+        await trio.sleep(LOAD_INTERVAL_S)
+
+
+async def _follow_cache(node: nodes.Node, name: str, url: str) -> None:
+    after = 0
+    while True:
+        try:
+            path = f'/cache-events?after={after}&wait_s={EVENTS_WAIT_S}'
+            found = await _get(node, url + path, EVENTS_WAIT_S + 2.0)
+            events = found['events']
+            gap = bool(events) and events[0]['seq'] > after + 1
+            # An engine that started anew counts from the start again.
+            gap = gap or found['next'] < after
+            after = found['next']
+            node.router.on_cache_events(name, events, gap)
+        except (errors.GentianstairError, KeyError, TypeError) as error:
+            loguru.logger.debug('no cache events of {}: {}', name, error)
+            await trio.sleep(RETRY_S)
+
+
+async def _follow(node: nodes.Node, name: str, url: str) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_load, node, name, url)
+        nursery.start_soon(_follow_cache, node, name, url)
+
+
+def _wanted(
+    node: nodes.Node, found: dict[str, messages.UpstreamValue]
+) -> dict[str, str]:
+    """Return the engines whose reports are worth reading, with their URLs."""
+    models = {model for value in found.values() for model in value['models']}
+    names = {name for model in models for name in node.router.subset(model)}
+    return {
+        name: found[name]['url']
+        for name in names
+        if name in found and found[name]['type'] == TYPE_ENGINE
+    }
+
+
+async def run(node: nodes.Node) -> None:
+    """Apply each change of the upstreams and follow their reports."""
+    scopes: dict[tuple[str, str], trio.CancelScope] = {}
+
+    async def follow(name: str, url: str, scope: trio.CancelScope) -> None:
+        with scope:
+            await _follow(node, name, url)
+
+    async with trio.open_nursery() as nursery:
+        while True:
+            wanted = set(_wanted(node, apply_upstreams(node)).items())
+            for gone in set(scopes) - wanted:
+                scopes.pop(gone).cancel()
+            for name, url in wanted - set(scopes):
+                scope = scopes[(name, url)] = trio.CancelScope()
+                nursery.start_soon(follow, name, url, scope)
+            await node.view.wait_change()
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -137,7 +137,8 @@
 
     With the request extension ``fresh`` a new connection is opened, as an
     unrepeatable request needs: a kept one may die after the first byte, for
-    reasons that have nothing to do with the request.
+    reasons that have nothing to do with the request. The extension
+    ``before_send`` is called with no await between it and the first byte.
     """
 
     def __init__(self, ssl_context: ssl.SSLContext | None = None) -> None:
@@ -199,6 +200,9 @@
     async def _exchange(
         self, stream: trio.abc.Stream, request: httpx.Request
     ) -> httpx.Response:
+        check = request.extensions.get('before_send')
+        if check is not None:
+            check()
         try:
             await stream.send_all(_head(request) + request.content)
         except trio.BrokenResourceError as error:
