--- /dev/null
+++ b/gentianstair/util/logs.py
@@ -0,0 +1,128 @@
+"""Write logs as JSON lines to standard error, never with a key in them."""
+
+import json
+import re
+import sys
+import traceback
+import typing
+
+import loguru
+
+# Fields that may be bound; each has few or short values.
+FIELDS = (
+    'request_id',
+    'customer',
+    'vm',
+    'failure_domain',
+    'upstream',
+    'verdict',
+)
+REDACTED = '[redacted]'
+MAX_TEXT = 8000
+_SECRET_NAMES = frozenset(
+    {'authorization', 'api_key', 'key', 'secret', 'password'}
+)
+# A caller key as granted, and a private key.
+_SECRETS = re.compile(
+    r'gst_[A-Za-z0-9_-]{8,}'
+    r'|-----BEGIN[A-Z ]*PRIVATE KEY-----.*?(?:-----END|$)',
+    re.DOTALL,
+)
+# What is assigned to a name that promises a secret, or follows "Bearer". A
+# header shows as ``authorization: x``, ``'authorization', 'x'`` or
+# ``b'authorization', b'x'``.
+_ASSIGNED = re.compile(
+    r'''((?:authorization|api[-_]key|password|secret)['"]?\s*[:=,]\s*'''
+    r'''(?:b?['"])?|\b(?:bearer|basic)\s)'''
+    r'''(?:\s*(?:bearer|basic)\s)?\s*[^\s'",)}\]]+''',
+    re.IGNORECASE,
+)
+
+
+def redact(text: str) -> str:
+    """Return text without the secrets in it.
+
+    >>> redact('sent Authorization: Bearer abc.def-1 to engine-1')
+    'sent Authorization: [redacted] to engine-1'
+    >>> redact('found gst_0123456789abc')
+    'found [redacted]'
+    """
+    text = _SECRETS.sub(REDACTED, text)
+    return _ASSIGNED.sub(rf'\1{REDACTED}', text)
+
+
+def _clean(value: typing.Any) -> typing.Any:
+    """Return a value as JSON can carry it, redacted at every depth."""
+    if value is None or isinstance(value, (bool, int, float)):
+        return value
+    if isinstance(value, dict):
+        return {str(key): _clean_field(key, value[key]) for key in value}
+    if isinstance(value, (list, tuple, set, frozenset)):
+        return [_clean(item) for item in value]
+    text = value if isinstance(value, str) else repr(value)
+    # Cut twice: first so that a huge text costs little to search, then so
+    # that no key is cut in two and slips past the search.
+    return redact(text[: 2 * MAX_TEXT])[:MAX_TEXT]
+
+
+def _clean_field(name: typing.Any, value: typing.Any) -> typing.Any:
+    """Return the value of a named field; a secret's name hides it whole."""
+    if str(name).lower().replace('-', '_') in _SECRET_NAMES:
+        return REDACTED
+    return _clean(value)
+
+
+def to_line(record: typing.Any) -> str:
+    """Return a loguru record as one line of JSON."""
+    line = {
+        'at': record['time'].isoformat(timespec='milliseconds'),
+        'level': record['level'].name,
+        'module': record['name'],
+        'message': _clean(record['message']),
+    }
+    for name, value in record['extra'].items():
+        line[name] = _clean_field(name, value)
+    error = record['exception']
+    if error is not None:
+        # Formatted here, without values of variables: loguru's own
+        # formatter may print them, and a key would be among them.
+        text = ''.join(traceback.format_exception(*error))
+        line['exception'] = redact(text)[-MAX_TEXT:]
+    return json.dumps(line, default=str) + '\n'
+
+
+class _Sink:
+    """Write each record as a line to a stream."""
+
+    def __init__(self, stream: typing.TextIO) -> None:
+        self._stream = stream
+
+    def __call__(self, message: typing.Any) -> None:
+        self._stream.write(to_line(message.record))
+        self._stream.flush()
+
+
+def setup(
+    level: str,
+    vm_name: str,
+    failure_domain: str,
+    stream: typing.TextIO | None = None,
+) -> None:
+    """Send the process's logs to a stream, standard error by default.
+
+    Call it once, first in main. Bind further fields of FIELDS where they
+    are known: ``loguru.logger.bind(request_id=...).info('...')`` or
+    ``with loguru.logger.contextualize(...)``.
+    """
+    loguru.logger.remove()
+    loguru.logger.configure(
+        extra={'vm': vm_name, 'failure_domain': failure_domain}
+    )
+    loguru.logger.add(
+        _Sink(stream or sys.stderr),
+        level=level,
+        format='{message}',
+        backtrace=False,
+        diagnose=False,
+        catch=True,
+    )
--- /dev/null
+++ b/test/util/__init__.py
@@ -0,0 +1,1 @@
+"""Test the small helpers."""
--- /dev/null
+++ b/test/util/test_logs.py
@@ -0,0 +1,80 @@
+"""Test that logs are JSON lines and never hold a key."""
+
+import io
+import json
+
+import loguru
+import pytest
+
+from gentianstair import errors
+from gentianstair.util import logs
+
+KEY = 'gst_Zm9vYmFyYmF6cXV4MTIzNDU2Nzg5MA'
+# A key that an application of before our own form may still use.
+FOREIGN = 'sk-legacy.0123456789'
+
+
+@pytest.fixture
+def lines():
+    stream = io.StringIO()
+    logs.setup('DEBUG', 'vm-1', 'north', stream)
+    yield lambda: [json.loads(x) for x in stream.getvalue().splitlines()]
+    loguru.logger.remove()
+
+
+def _raise(secret):
+    held = f'Bearer {secret}'
+    raise errors.DecodeError(f'bad header {held}')
+
+
+def _log_exception(secret):
+    try:
+        _raise(secret)
+    except errors.DecodeError:
+        loguru.logger.exception('failed')
+
+
+# Ways in which a key could slip into a line.
+SLIPS = [
+    lambda key: loguru.logger.info(f'header Authorization: Bearer {key}'),
+    lambda key: loguru.logger.info('sent {}', {'authorization': key}),
+    lambda key: loguru.logger.info(f"{[('authorization', key)]}"),
+    lambda key: loguru.logger.info(f'{[(b"authorization", key.encode())]}'),
+    lambda key: loguru.logger.info(f'api_key={key} x-api-key: {key}'),
+    lambda key: loguru.logger.info(json.dumps({'api_key': key})),
+    lambda key: loguru.logger.bind(secret=key).info('bound'),
+    lambda key: loguru.logger.bind(h={'Api-Key': key}).info('bound'),
+    lambda key: loguru.logger.bind(h=[f'bearer  {key}']).info('bound'),
+    lambda key: loguru.logger.bind(h=f'Bearer {key}'.encode()).info('bound'),
+    _log_exception,
+]
+
+
+@pytest.mark.promise
+@pytest.mark.parametrize('key', [KEY, FOREIGN])
+@pytest.mark.parametrize('slip', SLIPS)
+def test_a_planted_key_never_shows(lines, slip, key):
+    """A key in a log is read by whoever reads logs.
+
+    A developer logs a header, a body or an exception that holds it. The
+    sink redacts text, fields and tracebacks at every depth.
+    """
+    slip(key)
+    written = json.dumps(lines())
+    assert key not in written
+    assert logs.REDACTED in written
+
+
+def test_our_own_keys_are_known_wherever_they_stand(lines):
+    loguru.logger.info(f'GET /x?k={KEY}')
+    loguru.logger.bind(h=[(1, {'path': f'/{KEY}/x'})]).info('bound')
+    assert KEY[4:] not in json.dumps(lines())
+
+
+def test_a_line_carries_the_bound_fields_and_survives_odd_text(lines):
+    bound = dict.fromkeys(logs.FIELDS, 'x') | {'vm': 'vm-1', 'n': 3}
+    loguru.logger.bind(**bound).warning('a\nb\x1b[2J {not a field}')
+    (line,) = lines()
+    assert bound.items() <= line.items()
+    assert line['level'] == 'WARNING'
+    assert line['message'] == 'a\nb\x1b[2J {not a field}'
