--- /dev/null
+++ b/test/util/test_tls.py
@@ -0,0 +1,247 @@
+"""Test TLS contexts, mutual authentication and renewal of certificates."""
+
+import datetime
+import ipaddress
+import pathlib
+import ssl
+
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.asymmetric import rsa
+from cryptography.x509 import oid
+import pytest
+import trio
+import trio.testing
+
+from gentianstair import errors
+from gentianstair.util import tls
+
+PEM = serialization.Encoding.PEM
+
+
+def _builder(name, issuer, key):
+    now = datetime.datetime.now(datetime.UTC)
+    day = datetime.timedelta(days=1)
+    made = x509.CertificateBuilder().subject_name(name).issuer_name(issuer)
+    made = made.public_key(key.public_key())
+    made = made.serial_number(x509.random_serial_number())
+    return made.not_valid_before(now - day).not_valid_after(now + day)
+
+
+def _name(text):
+    return x509.Name([x509.NameAttribute(oid.NameOID.COMMON_NAME, text)])
+
+
+class Authority:
+    """A private authority that signs certificates for one test."""
+
+    def __init__(self, folder, name='ca'):
+        self.key = ec.generate_private_key(ec.SECP256R1())
+        self.name = _name(name)
+        basic = x509.BasicConstraints(ca=True, path_length=0)
+        made = _builder(self.name, self.name, self.key)
+        made = made.add_extension(basic, critical=True)
+        self.path = folder / f'{name}.pem'
+        signed = made.sign(self.key, hashes.SHA256())
+        self.path.write_bytes(signed.public_bytes(PEM))
+
+    def issue(self, folder, name, key=None):
+        """Write a certificate and key; return the files."""
+        key = key or ec.generate_private_key(ec.SECP256R1())
+        address = x509.IPAddress(ipaddress.ip_address('127.0.0.1'))
+        names = x509.SubjectAlternativeName([address])
+        made = _builder(_name(name), self.name, key)
+        signed = made.add_extension(names, critical=False).sign(
+            self.key, hashes.SHA256()
+        )
+        cert, private = folder / 'cert.pem', folder / 'key.pem'
+        cert.write_bytes(signed.public_bytes(PEM))
+        text = key.private_bytes(
+            PEM,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+        private.write_bytes(text)
+        return tls.Files(str(cert), str(private), str(self.path))
+
+
+@pytest.fixture
+def authority(tmp_path):
+    return Authority(tmp_path)
+
+
+def _folder(tmp_path, name):
+    made = tmp_path / name
+    made.mkdir()
+    return made
+
+
+async def _meet(server, client):
+    """Connect once; return the names each side saw, or raise."""
+    near, far = trio.testing.memory_stream_pair()
+    one = trio.SSLStream(near, client, server_hostname='127.0.0.1')
+    two = trio.SSLStream(far, server, server_side=True)
+    seen = {}
+
+    async def hello(stream, who):
+        await stream.do_handshake()
+        await stream.send_all(b'x')
+        assert await stream.receive_some(1) == b'x'
+        found = stream.getpeercert()
+        seen[who] = found['subject'][0][0][1] if found else None
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hello, one, 'client')
+            nursery.start_soon(hello, two, 'server')
+    return seen
+
+
+async def _is_refused(server, client):
+    refused = False
+    try:
+        await _meet(server, client)
+    except* trio.BrokenResourceError:
+        refused = True
+    return refused
+
+
+async def test_peers_know_each_other_by_their_authority(tmp_path, authority):
+    files = [
+        authority.issue(_folder(tmp_path, name), name)
+        for name in ('vm-1', 'vm-2')
+    ]
+    first, second = (tls.make_peer_credentials(item) for item in files)
+    seen = await _meet(first.server, second.client)
+    assert seen == {'client': 'vm-1', 'server': 'vm-2'}
+
+
+async def test_strangers_are_not_peers(tmp_path, authority):
+    """A process outside the fleet reads and sends configuration to a VM.
+
+    It has a certificate of another authority, or none. Both sides check
+    the chain, so the handshake fails before any message.
+    """
+    mine = tls.make_peer_credentials(
+        authority.issue(_folder(tmp_path, 'a'), 'vm-1')
+    )
+    other = Authority(tmp_path, 'other')
+    theirs = tls.make_peer_credentials(
+        other.issue(_folder(tmp_path, 'b'), 'vm-x')
+    )
+    bare = ssl.create_default_context(cafile=str(authority.path))
+    for server, client in [
+        (mine.server, theirs.client),
+        (theirs.server, mine.client),
+        (mine.server, bare),
+    ]:
+        assert await _is_refused(server, client)
+
+
+@pytest.mark.parametrize('new_key', ['same type', 'other type'])
+async def test_a_changed_file_is_used_by_new_connections(
+    tmp_path, authority, new_key
+):
+    """Callers are turned away on the day a certificate runs out.
+
+    The files were replaced in time, but the process still shows the one it
+    read at its start. New connections must get a context of the new files,
+    also when the new key is of another type than the old.
+    """
+    folder = _folder(tmp_path, 'a')
+    files = authority.issue(folder, 'old')
+    pair = tls.make_peer_credentials(files)
+    assert not pair.check()
+    key = None
+    if new_key == 'other type':
+        key = rsa.generate_private_key(65537, 2048)
+    authority.issue(folder, 'new', key)
+    assert pair.check()
+    assert not pair.check()
+    seen = await _meet(pair.server, pair.client)
+    assert seen == {'client': 'new', 'server': 'new'}
+
+
+async def test_a_withdrawn_authority_is_no_longer_trusted(tmp_path, authority):
+    """A stolen authority is replaced, yet its certificates still work.
+
+    Loading the new authority into a context in use only adds to those
+    trusted before. Contexts are made anew, so the old one is gone.
+    """
+    files = authority.issue(_folder(tmp_path, 'a'), 'vm-1')
+    pair = tls.make_peer_credentials(files)
+    old = tls.make_peer_credentials(
+        authority.issue(_folder(tmp_path, 'b'), 'vm-old')
+    )
+    await _meet(pair.server, old.client)
+    Authority(tmp_path).issue(tmp_path / 'a', 'vm-1')
+    assert pair.check()
+    # The stranger accepts us, so only we can refuse.
+    old.client.load_verify_locations(str(authority.path))
+    assert await _is_refused(pair.server, old.client)
+    assert len(await _meet(pair.server, pair.client)) == 2
+
+
+@pytest.mark.parametrize('damage', ['garbage', 'other key', 'gone'])
+async def test_a_half_replaced_pair_keeps_the_old(tmp_path, authority, damage):
+    """New connections fail for the moment between two file writes.
+
+    A reload sees the new certificate with the old key. It must be refused
+    whole, keep the old pair in use and be tried again.
+    """
+    folder = _folder(tmp_path, 'a')
+    files = authority.issue(folder, 'old')
+    pair = tls.make_peer_credentials(files)
+    spare = authority.issue(_folder(tmp_path, 'b'), 'new')
+    key = pathlib.Path(files.key)
+    if damage == 'gone':
+        key.unlink()
+    else:
+        cert = pathlib.Path(spare.cert).read_bytes()
+        pathlib.Path(files.cert).write_bytes(cert)
+        if damage == 'garbage':
+            key.write_text('half')
+    assert not pair.check()
+    seen = await _meet(pair.server, pair.client)
+    assert seen == {'client': 'old', 'server': 'old'}
+    authority.issue(folder, 'new')
+    assert pair.check()
+    seen = await _meet(pair.server, pair.client)
+    assert seen == {'client': 'new', 'server': 'new'}
+
+
+@pytest.mark.parametrize(
+    ('files', 'said'),
+    [
+        (tls.Files('c', ''), 'together'),
+        (tls.Files('c', 'k'), '--peer-tls-ca-file'),
+        (tls.Files('/nowhere/c', '/nowhere/k', 'a'), '/nowhere/c'),
+    ],
+)
+def test_bad_files_stop_the_start(files, said):
+    with pytest.raises(errors.SettingsError, match=said):
+        tls.make_peer_credentials(files)
+    assert tls.make_peer_credentials(tls.Files('', '')) is None
+
+
+@pytest.mark.parametrize(
+    ('address', 'allowed', 'fine'),
+    [
+        ('127.0.0.1:80', False, True),
+        ('127.9.9.9:80', False, True),
+        ('[::1]:80', False, True),
+        ('localhost:80', False, True),
+        ('10.0.0.1:80', False, False),
+        ('0.0.0.0:80', False, False),
+        ('localhost.example:80', False, False),
+        ('10.0.0.1:80', True, True),
+    ],
+)
+def test_plain_is_for_loopback(address, allowed, fine):
+    if fine:
+        tls.check_plain(address, allowed, '--listen')
+        return
+    with pytest.raises(errors.SettingsError, match='--insecure-plain'):
+        tls.check_plain(address, allowed, '--listen')
