Count failures as tries, so that a dead engine never looks cheap

A test of an engine that fails at once showed 23 of 100 requests sent to it while the other engine was busy: the cost of failing was fixed at 2 s, less than the queue of the healthy one. Now it is the expected number of tries, and it fades with a half-life of 10 s so that the engine is tried again: at most 5 of 100.

--- a/gentianstair/bench/baselines.py
+++ b/gentianstair/bench/baselines.py
@@ -12,19 +12,24 @@
 
     def __init__(self, vm_name: str, seed: int) -> None:
         self._random = random.Random(f'{vm_name}/{seed}')
-        self._names: list[str] = []
+        self._infos: list[routing.UpstreamInfo] = []
 
     def set_upstreams(
         self, infos: typing.Iterable[routing.UpstreamInfo]
     ) -> None:
         """Take the upstreams in force."""
-        self._names = [info.name for info in infos if info.state == 'serving']
+        self._infos = [info for info in infos if info.state == 'serving']
 
     def choose(
         self, work: works.Work, now_s: float, exclude: frozenset[str]
     ) -> routing.Choice | None:
         """Return where to send a request, or None if nowhere."""
-        allowed = [name for name in self._names if name not in exclude]
+        allowed = [
+            info.name
+            for info in self._infos
+            if info.name not in exclude
+            and (not info.models or work.model in info.models)
+        ]
         if not allowed:
             return None
         return routing.Choice(self.pick(allowed), 0.0, {})
--- a/gentianstair/entry/routing.py
+++ b/gentianstair/entry/routing.py
@@ -88,16 +88,35 @@
         self.took_s = _FadingSum()
         self.expected_s = _FadingSum()
         self.slowness = 1.0
-        # Share of tries that failed, and of predicted cached tokens that
-        # were found, both of late.
-        self.failing = 0.0
+        # Share of predicted cached tokens that were found of late.
         self.trust = 1.0
+        # Share of tries that failed, as it was at a time.
+        self._failing = 0.0
+        self._failing_at_s = 0.0
         # Cache events lost, for metrics.
         self.gaps = 0
 
+    def failing(self, now_s: float) -> float:
+        """Return the share of tries that fail, as far as known.
+
+        It fades, so that an upstream that is avoided is tried again.
+        """
+        if not self._failing:
+            return 0.0
+        age_s = now_s - self._failing_at_s
+        return self._failing * 0.5 ** (age_s / _FAILING_HALF_LIFE_S)
+
+    def note_try(self, failed: bool, now_s: float) -> None:
+        """Count a try that ended."""
+        self._failing = _smooth(
+            self.failing(now_s), 1.0 if failed else 0.0, _FAILING_SMOOTHING
+        )
+        self._failing_at_s = now_s
+
 
 _SMOOTHING = 0.1
 _FAILING_SMOOTHING = 0.3
+_FAILING_HALF_LIFE_S = 10.0
 _FADE = 0.05
 _SLOWNESS_RANGE = (0.25, 20.0)
 
@@ -253,7 +272,10 @@
             )
         far = state.info.failure_domain != self.failure_domain
         distance_s = rates.distance_s if far else 0.0
-        failing_s = state.failing * rates.failure_s
+        # As many tries fail before one succeeds. A fixed cost would be less
+        # than the queue of a busy upstream, and all would go to a dead one.
+        failing = state.failing(now_s)
+        failing_s = rates.failure_s * failing / (1.0 - failing + 0.01)
         score = queue_s + read_s + pressure_s + distance_s + failing_s
         inputs = {
             'queue_s': queue_s,
@@ -310,9 +332,7 @@
         if state is None:
             return
         state.load.finished(work.request_id, now_s)
-        state.failing = _smooth(
-            state.failing, 1.0 if failed else 0.0, _FAILING_SMOOTHING
-        )
+        state.note_try(failed, now_s)
         if failed:
             # Whatever was noted at the start may not be cached at all.
             for hash_ in prefixes.sample(work.block_hashes).hashes:
