--- /dev/null
+++ b/gentianstair/bench/__main__.py
@@ -0,0 +1,36 @@
+"""Run one experiment by name: ``python -m gentianstair.bench NAME``."""
+
+import importlib
+import pkgutil
+import sys
+
+from gentianstair import bench
+
+# Modules of this package that are no experiments.
+HELPERS = frozenset({'__main__', 'lines', 'baselines', 'node'})
+
+
+def names() -> list[str]:
+    """Return the names of all experiments."""
+    found = []
+    for module in pkgutil.iter_modules(bench.__path__):
+        if module.name in HELPERS:
+            continue
+        loaded = importlib.import_module(f'gentianstair.bench.{module.name}')
+        if hasattr(loaded, 'main'):
+            found.append(module.name)
+    return sorted(found)
+
+
+def main(argv: list[str]) -> int:
+    """Run the experiment that argv names and return its exit code."""
+    known = names()
+    if not argv or argv[0] not in known:
+        print(f'usage: bench {{{",".join(known)}}} [--seed N] [--json]')
+        return 2
+    module = importlib.import_module(f'gentianstair.bench.{argv[0]}')
+    return module.main(argv[1:])
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/gentianstair/entry/app.py
+++ b/gentianstair/entry/app.py
@@ -88,6 +88,11 @@
             if self._exchange.started:
                 # The server closes a connection whose answer is not ended.
                 raise
+        except Exception:
+            # A fault of ours: the caller still gets a final answer, and
+            # nothing is claimed about what ran.
+            loguru.logger.exception('a request failed inside')
+            await self._fail(_internal())
         finally:
             RUNNING.dec()
             DURATION_S.observe(self._node.clock() - started_s)
@@ -105,7 +110,7 @@
             verdict=self._verdict.name,
         ).info('request')
 
-    def _explain(self, step: str, **detail: typing.Any) -> None:
+    def _explain(self, step: str, /, **detail: typing.Any) -> None:
         self._node.explanations.add(
             self._request_id, self._customer, step, **detail
         )
@@ -192,6 +197,9 @@
         async def watch(scope: trio.CancelScope) -> None:
             nonlocal gone
             await self._exchange.wait_gone()
+            if self._exchange.ended:
+                # The server reports the end of a whole answer so, too.
+                return
             gone = True
             scope.cancel()
 
@@ -226,41 +234,26 @@
     ) -> streams.Usage:
         node = self._node
         exchange = self._exchange
-        usage = streams.Usage()
-        upstream = ''
-        streaming = None
-        try:
-            if completion.stream:
-                streaming = relay.Streaming(
-                    node, exchange, request, completion, model
-                )
-                usage, upstream = await streaming.run()
-                self._status = 200
-            else:
-                whole = relay.Whole(node, request, completion, model)
-                usage, upstream = await whole.run()
-                self._status = whole.status
-                await exchange.answer(
-                    whole.status,
-                    whole.content_type,
-                    whole.body,
-                    relay.answer_headers(request),
-                )
-            self._verdict = verdicts.Verdict.RAN
-        finally:
-            if streaming is not None:
-                usage = streaming.answer.total()
-            self._bill(request, usage, upstream)
-        return usage
-
-    def _bill(
-        self, request: requests.Request, usage: streams.Usage, upstream: str
-    ) -> None:
+        if completion.stream:
+            streaming = relay.Streaming(
+                node, exchange, request, completion, model
+            )
+            usage = await streaming.run()
+            self._status = 200
+        else:
+            whole = relay.Whole(node, request, completion, model)
+            usage = await whole.run()
+            self._status = whole.status
+            await exchange.answer(
+                whole.status,
+                whole.content_type,
+                whole.body,
+                relay.answer_headers(request),
+            )
+        self._verdict = verdicts.Verdict.RAN
         TOKENS.labels('prompt').inc(usage.prompt_tokens)
         TOKENS.labels('output').inc(usage.output_tokens)
-        found = self._node.view.upstream(upstream) if upstream else None
-        kind = found['capacity_class'] if found else 'unknown'
-        self._node.meter(request.caller.customer, kind, usage)
+        return usage
 
     async def _call(
         self, caller: callers.Caller, body: bytes, deadline_s: float
@@ -303,6 +296,16 @@
         await self._exchange.end(reply.body)
 
 
+def _internal() -> errors.RequestError:
+    return errors.RequestError(
+        500,
+        'internal-error',
+        'the request failed inside this VM',
+        verdicts.Verdict.MAY_HAVE_RUN,
+        retry_after_s=1.0,
+    )
+
+
 def _relayed(scope: dict[str, typing.Any]) -> bool:
     path = scope['path']
     if path in completions.PATHS:
--- a/gentianstair/entry/explain.py
+++ b/gentianstair/entry/explain.py
@@ -26,7 +26,12 @@
         ] = collections.OrderedDict()
 
     def add(
-        self, request_id: str, customer: str, step: str, **detail: typing.Any
+        self,
+        request_id: str,
+        customer: str,
+        step: str,
+        /,
+        **detail: typing.Any,
     ) -> None:
         """Note a step."""
         _, steps = self._requests.setdefault(request_id, (customer, []))
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -29,6 +29,7 @@
 from gentianstair.platform import http_store
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
+from gentianstair.util import logs
 from gentianstair.util import serving
 
 GRACE_S = 1.0
@@ -186,6 +187,7 @@
             {setting.variable for setting in generated.CONTROL},
         )
         config = generated.EntrySettings(**values)
+        logs.setup(config.log_level, config.vm_name, config.failure_domain)
         trio.run(run, config)
     except errors.UserError as error:
         print(error, file=sys.stderr)
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -119,6 +119,18 @@
     return b''.join(parts)
 
 
+def bill(
+    node: nodes.Node,
+    request: requests.Request,
+    tried: tries.Try,
+    usage: streams.Usage,
+) -> None:
+    """Count tokens for the request's customer and the upstream's kind."""
+    if usage != streams.Usage():
+        kind = tried.upstream['capacity_class']
+        node.meter(request.caller.customer, kind, usage)
+
+
 class Streaming:
     """A streamed answer over as many engines as it takes."""
 
@@ -151,14 +163,21 @@
             self._request, tried, self._completion.path, body
         )
         stall_s = node.settings.upstream_stall_s
-        async with open_response(node, outgoing, stall_s) as (found, guard):
-            check_status(found)
-            if found.status_code != 200:
-                await self._refused(found)
-                return streams.Usage()
-            await self._start()
-            await self._copy(found, tried, guard, stall_s)
-        self.answer.ending()
+        try:
+            opened = open_response(node, outgoing, stall_s)
+            async with opened as (found, guard):
+                check_status(found)
+                if found.status_code != 200:
+                    await self._refused(found)
+                    return streams.Usage()
+                await self._start()
+                await self._copy(found, tried, guard, stall_s)
+            self.answer.ending()
+        finally:
+            # Each run is billed by itself, also one that was cut, since
+            # the runs of one answer may be on upstreams of other kinds.
+            used = self.answer.run_usage(self._request.work.prompt_tokens)
+            bill(node, self._request, tried, used)
         return self.answer.total()
 
     async def _refused(self, found: httpx.Response) -> None:
@@ -207,14 +226,12 @@
                 await write(out)
             guard.wait_upstream(stall_s)
 
-    async def run(self) -> tuple[streams.Usage, str]:
+    async def run(self) -> streams.Usage:
         """Stream the whole answer; raise RequestError if it can't be had."""
-        usage, upstream = await tries.run(
-            self._node, self._request, self.attempt
-        )
+        usage = await tries.run(self._node, self._request, self.attempt)
         if not self._exchange.ended:
             await self._exchange.end(self.answer.ending())
-        return usage, upstream
+        return usage
 
 
 class Whole:
@@ -252,14 +269,16 @@
         if self.status != 200:
             return streams.Usage()
         try:
-            return streams.parse_usage(json.loads(self.body)['usage'])
+            usage = streams.parse_usage(json.loads(self.body)['usage'])
         except (ValueError, KeyError, TypeError) as error:
             raise errors.UpstreamError(
                 'the answer is not whole', verdicts.Verdict.MAY_HAVE_RUN
             ) from error
+        bill(node, self._request, tried, usage)
+        return usage
 
-    async def run(self) -> tuple[streams.Usage, str]:
-        """Return usage and upstream once status and body are set."""
+    async def run(self) -> streams.Usage:
+        """Return the usage once status and body are set."""
         return await tries.run(self._node, self._request, self.attempt)
 
 
--- a/gentianstair/entry/streams.py
+++ b/gentianstair/entry/streams.py
@@ -122,6 +122,22 @@
         events = b''.join(self._events).split(EVENT_END)
         return ''.join(_event_text(event) for event in events)
 
+    def run_usage(self, prompt_tokens: int) -> Usage:
+        """Return what the present run is billed for.
+
+        The prompt is billed once, with the run that began the answer; a
+        lost engine can no longer tell its count, so prompt_tokens and what
+        was delivered stand for it.
+        """
+        made = self.tokens - self._tokens_before
+        if self.usage is not None:
+            found = self.usage
+        else:
+            found = Usage(prompt_tokens if made else 0, made, 0)
+        if self._tokens_before:
+            found = Usage(0, found.output_tokens, 0)
+        return found
+
     def total(self) -> Usage:
         """Return the usage of all runs together.
 
--- a/gentianstair/entry/tries.py
+++ b/gentianstair/entry/tries.py
@@ -96,7 +96,11 @@
 
 
 def _explain(
-    node: nodes.Node, request: requests.Request, step: str, **detail
+    node: nodes.Node,
+    request: requests.Request,
+    step: str,
+    /,
+    **detail: typing.Any,
 ) -> None:
     node.explanations.add(
         request.request_id, request.caller.customer, step, **detail
@@ -121,8 +125,8 @@
 
 async def run(
     node: nodes.Node, request: requests.Request, attempt: Attempt
-) -> tuple[streams.Usage, str]:
-    """Return the usage and the name of the upstream that completed it.
+) -> streams.Usage:
+    """Return the usage once an upstream has completed the request.
 
     Raise RequestError with the verdict of all tries together.
     """
@@ -140,8 +144,7 @@
             node.retries.budget.fresh(customer, choice.upstream)
         _explain(node, request, 'route', **choice._asdict())
         try:
-            usage = await _one(node, request, choice, attempt)
-            return usage, choice.upstream
+            return await _one(node, request, choice, attempt)
         except errors.UpstreamError as error:
             verdict = verdicts.combine(verdict, error.verdict)
             failed.add(choice.upstream)
