--- a/gentianstair/config/view.py
+++ b/gentianstair/config/view.py
@@ -2,13 +2,47 @@
 
 import typing
 
+import msgspec
 import trio
+import xxhash
 
 from gentianstair.generated import messages
 from gentianstair.platform import store
 
 # Kinds that every node follows.
 KINDS = ('customer', 'key', 'bundle', 'accepted', 'upstream')
+VALUE_TYPES: dict[str, type] = {
+    'customer': messages.CustomerValue,
+    'key': messages.KeyValue,
+    'bundle': messages.BundleValue,
+    'accepted': messages.AcceptedValue,
+    'upstream': messages.UpstreamValue,
+}
+# Parts of the configuration that two nodes compare by digest; one object
+# missed costs a 256th of the configuration to repair.
+BUCKETS = 256
+
+
+def _bucket(item: store.StoredObject) -> int:
+    text = f'{item.kind}/{item.name}'
+    return xxhash.xxh32_intdigest(text.encode()) % BUCKETS
+
+
+def _is_valid(item: store.StoredObject) -> bool:
+    """Say whether the value has the shape that the schema gives its kind."""
+    kind = VALUE_TYPES.get(item.kind)
+    if kind is None or item.value is None:
+        return True
+    try:
+        msgspec.convert(item.value, kind)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
+def _digest(item: store.StoredObject) -> int:
+    text = f'{item.kind}/{item.name}/{item.version}'
+    return xxhash.xxh64_intdigest(text.encode())
 
 
 class View:
@@ -22,6 +56,15 @@
     def __init__(self) -> None:
         self.objects: dict[tuple[str, str], store.StoredObject] = {}
         self.revision = 0
+        # Exclusive or of the digests of all objects, whole and by bucket,
+        # kept up at each change so that comparing costs nothing.
+        self.digest = 0
+        self.buckets = [0] * BUCKETS
+        # Objects whose value does not match the schema. They are kept and
+        # passed on, as a newer peer may know better, but never used.
+        self._invalid: set[tuple[str, str]] = set()
+        # The highest bundle number that was ever accepted.
+        self._accepted_number = 0
         self._changed = trio.lowlevel.ParkingLot()
 
     def apply(
@@ -33,13 +76,51 @@
             known = self.objects.get((item.kind, item.name))
             if known is not None and known.version >= item.version:
                 continue
-            self.objects[(item.kind, item.name)] = item
-            self.revision = max(self.revision, item.version)
+            self._set(item, known)
             taken.append(item)
         if taken:
             self._changed.unpark_all()
         return taken
 
+    def _set(
+        self, item: store.StoredObject, known: store.StoredObject | None
+    ) -> None:
+        place = (item.kind, item.name)
+        self._invalid.discard(place)
+        if not _is_valid(item):
+            self._invalid.add(place)
+        elif item.kind == 'accepted' and item.value is not None:
+            # Withdrawing accepts a higher number with the older content. A
+            # pointer written by hand to a lower one would revert what is in
+            # force, so the highest number counts, whatever the version.
+            number = item.value['number']
+            self._accepted_number = max(self._accepted_number, number)
+        change = _digest(item)
+        if known is not None:
+            change ^= _digest(known)
+        self.objects[place] = item
+        self.digest ^= change
+        self.buckets[_bucket(item)] ^= change
+        self.revision = max(self.revision, item.version)
+
+    def differing(
+        self, buckets: typing.Sequence[int]
+    ) -> list[store.StoredObject]:
+        """Return the objects in buckets whose digests are not as given.
+
+        An empty sequence stands for a node that holds nothing.
+        """
+        theirs = buckets if len(buckets) == BUCKETS else [0] * BUCKETS
+        wanted = {
+            number
+            for number, digest in enumerate(self.buckets)
+            if digest != theirs[number]
+        }
+        if not wanted:
+            return []
+        found = [i for i in self.objects.values() if _bucket(i) in wanted]
+        return sorted(found, key=lambda item: item.version)
+
     async def wait_change(self) -> None:
         """Return after the next change."""
         await self._changed.park()
@@ -47,15 +128,21 @@
     def value(self, kind: str, name: str) -> typing.Any:
         """Return the value of an object, or None."""
         item = self.objects.get((kind, name))
-        return item.value if item else None
+        if item is None or (kind, name) in self._invalid:
+            return None
+        return item.value
 
-    def names(self, kind: str) -> list[str]:
-        """Return the names of the live objects of a kind."""
-        return sorted(
-            item.name
+    def live(self, kind: str) -> list[store.StoredObject]:
+        """Return the objects of a kind that are not deleted."""
+        return [
+            item
             for item in self.objects.values()
             if item.kind == kind and item.value is not None
-        )
+        ]
+
+    def names(self, kind: str) -> list[str]:
+        """Return the names of the live objects of a kind."""
+        return sorted(item.name for item in self.live(kind))
 
     def key(self, digest: str) -> messages.KeyValue | None:
         """Return the caller key with this SHA-256, in hex."""
@@ -71,7 +158,6 @@
 
     def bundle(self) -> messages.BundleValue | None:
         """Return the accepted bundle, once both it and its number are here."""
-        accepted = self.value('accepted', 'current')
-        if accepted is None:
+        if not self._accepted_number:
             return None
-        return self.value('bundle', str(accepted['number']))
+        return self.value('bundle', str(self._accepted_number))
--- /dev/null
+++ b/gentianstair/peers/link.py
@@ -0,0 +1,323 @@
+"""Carry validated messages between two peers over a websocket."""
+
+import abc
+import contextlib
+import ipaddress
+import os
+import ssl
+import typing
+
+import cbor2
+import msgspec
+import prometheus_client
+import trio
+import websockets.exceptions
+import websockets.trio.client
+import websockets.trio.server
+
+from gentianstair import errors
+from gentianstair import settings as settings_module
+from gentianstair.generated import messages
+
+VERSION = 1
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
+MAX_DEPTH = 12
+OPEN_TIMEOUT_S = 3.0
+CLOSE_TIMEOUT_S = 0.5
+TLS_RELOAD_S = 10.0
+# Frames that wait to be read before the sender is held back.
+RECEIVE_QUEUE = 16
+
+MESSAGE_TYPES: dict[str, type] = {
+    'hello': messages.PeerHello,
+    'members': messages.PeerMembers,
+    'listed': messages.PeerListed,
+    'beat': messages.PeerBeat,
+    'objects': messages.PeerObjects,
+    'ask': messages.PeerAsk,
+    'summary': messages.PeerSummary,
+    'survey': messages.PeerSurvey,
+    'survey_answer': messages.PeerSurveyAnswer,
+    'probe': messages.PeerProbe,
+}
+
+BYTES = prometheus_client.Counter(
+    'gentianstair_peer_bytes',
+    'Payload bytes of messages between peers.',
+    ['direction', 'type'],
+)
+DROPPED = prometheus_client.Counter(
+    'gentianstair_peer_dropped_messages',
+    'Messages from peers that were dropped.',
+    ['reason'],
+)
+
+Message = dict[str, typing.Any]
+
+
+class LinkClosedError(errors.GentianstairError):
+    """Report that a link is closed or broke; what was sent may be lost."""
+
+
+def encode(message: Message) -> bytes:
+    """Return the bytes of a message; its version is filled in."""
+    data = cbor2.dumps({'version': VERSION, **message})
+    BYTES.labels('out', message['type']).inc(len(data))
+    return data
+
+
+def decode(data: bytes) -> Message | None:
+    """Return the message in data, or None for a type not known here.
+
+    A field that the schema does not have is left out, so that a newer peer
+    can be read during a rollout. Raise DecodeError for all else.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise errors.DecodeError(f'{len(data)} bytes are too many')
+    try:
+        raw = cbor2.loads(data, max_depth=MAX_DEPTH, allow_indefinite=False)
+        name = raw['type'] if isinstance(raw, dict) else None
+    except (cbor2.CBORDecodeError, KeyError, ValueError) as error:
+        raise errors.DecodeError(str(error)) from error
+    if not isinstance(name, str):
+        raise errors.DecodeError('a message must be a map with a type')
+    if name not in MESSAGE_TYPES:
+        DROPPED.labels('unknown type').inc()
+        return None
+    try:
+        message = msgspec.convert(raw, MESSAGE_TYPES[name])
+    except (msgspec.ValidationError, TypeError) as error:
+        raise errors.DecodeError(str(error)) from error
+    BYTES.labels('in', name).inc(len(data))
+    return typing.cast(Message, message)
+
+
+class Channel(abc.ABC):
+    """Both ends of a connection that keeps order until it breaks."""
+
+    @abc.abstractmethod
+    async def send(self, data: bytes) -> None:
+        """Send one message; raise LinkClosedError when it is closed."""
+
+    @abc.abstractmethod
+    async def receive(self) -> bytes:
+        """Return the next message; raise LinkClosedError at the end."""
+
+    @abc.abstractmethod
+    async def aclose(self) -> None:
+        """Close without waiting for the other end for long."""
+
+
+Handler = typing.Callable[[Channel], typing.Awaitable[None]]
+
+
+class Network(abc.ABC):
+    """What opens and accepts channels; tests put one in memory."""
+
+    @abc.abstractmethod
+    def open(
+        self, address: str
+    ) -> contextlib.AbstractAsyncContextManager[Channel]:
+        """Return a context with a channel; raise LinkClosedError."""
+
+    @abc.abstractmethod
+    async def serve(
+        self,
+        handler: Handler,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run handler for each incoming channel; report the address."""
+
+
+class WebsocketChannel(Channel):
+    """A channel over one websocket connection."""
+
+    def __init__(self, connection: typing.Any) -> None:
+        self._connection = connection
+
+    async def send(self, data: bytes) -> None:
+        """See Channel.send."""
+        try:
+            await self._connection.send(data)
+        except websockets.exceptions.ConnectionClosed as error:
+            raise LinkClosedError(str(error)) from error
+
+    async def receive(self) -> bytes:
+        """See Channel.receive."""
+        try:
+            data = await self._connection.recv()
+        except websockets.exceptions.ConnectionClosed as error:
+            raise LinkClosedError(str(error)) from error
+        return data if isinstance(data, bytes) else data.encode()
+
+    async def aclose(self) -> None:
+        """See Channel.aclose."""
+        await self._connection.aclose()
+
+
+class TlsFiles(typing.NamedTuple):
+    """Where the certificate, its key and the peers' authorities are."""
+
+    cert_file: str
+    key_file: str
+    ca_file: str
+
+
+class TlsContexts:
+    """Make TLS contexts, and make them anew when a file changes.
+
+    A certificate is renewed by replacing its files; links opened later use
+    the new one and no restart is needed. Half-written files fail to load;
+    the contexts in use are kept then and the load is tried again.
+    """
+
+    def __init__(self, files: TlsFiles) -> None:
+        self._files = files
+        self._stamp: tuple[int, ...] = ()
+        self._server, self._client = self._load()
+        self._stamp = self._read_stamp()
+
+    def _read_stamp(self) -> tuple[int, ...]:
+        return tuple(os.stat(path).st_mtime_ns for path in self._files)
+
+    def _load(self) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+        made = []
+        for side in (ssl.PROTOCOL_TLS_SERVER, ssl.PROTOCOL_TLS_CLIENT):
+            context = ssl.SSLContext(side)
+            context.minimum_version = ssl.TLSVersion.TLSv1_3
+            context.load_cert_chain(
+                self._files.cert_file, self._files.key_file
+            )
+            context.load_verify_locations(self._files.ca_file)
+            # A peer is whoever the fleet's own authority signed; addresses
+            # change with every VM, so names are not compared.
+            context.check_hostname = False
+            context.verify_mode = ssl.CERT_REQUIRED
+            made.append(context)
+        return made[0], made[1]
+
+    def current(self) -> tuple[ssl.SSLContext, ssl.SSLContext]:
+        """Return the contexts for accepting and for opening links."""
+        try:
+            stamp = self._read_stamp()
+            if stamp != self._stamp:
+                # Loaded apart first: a bad file must not spoil the context
+                # that the listener holds on to.
+                _, self._client = self._load()
+                self._server.load_cert_chain(
+                    self._files.cert_file, self._files.key_file
+                )
+                self._server.load_verify_locations(self._files.ca_file)
+                self._stamp = stamp
+        except (OSError, ssl.SSLError):
+            DROPPED.labels('tls reload').inc()
+        return self._server, self._client
+
+    async def follow(self) -> typing.NoReturn:
+        """Look for changed files, for the sake of the listener."""
+        while True:
+            await trio.sleep(TLS_RELOAD_S)
+            self.current()
+
+
+class WebsocketNetwork(Network):
+    """Open and accept websockets on TCP, with mutual TLS if set."""
+
+    def __init__(self, listen: str, tls: TlsContexts | None) -> None:
+        self._listen = listen
+        self._tls = tls
+
+    @contextlib.asynccontextmanager
+    async def open(self, address: str) -> typing.AsyncIterator[Channel]:
+        """See Network.open."""
+        scheme = 'wss' if self._tls else 'ws'
+        context = self._tls.current()[1] if self._tls else None
+        connection = websockets.trio.client.connect(
+            f'{scheme}://{address}/peer',
+            ssl=context,
+            compression=None,
+            proxy=None,
+            open_timeout=OPEN_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            ping_interval=None,
+            max_size=MAX_MESSAGE_BYTES,
+            max_queue=RECEIVE_QUEUE,
+        )
+        try:
+            opened = await connection.__aenter__()
+        except (
+            OSError,
+            TimeoutError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            websockets.exceptions.WebSocketException,
+        ) as error:
+            raise LinkClosedError(f'{address}: {error}') from error
+        try:
+            yield WebsocketChannel(opened)
+        finally:
+            await connection.__aexit__(None, None, None)
+
+    async def serve(
+        self,
+        handler: Handler,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See Network.serve."""
+        host, port = settings_module.parse_address(self._listen)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        bound = listeners[0].socket.getsockname()
+        task_status.started(f'{bound[0]}:{bound[1]}')
+
+        async def accept(connection: typing.Any) -> None:
+            await handler(WebsocketChannel(connection))
+
+        async with trio.open_nursery() as nursery:
+            if self._tls:
+                nursery.start_soon(self._tls.follow)
+            await websockets.trio.server.serve(
+                accept,
+                listeners=listeners,
+                ssl=self._tls.current()[0] if self._tls else None,
+                compression=None,
+                open_timeout=OPEN_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+                ping_interval=None,
+                max_size=MAX_MESSAGE_BYTES,
+                max_queue=RECEIVE_QUEUE,
+            )
+
+
+def _is_loopback(address: str) -> bool:
+    host, _ = settings_module.parse_address(address)
+    try:
+        return ipaddress.ip_address(host).is_loopback
+    except ValueError:
+        return host == 'localhost'
+
+
+def make_network(settings: typing.Any) -> WebsocketNetwork:
+    """Return the network that the settings describe.
+
+    Raise SettingsError when links would be plain beyond loopback without
+    insecure_plain, or when the TLS files do not load.
+    """
+    files = TlsFiles(
+        settings.peer_tls_cert_file,
+        settings.peer_tls_key_file,
+        settings.peer_tls_ca_file,
+    )
+    if any(files):
+        try:
+            tls = TlsContexts(files)
+        except (OSError, ssl.SSLError) as error:
+            raise errors.SettingsError(
+                f'--peer-tls-cert-file, -key-file, -ca-file: {error}'
+            ) from error
+        return WebsocketNetwork(settings.peer_listen, tls)
+    if not (settings.insecure_plain or _is_loopback(settings.peer_listen)):
+        raise errors.SettingsError(
+            f'--peer-listen: {settings.peer_listen!r} is not loopback; give '
+            '--peer-tls-cert-file or --insecure-plain'
+        )
+    return WebsocketNetwork(settings.peer_listen, None)
--- /dev/null
+++ b/gentianstair/peers/membership.py
@@ -0,0 +1,261 @@
+"""Keep what is known of the fleet's VMs and their incarnations."""
+
+import typing
+
+import prometheus_client
+import xxhash
+
+from gentianstair.generated import messages
+
+LIVE = 'live'
+SUSPECT = 'suspect'
+LEAVING = 'leaving'
+GONE = 'gone'
+# State of a VM that was on the platform's list and no longer is.
+ABSENT = 'absent'
+# How long a VM that is gone is remembered, so that no late claim of a slow
+# peer brings it back.
+FORGET_S = 3600.0
+# A process this young takes a greater incarnation of its name for that of
+# its predecessor, whose wall clock was ahead.
+YOUNG_S = 10.0
+
+# Order of claims about one incarnation at one counter: the later ones win,
+# and only the VM itself can overrule them, by a greater counter.
+_RANKS = {LIVE: 0, SUSPECT: 1, LEAVING: 2, GONE: 3}
+
+MEMBERS = prometheus_client.Gauge(
+    'gentianstair_members', 'VMs known, by status.', ['status']
+)
+
+
+class Member(typing.NamedTuple):
+    """One VM as known here; ``address`` is for links.
+
+    ``incarnation`` is the wall clock, in milliseconds, at the start of its
+    process: a VM that returns with the same name or address is a new one.
+    """
+
+    name: str
+    incarnation: int
+    counter: int
+    status: str
+    failure_domain: str
+    region: str
+    address: str
+
+
+def to_message(member: Member) -> messages.PeerMember:
+    """Return the member as a message carries it."""
+    return typing.cast(messages.PeerMember, member._asdict())
+
+
+def from_message(found: messages.PeerMember) -> Member:
+    """Return the member a message carries."""
+    return Member(**found)
+
+
+def _precedence(member: Member) -> tuple[int, int, int]:
+    rank = _RANKS.get(member.status, 0)
+    return member.incarnation, member.counter, rank
+
+
+class ListedState(typing.NamedTuple):
+    """What the platform's list says of a VM, read at a wall-clock time."""
+
+    state: str
+    at_ms: int
+
+
+class Members:
+    """All VMs known to one node.
+
+    ``listed`` is the platform's list, which lags: it says where VMs are and
+    which of them leave, and it alone takes a silent VM off the count that a
+    majority is measured by. Otherwise each side of a partition would drop
+    the other side and find itself a majority of the rest.
+    """
+
+    def __init__(self, own: Member) -> None:
+        self.own_name = own.name
+        self.by_name: dict[str, Member] = {own.name: own}
+        self.listed: dict[str, ListedState] = {}
+        self.suspect_since_s: dict[str, float] = {}
+        self._gone_since_s: dict[str, float] = {}
+        self._started_s: float | None = None
+
+    @property
+    def own(self) -> Member:
+        """Return this node's own record."""
+        return self.by_name[self.own_name]
+
+    def apply(
+        self, found: typing.Iterable[Member], now_s: float
+    ) -> list[Member]:
+        """Take newer records; return those that others should hear of.
+
+        A claim about this very node, for example by a peer that could not
+        reach it, is answered by a greater counter.
+        """
+        taken = []
+        for member in found:
+            known = self.by_name.get(member.name)
+            if known and _precedence(known) >= _precedence(member):
+                continue
+            if member.name == self.own_name:
+                member = self._refute(member, now_s)
+                if member is None:
+                    continue
+            self._set(member, now_s)
+            taken.append(member)
+        return taken
+
+    def _refute(self, claim: Member, now_s: float) -> Member | None:
+        own = self.own
+        if self._started_s is None:
+            self._started_s = now_s
+        if claim.incarnation > own.incarnation:
+            if now_s - self._started_s > YOUNG_S:
+                # A later process has this name. It is the VM now; this one
+                # is a remnant that must not fight over the name.
+                return None
+            return own._replace(incarnation=claim.incarnation + 1)
+        if own.status == LEAVING and claim.status == LEAVING:
+            return None
+        return own._replace(counter=claim.counter + 1)
+
+    def _set(self, member: Member, now_s: float) -> None:
+        self.by_name[member.name] = member
+        if member.status == GONE:
+            self._gone_since_s.setdefault(member.name, now_s)
+        else:
+            self._gone_since_s.pop(member.name, None)
+        if member.status == SUSPECT:
+            self.suspect_since_s.setdefault(member.name, now_s)
+        else:
+            self.suspect_since_s.pop(member.name, None)
+
+    def mark(self, name: str, status: str, now_s: float) -> list[Member]:
+        """Set a status from what is seen here; return the change, if any."""
+        known = self.by_name.get(name)
+        if known is None or known.status in (status, GONE):
+            return []
+        return self.apply([known._replace(status=status)], now_s)
+
+    def leave(self, now_s: float) -> list[Member]:
+        """Record that this node is leaving, as a planned stop begins."""
+        own = self.own
+        leaving = own._replace(status=LEAVING, counter=own.counter + 1)
+        self._set(leaving, now_s)
+        return [leaving]
+
+    def expire(self, now_s: float, gone_s: float) -> list[Member]:
+        """Turn VMs that were suspect for long into gone ones."""
+        late = [
+            name
+            for name, since_s in self.suspect_since_s.items()
+            if now_s - since_s > gone_s
+        ]
+        return [made for name in late for made in self.mark(name, GONE, now_s)]
+
+    def apply_listed(
+        self, found: dict[str, ListedState], now_s: float
+    ) -> tuple[dict[str, ListedState], list[Member]]:
+        """Take what is newer on the platform's list.
+
+        Return the entries taken and the members that change by them.
+        """
+        taken = {}
+        changed = []
+        for name, entry in found.items():
+            known = self.listed.get(name)
+            if known is not None and known.at_ms >= entry.at_ms:
+                continue
+            self.listed[name] = entry
+            taken[name] = entry
+            if entry.state == LEAVING:
+                changed += self.mark(name, LEAVING, now_s)
+            # Off the list and silent: no need to wait longer. Off the list
+            # but heard from: the list lags behind a new VM.
+            if entry.state == ABSENT and name in self.suspect_since_s:
+                changed += self.mark(name, GONE, now_s)
+        return taken, changed
+
+    def poll_changes(
+        self, states: dict[str, str], now_ms: int
+    ) -> dict[str, ListedState]:
+        """Return what a reading of the list changes against what is known."""
+        changes = {
+            name: ListedState(state, now_ms)
+            for name, state in states.items()
+            if name not in self.listed or self.listed[name].state != state
+        }
+        for name, known in self.listed.items():
+            if name not in states and known.state != ABSENT:
+                changes[name] = ListedState(ABSENT, now_ms)
+        return changes
+
+    def digest(self) -> int:
+        """Return a digest of all that is spread about members."""
+        total = 0
+        for member in self.by_name.values():
+            if member.status != GONE:
+                total ^= xxhash.xxh64_intdigest(repr(member).encode())
+        for name, entry in self.listed.items():
+            if entry.state != ABSENT:
+                total ^= xxhash.xxh64_intdigest(f'{name}/{entry}'.encode())
+        return total
+
+    def present(self) -> list[Member]:
+        """Return the members that links may be opened to."""
+        return [
+            member
+            for member in self.by_name.values()
+            if member.status in (LIVE, SUSPECT, LEAVING)
+        ]
+
+    def placed(self) -> dict[str, str]:
+        """Return failure domains of VMs that carry the spread, by name.
+
+        A suspect keeps its place until it is gone, so that a VM that is
+        only slow moves nobody.
+        """
+        placed = {
+            member.name: member.failure_domain
+            for member in self.by_name.values()
+            if member.status in (LIVE, SUSPECT)
+        }
+        placed[self.own_name] = self.own.failure_domain
+        return placed
+
+    def known(self) -> set[str]:
+        """Return the VMs that a majority is measured by."""
+        counted = set()
+        for member in self.by_name.values():
+            entry = self.listed.get(member.name)
+            silent = member.status in (SUSPECT, GONE)
+            off_list = entry is not None and entry.state == ABSENT
+            if member.status == LIVE or (silent and not off_list):
+                counted.add(member.name)
+        for name, entry in self.listed.items():
+            if entry.state == LIVE:
+                counted.add(name)
+        return counted
+
+    def forget(self, now_s: float) -> None:
+        """Drop VMs that are gone, off the list, and so for a long time."""
+        for name, since_s in list(self._gone_since_s.items()):
+            entry = self.listed.get(name)
+            listed = entry is not None and entry.state != ABSENT
+            if now_s - since_s > FORGET_S and not listed:
+                del self._gone_since_s[name]
+                self.by_name.pop(name, None)
+                self.listed.pop(name, None)
+
+    def count(self) -> None:
+        """Put the number of members by status into the metrics."""
+        for status in _RANKS:
+            number = sum(
+                1 for m in self.by_name.values() if m.status == status
+            )
+            MEMBERS.labels(status).set(number)
--- /dev/null
+++ b/gentianstair/peers/node.py
@@ -0,0 +1,781 @@
+"""Run one node's part in the fleet: links, membership, spread."""
+
+import random
+import time
+import typing
+
+from loguru import logger
+import prometheus_client
+import trio
+
+from gentianstair import errors
+from gentianstair.config import view as view_module
+from gentianstair.generated import messages
+from gentianstair.peers import freshness as freshness_module
+from gentianstair.peers import link
+from gentianstair.peers import membership
+from gentianstair.peers import session as session_module
+from gentianstair.peers import spread
+from gentianstair.peers import summaries as summaries_module
+from gentianstair.peers import survey as survey_module
+from gentianstair.peers import topology
+from gentianstair.platform import store as store_module
+from gentianstair.platform import vm_list as vm_list_module
+from gentianstair.util import clock as clock_module
+
+MAX_LINKS = 64
+HELLO_TIMEOUT_S = 3.0
+# Heartbeats for which a peer is not dialed again after a failed try.
+AVOID_BEATS = 10
+# Heartbeats of silence up to which a peer counts as heard.
+HEARD_BEATS = 2.5
+# Share of a heartbeat by which news must be newer to be passed on early.
+PASS_ON_SHARE = 0.75
+# Other nodes that are asked whether they reach a silent VM.
+PROBES = 3
+MAX_MEMBERS_MESSAGE = 500
+# Beats that carry the digest of the members: one in so many.
+MEMBERS_BEATS = 8
+
+LINKS = prometheus_client.Gauge(
+    'gentianstair_peer_links', 'Links to peers that are up.'
+)
+FRESH_AGE = prometheus_client.Gauge(
+    'gentianstair_config_age_seconds',
+    'Age of the last news from the store, by whatever way they came.',
+)
+REPAIRS = prometheus_client.Counter(
+    'gentianstair_config_repairs',
+    'Times a peer was asked for objects that had been missed.',
+)
+
+
+class Node:
+    """One VM among its peers; make it with make_node and run it once."""
+
+    def __init__(
+        self,
+        settings: typing.Any,
+        view: view_module.View,
+        store: store_module.Store,
+        clock: clock_module.Clock,
+        network: link.Network,
+        vm_list: vm_list_module.VmList | None,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._view = view
+        self._clock = clock
+        self._network = network
+        self._vm_list = vm_list
+        self._rng = rng
+        self.name = settings.vm_name
+        self._members = membership.Members(
+            membership.Member(
+                self.name,
+                int(time.time() * 1000),
+                0,
+                membership.LIVE,
+                settings.failure_domain,
+                settings.region,
+                settings.peer_advertise or settings.peer_listen,
+            )
+        )
+        self._freshness = freshness_module.Freshness(
+            clock, settings.freshness_s, settings.outage_limit_s
+        )
+        self._watcher = spread.Watcher(
+            view, store, clock, settings.watch_s, rng
+        )
+        self._summaries = summaries_module.Summaries(
+            self.name, lambda: self._members.own.incarnation
+        )
+        self._surveys = survey_module.Surveys(
+            self.name, lambda: view.revision, lambda: self._sessions
+        )
+        self._sessions: list[session_module.Session] = []
+        self._dialing: set[str] = set()
+        self._questioned: set[str] = set()
+        self._avoid_until_s: dict[str, float] = {}
+        self._place: topology.Place | None = None
+        self._place_key: typing.Any = None
+        self._known = 1
+        self._members_digest = 0
+        self._beats = 0
+        self._round_s = 0.0
+        self._round_news_s = 0.0
+        self._surveying = False
+        self._nursery: trio.Nursery
+        self.started = trio.Event()
+        self.address = ''
+
+    # What the rest of the process asks.
+
+    def is_fresh(self) -> bool:
+        """Say whether callers may be served from this node's view."""
+        return self._freshness.is_fresh(self._known)
+
+    def fresh_age_s(self) -> float | None:
+        """Return the age of the news from the store; None without any."""
+        return self._freshness.age_s()
+
+    def members(self) -> list[membership.Member]:
+        """Return all VMs known, by name."""
+        return sorted(self._members.by_name.values())
+
+    def publish(self, topic: str, body: summaries_module.Body) -> None:
+        """Spread this node's summary on a topic, with the next heartbeat."""
+        self._summaries.publish(topic, body)
+
+    def subscribe(self, topic: str, handler: summaries_module.Handler) -> None:
+        """Call handler(vm_name, body) when another VM's summary changes."""
+        self._summaries.subscribe(topic, handler)
+
+    async def confirmed(self, timeout_s: float = 2.0) -> dict[str, int]:
+        """Return the configuration revision in force by VM name.
+
+        A VM that is known and left out did not confirm in time.
+        """
+        found = await self._surveys.start(timeout_s, True)
+        return found.revisions
+
+    def leave(self) -> None:
+        """Tell the peers that this VM is leaving; links stay up."""
+        self._spread_members(self._members.leave(self._clock()))
+
+    # Tasks.
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Take part until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self.address = await nursery.start(
+                self._network.serve, self._accept
+            )
+            if not self._settings.peer_advertise:
+                own = self._members.own._replace(address=self.address)
+                self._members.by_name[self.name] = own
+            task_status.started()
+            self.started.set()
+            nursery.start_soon(self._beat_loop)
+            nursery.start_soon(self._dial_loop)
+            nursery.start_soon(self._watch_loop)
+            if self._vm_list is not None:
+                nursery.start_soon(self._list_loop, self._vm_list)
+
+    async def _accept(self, channel: link.Channel) -> None:
+        if len(self._sessions) >= MAX_LINKS:
+            link.DROPPED.labels('too many links').inc()
+            return
+        await self._run_session(channel, dialed=False)
+
+    async def _dial(self, name: str, address: str) -> None:
+        """Open a link and run it to its end."""
+        self._dialing.add(name)
+        reached = False
+        try:
+            async with self._network.open(address) as channel:
+                reached = True
+                await self._run_session(channel, dialed=True, wanted=name)
+        except link.LinkClosedError:
+            pass
+        finally:
+            self._dialing.discard(name)
+            if not reached:
+                pause_s = AVOID_BEATS * self._settings.heartbeat_s
+                self._avoid_until_s[name] = self._clock() + pause_s
+        if not reached and name in self._members.by_name:
+            self._nursery.start_soon(self._question, name)
+
+    async def _run_session(
+        self, channel: link.Channel, dialed: bool, wanted: str = ''
+    ) -> None:
+        """Exchange hellos, then read and write until the link breaks."""
+        try:
+            await channel.send(link.encode(self._make_hello()))
+            with trio.fail_after(HELLO_TIMEOUT_S):
+                data = await channel.receive()
+            hello = link.decode(data)
+            if hello is None or hello['type'] != 'hello':
+                raise errors.DecodeError('a link must open with a hello')
+        except (link.LinkClosedError, errors.DecodeError, trio.TooSlowError):
+            return
+        peer = membership.from_message(hello['member'])
+        if peer.name == self.name:
+            if wanted:
+                self._avoid_until_s[wanted] = float('inf')
+            return
+        now_s = self._clock()
+        one = session_module.Session(channel, peer, dialed, now_s)
+        self._sessions.append(one)
+        self._close_double(peer.name)
+        self._avoid_until_s.pop(peer.name, None)
+        self._greet(one, typing.cast(messages.PeerHello, hello))
+        try:
+            with one.scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write, one)
+                    await self._read(one)
+        except* (link.LinkClosedError, errors.DecodeError) as group:
+            logger.bind(peer=peer.name).debug('link ended: {}', group)
+        finally:
+            self._sessions.remove(one)
+            survey_module.lost_link(one)
+            LINKS.set(len(self._sessions))
+        if not self._linked(peer.name):
+            self._nursery.start_soon(self._question, peer.name)
+
+    def _close_double(self, name: str) -> None:
+        """Keep one link when two nodes dialed each other at once.
+
+        Both ends keep the one that the lesser name dialed.
+        """
+        doubles = [one for one in self._sessions if one.peer.name == name]
+        if len(doubles) < 2:
+            return
+        keep_dialed = self.name < name
+        kept = [one for one in doubles if one.dialed == keep_dialed]
+        kept = kept[-1:] or doubles[-1:]
+        for one in doubles:
+            if one not in kept:
+                one.scope.cancel()
+
+    async def _write(self, one: session_module.Session) -> None:
+        await one.write(self._make_beat, self._clock)
+
+    async def _read(self, one: session_module.Session) -> None:
+        while True:
+            message = link.decode(await one.channel.receive())
+            one.heard_s = self._clock()
+            if message is not None:
+                self._handlers[message['type']](self, one, message)
+
+    async def _beat_loop(self) -> None:
+        """Send beats, give up silent links and expire suspects."""
+        interval_s = self._settings.heartbeat_s
+        while True:
+            # Jittered, so that nodes started together do not beat together.
+            await trio.sleep(interval_s * self._rng.uniform(0.45, 0.55))
+            now_s = self._clock()
+            if now_s - self._round_s < 0.9 * interval_s:
+                continue
+            self._beat_round()
+            for one in list(self._sessions):
+                if now_s - one.heard_s > self._settings.suspect_s:
+                    one.scope.cancel()
+            gone_s = self._settings.gone_s
+            self._spread_members(self._members.expire(now_s, gone_s))
+            self._members.forget(now_s)
+            self._members.count()
+            self._start_survey_if_due(now_s)
+            for summary in self._summaries.due():
+                self._send_all(summary)
+
+    def _beat_round(self) -> None:
+        now_s = self._clock()
+        self._round_s = now_s
+        self._round_news_s = self._freshness.as_of_s or 0.0
+        self._beats += 1
+        self._known = len(self._members.known())
+        if self._beats % MEMBERS_BEATS == 0:
+            self._members_digest = self._members.digest()
+        for one in self._sessions:
+            one.ask_beat()
+        LINKS.set(len(self._sessions))
+        age_s = self._freshness.age_s()
+        FRESH_AGE.set(-1.0 if age_s is None else age_s)
+
+    async def _dial_loop(self) -> None:
+        """Open the links that this node's place asks for, close others."""
+        while True:
+            now_s = self._clock()
+            place = self._find_place(now_s)
+            for name in place.dial:
+                member = self._members.by_name[name]
+                self._dial_if_due(name, member.address, now_s)
+            self._close_surplus(place)
+            if not self._sessions:
+                for address in self._settings.peer_seeds:
+                    self._dial_if_due(address, address, now_s)
+            pause_s = self._settings.heartbeat_s
+            await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+
+    def _dial_if_due(self, name: str, address: str, now_s: float) -> None:
+        if not address or address == self.address or name in self._dialing:
+            return
+        if self._linked(name) or self._avoid_until_s.get(name, 0.0) > now_s:
+            return
+        self._nursery.start_soon(self._dial, name, address)
+
+    def _close_surplus(self, place: topology.Place) -> None:
+        """Close a link we opened that our place no longer asks for."""
+        # One a round, and only with the others up, so that a node is never
+        # without news while it moves.
+        ready = [one for one in self._sessions if one.synced]
+        if len(ready) <= len(place.dial):
+            return
+        for one in ready:
+            if one.dialed and one.peer.name not in place.dial:
+                one.scope.cancel()
+                return
+
+    async def _watch_loop(self) -> None:
+        """Watch the store while this node's place asks for it."""
+        # A moment for peers to bring the view, which spares the store a
+        # listing for each VM that starts.
+        await self._wait_for_peers()
+        while True:
+            if not self._should_watch():
+                await trio.sleep(self._settings.heartbeat_s)
+                continue
+            if any(one.synced for one in self._sessions):
+                self._watcher.start_from_view()
+            taken, as_of_s = await self._watcher.step()
+            self._spread_objects(taken, None)
+            if as_of_s is not None and self._freshness.heard_store(as_of_s):
+                self._pass_on_news()
+
+    async def _wait_for_peers(self) -> None:
+        with trio.move_on_after(self._settings.heartbeat_s):
+            while not any(one.synced for one in self._sessions):
+                await trio.sleep(self._settings.heartbeat_s / 10)
+
+    def _should_watch(self) -> bool:
+        """Say whether to watch: by place, or for want of any peer."""
+        place = self._find_place(self._clock())
+        return place.level == 0 or not self._sessions
+
+    async def _list_loop(self, vm_list: vm_list_module.VmList) -> None:
+        """Read the platform's list of VMs while this node watches."""
+        while True:
+            if self._should_watch():
+                try:
+                    self._take_list(await vm_list.read())
+                except (errors.StoreError, errors.DecodeError) as error:
+                    logger.debug('the list of VMs was not read: {}', error)
+            pause_s = self._settings.vms_s
+            await trio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
+
+    def _take_list(self, found: list[vm_list_module.Vm]) -> None:
+        now_s = self._clock()
+        new = [
+            membership.Member(
+                vm.name,
+                0,
+                0,
+                membership.LIVE,
+                vm.failure_domain,
+                vm.region,
+                vm.address,
+            )
+            for vm in found
+            if vm.name not in self._members.by_name
+        ]
+        self._spread_members(self._members.apply(new, now_s))
+        states = {vm.name: vm.state for vm in found}
+        now_ms = int(time.time() * 1000)
+        changes = self._members.poll_changes(states, now_ms)
+        self._spread_listed(changes, None)
+
+    async def _question(self, name: str) -> None:
+        """Find out whether a VM that is silent here is silent to all.
+
+        A cut between two VMs, one way or both, shows here as silence. Were
+        that enough to suspect, the VM would refute it by way of others, and
+        its status would flap for as long as the cut lasts. So a few others
+        are asked first, and one that reaches the VM ends the matter.
+        """
+        member = self._members.by_name.get(name)
+        if member is None or name in self._questioned:
+            return
+        if member.status in (membership.GONE, membership.LEAVING):
+            return
+        self._questioned.add(name)
+        try:
+            deadline_s = self._clock() + self._settings.suspect_s
+            while self._clock() < deadline_s:
+                for one in self._some_sessions(PROBES):
+                    one.add({'type': 'probe', 'name': name})
+                await trio.sleep(self._settings.heartbeat_s)
+                if self._linked(name) or name not in self._questioned:
+                    return
+            now_s = self._clock()
+            changes = self._members.mark(name, membership.SUSPECT, now_s)
+            self._spread_members(changes)
+        finally:
+            self._questioned.discard(name)
+
+    def _some_sessions(self, number: int) -> list[session_module.Session]:
+        count = min(number, len(self._sessions))
+        return self._rng.sample(self._sessions, count)
+
+    def _start_survey_if_due(self, now_s: float) -> None:
+        """Count who is in reach when the store has been silent."""
+        quiet_s = self._settings.freshness_s / 2
+        age_s = self._freshness.age_s()
+        if age_s is not None and age_s < quiet_s:
+            return
+        if self._freshness.outage_age_s() is None or self._surveying:
+            return
+        place = self._find_place(now_s)
+        # The first watcher of each failure domain counts for all; others
+        # only when its count does not come.
+        first = place.level == 0 and place.rank == 0
+        due_s = quiet_s / 2 if first else 1.5 * quiet_s
+        reached_s = self._freshness.reached_age_s()
+        if reached_s is None or reached_s >= due_s:
+            self._nursery.start_soon(self._survey)
+
+    async def _survey(self) -> None:
+        self._surveying = True
+        try:
+            sent_s = self._clock()
+            timeout_s = self._settings.freshness_s / 4
+            found = await self._surveys.start(timeout_s, False)
+            self._freshness.heard_count(found.reached, sent_s)
+        finally:
+            self._surveying = False
+
+    # What is sent.
+
+    def _make_hello(self) -> link.Message:
+        return {
+            'type': 'hello',
+            'member': membership.to_message(self._members.own),
+            'digest': self._view.digest,
+            'members_digest': self._members.digest(),
+            'buckets': self._view.buckets if self._view.objects else [],
+        }
+
+    def _make_beat(self) -> link.Message:
+        beat: link.Message = {
+            'type': 'beat',
+            'sent_ms': int(self._clock() * 1000),
+            'revision': self._view.revision,
+            'digest': self._view.digest,
+        }
+        age_s = self._freshness.age_s()
+        if age_s is not None and age_s <= self._settings.freshness_s:
+            beat['age_ms'] = int(age_s * 1000) + 1
+        outage_s = self._freshness.outage_age_s()
+        if outage_s is not None and 'age_ms' not in beat:
+            beat['outage_age_ms'] = int(outage_s * 1000) + 1
+        reached_s = self._freshness.reached_age_s()
+        if reached_s is not None and reached_s <= self._settings.freshness_s:
+            beat['reached'] = self._freshness.reached
+            beat['reached_age_ms'] = int(reached_s * 1000) + 1
+        if self._beats % MEMBERS_BEATS == 0:
+            beat['members_digest'] = self._members_digest
+        return beat
+
+    def _greet(
+        self, one: session_module.Session, hello: messages.PeerHello
+    ) -> None:
+        """Send a new link all that its hello shows to be missing."""
+        self._spread_members(
+            self._members.apply([one.peer], self._clock()), one
+        )
+        one.add_objects(self._view.differing(hello['buckets']), final=True)
+        if hello['members_digest'] != self._members.digest():
+            self._send_members(one)
+        for summary in self._summaries.all():
+            one.add(summary)
+        one.ask_beat()
+
+    def _send_members(self, one: session_module.Session) -> None:
+        everyone = list(self._members.by_name.values())
+        for start in range(0, len(everyone), MAX_MEMBERS_MESSAGE):
+            part = everyone[start : start + MAX_MEMBERS_MESSAGE]
+            one.add(_members_message(part))
+        one.add(_listed_message(self._members.listed))
+
+    def _send_all(
+        self,
+        message: link.Message,
+        but: session_module.Session | None = None,
+    ) -> None:
+        for one in self._sessions:
+            if one is not but:
+                one.add(message)
+
+    def _spread_members(
+        self,
+        changes: list[membership.Member],
+        but: session_module.Session | None = None,
+    ) -> None:
+        if not changes:
+            return
+        for member in changes:
+            logger.bind(vm=member.name, status=member.status).info('member')
+            if member.status != membership.GONE:
+                continue
+            self._summaries.forget({member.name})
+        self._send_all(_members_message(changes), but)
+
+    def _spread_listed(
+        self,
+        found: dict[str, membership.ListedState],
+        but: session_module.Session | None,
+    ) -> None:
+        now_s = self._clock()
+        taken, changed = self._members.apply_listed(found, now_s)
+        if taken:
+            self._send_all(_listed_message(taken), but)
+        self._spread_members(changed)
+
+    def _spread_objects(
+        self,
+        taken: list[store_module.StoredObject],
+        but: session_module.Session | None,
+    ) -> None:
+        if not taken:
+            return
+        for one in self._sessions:
+            if one is not but:
+                one.add_objects(taken)
+
+    def _pass_on_news(self) -> None:
+        """Beat early when the news are much newer than those last told."""
+        interval_s = self._settings.heartbeat_s
+        gain_s = (self._freshness.as_of_s or 0.0) - self._round_news_s
+        since_s = self._clock() - self._round_s
+        if gain_s >= PASS_ON_SHARE * interval_s and since_s > interval_s / 4:
+            self._beat_round()
+
+    # What is heard.
+
+    def _take_members(
+        self, one: session_module.Session, message: messages.PeerMembers
+    ) -> None:
+        found = [membership.from_message(m) for m in message['members']]
+        changes = self._members.apply(found, self._clock())
+        # A refutation of a claim about us must reach the claimant too.
+        own = [member for member in changes if member.name == self.name]
+        self._spread_members(own)
+        others = [member for member in changes if member.name != self.name]
+        self._spread_members(others, one)
+
+    def _take_listed(
+        self, one: session_module.Session, message: messages.PeerListed
+    ) -> None:
+        found = {
+            name: membership.ListedState(**entry)
+            for name, entry in message['states'].items()
+        }
+        self._spread_listed(found, one)
+
+    def _take_objects(
+        self, one: session_module.Session, message: messages.PeerObjects
+    ) -> None:
+        found = spread.as_objects(message['objects'])
+        for item in found:
+            one.has(item)
+        self._spread_objects(self._view.apply(found), one)
+        if message['final']:
+            one.synced = True
+            one.differed_s = None
+
+    def _take_ask(
+        self, one: session_module.Session, message: messages.PeerAsk
+    ) -> None:
+        missing = self._view.differing(message['buckets'])
+        one.add_objects(missing, final=True)
+
+    def _take_beat(
+        self, one: session_module.Session, beat: messages.PeerBeat
+    ) -> None:
+        now_s = self._clock()
+        known = one.heard_beat(beat, now_s)
+        self._repair_if_due(one, beat, now_s)
+        self._compare_members(one, beat)
+        if known is None or not one.synced:
+            return
+        self._hear(beat, known.sent_after_s)
+
+    def _hear(self, beat: messages.PeerBeat, sent_after_s: float) -> None:
+        """Take from a beat how fresh the sender's view was."""
+        if 'age_ms' in beat:
+            as_of_s = sent_after_s - beat['age_ms'] / 1000
+            if self._freshness.heard_store(as_of_s):
+                self._pass_on_news()
+        if 'outage_age_ms' in beat:
+            silent_s = beat['outage_age_ms'] / 1000
+            self._freshness.heard_outage(sent_after_s - silent_s)
+        if 'reached' in beat and 'reached_age_ms' in beat:
+            at_s = sent_after_s - beat['reached_age_ms'] / 1000
+            self._freshness.heard_count(beat['reached'], at_s)
+
+    def _repair_if_due(
+        self,
+        one: session_module.Session,
+        beat: messages.PeerBeat,
+        now_s: float,
+    ) -> None:
+        """Ask for objects when two views stay different.
+
+        Views differ for an instant at each change. They stay different when
+        an object was missed, for which the cause does not matter here.
+        """
+        if beat['digest'] == self._view.digest:
+            one.differed_s = None
+            return
+        moved = beat['digest'] != one.peer_digest
+        one.peer_digest = beat['digest']
+        if one.differed_s is None or moved:
+            one.differed_s = now_s
+        if now_s - one.differed_s < 2 * self._settings.heartbeat_s:
+            return
+        one.differed_s = now_s
+        if beat['revision'] >= self._view.revision:
+            # Its news say nothing of our view until the hole is mended.
+            one.synced = False
+        REPAIRS.inc()
+        buckets = self._view.buckets if self._view.objects else []
+        one.add({'type': 'ask', 'buckets': buckets})
+
+    def _compare_members(
+        self, one: session_module.Session, beat: messages.PeerBeat
+    ) -> None:
+        theirs = beat.get('members_digest')
+        if theirs is None:
+            return
+        if theirs == self._members.digest():
+            one.members_differed = 0
+            return
+        one.members_differed += 1
+        if one.members_differed >= 2:
+            one.members_differed = 0
+            self._send_members(one)
+
+    def _take_summary(
+        self, one: session_module.Session, message: messages.PeerSummary
+    ) -> None:
+        if self._summaries.take(message):
+            self._send_all(typing.cast(link.Message, message), one)
+
+    def _take_survey(
+        self, one: session_module.Session, message: messages.PeerSurvey
+    ) -> None:
+        self._nursery.start_soon(self._surveys.answer, one, message)
+
+    def _take_survey_answer(
+        self,
+        one: session_module.Session,
+        message: messages.PeerSurveyAnswer,
+    ) -> None:
+        self._surveys.take_answer(one, message)
+
+    def _take_probe(
+        self, one: session_module.Session, message: messages.PeerProbe
+    ) -> None:
+        if 'heard' not in message:
+            self._nursery.start_soon(self._probe, one, message['name'])
+        elif message['heard']:
+            self._questioned.discard(message['name'])
+
+    async def _probe(self, asker: session_module.Session, name: str) -> None:
+        """Tell a peer whether this node reaches a VM, trying it if need be."""
+        heard_s = HEARD_BEATS * self._settings.heartbeat_s
+        heard = any(
+            one.peer.name == name and self._clock() - one.heard_s <= heard_s
+            for one in self._sessions
+        )
+        member = self._members.by_name.get(name)
+        if not heard and member is not None and member.address:
+            heard = await self._reaches(member)
+        asker.add({'type': 'probe', 'name': name, 'heard': heard})
+
+    async def _reaches(self, member: membership.Member) -> bool:
+        """Try whether a VM answers with a hello as the same incarnation."""
+        with trio.move_on_after(self._settings.suspect_s / 2):
+            try:
+                async with self._network.open(member.address) as channel:
+                    hello = link.decode(await channel.receive())
+            except (link.LinkClosedError, errors.DecodeError):
+                return False
+            return (
+                hello is not None
+                and hello['type'] == 'hello'
+                and hello['member']['name'] == member.name
+            )
+        return False
+
+    _handlers: typing.ClassVar[dict[str, typing.Any]] = {
+        'members': _take_members,
+        'listed': _take_listed,
+        'objects': _take_objects,
+        'ask': _take_ask,
+        'beat': _take_beat,
+        'summary': _take_summary,
+        'survey': _take_survey,
+        'survey_answer': _take_survey_answer,
+        'probe': _take_probe,
+        'hello': lambda self, one, message: None,
+    }
+
+    # Places.
+
+    def _linked(self, name: str) -> bool:
+        return any(one.peer.name == name for one in self._sessions)
+
+    def _find_place(self, now_s: float) -> topology.Place:
+        domains = self._members.placed()
+        avoid = frozenset(
+            name
+            for name, until_s in self._avoid_until_s.items()
+            if until_s > now_s and not self._linked(name)
+        )
+        key = (tuple(sorted(domains.items())), avoid)
+        if key != self._place_key or self._place is None:
+            self._place_key = key
+            self._place = topology.place(
+                self.name,
+                domains,
+                self._settings.watchers_per_domain,
+                self._settings.peer_fanout,
+                avoid,
+            )
+        return self._place
+
+
+def _members_message(found: list[membership.Member]) -> link.Message:
+    return {
+        'type': 'members',
+        'members': [membership.to_message(member) for member in found],
+    }
+
+
+def _listed_message(
+    found: dict[str, membership.ListedState],
+) -> link.Message:
+    states = {name: entry._asdict() for name, entry in found.items()}
+    return {'type': 'listed', 'states': states}
+
+
+def make_node(
+    settings: typing.Any,
+    view: view_module.View,
+    store: store_module.Store,
+    clock: clock_module.Clock = clock_module.boottime_s,
+    network: link.Network | None = None,
+    vm_list: vm_list_module.VmList | None = None,
+    rng: random.Random | None = None,
+) -> Node:
+    """Return a node; without a network or list, those of the settings.
+
+    Raise SettingsError when the settings do not allow the links they ask.
+    """
+    return Node(
+        settings,
+        view,
+        store,
+        clock,
+        network or link.make_network(settings),
+        vm_list
+        or vm_list_module.connect(
+            settings.platform_url, settings.store_timeout_s
+        ),
+        rng or random.Random(),
+    )
--- /dev/null
+++ b/gentianstair/peers/summaries.py
@@ -0,0 +1,93 @@
+"""Spread small summaries between nodes: the newest of each VM and topic."""
+
+import collections
+import typing
+
+import cbor2
+
+from gentianstair import errors
+from gentianstair.generated import messages
+from gentianstair.peers import link
+
+MAX_BODY_BYTES = 4096
+MAX_TOPICS = 16
+
+Body = dict[str, typing.Any]
+Handler = typing.Callable[[str, Body], None]
+
+
+class Summaries:
+    """The newest summaries known, and who wants to hear of them."""
+
+    def __init__(self, name: str, incarnation: typing.Callable[[], int]):
+        self._name = name
+        self._incarnation = incarnation
+        self._sequence = 0
+        self._latest: dict[tuple[str, str], link.Message] = {}
+        self._waiting: dict[str, Body] = {}
+        self._handlers = collections.defaultdict(list)
+
+    def publish(self, topic: str, body: Body) -> None:
+        """Queue this node's summary; the newest one is sent, if changed.
+
+        Raise DecodeError when it is larger than MAX_BODY_BYTES.
+        """
+        size = len(cbor2.dumps(body))
+        if size > MAX_BODY_BYTES:
+            raise errors.DecodeError(f'summary {topic}: {size} bytes')
+        self._waiting[topic] = body
+
+    def subscribe(self, topic: str, handler: Handler) -> None:
+        """Call handler(origin, body) for each change of another VM."""
+        self._handlers[topic].append(handler)
+
+    def due(self) -> list[link.Message]:
+        """Return what changed of this node's summaries since last time."""
+        made = []
+        for topic, body in self._waiting.items():
+            known = self._latest.get((self._name, topic))
+            if known is not None and known['body'] == body:
+                continue
+            self._sequence += 1
+            message = {
+                'type': 'summary',
+                'topic': topic,
+                'origin': self._name,
+                'incarnation': self._incarnation(),
+                'sequence': self._sequence,
+                'body': body,
+            }
+            self._latest[(self._name, topic)] = message
+            made.append(message)
+        self._waiting.clear()
+        return made
+
+    def take(self, found: messages.PeerSummary) -> bool:
+        """Take a summary of another VM; say whether it is news here."""
+        origin, topic = found['origin'], found['topic']
+        if origin == self._name:
+            return False
+        known = self._latest.get((origin, topic))
+        if known is not None:
+            newest = (known['incarnation'], known['sequence'])
+            if (found['incarnation'], found['sequence']) <= newest:
+                return False
+        elif sum(1 for name, _ in self._latest if name == origin) >= (
+            MAX_TOPICS
+        ):
+            link.DROPPED.labels('too many topics').inc()
+            return False
+        self._latest[(origin, topic)] = typing.cast(link.Message, found)
+        for handler in self._handlers[topic]:
+            handler(origin, found['body'])
+        return True
+
+    def all(self) -> list[link.Message]:
+        """Return the newest summary of each VM and topic."""
+        return list(self._latest.values())
+
+    def forget(self, names: typing.Container[str]) -> None:
+        """Drop the summaries of VMs that are gone."""
+        for origin, topic in list(self._latest):
+            if origin in names:
+                del self._latest[(origin, topic)]
--- /dev/null
+++ b/test/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Test the links, membership and spread between nodes."""
--- /dev/null
+++ b/test/peers/test_link.py
@@ -0,0 +1,99 @@
+"""Test what a link lets through, and links on real sockets."""
+
+import cbor2
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair import settings as settings_module
+from gentianstair.generated import settings as generated
+from gentianstair.peers import link
+
+BEAT = {'type': 'beat', 'sent_ms': 1, 'revision': 2, 'digest': 3}
+
+
+def nested(depth):
+    value = {}
+    for _ in range(depth):
+        value = {'a': value}
+    return value
+
+
+def make_settings(**given):
+    base = {
+        'vm_name': 'v',
+        'failure_domain': 'a',
+        'platform_url': 'http://127.0.0.1:1',
+        'peer_listen': '127.0.0.1:0',
+    }
+    values = settings_module.collect(generated.ENTRY, base | given, {})
+    return generated.EntrySettings(**values)
+
+
+def test_unknown_field_is_ignored_and_unknown_type_is_dropped():
+    """A rollout runs two versions at a time; neither may break the other."""
+    newer = link.encode({**BEAT, 'mood': 'good'})
+    assert link.decode(newer) == {'version': 1, **BEAT}
+    assert link.decode(link.encode({**BEAT, 'type': 'song'})) is None
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'\xff\x00',
+        cbor2.dumps([1, 2]),
+        cbor2.dumps({'type': 7}),
+        cbor2.dumps({'version': 1, **BEAT, 'revision': 'x'}),
+        cbor2.dumps({'version': 1, 'type': 'beat'}),
+        cbor2.dumps({'version': 1, **BEAT, 'more': nested(50)}),
+        b'\x9f' * 1000,
+        b'x' * (link.MAX_MESSAGE_BYTES + 1),
+    ],
+)
+def test_bad_bytes_are_refused(data):
+    with pytest.raises(errors.DecodeError):
+        link.decode(data)
+
+
+@pytest.mark.parametrize(
+    'given, allowed',
+    [
+        ({}, True),
+        ({'peer_listen': '0.0.0.0:0'}, False),
+        ({'peer_listen': '0.0.0.0:0', 'insecure_plain': 'true'}, True),
+        ({'peer_tls_cert_file': '/nonexistent'}, False),
+    ],
+)
+def test_plain_links_only_on_loopback_or_when_asked(given, allowed):
+    if allowed:
+        link.make_network(make_settings(**given))
+        return
+    with pytest.raises(errors.SettingsError):
+        link.make_network(make_settings(**given))
+
+
+async def exchange(server, client):
+    """Send one message to the server's echo and return what comes back."""
+
+    async def echo(channel):
+        with pytest.raises(link.LinkClosedError):
+            while True:
+                await channel.send(await channel.receive())
+
+    with trio.fail_after(5.0):
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(server.serve, echo)
+            async with client.open(address) as channel:
+                await channel.send(b'hello')
+                answer = await channel.receive()
+            nursery.cancel_scope.cancel()
+    return answer
+
+
+async def test_websocket_round_trip_and_refusal():
+    network = link.make_network(make_settings())
+    assert await exchange(network, network) == b'hello'
+    with pytest.raises(link.LinkClosedError):
+        async with network.open('127.0.0.1:1'):
+            pass
