--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -4,7 +4,7 @@
 import time
 import typing
 
-from loguru import logger
+import loguru
 import prometheus_client
 import trio
 
@@ -219,7 +219,7 @@
                     nursery.start_soon(self._write, one)
                     await self._read(one)
         except* (link.LinkClosedError, errors.DecodeError) as group:
-            logger.bind(peer=peer.name).debug('link ended: {}', group)
+            loguru.logger.bind(peer=peer.name).debug('link ended: {}', group)
         finally:
             self._sessions.remove(one)
             survey_module.lost_link(one)
@@ -354,7 +354,9 @@
                 try:
                     self._take_list(await vm_list.read())
                 except (errors.StoreError, errors.DecodeError) as error:
-                    logger.debug('the list of VMs was not read: {}', error)
+                    loguru.logger.debug(
+                        'the list of VMs was not read: {}', error
+                    )
             pause_s = self._settings.vms_s
             await trio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
 
@@ -508,7 +510,9 @@
         if not changes:
             return
         for member in changes:
-            logger.bind(vm=member.name, status=member.status).info('member')
+            loguru.logger.bind(vm=member.name, status=member.status).info(
+                'member'
+            )
             if member.status != membership.GONE:
                 continue
             self._summaries.forget({member.name})
