--- a/gentianstair/peers/membership.py
+++ b/gentianstair/peers/membership.py
@@ -32,7 +32,7 @@
 class Member(typing.NamedTuple):
     """One VM as known here; ``address`` is for links.
 
-    ``incarnation`` is the wall clock, in milliseconds, at the start of its
+    ``incarnation`` is the wall clock, in microseconds, at the start of its
     process: a VM that returns with the same name or address is a new one.
     """
 
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -73,7 +73,7 @@
         self._members = membership.Members(
             membership.Member(
                 self.name,
-                int(time.time() * 1000),
+                time.time_ns() // 1000,
                 0,
                 membership.LIVE,
                 settings.failure_domain,
--- /dev/null
+++ b/test/peers/test_spread.py
@@ -0,0 +1,200 @@
+"""Test that configuration only moves forward, whoever answers late."""
+
+import random
+
+import pytest
+import trio
+
+from gentianstair.config import view as view_module
+from gentianstair.peers import spread
+from gentianstair.platform import store
+from gentianstair.util import clock
+from standins import memory_store
+from standins.platform import objects
+from test.peers import fleet as fleet_module
+
+
+class PastStore(memory_store.MemoryStore):
+    """A store that answers, while past is set, from an old copy."""
+
+    def __init__(self, table):
+        super().__init__(table)
+        self.past = None
+
+    async def list(self, kind, *, purpose, prefix=''):
+        """See Store.list."""
+        await self._enter(purpose)
+        return (self.past or self.table).list(kind, prefix)
+
+    async def watch(self, kinds, after_revision, timeout_s, *, purpose):
+        """See Store.watch."""
+        await self._enter(purpose)
+        table = self.past or self.table
+        return await table.watch(kinds, after_revision, timeout_s)
+
+
+def copy_table(table):
+    made = objects.ObjectTable()
+    made.revision = table.revision
+    made.objects = dict(table.objects)
+    made.changes = list(table.changes)
+    return made
+
+
+def bundle(number):
+    return {
+        'number': number,
+        'models': {},
+        'settings': {},
+        'note': f'content {number}',
+        'signature': '',
+    }
+
+
+def accept(fleet, number):
+    fleet.write('bundle', str(number), bundle(number))
+    return fleet.write('accepted', 'current', {'number': number})
+
+
+@pytest.mark.promise
+@pytest.mark.parametrize('seed', [1, 2, 3])
+async def test_accepted_bundle_never_reverts(autojump_clock, seed):
+    """Callers get an old bundle again some time after a rollout.
+
+    Bundles are accepted while VMs restart, lose their peers or the store,
+    and while the store answers some of them from the past. No VM that
+    serves may ever go back, and none may stay behind.
+    """
+    rng = random.Random(seed)
+    async with fleet_module.open_fleet(6, seed=seed) as fleet:
+        served = {}
+        numbers = iter(range(1, 1000))
+
+        def check():
+            for name, one in fleet.running.items():
+                found = one.view.bundle()
+                if not one.node.is_fresh() or found is None:
+                    continue
+                assert found['note'] == f'content {found["number"]}'
+                assert found['number'] >= served.get(name, 0)
+                served[name] = found['number']
+
+        accept(fleet, next(numbers))
+        for _ in range(40):
+            name = rng.choice(sorted(fleet.running))
+            act = rng.choice(['restart', 'cut', 'store', 'accept', 'heal'])
+            if act == 'restart':
+                served.pop(name, None)
+                fleet.kill(name)
+                fleet.start(name, 'abc'[int(name[1:]) % 3])
+            elif act == 'cut':
+                other = rng.choice(sorted(set(fleet.running) - {name}))
+                fleet.hub.cut(f'{name}:1', f'{other}:1', rng.random() < 0.5)
+            elif act == 'store':
+                fleet.set_store(rng.random() < 0.5, [name])
+            elif act == 'accept':
+                accept(fleet, next(numbers))
+            else:
+                fleet.hub.heal()
+            for _ in range(rng.randrange(1, 40)):
+                await trio.sleep(0.1)
+                check()
+        fleet.hub.heal()
+        fleet.set_store(False)
+        revision = accept(fleet, next(numbers))
+        newest = next(numbers) - 1
+        await fleet.wait(
+            lambda one: (
+                one.node.is_fresh() and one.view.bundle()['number'] == newest
+            )
+        )
+        assert all(one.view.revision == revision for one in fleet.each())
+
+
+def make_watcher(table):
+    view = view_module.View()
+    past = PastStore(table)
+    watcher = spread.Watcher(
+        view, past, clock.trio_time_s, 2.0, random.Random(1)
+    )
+    return view, past, watcher
+
+
+@pytest.mark.promise
+async def test_store_that_answers_from_the_past(autojump_clock):
+    """A revoked key works again once the store's replica lags.
+
+    A watcher that saw the revocation is sent to a replica from before it.
+    What it gets must neither change the view nor count as fresh.
+    """
+    table = objects.ObjectTable()
+    first = table.write('key', 'k1', fleet_module.key(), 0)
+    view, past, watcher = make_watcher(table)
+    assert (await watcher.step())[1] is not None
+    past.past = copy_table(table)
+    table.write('key', 'k1', fleet_module.key(revoked=True), first)
+    past.past, old = None, past.past
+    await watcher.step()
+    assert view.key('k1')['revoked']
+    past.past = old
+    for restarted in (False, True):
+        if restarted:
+            watcher._cursor = None
+        taken, as_of_s = await watcher.step()
+        assert taken == [] and as_of_s is None
+        assert view.key('k1')['revoked']
+
+
+async def test_listing_shows_deletions_made_while_away(autojump_clock):
+    """A key deleted while a watcher was away works there for ever.
+
+    The changes are no longer kept, so the watcher lists; a listing has no
+    entry for what was deleted.
+    """
+    table = objects.ObjectTable()
+    first = table.write('key', 'k1', fleet_module.key(), 0)
+    view, _, watcher = make_watcher(table)
+    await watcher.step()
+    table.write('key', 'k1', None, first)
+    table.write('customer', 'acme', fleet_module.CUSTOMER, 0)
+    table.changes.clear()
+    table._first_kept = table.revision + 1
+    await watcher.step()
+    await watcher.step()
+    assert view.key('k1') is None
+    assert view.customer('acme') is not None
+
+
+def test_late_and_lower_objects_are_ignored():
+    view = view_module.View()
+    newer = store.StoredObject('key', 'k', 5, fleet_module.key(True))
+    older = store.StoredObject('key', 'k', 4, fleet_module.key())
+    assert view.apply([newer]) == [newer]
+    assert view.apply([older, newer]) == []
+    assert view.key('k')['revoked']
+
+
+def test_pointer_to_a_lower_bundle_is_not_followed():
+    """An operator's script writes the pointer back to an older number."""
+    view = view_module.View()
+    for version, number in ((1, 1), (2, 2)):
+        view.apply(
+            [
+                store.StoredObject(
+                    'bundle', str(number), version, bundle(number)
+                )
+            ]
+        )
+    for version, number in ((3, 2), (4, 1)):
+        pointer = {'number': number}
+        view.apply(
+            [store.StoredObject('accepted', 'current', version, pointer)]
+        )
+    assert view.bundle()['number'] == 2
+
+
+def test_value_of_a_wrong_shape_is_kept_but_not_used():
+    view = view_module.View()
+    view.apply([store.StoredObject('key', 'k', 1, {'customer': 7})])
+    assert view.key('k') is None
+    assert view.objects[('key', 'k')].value == {'customer': 7}
