--- /dev/null
+++ b/gentianstair/control/upstream_orders.py
@@ -0,0 +1,155 @@
+"""Order upstreams from the platform, by failure domain, exactly once."""
+
+import typing
+
+import msgspec
+import prometheus_client
+import trio
+
+from gentianstair import errors
+from gentianstair.control import lease
+from gentianstair.generated import messages
+from gentianstair.platform import orders
+from gentianstair.platform import settled
+from gentianstair.platform import store as stores
+
+KIND = 'upstream-order'
+PURPOSE = 'upstream-order'
+
+ORDERS = prometheus_client.Counter(
+    'gentianstair_upstream_orders', 'Orders to the platform', ['outcome']
+)
+
+
+class UpstreamOrder(typing.NamedTuple):
+    """What to order: ``start`` a count of a class, or ``stop`` upstreams."""
+
+    type: str
+    failure_domain: str
+    capacity_class: str
+    count: int
+    upstreams: tuple[str, ...] = ()
+
+
+class UpstreamOrders:
+    """The platform orders of one process, one outstanding a scope.
+
+    The record of a scope is written before its order is sent and names the
+    order by a token. Whoever finds a record without outcome sends the same
+    order with the same token again; the platform takes a token once. So a
+    lost answer and a successor both end in exactly one order, and a holder
+    that wakes late repeats a token that is known.
+    """
+
+    def __init__(
+        self, store: stores.Store, sender: orders.Sender, lifetime_s: float
+    ) -> None:
+        self._store = store
+        self._sender = sender
+        self._lifetime_s = lifetime_s
+        self._lock = trio.Lock()
+
+    async def order(
+        self, authority: lease.Authority, order: UpstreamOrder
+    ) -> str:
+        """Give one order and return its token.
+
+        Raise LeaseLostError, StoreError (nothing was sent) or
+        UpstreamError; after the last, resume sends the order again.
+        """
+        async with self._lock:
+            version, last = await self._finish_last(authority)
+            number = 1 if last is None else last['order_number'] + 1
+            value: messages.UpstreamOrderValue = {
+                'epoch': authority.epoch,
+                'order_number': number,
+                'holder': authority.holder,
+                'type': order.type,
+                'failure_domain': order.failure_domain,
+                'capacity_class': order.capacity_class,
+                'count': order.count,
+                'upstreams': list(order.upstreams),
+                'token': f'{authority.scope}-{number}',
+                'state': 'intended',
+                'nonce': settled.new_nonce(),
+            }
+            authority.check()
+            version = await self._write(authority, value, version)
+            await self._send(authority, value, version)
+            return value['token']
+
+    async def resume(self, authority: lease.Authority) -> None:
+        """Send an order that is still without outcome, if there is one."""
+        async with self._lock:
+            await self._finish_last(authority)
+
+    async def _finish_last(
+        self, authority: lease.Authority
+    ) -> tuple[int, messages.UpstreamOrderValue | None]:
+        item = await self._store.get(KIND, authority.scope, purpose=PURPOSE)
+        if item.value is None:
+            return 0, None
+        last = msgspec.convert(item.value, messages.UpstreamOrderValue)
+        version = item.version
+        if last['state'] == 'intended':
+            version = await self._send(authority, last, version)
+        return version, last
+
+    async def _send(
+        self,
+        authority: lease.Authority,
+        value: messages.UpstreamOrderValue,
+        version: int,
+    ) -> int:
+        def check() -> None:
+            authority.check(self._lifetime_s)
+
+        body = {key: value[key] for key in _SENT}
+        try:
+            await self._sender.send(body, check)
+        except (errors.UpstreamError, errors.LeaseLostError):
+            ORDERS.labels('unknown').inc()
+            raise
+        ORDERS.labels('taken').inc()
+        done: messages.UpstreamOrderValue = {
+            **value,
+            'state': 'done',
+            'nonce': settled.new_nonce(),
+        }
+        return await self._write(authority, done, version)
+
+    async def _write(
+        self,
+        authority: lease.Authority,
+        value: messages.UpstreamOrderValue,
+        version: int,
+    ) -> int:
+        return await settled.put(
+            self._store,
+            KIND,
+            authority.scope,
+            typing.cast(stores.Value, value),
+            version,
+            purpose=PURPOSE,
+        )
+
+
+# The holder and the epoch go along for the platform's own records; a repeat
+# by a successor carries those of the first.
+_SENT = (
+    'token',
+    'type',
+    'failure_domain',
+    'capacity_class',
+    'count',
+    'upstreams',
+    'epoch',
+    'holder',
+)
+
+
+def make_upstream_orders(
+    store: stores.Store, sender: orders.Sender, lifetime_s: float
+) -> UpstreamOrders:
+    """Return the platform orders of a process."""
+    return UpstreamOrders(store, sender, lifetime_s)
--- /dev/null
+++ b/gentianstair/util/checked_call.py
@@ -0,0 +1,144 @@
+"""Send an HTTP call that must not leave after its authority has lapsed."""
+
+import collections.abc
+import json
+import socket
+import struct
+import typing
+import urllib.parse
+
+import h11
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict
+
+READ_BYTES = 65536
+MAX_ANSWER_BYTES = 262144
+# Closing with this option drops what the kernel has not delivered yet.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
+# Raises LeaseLostError when the call may not be sent any more.
+Check = collections.abc.Callable[[], None]
+
+
+class Answer(typing.NamedTuple):
+    """The status and the JSON body of an answer."""
+
+    status: int
+    body: typing.Any
+
+
+def _make_socket(lifetime_s: float) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # The kernel would go on trying to deliver through a partition, for
+    # many minutes, also while this process is stopped. This bounds it.
+    sock.setsockopt(
+        socket.IPPROTO_TCP,
+        socket.TCP_USER_TIMEOUT,
+        max(1, int(lifetime_s * 1000)),
+    )
+    return sock
+
+
+def _request_bytes(
+    connection: h11.Connection,
+    method: str,
+    parts: urllib.parse.SplitResult,
+    body: typing.Any,
+) -> bytes:
+    content = b'' if body is None else json.dumps(body).encode()
+    headers = [
+        ('host', parts.netloc),
+        ('content-type', 'application/json'),
+        ('content-length', str(len(content))),
+        ('connection', 'close'),
+    ]
+    target = parts.path + (f'?{parts.query}' if parts.query else '')
+    request = h11.Request(method=method, target=target, headers=headers)
+    data = connection.send(request)
+    if content:
+        data += connection.send(h11.Data(data=content))
+    return data + connection.send(h11.EndOfMessage())
+
+
+async def _read_answer(
+    connection: h11.Connection, wrapped: trio.socket.SocketType
+) -> Answer:
+    status = 0
+    content = b''
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await wrapped.recv(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            content += event.data
+            if len(content) > MAX_ANSWER_BYTES:
+                raise errors.DecodeError('the answer is too long')
+        elif isinstance(event, h11.EndOfMessage):
+            return Answer(status, json.loads(content or b'null'))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise OSError('closed without an answer')
+
+
+def _send_checked(sock: socket.socket, data: bytes, check: Check) -> None:
+    """Check, then hand the whole request to the kernel.
+
+    Nothing is awaited in between, so no other task can run and no time
+    passes but for a pause of the whole process. The connection was opened
+    before and is used once, so an upstream that closes connections which
+    send nothing for a while also refuses what is left of such a pause.
+    """
+    check()
+    sent = sock.send(data)
+    if sent != len(data):
+        raise OSError('the kernel took only part of the request')
+
+
+async def call(
+    url: str,
+    method: str,
+    body: typing.Any,
+    *,
+    check: Check,
+    lifetime_s: float,
+    timeout_s: float,
+) -> Answer:
+    """Connect, check, send and return the answer.
+
+    Undelivered bytes are dropped after lifetime_s. Raise LeaseLostError
+    (nothing sent) as check does, and UpstreamError whose verdict is NOT_RUN
+    when nothing was sent and MAY_HAVE_RUN otherwise.
+    """
+    parts = urllib.parse.urlsplit(url)
+    if parts.scheme != 'http':
+        raise errors.UserError(f'{url}: orders need a plain http URL')
+    connection = h11.Connection(h11.CLIENT)
+    data = _request_bytes(connection, method, parts, body)
+    known = verdict.Verdict.NOT_RUN
+    sock = _make_socket(lifetime_s)
+    wrapped = trio.socket.from_stdlib_socket(sock)
+    try:
+        with trio.fail_after(timeout_s):
+            await wrapped.connect((parts.hostname, parts.port or 80))
+            check()
+            known = verdict.Verdict.MAY_HAVE_RUN
+            _send_checked(sock, data, check)
+            return await _read_answer(connection, wrapped)
+    except errors.LeaseLostError:
+        raise
+    except (
+        OSError,
+        trio.TooSlowError,
+        h11.RemoteProtocolError,
+        ValueError,
+        errors.DecodeError,
+    ) as error:
+        raise errors.UpstreamError(f'{url}: {error!r}', known) from error
+    finally:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        wrapped.close()
