--- a/test/entry/__init__.py
+++ b/test/entry/__init__.py
@@ -1,1 +1,1 @@
-"""Test the entry."""
+"""Test the entry process."""
