--- /dev/null
+++ b/gentianstair/util/usage_rows.py
@@ -0,0 +1,61 @@
+"""Add and compare rows of usage."""
+
+import collections.abc
+
+from gentianstair.generated import messages
+
+Key = tuple[int, str, str]
+COUNTS = ('requests', 'prompt_tokens', 'output_tokens')
+
+
+def key_of(row: messages.UsageRow) -> Key:
+    """Return what tells rows apart."""
+    return row['window'], row['customer'], row['upstream_kind']
+
+
+def by_key(
+    rows: collections.abc.Iterable[messages.UsageRow],
+) -> dict[Key, messages.UsageRow]:
+    """Return rows by their key, added up where several share one."""
+    found: dict[Key, messages.UsageRow] = {}
+    for row in rows:
+        known = found.get(key_of(row))
+        found[key_of(row)] = row if known is None else plus(known, row)
+    return found
+
+
+def plus(
+    first: messages.UsageRow, second: messages.UsageRow
+) -> messages.UsageRow:
+    """Return the sum of two rows with the same key."""
+    return {
+        **first,
+        'requests': first['requests'] + second['requests'],
+        'prompt_tokens': first['prompt_tokens'] + second['prompt_tokens'],
+        'output_tokens': first['output_tokens'] + second['output_tokens'],
+    }
+
+
+def minus(
+    first: messages.UsageRow, second: messages.UsageRow | None
+) -> messages.UsageRow:
+    """Return what first has above second, never below zero."""
+    if second is None:
+        return first
+    return {
+        **first,
+        'requests': max(0, first['requests'] - second['requests']),
+        'prompt_tokens': max(
+            0, first['prompt_tokens'] - second['prompt_tokens']
+        ),
+        'output_tokens': max(
+            0, first['output_tokens'] - second['output_tokens']
+        ),
+    }
+
+
+def is_empty(row: messages.UsageRow) -> bool:
+    """Return whether a row counts nothing."""
+    return not (
+        row['requests'] or row['prompt_tokens'] or row['output_tokens']
+    )
