Judge fresh arrivals only against promises due before them

Cause: two backlogged customers drifted apart without bound. Callers that were promised a return and never came kept all fresh ones out, the line ran empty, and each time the customer rejoined its debt was lifted away. Ruled out: lost summaries (served totals agreed on all VMs). Change: a promise counts only if due before the newcomer would start.

--- a/gentianstair/bench/fairness.py
+++ b/gentianstair/bench/fairness.py
@@ -32,6 +32,7 @@
 MOST_RETURNS = 3
 MOST_PROMPT = 8000
 MOST_OUTPUT = 400
+GAP_WEIGHTS = {'left': 1.0, 'right': 2.0}
 
 
 class Arrival(typing.NamedTuple):
@@ -299,36 +300,43 @@
 
 def gap(arm: str, seed: int) -> typing.Iterator[measures.Measure]:
     """Yield the widest gap between two customers that always wait."""
-    weights = {'left': 1.0, 'right': 2.0}
-    customers = [
-        Customer('left', 2.0, tuple(range(VMS))),
-        Customer('right', 2.0, (0, 1)),
-    ]
+    places = {
+        'shared_vms': (tuple(range(VMS)), (0, 1)),
+        'apart': (tuple(range(2, VMS)), (0, 1)),
+    }
+    for name, (left, right) in places.items():
+        widest = _widest_gap(arm, seed, left, right)
+        of_bound = widest / gap_bound(GAP_WEIGHTS)
+        yield measures.Measure(f'gap_{name}', arm, widest, 'cost')
+        yield measures.Measure(f'gap_{name}_of_bound', arm, of_bound, 'times')
+
+
+def _widest_gap(
+    arm: str, seed: int, left: tuple[int, ...], right: tuple[int, ...]
+) -> float:
+    customers = [Customer('left', 2.0, left), Customer('right', 2.0, right)]
     arrivals = draw_arrivals(customers, seed)
-    widest = [0.0]
+    seen: list[float] = []
+
+    async def watch(run: Run) -> None:
+        await trio.sleep(WARM_S)
+        while True:
+            left_cost, right_cost = (
+                run.engines.served[name] / GAP_WEIGHTS[name]
+                for name in ('left', 'right')
+            )
+            seen.append(left_cost - right_cost)
+            await trio.sleep(0.1)
 
     async def main() -> None:
-        run = Run(arm, seed, weights)
-        with trio.move_on_after(RUN_S):
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(run.play, arrivals, RUN_S)
-                await trio.sleep(WARM_S)
-                base = dict(run.engines.served)
-                seen = []
-                while True:
-                    await trio.sleep(0.1)
-                    got = [
-                        (run.engines.served[name] - base.get(name, 0.0))
-                        / weights[name]
-                        for name in ('left', 'right')
-                    ]
-                    seen.append(got[0] - got[1])
-                    widest[0] = max(seen) - min(seen)
+        run = Run(arm, seed, GAP_WEIGHTS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, run)
+            await run.play(arrivals, RUN_S)
+            nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-    bound = gap_bound(weights)
-    yield measures.Measure('widest_gap', arm, widest[0], 'cost')
-    yield measures.Measure('gap_of_bound', arm, widest[0] / bound, 'times')
+    return max(seen) - min(seen)
 
 
 def returns(arm: str, seed: int) -> typing.Iterator[measures.Measure]:
--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -143,7 +143,11 @@
         left_s = work.deadline_s - now_s
         patience_s = left_s - service_s
         ahead = self._ahead_cost(waiter)
-        promised = 0.0 if kept else book.due_cost(now_s + patience_s)
+        promised = 0.0
+        if not kept:
+            # Promises due before this one would start go first.
+            start_s = ahead / self.customer_cost_per_s(work.customer)
+            promised = book.due_cost(now_s + start_s)
         wait_s = self._wait_s(work.customer, ahead + promised)
         reason = self._judge(work.customer, wait_s, patience_s)
         retry_after_s = None
