Weigh what a prompt costs the outputs beside it; choose KV transfers

With split, a prompt may be read on a prefill engine and its KV moved, where that is quicker. Homes of prefixes come from the subset an entry uses, whose load it knows, not from the whole fleet.

--- a/gentianstair/entry/routing.py
+++ b/gentianstair/entry/routing.py
@@ -3,11 +3,18 @@
 import random
 import typing
 
+from gentianstair.entry import estimates
 from gentianstair.entry import loadview
 from gentianstair.entry import prefixes
 from gentianstair.entry import ring
+from gentianstair.entry import upstream_state
 from gentianstair.entry import work as works
 
+__all__ = ['Choice', 'Rates', 'Router', 'UpstreamInfo', 'make_router']
+
+Rates = estimates.Rates
+UpstreamInfo = upstream_state.UpstreamInfo
+
 # An entry process samples from at most this many upstreams a model, so that
 # it holds few connections and reads few load reports in a large fleet.
 SUBSET = 64
@@ -15,39 +22,16 @@
 SAMPLED = 2
 HOMES = 2
 HOLDERS = 2
-
-
-class Rates(typing.NamedTuple):
-    """What an engine's work is expected to cost, until observed."""
-
-    prefill_token_s: float = 0.0001
-    step_s: float = 0.012
-    decode_s: float = 0.0005
-    # Most prompt tokens a step takes, by role.
-    mixed_chunk_tokens: int = 512
-    prefill_chunk_tokens: int = 2048
-    decode_chunk_tokens: int = 64
-    # Way to an upstream in another failure domain and back.
-    distance_s: float = 0.002
-    # What a request costs in time that then fails.
-    failure_s: float = 2.0
-    # What running work costs others: each more sequence delays all.
-    pressure_s: float = 0.002
-
-
-class UpstreamInfo(typing.NamedTuple):
-    """What the configuration says of an upstream; no models means any."""
-
-    name: str
-    failure_domain: str
-    models: tuple[str, ...] = ()
-    role: str = 'mixed'
-    state: str = 'serving'
-    concurrent: int = 64
+# Shorter prompts are read where their output is made.
+SPLIT_MIN_TOKENS = 256
 
 
 class Choice(typing.NamedTuple):
-    """A decision; ``inputs`` are the figures it was made from."""
+    """A decision; ``inputs`` are the figures it was made from.
+
+    With a ``prefill_upstream`` the prompt is to be read there, and its KV
+    moved to ``upstream``, which makes the output after the first token.
+    """
 
     upstream: str
     score: float
@@ -55,74 +39,32 @@
     prefill_tokens: int = 0
     # Cached tokens that the index expects, before any distrust.
     indexed_tokens: int = 0
+    prefill_upstream: str | None = None
+
+    @property
+    def reader(self) -> str:
+        """Return the upstream that reads the prompt."""
+        return self.prefill_upstream or self.upstream
 
 
 class _Pool(typing.NamedTuple):
-    """The upstreams of one model."""
+    """The upstreams of one model that this process uses."""
 
-    names: list[str]
     subset: list[str]
+    # Those that make output, and those that only read prompts.
+    direct: list[str]
+    readers: list[str]
     ring: ring.Ring
 
 
-class _FadingSum:
-    """A sum in which old values fade, with a start that fades too."""
-
-    def __init__(self) -> None:
-        self.value = 2.0
-
-    def add(self, value: float) -> None:
-        """Add a value; all earlier ones count a little less."""
-        self.value = self.value * (1.0 - _FADE) + value
-
-
-class _State:
-    """What is known of one upstream."""
-
-    def __init__(self, info: UpstreamInfo) -> None:
-        self.info = info
-        self.load = loadview.LoadView()
-        # Observed times to the first token over the expected ones. Fading
-        # sums, not a mean of ratios: one short prompt behind an unseen queue
-        # takes 20 times as long as expected and says little.
-        self.took_s = _FadingSum()
-        self.expected_s = _FadingSum()
-        self.slowness = 1.0
-        # Share of predicted cached tokens that were found of late.
-        self.trust = 1.0
-        # Share of tries that failed, as it was at a time.
-        self._failing = 0.0
-        self._failing_at_s = 0.0
-        # Cache events lost, for metrics.
-        self.gaps = 0
-
-    def failing(self, now_s: float) -> float:
-        """Return the share of tries that fail, as far as known.
-
-        It fades, so that an upstream that is avoided is tried again.
-        """
-        if not self._failing:
-            return 0.0
-        age_s = now_s - self._failing_at_s
-        return self._failing * 0.5 ** (age_s / _FAILING_HALF_LIFE_S)
-
-    def note_try(self, failed: bool, now_s: float) -> None:
-        """Count a try that ended."""
-        self._failing = _smooth(
-            self.failing(now_s), 1.0 if failed else 0.0, _FAILING_SMOOTHING
-        )
-        self._failing_at_s = now_s
-
-
-_SMOOTHING = 0.1
-_FAILING_SMOOTHING = 0.3
-_FAILING_HALF_LIFE_S = 10.0
-_FADE = 0.05
-_SLOWNESS_RANGE = (0.25, 20.0)
-
-
-def _smooth(old: float, new: float, share: float = _SMOOTHING) -> float:
-    return old + share * (new - old)
+def _make_pool(vm_name: str, infos: list[UpstreamInfo]) -> _Pool:
+    roles = {info.name: info.role for info in infos}
+    subset = ring.rendezvous(vm_name, roles, SUBSET)
+    readers = [name for name in subset if roles[name] == 'prefill']
+    direct = [name for name in subset if roles[name] != 'prefill']
+    # Engines with the wrong role are better than none.
+    direct = direct or readers
+    return _Pool(subset, direct, readers, ring.Ring(direct))
 
 
 class Router:
@@ -134,20 +76,22 @@
         failure_domain: str,
         seed: int,
         rates: Rates,
+        split: bool,
     ) -> None:
         self.vm_name = vm_name
         self.failure_domain = failure_domain
         self.rates = rates
+        self.split = split
         self.index = prefixes.PrefixIndex()
         self._random = random.Random(f'{vm_name}/{seed}')
-        self._states: dict[str, _State] = {}
+        self._states: dict[str, upstream_state.State] = {}
         self._pools: dict[str, _Pool] = {}
 
     def set_upstreams(self, infos: typing.Iterable[UpstreamInfo]) -> None:
         """Take the upstreams in force; keep what is known of old ones."""
         states = {}
         for info in infos:
-            state = self._states.get(info.name) or _State(info)
+            state = self._states.get(info.name) or upstream_state.State(info)
             state.info = info
             states[info.name] = state
         self._states = states
@@ -156,15 +100,13 @@
     def _pool(self, model: str) -> _Pool:
         pool = self._pools.get(model)
         if pool is None:
-            names = [
-                state.info.name
+            infos = [
+                state.info
                 for state in self._states.values()
                 if state.info.state == 'serving'
                 and (not state.info.models or model in state.info.models)
             ]
-            subset = ring.rendezvous(self.vm_name, names, SUBSET)
-            pool = _Pool(names, subset, ring.Ring(names))
-            self._pools[model] = pool
+            pool = self._pools[model] = _make_pool(self.vm_name, infos)
         return pool
 
     def subset(self, model: str) -> list[str]:
@@ -192,7 +134,7 @@
         samples: prefixes.Samples,
         exclude: frozenset[str],
     ) -> list[str]:
-        found = dict.fromkeys(self._sample(pool.subset, exclude))
+        found = dict.fromkeys(self._sample(pool.direct, exclude))
         hashes = samples.hashes
         if hashes:
             known = self.index.deepest(hashes)
@@ -201,122 +143,134 @@
             key = hashes[known - 1] if known else hashes[0]
             found.update(dict.fromkeys(pool.ring.homes(key, HOMES)))
             if known:
-                holders = list(self.index.holders(key))
-                found.update(dict.fromkeys(holders[-HOLDERS:]))
-        return [
-            name
-            for name in found
-            if name not in exclude and self._usable(name)
-        ]
-
-    def _usable(self, name: str) -> bool:
-        state = self._states.get(name)
-        return state is not None and state.info.state == 'serving'
+                holders = list(self.index.holders(key))[-HOLDERS:]
+                found.update(
+                    (name, None) for name in holders if name in pool.direct
+                )
+        return [name for name in found if name not in exclude]
 
     def choose(
         self, work: works.Work, now_s: float, exclude: frozenset[str]
     ) -> Choice | None:
         """Return where to send a request, or None if nowhere."""
         pool = self._pool(work.model)
-        if not pool.names:
-            return None
         samples = prefixes.sample(work.block_hashes)
         names = self._candidates(pool, samples, exclude)
-        best = None
-        for name in names:
-            choice = self._score(name, work, samples, now_s)
-            if best is None or choice.score < best.score:
-                best = choice
-        if best is not None:
-            best.inputs['considered'] = len(names)
-        return best
+        found = self._best(names, work, samples, now_s)
+        if found is None:
+            return None
+        name, best = found
+        choice = Choice(
+            name,
+            best.total_s,
+            {**best._asdict(), 'considered': len(names)},
+            best.unread_tokens,
+            best.indexed_tokens,
+        )
+        if not self.split or best.unread_tokens < SPLIT_MIN_TOKENS:
+            return choice
+        split = self._choose_split(pool, work, samples, now_s, exclude)
+        if split is not None and split.score < choice.score:
+            return split
+        return choice
+
+    def _choose_split(
+        self,
+        pool: _Pool,
+        work: works.Work,
+        samples: prefixes.Samples,
+        now_s: float,
+        exclude: frozenset[str],
+    ) -> Choice | None:
+        """Return the best way with a KV transfer, if there is one.
 
-    def _chunk_tokens(self, role: str) -> int:
-        rates = self.rates
-        if role == 'mixed':
-            return rates.mixed_chunk_tokens
-        if role == 'prefill':
-            return rates.prefill_chunk_tokens
-        return rates.decode_chunk_tokens
+        It pays when reading elsewhere and moving the KV is quicker than
+        reading at the side of other sequences and delaying them.
+        """
+        names = self._sample(pool.readers, exclude)
+        reader = self._best(names, work, samples, now_s)
+        names = self._sample(pool.direct, exclude)
+        maker = self._least_pressure(names, work, now_s)
+        if reader is None or maker is None or reader[0] == maker[0]:
+            return None
+        moved_s = estimates.transfer_s(self.rates, work.prompt_tokens)
+        read = reader[1]
+        score = read.before_decode_s + moved_s + maker[1].pressure_s
+        inputs = {
+            **read._asdict(),
+            'pressure_s': maker[1].pressure_s,
+            'interference_s': 0.0,
+            'transfer_s': moved_s,
+            'considered': 2 * SAMPLED,
+        }
+        return Choice(
+            maker[0],
+            score,
+            inputs,
+            read.unread_tokens,
+            read.indexed_tokens,
+            reader[0],
+        )
 
-    def _score(
+    def _best(
         self,
-        name: str,
+        names: typing.Iterable[str],
         work: works.Work,
         samples: prefixes.Samples,
         now_s: float,
-    ) -> Choice:
-        rates = self.rates
+    ) -> tuple[str, estimates.Estimate] | None:
+        best = None
+        for name in names:
+            tokens = estimates.indexed_tokens(self.index, samples, name)
+            found = self._estimate(name, work, tokens, now_s)
+            if best is None or found.total_s < best[1].total_s:
+                best = (name, found)
+        return best
+
+    def _least_pressure(
+        self, names: typing.Iterable[str], work: works.Work, now_s: float
+    ) -> tuple[str, estimates.Estimate] | None:
+        best = None
+        for name in names:
+            found = self._estimate(name, work, work.prompt_tokens, now_s)
+            if best is None or found.pressure_s < best[1].pressure_s:
+                best = (name, found)
+        return best
+
+    def _estimate(
+        self, name: str, work: works.Work, indexed: int, now_s: float
+    ) -> estimates.Estimate:
         state = self._states[name]
-        load = state.load.estimate(now_s)
-        indexed = 0
-        if samples.hashes:
-            depth = self.index.depth_at(samples.hashes, name)
-            indexed = samples.blocks(depth) * works.BLOCK_TOKENS
-        cached = int(indexed * state.trust)
-        unread = max(work.prompt_tokens - cached, 1)
-        # A step reads one chunk and serves all sequences besides.
-        step_s = rates.step_s + load.requests * rates.decode_s
-        token_s = rates.prefill_token_s + step_s / self._chunk_tokens(
-            state.info.role
-        )
-        token_s *= state.slowness
-        queue_s = load.prefill_tokens * token_s
-        read_s = unread * token_s
-        pressure_s = load.requests * rates.pressure_s * state.slowness
-        over = load.requests + 1 - state.info.concurrent
-        if over > 0:
-            # Its turn comes when sequences end: tokens left, shared out.
-            pressure_s += (
-                over * work.max_tokens * step_s / state.info.concurrent
-            )
         far = state.info.failure_domain != self.failure_domain
-        distance_s = rates.distance_s if far else 0.0
-        # As many tries fail before one succeeds. A fixed cost would be less
-        # than the queue of a busy upstream, and all would go to a dead one.
-        failing = state.failing(now_s)
-        failing_s = rates.failure_s * failing / (1.0 - failing + 0.01)
-        score = queue_s + read_s + pressure_s + distance_s + failing_s
-        inputs = {
-            'queue_s': queue_s,
-            'read_s': read_s,
-            'pressure_s': pressure_s,
-            'distance_s': distance_s,
-            'failing_s': failing_s,
-            'cached_tokens': cached,
-            'slowness': state.slowness,
-            'report_age_s': load.report_age_s,
-        }
-        return Choice(name, score, inputs, unread, indexed)
+        return estimates.estimate(self.rates, state, work, indexed, far, now_s)
 
     def started(self, choice: Choice, work: works.Work, now_s: float) -> None:
         """Count a request that is being sent to the choice."""
-        state = self._states.get(choice.upstream)
-        if state is None:
-            return
-        state.load.started(work.request_id, choice.prefill_tokens, now_s)
+        reader = self._states.get(choice.reader)
+        if reader is not None:
+            reader.load.started(work.request_id, choice.prefill_tokens, now_s)
+        maker = self._states.get(choice.upstream)
+        if choice.prefill_upstream and maker is not None:
+            maker.load.started(work.request_id, 0, now_s)
         # It will be cached by the time that others of its kind arrive; the
         # engine's answer corrects this.
         for hash_ in prefixes.sample(work.block_hashes).hashes:
-            self.index.add(hash_, choice.upstream)
+            self.index.add(hash_, choice.reader)
 
     def first_token(
         self, choice: Choice, work: works.Work, now_s: float
     ) -> None:
         """Count the prompt as read."""
-        state = self._states.get(choice.upstream)
+        state = self._states.get(choice.reader)
         if state is None:
             return
         took_s = state.load.first_token(work.request_id, now_s)
-        if took_s is None:
-            return
-        inputs = choice.inputs
-        expected_s = inputs['queue_s'] + inputs['read_s']
-        state.took_s.add(took_s)
-        state.expected_s.add(expected_s / inputs['slowness'])
-        low, high = _SLOWNESS_RANGE
-        ratio = state.took_s.value / state.expected_s.value
-        state.slowness = min(max(ratio, low), high)
+        if choice.prefill_upstream:
+            state.load.finished(work.request_id, now_s)
+        if took_s is not None:
+            inputs = choice.inputs
+            expected_s = inputs['queue_s'] + inputs['read_s']
+            state.note_first_token(took_s, expected_s / inputs['slowness'])
 
     def finished(
         self,
@@ -327,20 +281,23 @@
         output_tokens: int,
         failed: bool,
     ) -> None:
-        """Forget a request, and learn from what its upstream returned."""
-        state = self._states.get(choice.upstream)
-        if state is None:
-            return
-        state.load.finished(work.request_id, now_s)
-        state.note_try(failed, now_s)
+        """Forget a request, and learn from what its upstream returned.
+
+        After a split, cached_tokens are those that its reader found.
+        """
+        for name in {choice.upstream, choice.reader}:
+            state = self._states.get(name)
+            if state is not None:
+                state.load.finished(work.request_id, now_s)
+                state.note_try(failed, now_s)
         if failed:
             # Whatever was noted at the start may not be cached at all.
             for hash_ in prefixes.sample(work.block_hashes).hashes:
-                self.index.remove(hash_, choice.upstream)
+                self.index.remove(hash_, choice.reader)
             return
-        if choice.indexed_tokens:
-            found = min(cached_tokens / choice.indexed_tokens, 1.0)
-            state.trust = _smooth(state.trust, found)
+        reader = self._states.get(choice.reader)
+        if reader is not None:
+            reader.note_cached(cached_tokens, choice.indexed_tokens)
 
     def on_load(
         self,
@@ -386,6 +343,12 @@
     failure_domain: str,
     seed: int = 0,
     rates: Rates | None = None,
+    split: bool = False,
 ) -> Router:
-    """Return a router that knows no upstream yet."""
-    return Router(vm_name, failure_domain, seed, rates or Rates())
+    """Return a router that knows no upstream yet.
+
+    With split it may choose a prefill upstream besides, so its caller must
+    be able to move KV.
+    """
+    rates = rates or Rates()
+    return Router(vm_name, failure_domain, seed, rates, split)
