--- a/gentianstair/bench/fleet.py
+++ b/gentianstair/bench/fleet.py
@@ -71,6 +71,7 @@
         self.network = network
         self.outcomes: list[Outcome] = []
         self.retries = 0
+        self.transfers = 0
 
     async def poll_load(self, entry: int) -> None:
         """Tell a router the load reports, for ever."""
@@ -123,9 +124,8 @@
         self, arrival: Arrival, router: AnyRouter, choice: routing.Choice
     ) -> None:
         work = arrival.work
-        engine = self.engines[choice.upstream]
         await trio.sleep(self.network.one_way_s)
-        request = model.Request(
+        first = request = model.Request(
             work.request_id,
             work.prompt_tokens,
             work.max_tokens,
@@ -133,11 +133,16 @@
             work.priority,
             work.model,
         )
-        sequence = engine.submit(request)
+        if choice.prefill_upstream:
+            first = request._replace(max_tokens=1)
+        sequence = self.engines[choice.reader].submit(first)
         await sequence.wait_past(0)
         await trio.sleep(self.network.one_way_s)
         first_s = trio.current_time()
         router.first_token(choice, work, first_s)
+        cached_tokens = sequence.cached_tokens
+        if choice.prefill_upstream:
+            sequence = await self._move(choice, request)
         await sequence.wait_end()
         await trio.sleep(self.network.one_way_s)
         now_s = trio.current_time()
@@ -145,7 +150,7 @@
             choice,
             work,
             now_s,
-            sequence.cached_tokens,
+            cached_tokens,
             sequence.produced,
             False,
         )
@@ -154,11 +159,41 @@
             arrival.at_s,
             first_s - arrival.at_s,
             now_s - arrival.at_s,
-            sequence.cached_tokens,
+            cached_tokens,
             choice.upstream,
         )
         self.outcomes.append(outcome)
 
+    async def _move(
+        self, choice: routing.Choice, request: model.Request
+    ) -> model.Sequence:
+        """Move the KV of a prompt that was read, and go on with output."""
+        source = self.engines[choice.reader]
+        target = self.engines[choice.upstream]
+        await target.import_kv(source.export_kv(request.hashes))
+        self.transfers += 1
+        # The first token is made already; the rest goes on from it.
+        rest = request._replace(
+            prompt_tokens=request.prompt_tokens + 1,
+            max_tokens=max(request.max_tokens - 1, 1),
+        )
+        while True:
+            try:
+                return target.submit(rest)
+            except model.RefusedError:
+                # Its role is being changed, or it is full: any other engine
+                # can go on, by reading the prompt again.
+                self.retries += 1
+                others = [
+                    engine
+                    for engine in self.engines.values()
+                    if engine.state == 'serving'
+                ]
+                if not others:
+                    raise
+                target = min(others, key=lambda item: len(item.sequences))
+                await trio.sleep(self.network.one_way_s)
+
     async def replay(
         self,
         arrivals: list[Arrival],
--- a/gentianstair/entry/estimates.py
+++ b/gentianstair/entry/estimates.py
@@ -29,7 +29,7 @@
     transfer_token_s: float = 0.0000135
     # How much a second of another's delayed output weighs against a second
     # of this request's own wait.
-    interference: float = 0.05
+    interference: float = 0.2
 
 
 class Estimate(typing.NamedTuple):
