--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from loguru import logger
+import loguru
 import msgspec
 import prometheus_client
 import trio
@@ -258,7 +258,7 @@
         try:
             await role(authority)
         except* errors.LeaseLostError as group:
-            logger.info('role stopped: {}', group.exceptions[0])
+            loguru.logger.info('role stopped: {}', group.exceptions[0])
         authority.end()
 
     async def _renew(self, authority: Authority) -> None:
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -13,7 +13,6 @@
 
 from gentianstair import errors
 from gentianstair import settings
-from gentianstair.config import follow
 from gentianstair.config import view as views
 from gentianstair.entry import admission
 from gentianstair.entry import app as apps
@@ -23,9 +22,11 @@
 from gentianstair.entry import node as nodes
 from gentianstair.entry import retries
 from gentianstair.entry import routing
+from gentianstair.entry import sharing
 from gentianstair.entry import streams
 from gentianstair.entry import upkeep
 from gentianstair.generated import settings as generated
+from gentianstair.peers import node as peers
 from gentianstair.platform import http_store
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
@@ -63,17 +64,17 @@
 
 def make_node(
     config: generated.EntrySettings,
-) -> tuple[nodes.Node, follow.Follower]:
+) -> tuple[nodes.Node, peers.Node]:
     """Return the parts of an entry process, none of them running yet."""
     view = views.View()
     store = http_store.connect(config.platform_url, config.store_timeout_s)
     now = clock.boottime_s
-    follower = follow.make_follower(view, store, now)
+    peer = peers.make_node(config, view, store, now)
     node = nodes.Node(
         settings=config,
         clock=now,
         view=view,
-        freshness=follower,
+        freshness=peer,
         queue=admission.make_queue(config.vm_name, _weight_of(view), now),
         router=routing.make_router(config.vm_name, config.failure_domain),
         retries=retries.make_retries(),
@@ -89,11 +90,11 @@
         explanations=explain.make_explanations(),
         transport=transport.make_transport(),
     )
-    return node, follower
+    return node, peer
 
 
 def create_operator_app(
-    node: nodes.Node, leaving: trio.Event
+    node: nodes.Node, peer: peers.Node, leaving: trio.Event
 ) -> quart_trio.QuartTrio:
     """Return the application that operators and the balancer meet."""
     app = quart_trio.QuartTrio('gentianstair.operator')
@@ -107,10 +108,18 @@
             'failure_domain': node.settings.failure_domain,
             'revision': node.view.revision,
             'bundle_number': bundle['number'] if bundle else None,
+            'members': [
+                {'vm': member.name, 'state': member.status}
+                for member in peer.members()
+            ],
             'fresh': node.freshness.is_fresh(),
             'ready': apps.ready_problem(node, leaving) is None,
         }
 
+    @app.get('/operator/confirmed')
+    async def confirmed():
+        return {'revisions': await peer.confirmed()}
+
     @app.get('/operator/explain/<request_id>')
     async def explanation(request_id: str):
         found = node.explanations.get(request_id)
@@ -137,13 +146,14 @@
     """Serve until stopped, then let running requests end."""
     sock = serving.listen(config.listen, reuse_port=True)
     operator_sock = serving.listen(config.operator_listen)
-    node, follower = make_node(config)
+    node, peer = make_node(config)
     leaving = trio.Event()
 
     async def leave() -> None:
         await serving.wait_for_stop()
         loguru.logger.info('stopping: no new requests, running ones end')
         leaving.set()
+        peer.leave()
         # The balancer still sends here until it has seen that this VM is
         # not ready; closing at once would refuse those callers.
         await trio.sleep(config.leave_wait_s)
@@ -151,13 +161,14 @@
     host, port = sock.getsockname()[:2]
     operator_port = operator_sock.getsockname()[1]
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(follower.run)
+        await nursery.start(peer.run)
+        nursery.start_soon(sharing.run, node, peer)
         nursery.start_soon(node.claims.run_batches)
         nursery.start_soon(upkeep.run, node)
         nursery.start_soon(
             functools.partial(
                 serving.serve,
-                create_operator_app(node, leaving),
+                create_operator_app(node, peer, leaving),
                 operator_sock,
                 trio.sleep_forever,
                 GRACE_S,
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -97,6 +97,7 @@
                 f'--platform-url={platform_url}',
                 '--listen=127.0.0.1:0',
                 '--operator-listen=127.0.0.1:0',
+                '--peer-listen=127.0.0.1:0',
             )
             self.entry_urls.append(process.url)
             operator_url = f'http://{fleet.HOST}:{process.ports[1]}'
