Add audit, explain, status and reading commands; settle lost answers

An entry of the trail is recorded before its change and its outcome after, so no death leaves a change unrecorded; an open entry is settled from the entry's name in the object and in later entries.

The completion script was folded to 80 columns and did not run; it is now printed unfolded.

--- a/gentianstair/ui/change.py
+++ b/gentianstair/ui/change.py
@@ -40,13 +40,15 @@
             )
         except errors.StoreUnknownError:
             lost = True
-        except errors.StoreConflictError:
+        except (errors.StoreConflictError, errors.StoreUnavailableError):
+            # After a lost answer neither says that nothing was changed.
             if not lost:
                 raise
-            found = await client.get(kind, name, purpose='operator')
-            if found.value and found.value.get('change') == value['change']:
-                return found.version
             break
+    with contextlib.suppress(errors.StoreUnavailableError):
+        found = await client.get(kind, name, purpose='operator')
+        if found.value and found.value.get('change') == value['change']:
+            return found.version
     raise EffectUnknownError(
         f'{kind}/{name}: the answer was lost and the change may be in force;'
         f' see: gentianstair audit --target {kind}/{name}'
--- a/gentianstair/ui/commands/bundle.py
+++ b/gentianstair/ui/commands/bundle.py
@@ -10,6 +10,7 @@
 from gentianstair.generated import messages
 from gentianstair.platform import store
 from gentianstair.ui import change
+from gentianstair.ui import entries
 from gentianstair.ui import session as sessions
 
 KIND = 'bundle'
@@ -91,11 +92,25 @@
     ] = None
 
 
+@cappa.command(
+    name='status', epilog='Example: `gentianstair bundle status --wait-s 10`'
+)
+class Status:
+    """Show the accepted bundle and which VMs have it in force."""
+
+    wait_s: typing.Annotated[
+        float,
+        cappa.Arg(long=True, help='How long to wait for all VMs to have it.'),
+    ] = 0.0
+
+
 @cappa.command(name='bundle')
 class Bundle:
-    """Build, sign, accept and withdraw bundles."""
+    """Build, sign, accept, withdraw and follow bundles."""
 
-    command: cappa.Subcommands[Keygen | Build | Sign | Accept | Withdraw]
+    command: cappa.Subcommands[
+        Keygen | Build | Sign | Accept | Withdraw | Status
+    ]
 
 
 @sessions.run.register
@@ -231,3 +246,37 @@
     session.out.value(
         {'bundle': bundle['number'], 'content_of': older, 'version': version}
     )
+
+
+@sessions.run.register
+async def _status(command: Status, session: sessions.Session) -> None:
+    accepted = await session.store.get(
+        ACCEPTED_KIND, ACCEPTED_NAME, purpose='operator'
+    )
+    if accepted.value is None:
+        raise errors.UserError('no bundle is in force')
+    number = accepted.value['number']
+    answers = await entries.confirm(
+        session,
+        entries.STATUS_PATH,
+        lambda body: (body.get('bundle_number') or 0) >= number,
+        command.wait_s,
+    )
+    session.out.line(f'accepted: {number}')
+    rows = [
+        {
+            'vm': (answer.body or {}).get('vm'),
+            'accepted': number,
+            'bundle_number': (answer.body or {}).get('bundle_number'),
+            'in_force': answer.confirmed,
+            'url': answer.url,
+            'problem': answer.problem,
+        }
+        for answer in answers
+    ]
+    columns = ('vm', 'bundle_number', 'in_force', 'url', 'problem')
+    session.out.rows(columns, rows)
+    if command.wait_s and not all(answer.confirmed for answer in answers):
+        raise change.EffectUnknownError(
+            f'bundle {number} is not in force on every VM yet'
+        )
--- a/gentianstair/ui/commands/key.py
+++ b/gentianstair/ui/commands/key.py
@@ -1,15 +1,16 @@
 """Grant, revoke and list caller keys."""
 
-import hashlib
 import secrets
 import typing
 
 import cappa
 
 from gentianstair import errors
+from gentianstair.entry import callers
 from gentianstair.generated import messages
 from gentianstair.platform import store
 from gentianstair.ui import change
+from gentianstair.ui import entries
 from gentianstair.ui import session as sessions
 
 COLUMNS = ('key', 'customer', 'label', 'revoked')
@@ -35,14 +36,24 @@
 
 
 @cappa.command(
-    name='revoke', epilog='Example: `gentianstair key revoke 3f2a90c41b77`'
+    name='revoke',
+    epilog='Example: `gentianstair key revoke 3f2a90c41b77 --wait-s 5`',
 )
 class Revoke:
-    """Revoke a key everywhere within seconds."""
+    """Revoke a key everywhere within seconds.
+
+    Requests that run already are finished.
+    """
 
     key: typing.Annotated[
         str, cappa.Arg(help='Its digest as listed, or 12 first digits of it.')
     ]
+    wait_s: typing.Annotated[
+        float,
+        cappa.Arg(
+            long=True, help='How long to wait for the entries to confirm.'
+        ),
+    ] = 0.0
 
 
 @cappa.command(
@@ -64,15 +75,6 @@
     command: cappa.Subcommands[Grant | Revoke | List]
 
 
-def digest(secret: str) -> str:
-    """Return the name under which a secret's key is stored.
-
-    >>> digest('x')[:8]
-    '2d711642'
-    """
-    return hashlib.sha256(secret.encode()).hexdigest()
-
-
 @sessions.run.register
 async def _key(command: Key, session: sessions.Session) -> None:
     await sessions.run(command.command, session)
@@ -87,7 +89,7 @@
     if customer.value is None:
         raise errors.UserError(f'customer {command.customer} does not exist')
     secret = SECRET_PREFIX + secrets.token_urlsafe(SECRET_BYTES)
-    name = digest(secret)
+    name = callers.digest(secret)
     value: messages.KeyValue = {
         'customer': command.customer,
         'label': command.label,
@@ -119,7 +121,27 @@
     name = await find(session.store, command.key)
     edit = change.update(f'key {name}', revoked=True)
     made = await change.apply(session, 'key revoke', 'key', name, edit)
-    session.out.value({'key': name, 'revoked': True, 'version': made.version})
+    answers = await entries.confirm(
+        session, f'/operator/key/{name}', _is_revoked, command.wait_s
+    )
+    session.out.value(
+        {
+            'key': name,
+            'revoked': True,
+            'version': made.version,
+            'confirmed': [a.url for a in answers if a.confirmed],
+            'not_confirmed': [a.url for a in answers if not a.confirmed],
+        }
+    )
+    if command.wait_s and not all(a.confirmed for a in answers):
+        raise change.EffectUnknownError(
+            'the key is revoked, but not every entry has confirmed it'
+        )
+
+
+def _is_revoked(body: store.Value) -> bool:
+    key = body.get('key')
+    return key is None or bool(key.get('revoked'))
 
 
 @sessions.run.register
--- a/gentianstair/ui/commands/upstream.py
+++ b/gentianstair/ui/commands/upstream.py
@@ -24,7 +24,7 @@
     'concurrent',
     'url',
 )
-SERVING = 'serving'
+ACTIVE = 'active'
 DRAINING = 'draining'
 WITHDRAWN = 'withdrawn'
 _Type = typing.Literal['engine', 'service']
@@ -130,7 +130,7 @@
         'type': command.type,
         'failure_domain': command.failure_domain,
         'capacity_class': command.capacity_class,
-        'state': SERVING,
+        'state': ACTIVE,
         'role': command.role,
         'models': [name for name in models if name],
         'checks_fencing': command.checks_fencing,
--- a/gentianstair/ui/main.py
+++ b/gentianstair/ui/main.py
@@ -2,8 +2,10 @@
 
 import getpass
 import importlib.metadata
+import os
 import sys
 import typing
+import urllib.parse
 
 import cappa
 import trio
@@ -12,10 +14,16 @@
 from gentianstair.platform import http_store
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
+from gentianstair.ui.commands import audit
 from gentianstair.ui.commands import bundle
 from gentianstair.ui.commands import customer
+from gentianstair.ui.commands import explain
 from gentianstair.ui.commands import key
+from gentianstair.ui.commands import lease
+from gentianstair.ui.commands import settings
 from gentianstair.ui.commands import upstream
+from gentianstair.ui.commands import usage
+from gentianstair.ui.commands import vm
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -26,7 +34,18 @@
 _LIBRARY_USAGE = 2
 STORE_TIMEOUT_S = 5.0
 
-_Commands = bundle.Bundle | customer.Customer | key.Key | upstream.Upstream
+_Commands = (
+    customer.Customer
+    | key.Key
+    | bundle.Bundle
+    | upstream.Upstream
+    | vm.Vm
+    | lease.Lease
+    | usage.Usage
+    | audit.Audit
+    | explain.Explain
+    | settings.Settings
+)
 
 
 @cappa.command(
@@ -74,18 +93,29 @@
     ] = False
 
 
+def _check_url(flag: str, text: str) -> str:
+    try:
+        parts = urllib.parse.urlsplit(text.strip())
+        known = parts.scheme in ('http', 'https') and parts.hostname
+        known = known and (parts.port is None or parts.port > 0)
+    except ValueError:
+        known = False
+    if not known:
+        raise errors.UserError(f'{flag}: {text!r} is not an http URL')
+    return text.strip().rstrip('/')
+
+
 def _make_session(program: Program, stream: typing.TextIO) -> sessions.Session:
     client = None
-    if program.platform_url:
-        url = program.platform_url
-        if not url.startswith(('http://', 'https://')):
-            raise errors.UserError(f'--platform-url: {url!r} is not a URL')
-        client = http_store.connect(url.rstrip('/'), STORE_TIMEOUT_S)
+    url = program.platform_url
+    if url:
+        url = _check_url('--platform-url', url)
+        client = http_store.connect(url, STORE_TIMEOUT_S)
     urls = (program.entry_urls or '').split(',')
     return sessions.Session(
         client,
-        program.platform_url,
-        tuple(url.strip().rstrip('/') for url in urls if url.strip()),
+        url,
+        tuple(_check_url('--entry-urls', item) for item in urls if item),
         program.actor or getpass.getuser(),
         output.Output(program.json, stream),
     )
@@ -94,6 +124,10 @@
 def parse(argv: list[str]) -> Program:
     """Return the command that argv asks for, or raise cappa.Exit."""
     shown = cappa.Output(error_format='{prog}: {message}')
+    if any(arg.startswith('--completion') for arg in argv):
+        # The completion script is printed like help; folded to the width of
+        # a screen it would no longer be the script.
+        shown.output_console.width = output.MAX_WIDTH
     version = importlib.metadata.version('gentianstair')
     return cappa.parse(Program, argv=argv, output=shown, version=version)
 
@@ -115,7 +149,7 @@
             ' now; nothing was changed, look again and repeat'
         )
     if isinstance(error, errors.StoreUnavailableError):
-        return f'the platform is unavailable, nothing was changed: {error}'
+        return f'unavailable, and nothing was changed: {error}'
     return str(error)
 
 
@@ -128,10 +162,16 @@
     except cappa.Exit as end:
         return EXIT_REFUSED if end.code == _LIBRARY_USAGE else int(end.code)
     except errors.GentianstairError as error:
-        print(f'gentianstair: {_explain(error)}', file=sys.stderr)
+        for line in _explain(error).splitlines():
+            print(f'gentianstair: {output.plain(line)}', file=sys.stderr)
         return _exit_code(error)
     except KeyboardInterrupt:
         return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        # Whoever read our output, such as ``head``, has gone. Without this
+        # the interpreter reports the same at exit, with a traceback.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return EXIT_INTERRUPTED
     return EXIT_OK
 
 
--- a/gentianstair/util/audit.py
+++ b/gentianstair/util/audit.py
@@ -12,6 +12,7 @@
 import datetime
 import enum
 import secrets
+import time
 import typing
 
 from gentianstair import errors
@@ -21,6 +22,10 @@
 KIND = 'audit'
 OUTCOME_KIND = 'audit-outcome'
 CREATE_TRIES = 3
+# Beyond so many days the whole trail is listed in one call.
+MAX_DAY_LISTS = 40
+# A write still under way is certainly settled after this long.
+SETTLE_S = 60.0
 
 
 class Outcome(enum.StrEnum):
@@ -112,13 +117,101 @@
     await _create(client, OUTCOME_KIND, name, value)
 
 
+class Record(typing.NamedTuple):
+    """An entry as read back, with what became of its change.
+
+    ``outcome`` is ``done``, ``refused``, ``not done`` (its author died or
+    lost the store before the change) or ``unknown``.
+    """
+
+    name: str
+    entry: messages.AuditValue
+    outcome: str
+
+
+def _day_prefixes(since: datetime.datetime) -> list[str]:
+    """Return prefixes that names of entries since then can have.
+
+    Authors' clocks may run ahead, so tomorrow is one of them.
+    """
+    last = datetime.datetime.now(datetime.UTC).date()
+    last += datetime.timedelta(days=1)
+    days = (last - since.astimezone(datetime.UTC).date()).days
+    if days > MAX_DAY_LISTS:
+        return ['']
+    found = [last - datetime.timedelta(days=back) for back in range(days + 1)]
+    return [day.strftime('%Y%m%d') for day in reversed(found)]
+
+
+async def _list(
+    client: store.Store, kind: str, prefixes: list[str]
+) -> dict[str, store.Value]:
+    found: dict[str, store.Value] = {}
+    for prefix in prefixes:
+        listing = await client.list(kind, prefix=prefix, purpose='audit')
+        found |= {item.name: item.value or {} for item in listing.objects}
+    return found
+
+
+async def read(client: store.Store, since: datetime.datetime) -> list[Record]:
+    """Return the entries since then, oldest first."""
+    prefixes = _day_prefixes(since)
+    entries = await _list(client, KIND, prefixes)
+    outcomes = await _list(client, OUTCOME_KIND, prefixes)
+    first = timestamp(since)
+    records = []
+    for name in sorted(entries):
+        entry = typing.cast(messages.AuditValue, entries[name])
+        if entry['at'] < first:
+            continue
+        outcome = outcomes.get(name, {}).get('outcome')
+        if outcome in (None, Outcome.UNKNOWN):
+            outcome = await _settle(client, name, entry, entries)
+        records.append(Record(name, entry, outcome))
+    return records
+
+
+def _mark(value: store.Value | None) -> str | None:
+    return value.get('change') if value else None
+
+
+async def _settle(
+    client: store.Store,
+    name: str,
+    entry: messages.AuditValue,
+    entries: dict[str, store.Value],
+) -> str:
+    """Return what became of a change whose outcome was not recorded."""
+    kind, _, target = entry['target'].partition('/')
+    present = await client.get(kind, target, purpose='audit')
+    marks = {_mark(present.value)} | {
+        _mark(later['before'])
+        for later in entries.values()
+        if later['target'] == entry['target'] and later is not entry
+    }
+    if name in marks:
+        return Outcome.DONE.value
+    age_s = time.time() - _unix_time_s(entry['at'])
+    # Somebody found the object as it was before this change, and nobody
+    # found it as it was after.
+    if age_s > SETTLE_S and _mark(entry['before']) in marks:
+        return 'not done'
+    return Outcome.UNKNOWN.value
+
+
+def _unix_time_s(text: str) -> float:
+    return datetime.datetime.fromisoformat(text).timestamp()
+
+
 __all__ = (
     'KIND',
     'OUTCOME_KIND',
     'Outcome',
+    'Record',
     'conclude',
     'make_entry',
     'make_name',
+    'read',
     'record',
     'timestamp',
 )
--- /dev/null
+++ b/test/config/__init__.py
@@ -0,0 +1,1 @@
+"""Test the configuration."""
--- /dev/null
+++ b/test/config/test_bundles.py
@@ -0,0 +1,118 @@
+"""Test building, signing and verifying bundles."""
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from gentianstair import errors
+from gentianstair.config import bundles
+
+TEXT = '''
+note = "for the show"
+[models.judge]
+engine_model = "base-7b"
+adapter = "judge-v3"
+customers = ["burlwood"]
+[models.open]
+[settings]
+freshness_s = 5
+'''
+ENTRY = strategies.fixed_dictionaries(
+    {
+        'engine_model': strategies.text(max_size=5),
+        'adapter': strategies.none() | strategies.text(max_size=5),
+        'customers': strategies.lists(strategies.text(max_size=5)),
+        'share_prefixes': strategies.booleans(),
+    }
+)
+BUNDLE = strategies.fixed_dictionaries(
+    {
+        'number': strategies.integers(1, 2**40),
+        'models': strategies.dictionaries(strategies.text(), ENTRY),
+        'settings': strategies.dictionaries(
+            strategies.text(), strategies.text()
+        ),
+        'note': strategies.text(),
+        'signature': strategies.just(''),
+    }
+)
+
+
+@pytest.fixture
+def key(tmp_path):
+    bundles.make_key(tmp_path / 'key.pem')
+    return bundles.load_key(tmp_path / 'key.pem')
+
+
+def test_a_key_file_is_private_and_never_overwritten(tmp_path):
+    path = tmp_path / 'key.pem'
+    bundles.make_key(path)
+    assert path.stat().st_mode & 0o077 == 0
+    before = path.read_bytes()
+    with pytest.raises(errors.UserError, match='exists'):
+        bundles.make_key(path)
+    assert path.read_bytes() == before
+
+
+@pytest.mark.promise
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'number': 2},
+        {'note': ''},
+        {'settings': {'freshness_s': '6'}},
+        {'models': {}},
+        {'signature': ''},
+        {'signature': 'zz'},
+        {'signature': '00' * 64},
+    ],
+)
+def test_a_bundle_changed_after_signing_is_refused(key, change):
+    """A bundle that nobody signed off is put in force.
+
+    Someone who may write to the store changed it after signing, or put an
+    old signature under a new number. The signature covers all content.
+    """
+    public = bundles.public_hex(key)
+    signed = bundles.sign(bundles.build(TEXT, 1), key)
+    assert bundles.is_signed(signed, public)
+    assert not bundles.is_signed({**signed, **change}, public)
+    assert not bundles.is_signed(signed, '00' * 32)
+    assert not bundles.is_signed(signed, 'no key')
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(bundle=BUNDLE)
+def test_equal_content_gives_equal_bytes(bundle):
+    again = bundles.decode(bundles.encode(bundle))
+    assert again == bundle
+    shuffled = dict(reversed(list(bundle.items())))
+    shuffled['models'] = dict(reversed(list(bundle['models'].items())))
+    assert bundles.signed_bytes(shuffled) == bundles.signed_bytes(again)
+
+
+@pytest.mark.parametrize(
+    ('text', 'said'),
+    [
+        ('x', 'not TOML'),
+        ('model = 1', 'unknown: model'),
+        ('models = 1', 'must be tables'),
+        ('models.a = 1', 'models.a must be a table'),
+        ('models.a.adaptr = "x"', 'models.a: unknown adaptr'),
+        ('models.a.customers = "x"', 'models.a: Expected `array`'),
+    ],
+)
+def test_a_mistake_in_the_source_is_named(text, said):
+    with pytest.raises(errors.UserError, match=said):
+        bundles.build(text, 1)
+
+
+@hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
+@hypothesis.given(
+    data=strategies.binary(max_size=200) | strategies.text().map(str.encode)
+)
+def test_no_bytes_break_the_decoder(data):
+    try:
+        bundles.decode(data)
+    except errors.UserError:
+        pass
--- /dev/null
+++ b/test/ui/__init__.py
@@ -0,0 +1,1 @@
+"""Test the command line."""
