--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -33,6 +33,9 @@
     for tables in _read('settings').values():
         programs = tuple(tables.pop('programs', PROGRAMS))
         for name, table in tables.items():
+            for others, other, _ in found:
+                if name == other and set(programs) & set(others):
+                    raise SystemExit(f'schema: {name} is defined twice')
             found.append((programs, name, table))
     return found
 
