--- a/gentianstair/bench/fleet.py
+++ b/gentianstair/bench/fleet.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import math
 import typing
 
 import trio
@@ -65,13 +66,18 @@
         engines: list[model.Engine],
         routers: list[AnyRouter],
         network: Network,
+        give_up_s: float = math.inf,
     ) -> None:
         self.engines = {engine.options.name: engine for engine in engines}
         self.routers = routers
         self.network = network
+        # Callers that have no first token by then go away.
+        self.give_up_s = give_up_s
         self.outcomes: list[Outcome] = []
         self.retries = 0
         self.transfers = 0
+        # Work that arrived since a planner last looked.
+        self.arrived: list[works.Work] = []
 
     async def poll_load(self, entry: int) -> None:
         """Tell a router the load reports, for ever."""
@@ -102,6 +108,7 @@
     async def send(self, arrival: Arrival) -> None:
         """Run one request through the router of its entry."""
         router = self.routers[arrival.entry]
+        self.arrived.append(arrival.work)
         exclude: set[str] = set()
         for _ in range(TRIES):
             now_s = trio.current_time()
@@ -136,14 +143,24 @@
         if choice.prefill_upstream:
             first = request._replace(max_tokens=1)
         sequence = self.engines[choice.reader].submit(first)
-        await sequence.wait_past(0)
+        with trio.move_on_after(self.give_up_s):
+            await sequence.wait_past(0)
+        if not sequence.produced:
+            self._give_up(arrival, router, choice)
+            return
         await trio.sleep(self.network.one_way_s)
         first_s = trio.current_time()
         router.first_token(choice, work, first_s)
         cached_tokens = sequence.cached_tokens
-        if choice.prefill_upstream:
-            sequence = await self._move(choice, request)
-        await sequence.wait_end()
+        done = False
+        with trio.move_on_at(work.deadline_s):
+            if choice.prefill_upstream:
+                sequence = await self._move(choice, request)
+            await sequence.wait_end()
+            done = True
+        if not done:
+            self._give_up(arrival, router, choice)
+            return
         await trio.sleep(self.network.one_way_s)
         now_s = trio.current_time()
         router.finished(
@@ -164,14 +181,24 @@
         )
         self.outcomes.append(outcome)
 
+    def _give_up(
+        self, arrival: Arrival, router: AnyRouter, choice: routing.Choice
+    ) -> None:
+        """Cancel a request whose caller waited too long."""
+        work = arrival.work
+        for engine in self.engines.values():
+            engine.cancel(work.request_id)
+        now_s = trio.current_time()
+        indexed = choice.indexed_tokens
+        router.finished(choice, work, now_s, indexed, 0, False)
+        self.outcomes.append(Outcome(work, arrival.at_s, None, None, 0, ''))
+
     async def _move(
         self, choice: routing.Choice, request: model.Request
     ) -> model.Sequence:
         """Move the KV of a prompt that was read, and go on with output."""
         source = self.engines[choice.reader]
         target = self.engines[choice.upstream]
-        await target.import_kv(source.export_kv(request.hashes))
-        self.transfers += 1
         # The first token is made already; the rest goes on from it.
         rest = request._replace(
             prompt_tokens=request.prompt_tokens + 1,
@@ -179,20 +206,25 @@
         )
         while True:
             try:
+                # Moved when the target has room, not before: KV that waits
+                # there is evicted, and the prompt is then read twice.
+                await target.import_kv(source.export_kv(request.hashes))
+                self.transfers += 1
                 return target.submit(rest)
             except model.RefusedError:
-                # Its role is being changed, or it is full: any other engine
-                # can go on, by reading the prompt again.
-                self.retries += 1
-                others = [
-                    engine
-                    for engine in self.engines.values()
-                    if engine.state == 'serving'
-                ]
-                if not others:
-                    raise
-                target = min(others, key=lambda item: len(item.sequences))
-                await trio.sleep(self.network.one_way_s)
+                target = self._other(target)
+                await trio.sleep(model.IMPORT_RETRY_S)
+
+    def _other(self, target: model.Engine) -> model.Engine:
+        """Return the next engine that makes output, after a refusal."""
+        makers = [
+            engine
+            for engine in self.engines.values()
+            if engine.state == 'serving' and engine.role != 'prefill'
+        ]
+        if target not in makers:
+            return min(makers, key=lambda item: len(item.sequences))
+        return makers[(makers.index(target) + 1) % len(makers)]
 
     async def replay(
         self,
--- a/gentianstair/bench/shifts.py
+++ b/gentianstair/bench/shifts.py
@@ -36,6 +36,9 @@
 # first token within the time that the longest prompts take twice over.
 FIRST_TOKEN_S = 1.5
 TOKEN_S = 0.033
+# A caller without a first token goes away after twice its deadline; without
+# this, a backlog of lost work would decide all that follows.
+GIVE_UP_S = 3.0
 
 
 def engine_s(kind: Kind) -> tuple[float, float]:
--- a/gentianstair/entry/estimates.py
+++ b/gentianstair/entry/estimates.py
@@ -83,11 +83,12 @@
     max_tokens: int,
 ) -> float:
     pressure_s = load.requests * rates.pressure_s * state.slowness
-    over = load.requests + 1 - state.info.concurrent
+    slots = min(load.slots, state.info.concurrent)
+    over = load.requests + 1 - slots
     if over > 0:
         # Its turn comes when sequences end: tokens left, shared out.
         step_s = rates.step_s + load.requests * rates.decode_s
-        pressure_s += over * max_tokens * step_s / state.info.concurrent
+        pressure_s += over * max_tokens * step_s / slots
     return pressure_s
 
 
--- a/gentianstair/entry/loadview.py
+++ b/gentianstair/entry/loadview.py
@@ -1,6 +1,7 @@
 """Estimate an upstream's load from own work and late reports."""
 
 import collections
+import math
 import typing
 
 # Reports that do not say how old their figures are count as this old.
@@ -10,6 +11,8 @@
 HISTORY_S = 10.0
 # After this long without a report, what it said of others' work fades.
 FADE_S = 5.0
+# KV memory in use from which its share tells how many requests fit.
+KV_KNOWN = 0.5
 
 
 class Report(typing.NamedTuple):
@@ -28,7 +31,8 @@
 
     prefill_tokens: float
     requests: float
-    kv_share: float
+    # Requests that its KV memory holds, by what those running take.
+    slots: float
     report_age_s: float
 
 
@@ -117,14 +121,17 @@
         """Return the load as expected now."""
         report = self.report
         if report is None:
-            return Estimate(self.prefill_tokens, self.requests, 0.0, -1.0)
+            return Estimate(self.prefill_tokens, self.requests, math.inf, -1.0)
         age_s = now_s - report.at_s
         fade = min(FADE_S / age_s, 1.0) if age_s > 0.0 else 1.0
-        kv_total = max(report.kv_total_blocks, 1)
+        kv_share = report.kv_used_blocks / max(report.kv_total_blocks, 1)
+        # Few sequences, or little memory in use, say nothing of the rest.
+        known = kv_share > KV_KNOWN and report.running > 1
+        slots = report.running / kv_share if known else math.inf
         return Estimate(
             self.prefill_tokens + self.others_prefill_tokens * fade,
             self.requests + self.others_requests * fade,
-            report.kv_used_blocks / kv_total,
+            slots,
             age_s,
         )
 
--- a/standins/engine/app.py
+++ b/standins/engine/app.py
@@ -344,7 +344,12 @@
         if answer.status_code != 200:
             return {'error': 'no such transfer'}, 404
         hashes = answer.json()['hashes']
-        return {'blocks': await service.engine.import_kv(hashes)}
+        try:
+            await service.engine.import_kv(hashes)
+        except model.RefusedError as error:
+            headers = {'retry-after': str(error.retry_after_s)}
+            return {'error': str(error)}, error.status, headers
+        return {'blocks': len(hashes)}
 
 
 def create_app(
--- a/standins/engine/model.py
+++ b/standins/engine/model.py
@@ -11,6 +11,11 @@
 
 LOAD_STEP_S = 0.05
 LOADS_KEPT = 400
+# How long imported blocks are kept for the request that needs them.
+IMPORT_HOLD_S = 2.0
+IMPORT_RETRY_S = 0.05
+# Room that the output of an import's request needs besides.
+IMPORT_MARGIN_BLOCKS = 32
 
 
 class RefusedError(Exception):
@@ -138,6 +143,10 @@
         self.prompt_tokens_done = 0
         self.output_tokens_done = 0
         self._context_tokens = 0
+        self._importing = 0
+        self._pins: collections.deque[tuple[float, typing.Sequence[int]]] = (
+            collections.deque()
+        )
         self._work = trio.lowlevel.ParkingLot()
         self._idle = trio.lowlevel.ParkingLot()
         self._loads: collections.deque[Load] = collections.deque(
@@ -205,6 +214,7 @@
             await self._step()
 
     def _admit(self) -> None:
+        self._unpin()
         while self.waiting and len(self.running) < self.costs.max_running:
             if not self._start(self.waiting[0]):
                 return
@@ -337,9 +347,34 @@
         """Return the leading blocks that are cached here."""
         return tuple(hashes[: self.cache.match(hashes)])
 
-    async def import_kv(self, hashes: typing.Sequence[int]) -> int:
-        """Cache blocks of another engine after the time the move takes."""
+    async def import_kv(self, hashes: typing.Sequence[int]) -> None:
+        """Cache blocks of another engine after the time the move takes.
+
+        Raise RefusedError if the request that needs them could not start.
+        """
+        self._unpin()
         missing = hashes[self.cache.match(hashes) :]
+        room = self.cache.free - len(missing) - self._importing
+        full = len(self.running) >= self.costs.max_running
+        if self.waiting or full or room < IMPORT_MARGIN_BLOCKS:
+            raise RefusedError(429, IMPORT_RETRY_S)
+        self._importing += len(missing)
         duration_s = costs_module.transfer_s(self.costs, len(missing))
-        await trio.sleep(duration_s * self.options.time_scale)
-        return self.cache.insert(hashes)
+        try:
+            await trio.sleep(duration_s * self.options.time_scale)
+        finally:
+            self._importing -= len(missing)
+        count = self.cache.insert(hashes)
+        # Held for the request that follows: without this, the imports of
+        # other requests evict them while it waits, it reads its prompt
+        # again, and the engine that was to be spared falls behind for good.
+        pinned = hashes[:count]
+        self.cache.reserve(pinned, 0)
+        until_s = trio.current_time() + IMPORT_HOLD_S * self.options.time_scale
+        self._pins.append((until_s, pinned))
+
+    def _unpin(self) -> None:
+        now_s = trio.current_time()
+        while self._pins and self._pins[0][0] <= now_s:
+            _, pinned = self._pins.popleft()
+            self.cache.release(pinned, 0)
