--- a/gentianstair/bench/__main__.py
+++ b/gentianstair/bench/__main__.py
@@ -7,7 +7,7 @@
 from gentianstair import bench
 
 # Modules of this package that are no experiments.
-HELPERS = frozenset({'__main__', 'lines', 'baselines', 'node'})
+HELPERS = frozenset({'__main__', 'lines', 'baselines', 'node', 'plain_relay'})
 
 
 def names() -> list[str]:
--- a/gentianstair/entry/upkeep.py
+++ b/gentianstair/entry/upkeep.py
@@ -1,5 +1,6 @@
 """Keep what an entry process knows of its upstreams up to date."""
 
+import collections.abc
 import typing
 
 import httpx
@@ -16,7 +17,9 @@
 LOAD_INTERVAL_S = 0.5
 LOAD_TIMEOUT_S = 2.0
 EVENTS_WAIT_S = 5.0
+EVENTS_INTERVAL_S = 0.05
 RETRY_S = 1.0
+HTTP_OK = 200
 STATE_ACTIVE = 'active'
 TYPE_ENGINE = 'engine'
 
@@ -62,42 +65,68 @@
     return found
 
 
-async def _get(node: nodes.Node, url: str, limit_s: float) -> typing.Any:
+def decode(body: bytes, kind: type) -> typing.Any:
+    """Return what an engine published; raise DecodeError if it is odd."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise errors.DecodeError(str(error)) from error
+
+
+async def _get(node: nodes.Node, url: str, limit_s: float) -> bytes:
     outgoing = httpx.Request('GET', url)
     opened = relay.open_response(node, outgoing, limit_s)
     async with opened as (found, _):
-        body = await relay.read_all(found)
-    try:
-        return msgspec.json.decode(body)
-    except msgspec.DecodeError as error:
-        raise errors.DecodeError(str(error)) from error
+        if found.status_code != HTTP_OK:
+            raise errors.DecodeError(f'status {found.status_code}')
+        return await relay.read_all(found)
 
 
-async def _follow_load(node: nodes.Node, name: str, url: str) -> None:
+async def repeat(
+    read: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    name: str,
+    interval_s: float,
+) -> None:
+    """Call read again and again; wait longer after it failed.
+
+    An engine that is gone or publishes what we can't read is no reason to
+    stop: its state is then only known less well.
+    """
     while True:
         try:
-            report = await _get(node, f'{url}/load', LOAD_TIMEOUT_S)
-            node.router.on_load(name, report, node.clock())
+            await read()
         except errors.GentianstairError as error:
-            loguru.logger.debug('no load report of {}: {}', name, error)
-        await trio.sleep(LOAD_INTERVAL_S)
+            loguru.logger.debug('no report of {}: {}', name, error)
+            await trio.sleep(RETRY_S)
+        else:
+            await trio.sleep(interval_s)
+
+
+async def _follow_load(node: nodes.Node, name: str, url: str) -> None:
+    async def read() -> None:
+        body = await _get(node, f'{url}/load', LOAD_TIMEOUT_S)
+        report = decode(body, messages.LoadReport)
+        node.router.on_load(name, report, node.clock())
+
+    await repeat(read, name, LOAD_INTERVAL_S)
 
 
 async def _follow_cache(node: nodes.Node, name: str, url: str) -> None:
     after = 0
-    while True:
-        try:
-            path = f'/cache-events?after={after}&wait_s={EVENTS_WAIT_S}'
-            found = await _get(node, url + path, EVENTS_WAIT_S + 2.0)
-            events = found['events']
-            gap = bool(events) and events[0]['seq'] > after + 1
-            # An engine that started anew counts from the start again.
-            gap = gap or found['next'] < after
-            after = found['next']
-            node.router.on_cache_events(name, events, gap)
-        except (errors.GentianstairError, KeyError, TypeError) as error:
-            loguru.logger.debug('no cache events of {}: {}', name, error)
-            await trio.sleep(RETRY_S)
+
+    async def read() -> None:
+        nonlocal after
+        path = f'/cache-events?after={after}&wait_s={EVENTS_WAIT_S}'
+        body = await _get(node, url + path, EVENTS_WAIT_S + LOAD_TIMEOUT_S)
+        found = decode(body, messages.CacheEvents)
+        events = found['events']
+        gap = bool(events) and events[0]['seq'] > after + 1
+        # An engine that started anew counts from the start again.
+        gap = gap or found['next'] < after
+        after = found['next']
+        node.router.on_cache_events(name, events, gap)
+
+    await repeat(read, name, EVENTS_INTERVAL_S)
 
 
 async def _follow(node: nodes.Node, name: str, url: str) -> None:
