Write relayed tokens straight to the socket when it takes them

Cause: py-spy put a third of a relayed token's cost in the server's write: a lock, a shielded scope and trio's send for each chunk. The same shield made a write to a caller that stopped reading wait for ever, so the stall guard could not free the engine's slot. Ruled out: Quart's responses (bypassed already), h11 framing (3 %). Change: our server writes at once what the kernel takes, waits for the rest at most caller_stall_s and then cuts; the upstream guard moves its deadline in steps of an eighth. The naive twin now runs on hypercorn's own server.

--- a/gentianstair/bench/plain_relay.py
+++ b/gentianstair/bench/plain_relay.py
@@ -8,6 +8,8 @@
 import argparse
 
 import httpx
+import hypercorn.config
+import hypercorn.trio
 import quart
 import quart_trio
 import trio
@@ -51,9 +53,11 @@
     args = parser.parse_args(argv)
     sock = serving.listen(args.listen)
     host, port = sock.getsockname()[:2]
+    config = hypercorn.config.Config()
+    # Hypercorn's own server, not the one the entry process uses.
+    config.bind = [f'fd://{sock.detach()}']
     print(f'listening {host}:{port}', flush=True)
-    app = create_app(args.upstream)
-    trio.run(serving.serve, app, sock, serving.wait_for_stop, 1.0)
+    trio.run(hypercorn.trio.serve, create_app(args.upstream), config)
 
 
 if __name__ == '__main__':
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -54,26 +54,29 @@
 
 
 class Guard:
-    """End a try that stands still, for whichever side it waits.
+    """End a try whose upstream has fallen silent.
 
-    An engine that falls silent counts as lost and another goes on. A caller
-    that stops reading would hold the engine's slot for as long as it likes;
-    it is given up, and its engine is not blamed.
+    Moving a deadline at each token costs more than it is worth, so it moves
+    in steps: a silence ends after limit_s at the least and an eighth more at
+    the most. While the caller is written to, the wait is not the
+    upstream's, and the server bounds it.
     """
 
-    def __init__(self, scope: trio.CancelScope) -> None:
+    def __init__(self, scope: trio.CancelScope, limit_s: float) -> None:
         self._scope = scope
+        self._limit_s = limit_s
+        self._step_s = limit_s / 8
+        self._next_s = 0.0
         self.caller_waits = False
+        self.progress()
 
-    def wait_upstream(self, limit_s: float) -> None:
-        """Allow the upstream limit_s from now on."""
+    def progress(self) -> None:
+        """Note that the upstream sent something."""
         self.caller_waits = False
-        self._scope.deadline = trio.current_time() + limit_s
-
-    def wait_caller(self, limit_s: float) -> None:
-        """Allow the caller limit_s from now on."""
-        self.caller_waits = True
-        self._scope.deadline = trio.current_time() + limit_s
+        now_s = trio.current_time()
+        if now_s >= self._next_s:
+            self._next_s = now_s + self._step_s
+            self._scope.deadline = now_s + self._limit_s + self._step_s
 
 
 @contextlib.asynccontextmanager
@@ -83,8 +86,7 @@
     """Yield the response at its headers, and the guard of its body."""
     response = None
     with trio.CancelScope() as scope:
-        guard = Guard(scope)
-        guard.wait_upstream(stall_s)
+        guard = Guard(scope, stall_s)
         try:
             response = await node.transport.handle_async_request(outgoing)
             yield response, guard
@@ -171,7 +173,7 @@
                     await self._refused(found)
                     return streams.Usage()
                 await self._start()
-                await self._copy(found, tried, guard, stall_s)
+                await self._copy(found, tried, guard)
             self.answer.ending()
         finally:
             # Each run is billed by itself, also one that was cut, since
@@ -210,11 +212,9 @@
         found: httpx.Response,
         tried: tries.Try,
         guard: Guard,
-        stall_s: float,
     ) -> None:
         answer = self.answer
         write = self._exchange.write
-        caller_stall_s = self._node.settings.caller_stall_s
         first = True
         async for data in found.stream:
             out = answer.feed(data)
@@ -222,9 +222,9 @@
                 if first:
                     first = False
                     tried.first_token()
-                guard.wait_caller(caller_stall_s)
+                guard.caller_waits = True
                 await write(out)
-            guard.wait_upstream(stall_s)
+            guard.progress()
 
     async def run(self) -> streams.Usage:
         """Stream the whole answer; raise RequestError if it can't be had."""
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -21,7 +21,7 @@
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 65536
-IDLE_CONNECTIONS = 64
+IDLE_CONNECTIONS = 256
 HTTPS_PORT = 443
 HTTP_PORT = 80
 
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -1,13 +1,20 @@
 """Serve an application on listening sockets until it is stopped."""
 
 import collections.abc
+import functools
+import math
+import os
 import signal
 import socket
 import ssl
 import typing
 
+from hypercorn import app_wrappers
+from hypercorn import events
 import hypercorn.config
-import hypercorn.trio
+from hypercorn.trio import lifespan
+from hypercorn.trio import tcp_server
+from hypercorn.trio import worker_context
 import trio
 
 from gentianstair import errors
@@ -18,19 +25,6 @@
 KEEP_ALIVE_S = 75.0
 
 
-class _Config(hypercorn.config.Config):
-    """A configuration with a TLS context of ours, which can be reloaded."""
-
-    context: ssl.SSLContext | None = None
-
-    def create_ssl_context(self) -> ssl.SSLContext | None:
-        return self.context
-
-    @property
-    def ssl_enabled(self) -> bool:
-        return self.context is not None
-
-
 def listen(address: str, reuse_port: bool = False) -> socket.socket:
     """Return a listening socket; raise UserError if it can't be had.
 
@@ -57,26 +51,124 @@
     return host.startswith('127.') or host == '::1'
 
 
+class _Server(tcp_server.TCPServer):
+    """A connection whose writes are cheap and never wait for ever.
+
+    The server's own write takes a lock and a shielded scope each time, a
+    third of what a relayed token costs, and waits without limit for a
+    caller that has stopped reading, which would hold an engine's slot.
+    """
+
+    stall_s = math.inf
+    _fd: int | None = None
+
+    async def run(self) -> None:
+        if isinstance(self.stream, trio.SocketStream):
+            self._fd = self.stream.socket.fileno()
+        await super().run()
+
+    async def protocol_send(self, event: events.Event) -> None:
+        if not isinstance(event, events.RawData):
+            await super().protocol_send(event)
+            return
+        data = event.data
+        if self._fd is not None and not self.send_lock.locked():
+            data = data[self._write_now(data) :]
+        if data:
+            await self._write_all(data)
+
+    def _write_now(self, data: bytes) -> int:
+        """Return how much the kernel took at once."""
+        if self.stream.socket.fileno() < 0:
+            # Closed meanwhile; its number may belong to another socket.
+            return 0
+        try:
+            return os.write(self._fd, data)
+        except OSError:
+            # Full, or broken: the ordinary way waits, or reports it.
+            return 0
+
+    async def _write_all(self, data: bytes) -> None:
+        async with self.send_lock:
+            with trio.CancelScope(shield=True) as scope:
+                scope.deadline = trio.current_time() + self.stall_s
+                try:
+                    await self.stream.send_all(data)
+                    return
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    pass
+        if scope.cancelled_caught:
+            # Cut off in the middle, the answer cannot go on.
+            await trio.aclose_forcefully(self.stream)
+        await self.protocol.handle(events.Closed())
+
+
+def _make_listener(
+    sock: socket.socket, context: ssl.SSLContext | None
+) -> trio.abc.Listener:
+    listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+    if context is None:
+        return listener
+    return trio.SSLListener(listener, context, https_compatible=True)
+
+
+def _make_config(graceful_timeout_s: float) -> hypercorn.config.Config:
+    config = hypercorn.config.Config()
+    config.accesslog = None
+    config.errorlog = None
+    config.include_server_header = False
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.graceful_timeout = graceful_timeout_s
+    return config
+
+
 async def serve(
     app: typing.Any,
     sock: socket.socket,
     shutdown: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     graceful_timeout_s: float,
     context: ssl.SSLContext | None = None,
+    stall_s: float = math.inf,
 ) -> None:
-    """Serve until shutdown returns, then until running answers ended."""
-    config = _Config()
-    # Hypercorn closes the descriptor it is given. Detached, it is not closed
-    # a second time when sock is collected, by when it may be another socket.
-    config.bind = [f'fd://{sock.detach()}']
-    config.context = context
-    config.accesslog = None
-    config.errorlog = None
-    config.include_server_header = False
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.graceful_timeout = graceful_timeout_s
-    await hypercorn.trio.serve(app, config, shutdown_trigger=shutdown)
+    """Serve until shutdown returns, then until running answers ended.
+
+    A caller that reads nothing for stall_s is cut off.
+    """
+    config = _make_config(graceful_timeout_s)
+    wrapped = app_wrappers.ASGIWrapper(app)
+    state: dict[str, typing.Any] = {}
+    life = lifespan.Lifespan(wrapped, config, state)
+    worker = worker_context.WorkerContext(None)
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        server = _Server(wrapped, config, worker, state, stream)
+        server.stall_s = stall_s
+        await server.run()
+
+    async with trio.open_nursery() as life_nursery:
+        await life_nursery.start(life.handle_lifespan)
+        await life.wait_for_startup()
+        async with trio.open_nursery() as connections:
+            listener = _make_listener(sock, context)
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    functools.partial(
+                        trio.serve_listeners,
+                        handle,
+                        [listener],
+                        handler_nursery=connections,
+                    )
+                )
+                await shutdown()
+                accepting.cancel_scope.cancel()
+            # Idle connections close now, busy ones after their answer.
+            await worker.terminated.set()
+            connections.cancel_scope.deadline = (
+                trio.current_time() + graceful_timeout_s
+            )
+        await life.wait_for_shutdown()
+        life_nursery.cancel_scope.cancel()
 
 
 async def wait_for_stop() -> None:
