Explore leases and engine orders under seeded failures

Change: standins/chaos.py runs lease and order code under delays, lost requests and answers, late writes, answers from the past, pauses that stop timers, crashes, an unavailable store and stopped engines; standins/checkers.py reads the history; epochs follow the store's revision and are unique in a process. Ruled out: counters for epochs, as an engine that moves between scopes would refuse the new scope for ever.

--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from loguru import logger
+import loguru
 import msgspec
 import prometheus_client
 import trio
@@ -102,6 +102,7 @@
         self._terms = terms
         self._sights: dict[str, _Sight] = {}
         self._scopes: dict[str, Role] = {}
+        self._highest_epoch = 0
         self._running: dict[str, trio.CancelScope] = {}
         self.candidates: tuple[str, ...] = (holder,)
         self.held: dict[str, Authority] = {}
@@ -194,9 +195,11 @@
         # The epoch is higher also when the last holder was this process:
         # what it ordered before its lapse must not pass for current. It
         # follows the store's revision, so that the epochs of different
-        # scopes compare when an engine moves from one to another.
+        # scopes compare when an engine moves from one to another, and no
+        # two epochs of a process are the same.
         last_epoch = 0 if sight.value is None else sight.value['epoch']
-        epoch = max(revision, last_epoch) + 1
+        epoch = max(revision, last_epoch, self._highest_epoch) + 1
+        self._highest_epoch = epoch
         authority = Authority(scope, self._holder, epoch, self._clock)
         authority.version = sight.item.version
         with trio.CancelScope() as cancel_scope:
@@ -258,7 +261,7 @@
         try:
             await role(authority)
         except* errors.LeaseLostError as group:
-            logger.info('role stopped: {}', group.exceptions[0])
+            loguru.logger.info('role stopped: {}', group.exceptions[0])
         authority.end()
 
     async def _renew(self, authority: Authority) -> None:
--- a/gentianstair/control/orders.py
+++ b/gentianstair/control/orders.py
@@ -4,7 +4,7 @@
 import collections.abc
 import typing
 
-from loguru import logger
+import loguru
 import msgspec
 import prometheus_client
 import trio
@@ -196,7 +196,7 @@
             found = again
         applied = _is_order(found, last)
         LEFT_OVER.labels('applied' if applied else 'not_applied').inc()
-        logger.info('left-over order of {}: {}', engine.name, found)
+        loguru.logger.info('left-over order of {}: {}', engine.name, found)
         order = orders_client.Order(
             last['epoch'],
             last['order_number'],
@@ -216,7 +216,9 @@
         found = await self._client.last(engine.url)
         if not _is_order(found, last):
             FOREIGN.inc()
-            logger.error('{} took a foreign order: {}', engine.name, found)
+            loguru.logger.error(
+                '{} took a foreign order: {}', engine.name, found
+            )
 
     async def _read(self, engine: Engine) -> _Record:
         item = await self._store.get(KIND, engine.name, purpose=PURPOSE)
--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -80,9 +80,12 @@
             length_s = self.world.random.uniform(0, self.chances.pause_s)
             self._paused_until_s = trio.current_time() + length_s
         limit_s = self.chances.delay_s
-        await trio.sleep(self.world.random.uniform(0, limit_s))
-        while trio.current_time() < self._paused_until_s:
-            await trio.sleep_until(self._paused_until_s)
+        # A stopped process runs no timers, so nothing cancels it; when it
+        # goes on, it may take its next step before it sees one expired.
+        with trio.CancelScope(shield=True):
+            await trio.sleep(self.world.random.uniform(0, limit_s))
+            while trio.current_time() < self._paused_until_s:
+                await trio.sleep_until(self._paused_until_s)
 
 
 class ChaosStore(memory_store.MemoryStore):
@@ -91,6 +94,8 @@
     def __init__(self, process: Process) -> None:
         super().__init__(process.world.table)
         self._process = process
+        # Kinds that this client can't write, as if their writes got lost.
+        self.cut_kinds: set[str] = set()
 
     async def _enter(self, purpose: str) -> None:
         self.calls[purpose] += 1
@@ -130,6 +135,8 @@
     ) -> int:
         """See Store.put."""
         await self._enter(purpose)
+        if kind in self.cut_kinds:
+            raise errors.StoreUnknownError('the request was lost')
         chances = self._process.chances
         if self._process.chance(chances.lose_request):
             raise errors.StoreUnknownError('the request was lost')
@@ -188,6 +195,19 @@
             'state': 'none',
         }
         self._highest_epoch = 0
+        self._frozen_until_s = 0.0
+
+    async def run_freezes(self, longest_s: float) -> None:
+        """Stop the engine now and then, with what it has not read yet."""
+        while True:
+            await trio.sleep(self.world.random.uniform(0, 100.0))
+            length_s = self.world.random.uniform(0, longest_s)
+            self._frozen_until_s = trio.current_time() + length_s
+
+    async def wake(self) -> None:
+        """Wait until the engine runs."""
+        while trio.current_time() < self._frozen_until_s:
+            await trio.sleep_until(self._frozen_until_s)
 
     def take(self, order: orders_client.Order) -> orders_client.Outcome:
         """Take one order as it arrives."""
@@ -209,11 +229,12 @@
     """
 
     def __init__(
-        self, process: Process, engines: dict[str, Engine], lifetime_s: float
+        self, process: Process, engines: dict[str, Engine], timeout_s: float
     ) -> None:
         self._process = process
         self._engines = engines
-        self._lifetime_s = lifetime_s
+        self._timeout_s = timeout_s
+        self.chances = process.chances
 
     async def send(
         self,
@@ -235,7 +256,7 @@
             self._process.world.nursery.start_soon(
                 self._deliver, engine, order, left_s, arrived, outcomes
             )
-        with trio.move_on_after(self._lifetime_s):
+        with trio.move_on_after(self._timeout_s):
             await arrived.wait()
             await self._process.step()
             if not self._process.chance(self._process.chances.lose_answer):
@@ -250,20 +271,25 @@
         arrived: trio.Event,
         outcomes: list[orders_client.Outcome],
     ) -> None:
-        chances = self._process.chances
+        chances = self.chances
         if self._process.chance(chances.lose_request):
             return
-        delay_s = min(chances.delay_s, left_s)
+        delay_s = min(chances.delay_s, left_s / 2)
         if self._process.chance(chances.late):
-            delay_s = left_s
+            delay_s = left_s / 2
         random_delay_s = self._process.world.random.uniform(0, delay_s)
         await trio.sleep(random_delay_s)
+        # What waits in the kernel of a stopped engine is read when it goes
+        # on, in any order with requests that come then.
+        await engine.wake()
+        await trio.sleep(random_delay_s)
         outcomes.append(engine.take(order))
         arrived.set()
 
     async def last(self, url: str) -> messages.LastOrder:
         """See OrdersClient.last."""
         await self._process.step()
+        await self._engines[url].wake()
         found = self._engines[url].last
         await self._process.step()
         if self._process.chance(self._process.chances.refuse):
--- a/test/control/test_authority.py
+++ b/test/control/test_authority.py
@@ -11,6 +11,7 @@
 
 TERMS = lease.Terms(12.0, 1.0)
 LIFETIME_S = 6.0
+TIMEOUT_S = 1.0
 SCOPES = ('north', 'south')
 RUN_S = 600.0
 CHANCES = chaos.Chances()
@@ -24,9 +25,10 @@
         self.process = chaos.Process(world, name, chances)
         self.store = chaos.ChaosStore(self.process)
         self.engines = engines
+        self.client = chaos.ChaosOrders(self.process, engines, TIMEOUT_S)
         self.orders = orders.make_orders(
             self.store,
-            chaos.ChaosOrders(self.process, engines, LIFETIME_S),
+            self.client,
             self.process.clock,
             LIFETIME_S,
         )
@@ -84,7 +86,7 @@
     """Do nothing in place of the release."""
 
 
-async def explore(seed, chances=CHANCES, idle_s=LIFETIME_S):
+async def explore(seed, chances=CHANCES, idle_s=LIFETIME_S, freeze_s=0.0):
     """Run three processes over four engines; return the world."""
     async with trio.open_nursery() as nursery:
         world = chaos.World(seed, nursery)
@@ -93,6 +95,9 @@
             for scope in SCOPES
             for name in (f'{scope}-new', f'{scope}-old')
         }
+        if freeze_s:
+            for engine in engines.values():
+                nursery.start_soon(engine.run_freezes, freeze_s)
         for name in ('a', 'b', 'c'):
             nursery.start_soon(live, world, name, engines, chances)
         with trio.move_on_after(RUN_S):
@@ -136,3 +141,70 @@
     epochs = {e.data['epoch'] for e in applied}
     assert len(applied) > 50
     assert len(epochs) > 5
+
+
+@pytest.mark.promise
+@pytest.mark.parametrize('seed', range(6))
+async def test_stopped_engine_never_holds_conflicting_orders(
+    seed, autojump_clock
+):
+    """Engines are stopped for up to a minute with an order not yet read.
+
+    When one goes on, it reads the old order after a successor has asked it
+    for its last one. The old order may take effect late then, as a stopped
+    engine cannot be fenced, but never after an order of the successor.
+    """
+    world = await explore(seed, freeze_s=60.0)
+    assert acts_out_of_order(world.events) == []
+    assert checkers.check_conflicting_orders(world.events) == []
+
+
+@pytest.mark.promise
+async def test_explorer_shows_the_window_of_patient_engines(autojump_clock):
+    """An engine keeps silent connections open for a minute.
+
+    A holder frozen between its check and its send wakes after its lease
+    has lapsed, and the engine that ignores epochs takes its order. This is
+    the window that docs/design/authority.md states; engines must close
+    silent connections within the order lifetime.
+    """
+    found = []
+    for seed in range(4):
+        world = await explore(seed, idle_s=60.0)
+        found += checkers.check_stale_orders(world.events)
+    assert found
+
+
+@pytest.mark.promise
+@pytest.mark.parametrize('seed', range(6))
+async def test_order_under_way_ends_before_the_lease(seed, autojump_clock):
+    """A holder's renewals get lost while its other calls go through.
+
+    It orders engines to the last moment, over a slow network. No order may
+    arrive after another has taken over, so none is sent that could.
+    """
+    calm = chaos.Chances(0.01, 0, 0, 0, 0, 0, 0, 0)
+    async with trio.open_nursery() as nursery:
+        world = chaos.World(seed, nursery)
+        engines = {
+            name: chaos.Engine(world, name, False, LIFETIME_S)
+            for name in ('north-old', 'south-old')
+        }
+        for name in ('a', 'b'):
+            control = Control(world, name, engines, calm)
+            control.client.chances = calm._replace(late=1.0)
+            nursery.start_soon(control.run)
+            nursery.start_soon(cut_now_and_then, control)
+        await trio.sleep(RUN_S)
+        nursery.cancel_scope.cancel()
+    assert checkers.check_stale_orders(world.events) == []
+    assert checkers.check_conflicting_orders(world.events) == []
+    assert len({e.data['epoch'] for e in world.events if e.type == 'act'}) > 9
+
+
+async def cut_now_and_then(control):
+    while True:
+        control.store.cut_kinds = set()
+        await trio.sleep(control.world.random.uniform(5.0, 60.0))
+        control.store.cut_kinds = {lease.KIND}
+        await trio.sleep(20.0)
