--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -19,6 +19,7 @@
 PURPOSE = 'lease'
 # A holder renews, and a candidate looks, this often in a duration.
 RENEWALS = 3
+NEVER_S = 1e6
 # Candidates that a scope does not prefer wait this share of a duration
 # longer for each that it prefers to them.
 RANK_WAIT = 0.5
@@ -103,10 +104,15 @@
         self._sights: dict[str, _Sight] = {}
         self._scopes: dict[str, Role] = {}
         self._highest_epoch = 0
+        self._looked_at_s = clock() - NEVER_S
         self._running: dict[str, trio.CancelScope] = {}
         self.candidates: tuple[str, ...] = (holder,)
         self.held: dict[str, Authority] = {}
 
+    def look_age_s(self) -> float:
+        """Return how long ago the leases were last seen in the store."""
+        return self._clock() - self._looked_at_s
+
     async def run(
         self, scopes: collections.abc.Callable[[], dict[str, Role]]
     ) -> None:
@@ -128,6 +134,7 @@
             listing = await self._store.list(KIND, purpose=PURPOSE)
         except errors.StoreError:
             return
+        self._looked_at_s = self._clock()
         found = {item.name: item for item in listing.objects}
         preferred = preference.assign(self._scopes, self.candidates)
         for scope in self._scopes:
--- a/gentianstair/control/orders.py
+++ b/gentianstair/control/orders.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import typing
 
 import loguru
@@ -16,6 +17,7 @@
 from gentianstair.platform import settled
 from gentianstair.platform import store as stores
 from gentianstair.upstreams import orders_client
+from gentianstair.util import audit
 from gentianstair.util import clock as clocks
 
 KIND = 'engine-order'
@@ -58,15 +60,7 @@
         """See OrdersClient.last."""
 
 
-Audit = collections.abc.Callable[
-    [str, str, dict | None, dict | None], collections.abc.Awaitable[None]
-]
-
-
-async def _no_audit(
-    action: str, target: str, before: dict | None, after: dict | None
-) -> None:
-    """Record nothing."""
+_TAKEN = (orders_client.Outcome.DONE, orders_client.Outcome.ACCEPTED)
 
 
 class _Record(typing.NamedTuple):
@@ -90,13 +84,11 @@
         client: OrderClient,
         clock: clocks.Clock,
         lifetime_s: float,
-        audit: Audit = _no_audit,
     ) -> None:
         self._store = store
         self._client = client
         self._clock = clock
         self._lifetime_s = lifetime_s
-        self._audit = audit
         self._locks: dict[str, trio.Lock] = collections.defaultdict(trio.Lock)
 
     async def order(
@@ -126,16 +118,34 @@
                 argument,
             )
             authority.check()
-            record = await self._write(engine, record, order, 'intended')
-            outcome = await self._send(authority, engine, record, order)
-        await self._audit(
-            f'order-{type_}',
-            f'engine/{engine.name}',
-            typing.cast(dict | None, last),
-            {**order._asdict(), 'outcome': outcome.value},
-        )
+            entry = audit.make_entry(
+                authority.holder,
+                f'order {type_}',
+                f'{KIND}/{engine.name}',
+                typing.cast(stores.Value | None, last),
+                order._asdict(),
+            )
+            change = await audit.record(self._store, entry)
+            ended = audit.Outcome.UNKNOWN
+            try:
+                record = await self._write(
+                    engine, record, order, 'intended', change
+                )
+                outcome = await self._send(authority, engine, record, order)
+                ended = audit.Outcome.DONE
+                if outcome not in _TAKEN:
+                    ended = audit.Outcome.REFUSED
+            finally:
+                # The order is settled by now; a lost outcome of the trail
+                # is settled by the name of its entry in the record.
+                with contextlib.suppress(errors.StoreError):
+                    await audit.conclude(self._store, change, ended)
         return outcome
 
+    async def last(self, url: str) -> messages.LastOrder:
+        """Return the last order of the engine at url; raise UpstreamError."""
+        return await self._client.last(url)
+
     async def _send(
         self,
         authority: lease.Authority,
@@ -233,6 +243,7 @@
         record: _Record,
         order: orders_client.Order,
         state: str,
+        change: str | None = None,
     ) -> _Record:
         value: messages.EngineOrderValue = {
             'epoch': order.epoch,
@@ -242,6 +253,7 @@
             'argument': order.argument,
             'state': state,
             'nonce': settled.new_nonce(),
+            'change': change or record.value['change'],
         }
         version = await settled.put(
             self._store,
@@ -268,11 +280,10 @@
     client: OrderClient,
     clock: clocks.Clock,
     lifetime_s: float,
-    audit: Audit = _no_audit,
 ) -> Orders:
     """Return the orders of a process.
 
     lifetime_s bounds how long an order can be on its way; it must be above
     the time after which engines close a connection that sends nothing.
     """
-    return Orders(store, client, clock, lifetime_s, audit)
+    return Orders(store, client, clock, lifetime_s)
--- a/gentianstair/control/upstream_orders.py
+++ b/gentianstair/control/upstream_orders.py
@@ -1,5 +1,6 @@
 """Order upstreams from the platform, by failure domain, exactly once."""
 
+import contextlib
 import typing
 
 import msgspec
@@ -12,6 +13,7 @@
 from gentianstair.platform import orders
 from gentianstair.platform import settled
 from gentianstair.platform import store as stores
+from gentianstair.util import audit
 
 KIND = 'upstream-order'
 PURPOSE = 'upstream-order'
@@ -72,10 +74,23 @@
                 'token': f'{authority.scope}-{number}',
                 'state': 'intended',
                 'nonce': settled.new_nonce(),
+                'change': '',
             }
             authority.check()
+            entry = audit.make_entry(
+                authority.holder,
+                f'order {order.type}',
+                f'{KIND}/{authority.scope}',
+                typing.cast(stores.Value | None, last),
+                order._asdict(),
+            )
+            value['change'] = await audit.record(self._store, entry)
             version = await self._write(authority, value, version)
             await self._send(authority, value, version)
+            with contextlib.suppress(errors.StoreError):
+                await audit.conclude(
+                    self._store, value['change'], audit.Outcome.DONE
+                )
             return value['token']
 
     async def resume(self, authority: lease.Authority) -> None:
