Prepare roles for a shift while it costs little

Cause: from mixed engines the first change came 11 s after the shift, under full load, when each change takes an engine away for 8 to 12 s. Now a calm group moves to the plan that stands a move of the prompt share by 0.3 either way best. Prefill strain was dropped from the model: what prefill engines do not take shows in mixed ones, and it barred plans that run well.

--- a/gentianstair/bench/shifts.py
+++ b/gentianstair/bench/shifts.py
@@ -53,7 +53,7 @@
     """Return the part of requests that read, for a share of prompt work.
 
     >>> round(reading_part(0.7), 2)
-    0.81
+    0.56
     """
     read_prompt, read_output = engine_s(READING)
     draft_prompt, draft_output = engine_s(DRAFTING)
--- a/gentianstair/control/roles.py
+++ b/gentianstair/control/roles.py
@@ -28,6 +28,12 @@
     repay_s: float = 45.0
     # Part of the engines that may change at once, at least one.
     changing_share: float = 0.2
+    # A plan that is fine now is still left for one that would strain so much
+    # less if the share of prompts moved by so much either way, as long as
+    # the change itself strains little.
+    prepare_share: float = 0.3
+    prepare_better: float = 0.1
+    prepare_hold_s: float = 8.0
     # Most that the engines that stay may work while one is away.
     floor: float = 1.6
 
@@ -126,7 +132,7 @@
         slow = self.slow.demand(now_s)
         current = self._strain(fast, now)
         if current < policy.fine:
-            return None
+            return self._prepare(slow, now)
         plan, strain = strains.best(self.rates, fast, sum(now))
         gain = current - strain.worst
         # The slow average must not say the opposite.
@@ -138,8 +144,43 @@
         won = (_loss(current) - _loss(strain.worst)) * policy.repay_s
         return plan if won > lost else None
 
+    def _prepare(
+        self, slow: demands.Demand, now: strains.Plan
+    ) -> strains.Plan | None:
+        """Return a plan that stands a shift better, if there is one.
+
+        A change under full load costs most, so it is made before, while it
+        costs little.
+        """
+        total = sum(now)
+        plans = [strains.Plan(count, total - count) for count in range(total)]
+        fine = [
+            plan
+            for plan in plans
+            if self._strain(slow, plan) < self.policy.fine
+        ]
+        if not fine:
+            return None
+        found = min(fine, key=lambda plan: self._shift_strain(slow, plan))
+        least = self._shift_strain(slow, found)
+        gain = self._shift_strain(slow, now) - least
+        return found if gain >= self.policy.prepare_better else None
+
+    def _shift_strain(
+        self, demand: demands.Demand, plan: strains.Plan
+    ) -> float:
+        """Return the worst strain of a plan if the mix shifts or stays."""
+        points = self.policy.prepare_share
+        return max(
+            self._strain(strains.shifted(self.rates, demand, move), plan)
+            for move in (-points, 0.0, points)
+        )
+
     def _is_due(self, now: strains.Plan, now_s: float) -> bool:
         current = self._strain(self.fast.demand(now_s), now)
+        if current < self.policy.fine:
+            held_s = now_s - self._direction_since_s
+            return held_s >= self.policy.prepare_hold_s
         hold_s = self.policy.hold_s / (1.0 + 2.0 * _loss(current))
         return now_s - self._direction_since_s >= hold_s
 
--- a/gentianstair/control/strain.py
+++ b/gentianstair/control/strain.py
@@ -2,8 +2,9 @@
 
 A mixed engine's time is shared: with u the part that its prompt tokens and
 the own cost of its sequences take, a step of fixed cost s stretches to
-s / (1 - u), and that is the time between tokens. A prefill engine only
-queues. Both are told as strain: 1 means the target is just met.
+s / (1 - u), and that is the time between tokens. A prefill engine takes
+prompts until its queue would grow; mixed engines read the rest. Strain is
+told against targets: 1 means one is just met.
 """
 
 import typing
@@ -26,6 +27,9 @@
     # Part of a prefill engine's time past which queues grow too long.
     prefill_busy: float = 0.75
     kv_busy: float = 0.9
+    # Engine time of an output token with its part of the fixed step cost, at
+    # a usual batch of 30 sequences.
+    output_token_s: float = 0.0005
 
 
 DEFAULT = Rates()
@@ -39,19 +43,21 @@
 
 
 class Strain(typing.NamedTuple):
-    """Strain of a plan's prefill engines, steps and KV memory."""
+    """Strain of a plan's mixed engines: their steps and KV memory.
+
+    Prefill engines show in what they leave for mixed ones to read.
+    """
 
-    prefill: float
     step: float
     kv: float
 
     @property
     def worst(self) -> float:
-        """Return the greatest of the three."""
+        """Return the greater of the two."""
         return max(self)
 
 
-IMPOSSIBLE = Strain(10.0, 10.0, 10.0)
+IMPOSSIBLE = Strain(10.0, 10.0)
 
 
 def prefill_tokens_per_s(rates: Rates) -> float:
@@ -90,13 +96,30 @@
     # By Little's law so many tokens of context are held at once.
     held = demand.output_tokens_per_s * step_s * demand.context_tokens
     room = plan.mixed * rates.kv_tokens * rates.kv_busy
-    prefill = read / limit if limit else 0.0
-    # Prefill engines that are full are no fault while mixed ones have room.
-    if rest == 0.0:
-        prefill *= 0.9
-    else:
-        prefill = min(busy / allowed, 1.0)
-    return Strain(prefill, busy / allowed, held / room)
+    return Strain(busy / allowed, held / room)
+
+
+def shifted(
+    rates: Rates, demand: demands.Demand, points: float
+) -> demands.Demand:
+    """Return as much work with another share of it in prompts.
+
+    >>> now = demands.Demand(2000.0, 1600.0, 500.0)
+    >>> then = shifted(DEFAULT, now, 0.3)
+    >>> then.prompt_tokens_per_s > 2000.0 > 1600.0 > then.output_tokens_per_s
+    True
+    """
+    prompt = demand.prompt_tokens_per_s * rates.prompt_token_s
+    output = demand.output_tokens_per_s * rates.output_token_s
+    total = prompt + output
+    if not total:
+        return demand
+    share = min(max(prompt / total + points, 0.05), 0.95)
+    return demands.Demand(
+        total * share / rates.prompt_token_s,
+        total * (1.0 - share) / rates.output_token_s,
+        demand.context_tokens,
+    )
 
 
 def best(
