Use only bundles that were signed off, and keep the one before

A node took any accepted bundle, signed or not, and an old signed one copied under a new number; and it refused every request while the number was ahead of its bundle. The view now checks signature and number and keeps the bundle before. A broken upstream object was listed without a value, which would have stopped every entry process; it is no longer listed.

--- a/gentianstair/config/view.py
+++ b/gentianstair/config/view.py
@@ -2,10 +2,12 @@
 
 import typing
 
+import loguru
 import msgspec
 import trio
 import xxhash
 
+from gentianstair.config import bundles
 from gentianstair.generated import messages
 from gentianstair.platform import store
 
@@ -53,7 +55,8 @@
     so nothing ever reverts. Deletions stay as objects without a value.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, bundle_public_key: str = '') -> None:
+        self._bundle_public_key = bundle_public_key
         self.objects: dict[tuple[str, str], store.StoredObject] = {}
         self.revision = 0
         # Exclusive or of the digests of all objects, whole and by bucket,
@@ -65,6 +68,7 @@
         self._invalid: set[tuple[str, str]] = set()
         # The highest bundle number that was ever accepted.
         self._accepted_number = 0
+        self._in_force: messages.BundleValue | None = None
         self._changed = trio.lowlevel.ParkingLot()
 
     def apply(
@@ -78,6 +82,7 @@
                 continue
             self._set(item, known)
             taken.append(item)
+        self._put_in_force()
         if taken:
             self._changed.unpark_all()
         return taken
@@ -87,7 +92,7 @@
     ) -> None:
         place = (item.kind, item.name)
         self._invalid.discard(place)
-        if not _is_valid(item):
+        if not _is_valid(item) or not self._may_use_bundle(item):
             self._invalid.add(place)
         elif item.kind == 'accepted' and item.value is not None:
             # Withdrawing accepts a higher number with the older content. A
@@ -103,6 +108,34 @@
         self.buckets[_bucket(item)] ^= change
         self.revision = max(self.revision, item.version)
 
+    def _may_use_bundle(self, item: store.StoredObject) -> bool:
+        """Say whether an object is no bundle, or one that was signed off.
+
+        A signed bundle copied under a higher number would put the older
+        content in force, so the name must be the number that was signed.
+        """
+        if item.kind != 'bundle' or item.value is None:
+            return True
+        bundle = typing.cast(messages.BundleValue, item.value)
+        allowed = str(bundle['number']) == item.name and (
+            not self._bundle_public_key
+            or bundles.is_signed(bundle, self._bundle_public_key)
+        )
+        if not allowed:
+            loguru.logger.error('bundle {} is not signed off', item.name)
+        return allowed
+
+    def _put_in_force(self) -> None:
+        """Move on to the accepted bundle if it is here and may be used.
+
+        Until then the one before stays. The number can come ahead of its
+        bundle when peers pass objects on, or name one that nobody signed
+        off; without a bundle every request would be refused.
+        """
+        found = self.value('bundle', str(self._accepted_number))
+        if found is not None:
+            self._in_force = found
+
     def differing(
         self, buckets: typing.Sequence[int]
     ) -> list[store.StoredObject]:
@@ -141,8 +174,12 @@
         ]
 
     def names(self, kind: str) -> list[str]:
-        """Return the names of the live objects of a kind."""
-        return sorted(item.name for item in self.live(kind))
+        """Return the names of the live and valid objects of a kind."""
+        return sorted(
+            item.name
+            for item in self.live(kind)
+            if (kind, item.name) not in self._invalid
+        )
 
     def key(self, digest: str) -> messages.KeyValue | None:
         """Return the caller key with this SHA-256, in hex."""
@@ -157,7 +194,5 @@
         return self.value('upstream', name)
 
     def bundle(self) -> messages.BundleValue | None:
-        """Return the accepted bundle, once both it and its number are here."""
-        if not self._accepted_number:
-            return None
-        return self.value('bundle', str(self._accepted_number))
+        """Return the bundle in force, or None before the first one."""
+        return self._in_force
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -65,7 +65,7 @@
     config: generated.EntrySettings,
 ) -> tuple[nodes.Node, follow.Follower]:
     """Return the parts of an entry process, none of them running yet."""
-    view = views.View()
+    view = views.View(config.bundle_public_key)
     store = http_store.connect(config.platform_url, config.store_timeout_s)
     now = clock.boottime_s
     follower = follow.make_follower(view, store, now)
--- a/gentianstair/ui/commands/bundle.py
+++ b/gentianstair/ui/commands/bundle.py
@@ -69,6 +69,14 @@
     """Put a bundle in force everywhere."""
 
     file: typing.Annotated[pathlib.Path, cappa.Arg(help='The bundle.')]
+    public_key: typing.Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env('GENTIANSTAIR_BUNDLE_PUBLIC_KEY'),
+            help='The public key that the entries have, in hex.',
+        ),
+    ] = None
 
 
 @cappa.command(
@@ -211,6 +219,13 @@
 @sessions.run.register
 async def _accept(command: Accept, session: sessions.Session) -> None:
     bundle = bundles.decode(_read(command.file))
+    public = command.public_key
+    if public and not bundles.is_signed(bundle, public):
+        # The entries would go on with the bundle before.
+        raise errors.UserError(
+            f'bundle {bundle["number"]} is not signed with the key of'
+            f' {public}; see "gentianstair bundle sign"'
+        )
     version = await accept(session, 'bundle accept', bundle)
     session.out.value({'bundle': bundle['number'], 'version': version})
 
--- a/gentianstair/util/audit.py
+++ b/gentianstair/util/audit.py
@@ -37,13 +37,13 @@
 
 
 def timestamp(now: datetime.datetime | None = None) -> str:
-    """Return a UTC time in ISO 8601 with milliseconds.
+    """Return a UTC time in ISO 8601 with microseconds.
 
     >>> timestamp(datetime.datetime(2026, 1, 2, tzinfo=datetime.UTC))
-    '2026-01-02T00:00:00.000Z'
+    '2026-01-02T00:00:00.000000Z'
     """
     now = now or datetime.datetime.now(datetime.UTC)
-    return now.isoformat(timespec='milliseconds').replace('+00:00', 'Z')
+    return now.isoformat(timespec='microseconds').replace('+00:00', 'Z')
 
 
 def make_entry(
--- a/test/ui/test_main.py
+++ b/test/ui/test_main.py
@@ -92,6 +92,9 @@
             source.write_text(f'[models.{model}]')
             await run('bundle', 'build', str(source), '--output', str(built))
             await run('bundle', 'sign', str(built), '--key', str(key))
+            # Not signed with the key that the entries have.
+            other = ('--public-key', '00' * 32)
+            assert (await run('bundle', 'accept', str(built), *other))[0] == 1
             code, out = await run('bundle', 'accept', str(built), '--json')
             assert (code, json.loads(out)['bundle']) == (0, number)
         assert (await run('bundle', 'accept', str(built)))[0] == 1
