Test the caller API against bad input and mend what it found

All of these failed first, in test/entry/test_bad_input.py: - /services/<engine model>/... reached an engine past the check of who may use its models; services now have names of their own in routing, and an unknown one is 404. - Dots in a service's path left the upstream's own path; now 400. - A caller's X-Customer header went on beside ours; it is dropped. - TRACE, CONNECT and made-up methods went on to services; now 405. - An answer to HEAD was waited for until the deadline. - Half a surrogate pair ended in an internal error and NaN reached engines; both are now 400. - Headers over the limit were taken when they came in one read; now 431. - A caller that stopped reading held its engine without limit: the server library shields its sends, so neither caller_stall_s nor a deadline nor a planned stop got through.

--- a/gentianstair/entry/app.py
+++ b/gentianstair/entry/app.py
@@ -128,6 +128,7 @@
     async def _route(self) -> None:
         node = self._node
         exchange = self._exchange
+        exchange.check_headers()
         authorization = exchange.header('authorization')
         caller = callers.authenticate(node.view, authorization)
         check_fresh(node)
@@ -260,10 +261,11 @@
     ) -> None:
         node = self._node
         call = services.parse(self._exchange, body)
+        services.check_known(node, call.service)
         work = works.Work(
             self._request_id,
             caller.customer,
-            call.service,
+            services.routing_name(call.service),
             SERVICE_TOKENS,
             SERVICE_TOKENS,
             deadline_s,
--- a/gentianstair/entry/completions.py
+++ b/gentianstair/entry/completions.py
@@ -45,9 +45,27 @@
     return True
 
 
+def _refuse_constant(name: str) -> typing.NoReturn:
+    raise ValueError(f'{name} is not JSON')
+
+
+# NaN and the infinities are no JSON, but the library takes them unless told.
+_DECODER = json.JSONDecoder(parse_constant=_refuse_constant)
+
+
+def _check_text(data: bytes, body: typing.Any) -> None:
+    """Raise ValueError for half a surrogate pair, which is no text.
+
+    It can only come as an escape, and has no bytes to be hashed or sent.
+    """
+    if b'\\u' in data:
+        json.dumps(body, ensure_ascii=False).encode()
+
+
 def _decode(data: bytes) -> dict[str, typing.Any]:
     try:
-        body = json.loads(data)
+        body = _DECODER.decode(data.decode())
+        _check_text(data, body)
     except (ValueError, RecursionError):
         raise _bad('the body is not JSON') from None
     if not isinstance(body, dict):
--- a/gentianstair/entry/exchange.py
+++ b/gentianstair/entry/exchange.py
@@ -17,6 +17,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 TIMEOUT_HEADER = 'x-request-timeout-s'
+MAX_HEADERS_BYTES = 32768
+HTTP_HEADERS_TOO_LARGE = 431
 HTTP_TOO_LARGE = 413
 HTTP_TIMEOUT = 408
 MAX_ID_LENGTH = 128
@@ -48,6 +50,19 @@
         self._receive = receive
         self._send = send
 
+    def check_headers(self) -> None:
+        """Raise RequestError when the headers are too long together.
+
+        The server's own limit holds for headers that come in parts only.
+        """
+        size = sum(len(key) + len(value) for key, value in self.raw_headers)
+        if size > MAX_HEADERS_BYTES:
+            raise errors.RequestError(
+                HTTP_HEADERS_TOO_LARGE,
+                'headers-too-long',
+                f'headers may have {MAX_HEADERS_BYTES} bytes',
+            )
+
     def header(self, name: str) -> str | None:
         """Return a header's value, or None.
 
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -180,6 +180,7 @@
             sock,
             leave,
             config.drain_timeout_s,
+            send_stall_s=config.caller_stall_s,
         )
         with trio.move_on_after(GRACE_S):
             await node.claims.flush()
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -21,6 +21,7 @@
 IDEMPOTENCY_HEADER = 'idempotency-key'
 MAX_KEY_LENGTH = 255
 REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
+METHODS = REPEATABLE_METHODS | {'POST', 'PUT', 'PATCH', 'DELETE'}
 REPLAYED = (b'idempotency-replayed', b'true')
 # Headers between two hops (RFC 9110, 7.6.1), those that name the caller's
 # key, and those this relay sets itself; none of them goes on.
@@ -41,6 +42,7 @@
         b'transfer-encoding',
         b'upgrade',
         b'x-api-key',
+        b'x-customer',
         b'x-request-id',
         b'x-request-timeout-s',
     }
@@ -98,14 +100,53 @@
     return key
 
 
+def routing_name(service: str) -> str:
+    """Return the name under which routing knows a service.
+
+    >>> routing_name('stock')
+    'service:stock'
+    """
+    return f'service:{service}'
+
+
+def check_known(node: nodes.Node, service: str) -> None:
+    """Raise RequestError with 404 if no upstream serves a service."""
+    if not node.router.subset(routing_name(service)):
+        raise errors.RequestError(
+            404, 'no-such-service', f'there is no service {service!r}'
+        )
+
+
+def _target(path: str, query: bytes) -> str:
+    """Return path and query as they go on.
+
+    Dots would leave the part of the upstream that is meant for callers.
+    Other characters than printable ASCII in a query cannot come by HTTP/1.1
+    and would end the request line early where they are passed on.
+    """
+    if {'.', '..'} & set(path.split('/')):
+        raise errors.RequestError(400, 'bad-path', 'no dots in a path')
+    target = '/' + urllib.parse.quote(path, errors='replace')
+    if not query:
+        return target
+    text = query.decode('latin-1')
+    if not text.isascii() or not text.isprintable() or ' ' in text:
+        raise errors.RequestError(400, 'bad-path', 'the query is not a query')
+    return f'{target}?{text}'
+
+
 def parse(exchange: exchanges.Exchange, body: bytes) -> Call:
-    """Return the call; raise RequestError with 404 for a path without one."""
+    """Return the call; raise RequestError with 400, 404 or 405."""
+    if exchange.method not in METHODS:
+        raise errors.RequestError(
+            405,
+            'method-not-allowed',
+            f'use one of {", ".join(sorted(METHODS))}',
+        )
     service, _, path = exchange.path[len(PREFIX) :].partition('/')
     if not service:
         raise errors.RequestError(404, 'no-such-service', 'no service named')
-    target = '/' + urllib.parse.quote(path)
-    if exchange.query:
-        target += '?' + exchange.query.decode('latin-1')
+    target = _target(path, exchange.query)
     return Call(
         service,
         target,
--- a/gentianstair/entry/upkeep.py
+++ b/gentianstair/entry/upkeep.py
@@ -11,6 +11,7 @@
 from gentianstair.entry import node as nodes
 from gentianstair.entry import relay
 from gentianstair.entry import routing
+from gentianstair.entry import services
 from gentianstair.generated import messages
 
 LOAD_INTERVAL_S = 0.5
@@ -26,13 +27,18 @@
 ) -> routing.UpstreamInfo:
     """Return what routing needs of an upstream's object.
 
-    A plain service serves just the model of its own name.
+    A plain service is found by the names it serves, as an engine by its
+    models, but in a space of its own: a caller that asks for a service must
+    not reach an engine, past the check of who may use its models.
     """
+    names = value['models']
+    if value['type'] != TYPE_ENGINE:
+        names = [services.routing_name(name) for name in names]
     state = 'serving' if value['state'] == STATE_ACTIVE else value['state']
     return routing.UpstreamInfo(
         name,
         value['failure_domain'],
-        tuple(value['models']),
+        tuple(names),
         value['role'],
         state,
         value['concurrent'],
@@ -110,7 +116,12 @@
     node: nodes.Node, found: dict[str, messages.UpstreamValue]
 ) -> dict[str, str]:
     """Return the engines whose reports are worth reading, with their URLs."""
-    models = {model for value in found.values() for model in value['models']}
+    models = {
+        model
+        for value in found.values()
+        if value['type'] == TYPE_ENGINE
+        for model in value['models']
+    }
     names = {name for model in models for name in node.router.subset(model)}
     return {
         name: found[name]['url']
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -214,6 +214,9 @@
             if parser.get_status_code() < 200 and message.done:
                 message = _Message()
                 parser = httptools.HttpResponseParser(message)
+        if request.method == 'HEAD':
+            # The head names the length of a body that never comes.
+            message.done = True
         body = Body(
             stream,
             message,
