--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -32,6 +32,7 @@
 from gentianstair.util import clock
 from gentianstair.util import logs
 from gentianstair.util import serving
+from gentianstair.util import tls
 
 GRACE_S = 1.0
 
@@ -144,6 +145,15 @@
 
 async def run(config: generated.EntrySettings) -> None:
     """Serve until stopped, then let running requests end."""
+    credentials = tls.make_caller_credentials(
+        config.tls_cert_file,
+        config.tls_key_file,
+        config.listen,
+        config.insecure_plain,
+    )
+    tls.check_plain(
+        config.operator_listen, config.insecure_plain, '--operator-listen'
+    )
     sock = serving.listen(config.listen, reuse_port=True)
     operator_sock = serving.listen(config.operator_listen)
     node, peer = make_node(config)
@@ -175,11 +185,14 @@
             )
         )
         print(f'listening {host}:{port} {operator_port}', flush=True)
+        if credentials:
+            nursery.start_soon(credentials.run)
         await serving.serve(
             apps.create_app(node, leaving),
             sock,
             leave,
             config.drain_timeout_s,
+            credentials.server if credentials else None,
             send_stall_s=config.caller_stall_s,
         )
         with trio.move_on_after(GRACE_S):
--- a/gentianstair/util/tls.py
+++ b/gentianstair/util/tls.py
@@ -74,6 +74,7 @@
     Raise SettingsError if a file cannot be used.
     """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.set_alpn_protocols(['http/1.1'])
     if files.ca:
         context.verify_mode = ssl.CERT_REQUIRED
         # A resumed session is not verified again, so a peer whose authority
@@ -158,15 +159,19 @@
             self.check()
 
 
-def make_caller_credentials(cert: str, key: str) -> Credentials | None:
+def make_caller_credentials(
+    cert: str, key: str, listen: str, insecure_plain: bool
+) -> Credentials | None:
     """Return what callers are served with, or None if TLS is off.
 
-    Raise SettingsError if a file is missing or cannot be used.
+    Raise SettingsError if a file is missing or cannot be used, or if TLS is
+    off where only loopback may be served plain.
     """
     files = Files(cert, key)
-    if not check_files(files, '--tls-cert-file, --tls-key-file'):
-        return None
-    return _make(files)
+    if check_files(files, '--tls-cert-file, --tls-key-file'):
+        return _make(files)
+    check_plain(listen, insecure_plain, '--listen')
+    return None
 
 
 def make_peer_credentials(files: Files) -> Credentials | None:
--- a/test/util/test_tls.py
+++ b/test/util/test_tls.py
@@ -16,6 +16,7 @@
 import trio.testing
 
 from gentianstair import errors
+from gentianstair.util import serving
 from gentianstair.util import tls
 
 PEM = serialization.Encoding.PEM
@@ -212,6 +213,52 @@
     assert seen == {'client': 'new', 'server': 'new'}
 
 
+async def test_callers_are_served_by_tls_and_by_the_renewed_certificate(
+    tmp_path, authority
+):
+    async def app(scope, receive, send):
+        # As ASGI asks of one that has no use for other scopes.
+        assert scope['type'] == 'http'
+        head = {'type': 'http.response.start', 'status': 200, 'headers': []}
+        await send(head)
+        await send({'type': 'http.response.body', 'body': b'hello'})
+
+    folder = _folder(tmp_path, 'a')
+    files = authority.issue(folder, 'old')
+    made = tls.make_caller_credentials(
+        files.cert, files.key, '10.0.0.1:443', False
+    )
+    trust = ssl.create_default_context(cafile=files.ca)
+    sock = serving.listen('127.0.0.1:0')
+    port = sock.getsockname()[1]
+
+    async def ask():
+        stream = await trio.open_ssl_over_tcp_stream(
+            '127.0.0.1', port, ssl_context=trust, https_compatible=True
+        )
+        async with stream:
+            await stream.do_handshake()
+            shown = stream.getpeercert()['subject'][0][0][1]
+            await stream.send_all(
+                b'GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n'
+            )
+            answer = b''
+            while part := await stream.receive_some(1000):
+                answer += part
+            assert answer.endswith(b'hello\r\n0\r\n\r\n')
+            return shown
+
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            stop = (trio.sleep_forever, 0.1, made.server)
+            nursery.start_soon(serving.serve, app, sock, *stop)
+            assert await ask() == 'old'
+            authority.issue(folder, 'new')
+            assert made.check()
+            assert await ask() == 'new'
+            nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize(
     ('files', 'said'),
     [
