--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import functools
-import math
 import os
 import signal
 import socket
@@ -23,6 +22,12 @@
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
 KEEP_ALIVE_S = 75.0
+# Longest wait of one part of an answer for a caller to take it.
+SEND_STALL_S = 10.0
+SEND_PART_BYTES = 65536
+# Kept small, or a caller that reads slowly would have megabytes to take
+# before the kernel lets the next part in, and look as if it had stopped.
+SEND_BUFFER_BYTES = 131072
 
 
 def listen(address: str, reuse_port: bool = False) -> socket.socket:
@@ -34,6 +39,8 @@
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit it.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     if reuse_port:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     try:
@@ -59,7 +66,7 @@
     caller that has stopped reading, which would hold an engine's slot.
     """
 
-    stall_s = math.inf
+    send_stall_s = SEND_STALL_S
     _fd: int | None = None
 
     async def run(self) -> None:
@@ -90,17 +97,27 @@
 
     async def _write_all(self, data: bytes) -> None:
         async with self.send_lock:
-            with trio.CancelScope(shield=True) as scope:
-                scope.deadline = trio.current_time() + self.stall_s
-                try:
-                    await self.stream.send_all(data)
-                    return
-                except (trio.BrokenResourceError, trio.ClosedResourceError):
-                    pass
-        if scope.cancelled_caught:
-            # Cut off in the middle, the answer cannot go on.
+            try:
+                taken = await self._write_parts(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                taken = False
+        if not taken:
+            # Cut off in the middle, the answer cannot go on. Closing also
+            # tells the application that the caller has gone.
             await trio.aclose_forcefully(self.stream)
-        await self.protocol.handle(events.Closed())
+            await self.protocol.handle(events.Closed())
+
+    async def _write_parts(self, data: bytes) -> bool:
+        """Return whether the caller took each part in time."""
+        for start in range(0, len(data), SEND_PART_BYTES):
+            until_s = trio.current_time() + self.send_stall_s
+            with trio.CancelScope(deadline=until_s, shield=True) as scope:
+                await self.stream.send_all(
+                    data[start : start + SEND_PART_BYTES]
+                )
+            if scope.cancelled_caught:
+                return False
+        return True
 
 
 def _make_listener(
@@ -129,11 +146,11 @@
     shutdown: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     graceful_timeout_s: float,
     context: ssl.SSLContext | None = None,
-    stall_s: float = math.inf,
+    send_stall_s: float = SEND_STALL_S,
 ) -> None:
     """Serve until shutdown returns, then until running answers ended.
 
-    A caller that reads nothing for stall_s is cut off.
+    A caller that takes no part of its answer for send_stall_s is cut off.
     """
     config = _make_config(graceful_timeout_s)
     wrapped = app_wrappers.ASGIWrapper(app)
@@ -143,7 +160,7 @@
 
     async def handle(stream: trio.abc.Stream) -> None:
         server = _Server(wrapped, config, worker, state, stream)
-        server.stall_s = stall_s
+        server.send_stall_s = send_stall_s
         await server.run()
 
     async with trio.open_nursery() as life_nursery:
