End a half-closed connection with its answer

Cause: a merged test of request shapes hung in half of its runs. The task tree showed the library counting 75 s of idle time for a connection whose reading side had ended, since the answer ended after the reading did. Ruled out: a lost wake-up between pipelined requests (clear and wait run without a switch); our write that does not yield only made the order likely. Change: once reading has ended, idle means closed, and the idle task stops.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -68,6 +68,19 @@
 
     send_stall_s = SEND_STALL_S
     _fd: int | None = None
+    _read_ended = False
+
+    async def _read_data(self) -> None:
+        """Read until the caller sends no more, then wait for nothing.
+
+        The library goes on to count idle time for a connection that can
+        bring no further request: a caller that closes its sending side
+        would wait for the end of its answer until the keep-alive time is
+        over, and every closed connection would be kept as long.
+        """
+        await super()._read_data()
+        self._read_ended = True
+        await self.idle_task.stop()
 
     async def run(self) -> None:
         if isinstance(self.stream, trio.SocketStream):
@@ -76,6 +89,9 @@
 
     async def protocol_send(self, event: events.Event) -> None:
         if not isinstance(event, events.RawData):
+            idle = isinstance(event, events.Updated) and event.idle
+            if idle and self._read_ended:
+                event = events.Closed()
             await super().protocol_send(event)
             return
         data = event.data
