--- a/gentianstair/util/tls.py
+++ b/gentianstair/util/tls.py
@@ -54,7 +54,6 @@
 
 
 def _load(context: ssl.SSLContext, files: Files) -> ssl.SSLContext:
-    context.minimum_version = ssl.TLSVersion.TLSv1_2
     context.options |= ssl.OP_NO_COMPRESSION | ssl.OP_NO_RENEGOTIATION
     try:
         context.load_cert_chain(files.cert, files.key)
@@ -75,12 +74,14 @@
     """
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
     context.set_alpn_protocols(['http/1.1'])
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
     if files.ca:
         context.verify_mode = ssl.CERT_REQUIRED
         # A resumed session is not verified again, so a peer whose authority
         # was withdrawn could come back with a ticket of before.
         context.num_tickets = 0
         context.options |= ssl.OP_NO_TICKET
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
     return _load(context, files)
 
 
@@ -95,6 +96,7 @@
     context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
     context.check_hostname = False
     context.verify_mode = ssl.CERT_REQUIRED
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
     return _load(context, files)
 
 
