--- a/standins/engine/__main__.py
+++ b/standins/engine/__main__.py
@@ -8,6 +8,7 @@
 from standins import history
 from standins import serving
 from standins.engine import app
+from standins.engine import costs
 from standins.engine import model
 
 
@@ -20,6 +21,7 @@
     add('--role', default='mixed')
     add('--models', default='', help='names, comma between; none: any')
     add('--slow', type=float, default=1.0)
+    add('--max-running', type=int, default=costs.DEFAULT.max_running)
     add('--time-scale', type=float, default=1.0)
     add('--load-lag-s', type=float, default=0.0)
     add('--event-delay-s', type=float, default=0.0)
@@ -38,6 +40,7 @@
         name=args.name,
         role=args.role,
         models=tuple(filter(None, args.models.split(','))),
+        costs=costs.DEFAULT._replace(max_running=args.max_running),
         slow=args.slow,
         time_scale=args.time_scale,
         load_lag_s=args.load_lag_s,
