--- a/gentianstair/entry/estimates.py
+++ b/gentianstair/entry/estimates.py
@@ -23,7 +23,7 @@
     # What a request costs in time that then fails.
     failure_s: float = 2.0
     # What running work costs others: each more sequence delays all.
-    pressure_s: float = 0.002
+    pressure_s: float = 0.006
     # Moving the KV of a prompt to another engine.
     transfer_s: float = 0.006
     transfer_token_s: float = 0.0000135
