--- /dev/null
+++ b/gentianstair/util/audit.py
@@ -0,0 +1,217 @@
+"""Keep the audit trail: who changed what, when, from what to what.
+
+An entry is recorded before its change is tried, and its outcome after. The
+other order would lose the entry of a change whose author died in between;
+with this one the worst case is an entry without an outcome, which says that
+the change was intended. A change also writes its entry's name into the
+object (field ``change``), so such an entry can be settled later: the change
+took effect if the object, or the ``before`` of a later entry, carries the
+name.
+"""
+
+import datetime
+import enum
+import secrets
+import time
+import typing
+
+from gentianstair import errors
+from gentianstair.generated import messages
+from gentianstair.platform import store
+
+KIND = 'audit'
+OUTCOME_KIND = 'audit-outcome'
+CREATE_TRIES = 3
+# Beyond so many days the whole trail is listed in one call.
+MAX_DAY_LISTS = 40
+# A write still under way is certainly settled after this long.
+SETTLE_S = 60.0
+
+
+class Outcome(enum.StrEnum):
+    """How an intended change ended."""
+
+    DONE = 'done'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+
+
+def timestamp(now: datetime.datetime | None = None) -> str:
+    """Return a UTC time in ISO 8601 with milliseconds.
+
+    >>> timestamp(datetime.datetime(2026, 1, 2, tzinfo=datetime.UTC))
+    '2026-01-02T00:00:00.000Z'
+    """
+    now = now or datetime.datetime.now(datetime.UTC)
+    return now.isoformat(timespec='milliseconds').replace('+00:00', 'Z')
+
+
+def make_entry(
+    actor: str,
+    action: str,
+    target: str,
+    before: store.Value | None,
+    after: store.Value | None,
+) -> messages.AuditValue:
+    """Return an entry for a change that is about to be tried."""
+    return {
+        'at': timestamp(),
+        'actor': actor,
+        'action': action,
+        'target': target,
+        'before': before,
+        'after': after,
+    }
+
+
+def make_name(entry: messages.AuditValue) -> str:
+    """Return a new name; names sort by time, to the authors' clocks."""
+    stamp = entry['at'].replace('-', '').replace(':', '')
+    return f'{stamp}-{secrets.token_hex(6)}'
+
+
+async def _create(
+    client: store.Store, kind: str, name: str, value: typing.Any
+) -> None:
+    """Create an object of the trail, whose name nobody else uses."""
+    for attempt in range(CREATE_TRIES):
+        try:
+            await client.put(kind, name, value, 0, purpose='audit')
+            return
+        except errors.StoreConflictError:
+            # The name is random, so only an earlier try of ours, whose
+            # answer was lost, can have created it.
+            return
+        except errors.StoreUnknownError:
+            if attempt == CREATE_TRIES - 1:
+                raise
+
+
+async def record(
+    client: store.Store,
+    entry: messages.AuditValue,
+    name: str | None = None,
+) -> str:
+    """Record an entry and return its name.
+
+    Raise StoreUnavailableError or StoreUnknownError; the caller must then
+    not go on to make the change.
+    """
+    name = name or make_name(entry)
+    await _create(client, KIND, name, entry)
+    return name
+
+
+async def conclude(
+    client: store.Store, name: str, outcome: Outcome, version: int = 0
+) -> None:
+    """Record how the change of an entry ended.
+
+    ``version`` is the store's version after the change, 0 if unknown.
+    """
+    value: messages.AuditOutcome = {
+        'at': timestamp(),
+        'outcome': outcome.value,
+        'version': version,
+    }
+    await _create(client, OUTCOME_KIND, name, value)
+
+
+class Record(typing.NamedTuple):
+    """An entry as read back, with what became of its change.
+
+    ``outcome`` is ``done``, ``refused``, ``not done`` (its author died or
+    lost the store before the change) or ``unknown``.
+    """
+
+    name: str
+    entry: messages.AuditValue
+    outcome: str
+
+
+def _day_prefixes(since: datetime.datetime) -> list[str]:
+    """Return prefixes that names of entries since then can have.
+
+    Authors' clocks may run ahead, so tomorrow is one of them.
+    """
+    last = datetime.datetime.now(datetime.UTC).date()
+    last += datetime.timedelta(days=1)
+    days = (last - since.astimezone(datetime.UTC).date()).days
+    if days > MAX_DAY_LISTS:
+        return ['']
+    found = [last - datetime.timedelta(days=back) for back in range(days + 1)]
+    return [day.strftime('%Y%m%d') for day in reversed(found)]
+
+
+async def _list(
+    client: store.Store, kind: str, prefixes: list[str]
+) -> dict[str, store.Value]:
+    found: dict[str, store.Value] = {}
+    for prefix in prefixes:
+        listing = await client.list(kind, prefix=prefix, purpose='audit')
+        found |= {item.name: item.value or {} for item in listing.objects}
+    return found
+
+
+async def read(client: store.Store, since: datetime.datetime) -> list[Record]:
+    """Return the entries since then, oldest first."""
+    prefixes = _day_prefixes(since)
+    entries = await _list(client, KIND, prefixes)
+    outcomes = await _list(client, OUTCOME_KIND, prefixes)
+    first = timestamp(since)
+    records = []
+    for name in sorted(entries):
+        entry = typing.cast(messages.AuditValue, entries[name])
+        if entry['at'] < first:
+            continue
+        outcome = outcomes.get(name, {}).get('outcome')
+        if outcome in (None, Outcome.UNKNOWN):
+            outcome = await _settle(client, name, entry, entries)
+        records.append(Record(name, entry, outcome))
+    return records
+
+
+def _mark(value: store.Value | None) -> str | None:
+    return value.get('change') if value else None
+
+
+async def _settle(
+    client: store.Store,
+    name: str,
+    entry: messages.AuditValue,
+    entries: dict[str, store.Value],
+) -> str:
+    """Return what became of a change whose outcome was not recorded."""
+    kind, _, target = entry['target'].partition('/')
+    present = await client.get(kind, target, purpose='audit')
+    marks = {_mark(present.value)} | {
+        _mark(later['before'])
+        for later in entries.values()
+        if later['target'] == entry['target'] and later is not entry
+    }
+    if name in marks:
+        return Outcome.DONE.value
+    age_s = time.time() - _unix_time_s(entry['at'])
+    # Somebody found the object as it was before this change, and nobody
+    # found it as it was after.
+    if age_s > SETTLE_S and _mark(entry['before']) in marks:
+        return 'not done'
+    return Outcome.UNKNOWN.value
+
+
+def _unix_time_s(text: str) -> float:
+    return datetime.datetime.fromisoformat(text).timestamp()
+
+
+__all__ = (
+    'KIND',
+    'OUTCOME_KIND',
+    'Outcome',
+    'Record',
+    'conclude',
+    'make_entry',
+    'make_name',
+    'read',
+    'record',
+    'timestamp',
+)
