--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -123,8 +123,8 @@
         return sum(w.cost for rank, w in line if rank < waiter.rank)
 
     def _free(self) -> bool:
-        # Rounding up leaves no VM without a slot while the fleet has one.
-        return self.running_count < max(self.slots, 1.0) - 1e-6
+        # No VM is left without a slot while the fleet has one.
+        return self.running_count < max(1, round(self.slots))
 
     def _wait_s(self, customer: str, ahead_cost: float) -> float:
         if self._free() and not self._lines:
