Let callers mark their return after a refusal

Cause: a caller that obeyed Retry-After and came to another VM was taken for a fresh one there and refused at once for promises to others. Change: admit(work, returning=True), for callers that mark repeats.

--- a/gentianstair/bench/fairness.py
+++ b/gentianstair/bench/fairness.py
@@ -201,7 +201,8 @@
         cost = 0.0
         retry_after_s = None
         try:
-            async with self.queues[vm].admit(work) as ticket:
+            marked = self.arm == 'fair' and not first
+            async with self.queues[vm].admit(work, marked) as ticket:
                 cost = await self.engines.run(arrival)
                 ticket.charge(work.prompt_tokens, arrival.output_tokens)
             now_s = trio.current_time()
@@ -345,7 +346,10 @@
 
 
 def returns(arm: str, seed: int) -> typing.Iterator[measures.Measure]:
-    """Yield how callers that obey Retry-After fare in a 1.5 times burst."""
+    """Yield how callers that obey Retry-After fare in a 1.5 times burst.
+
+    In the arm ``fair`` they mark their returns, in ``unmarked`` they do not.
+    """
     customers = [
         Customer(f'c{number}', 1.5 / CUSTOMERS, tuple(range(VMS)), 0.0, 60.0)
         for number in range(CUSTOMERS)
@@ -379,11 +383,12 @@
     """Run every part for both arms and print the measures."""
     parser = measures.make_parser(__doc__)
     parts = {'flood': flood, 'gap': gap, 'returns': returns}
+    arms = {'returns': ('fair', 'unmarked', 'fifo')}
     parser.add_argument('--part', choices=sorted(parts), action='append')
     args = parser.parse_args(argv)
     chosen = args.part or list(parts)
     for name in chosen:
-        for arm in ('fair', 'fifo'):
+        for arm in arms.get(name, ('fair', 'fifo')):
             measures.show(parts[name](arm, args.seed), args.json)
     missing = [name for name in parts if name not in chosen]
     last = measures.Measure('not_run', '-', missing, '-')
--- a/gentianstair/bench/twins.py
+++ b/gentianstair/bench/twins.py
@@ -33,7 +33,7 @@
 
     @contextlib.asynccontextmanager
     async def admit(
-        self, work: works.Work
+        self, work: works.Work, returning: bool = False
     ) -> collections.abc.AsyncIterator[FifoTicket]:
         """Wait in line for a slot; raise RequestError at the deadline."""
         if self._free > 0:
--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -102,17 +102,19 @@
 
     @contextlib.asynccontextmanager
     async def admit(
-        self, work: works.Work
+        self, work: works.Work, returning: bool = False
     ) -> collections.abc.AsyncIterator[Ticket]:
         """Wait for a slot in fair order and hold it for the block.
 
         Raise RequestError (429 or 503, NOT_RUN) as soon as the deadline
         cannot be met. A refusal is final: nothing of it stays queued.
+        returning says that the caller marked the request as a repeat after
+        a refusal, which another VM may have given.
         """
         pool = self._pool(work.model)
         now_s = self._clock()
         waiter = pools.Waiter(work, next(self._order), now_s)
-        decision = pool.offer(waiter, now_s)
+        decision = pool.offer(waiter, now_s, returning)
         self._record(decision)
         if not decision.admitted:
             raise _refusal(decision)
--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -135,12 +135,19 @@
 
     # Entering and leaving.
 
-    def offer(self, waiter: Waiter, now_s: float) -> Decision:
-        """Queue the waiter, or refuse it; grant slots that are free."""
+    def offer(
+        self, waiter: Waiter, now_s: float, returning: bool = False
+    ) -> Decision:
+        """Queue the waiter, or refuse it; grant slots that are free.
+
+        A returning caller is not held up by promises to others. Marking
+        every request as returning wins a customer nothing: promises hold
+        up only its own callers.
+        """
         work = waiter.work
         self._note_demand(work.customer, waiter.cost, now_s)
         book = self._promises.setdefault(work.customer, promise_books.Book())
-        kept = book.redeem(now_s)
+        kept = book.redeem(now_s) or returning
         service_s = self.service_s(waiter.cost)
         left_s = work.deadline_s - now_s
         patience_s = left_s - service_s
