Leave room in the line for marked returns

Cause: fresh callers filled the line up to their whole patience before the promised ones were due; on its return one of them met a line too long. Change: half the patience, once a customer was seen to mark returns. Conclusion: kept; the rest of the failures is the chance of which VM a caller returns to.

--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -153,12 +153,18 @@
         patience_s = left_s - service_s
         ahead = self._ahead_cost(waiter)
         promised = 0.0
-        if not kept:
+        allowed_s = patience_s
+        book.marks = book.marks or returning
+        if not kept and book.total_cost(now_s) > 0.0:
+            if book.marks:
+                # The line must leave room for those told to return. Where
+                # callers do not mark their return this would hit them too.
+                allowed_s *= PROMISE_SLACK
             # Promises due before this one would start go first.
             start_s = ahead / self.customer_cost_per_s(work.customer)
             promised = book.due_cost(now_s + start_s)
         wait_s = self._wait_s(work.customer, ahead + promised)
-        reason = self._judge(work.customer, wait_s, patience_s)
+        reason = self._judge(work.customer, wait_s, patience_s, allowed_s)
         retry_after_s = None
         if reason == 'no-upstream':
             retry_after_s = NO_UPSTREAM_RETRY_S
@@ -171,12 +177,18 @@
             self._enter(waiter)
         return decision
 
-    def _judge(self, customer: str, wait_s: float, patience_s: float) -> str:
+    def _judge(
+        self,
+        customer: str,
+        wait_s: float,
+        patience_s: float,
+        allowed_s: float,
+    ) -> str:
         if self._fleet_slots <= 0:
             return 'no-upstream'
         if patience_s < 0.0:
             return 'deadline-too-short'
-        if wait_s <= patience_s:
+        if wait_s <= allowed_s:
             return 'admitted'
         others = [name for name in self._lines if name != customer]
         return 'over-share' if others else 'busy'
--- a/gentianstair/entry/promises.py
+++ b/gentianstair/entry/promises.py
@@ -23,6 +23,8 @@
         # Due time, cost and time of expiry.
         self._kept: list[tuple[float, float, float]] = []
         self._total_cost = 0.0
+        # Whether this customer's callers mark their returns.
+        self.marks = False
 
     def _expire(self, now_s: float) -> None:
         while self._kept and self._kept[0][2] <= now_s:
