--- a/gentianstair/bench/fairness.py
+++ b/gentianstair/bench/fairness.py
@@ -1,5 +1,6 @@
 """Measure how customers fare while one floods all entry VMs."""
 
+import argparse
 import collections
 import math
 import random
@@ -9,7 +10,7 @@
 import trio.testing
 
 from gentianstair import errors
-from gentianstair.bench import measures
+from gentianstair.bench import lines
 from gentianstair.bench import twins
 from gentianstair.entry import admission
 from gentianstair.entry import work as works
@@ -261,7 +262,7 @@
     ]
 
 
-def flood(arm: str, seed: int) -> typing.Iterator[measures.Measure]:
+def flood(arm: str, seed: int) -> typing.Iterator[lines.Figure]:
     """Yield how the worst-served customer fares under a flood."""
     victims = _victims()
     flooder = Customer('flooder', FLOOD / CUSTOMERS, tuple(range(VMS)))
@@ -276,15 +277,15 @@
         for outcome in flooded.outcomes
         if outcome.result == 'good' and WARM_S <= outcome.ended_s <= RUN_S
     )
-    yield measures.Measure('worst_victim_of_alone', arm, min(parts), 'share')
+    yield lines.Figure('worst_victim_of_alone', arm, min(parts), 'share')
     mean = sum(parts) / len(parts)
-    yield measures.Measure('mean_victim_of_alone', arm, mean, 'share')
+    yield lines.Figure('mean_victim_of_alone', arm, mean, 'share')
     used = total / span_s / FLEET_COST_PER_S
-    yield measures.Measure('fleet_goodput', arm, used, 'share')
+    yield lines.Figure('fleet_goodput', arm, used, 'share')
     wasted = flooded.engines.wasted_cost / RUN_S / FLEET_COST_PER_S
-    yield measures.Measure('late_work', arm, wasted, 'share')
+    yield lines.Figure('late_work', arm, wasted, 'share')
     crowd = flooded.engines.most_running / SLOTS
-    yield measures.Measure('most_running_of_slots', arm, crowd, 'times')
+    yield lines.Figure('most_running_of_slots', arm, crowd, 'times')
 
 
 def gap_bound(weights: dict[str, float]) -> float:
@@ -300,7 +301,7 @@
     return ((SLOTS + VMS) * largest + lag_s * FLEET_COST_PER_S) / lightest
 
 
-def gap(arm: str, seed: int) -> typing.Iterator[measures.Measure]:
+def gap(arm: str, seed: int) -> typing.Iterator[lines.Figure]:
     """Yield the widest gap between two customers that always wait."""
     places = {
         'shared_vms': (tuple(range(VMS)), (0, 1)),
@@ -309,8 +310,8 @@
     for name, (left, right) in places.items():
         widest = widest_gap(arm, seed, left, right)
         of_bound = widest / gap_bound(GAP_WEIGHTS)
-        yield measures.Measure(f'gap_{name}', arm, widest, 'cost')
-        yield measures.Measure(f'gap_{name}_of_bound', arm, of_bound, 'times')
+        yield lines.Figure(f'gap_{name}', arm, widest, 'cost')
+        yield lines.Figure(f'gap_{name}_of_bound', arm, of_bound, 'times')
 
 
 def widest_gap(
@@ -345,7 +346,7 @@
     return max(seen) - min(seen)
 
 
-def returns(arm: str, seed: int) -> typing.Iterator[measures.Measure]:
+def returns(arm: str, seed: int) -> typing.Iterator[lines.Figure]:
     """Yield how callers that obey Retry-After fare in a 1.5 times burst.
 
     In the arm ``fair`` they mark their returns, in ``unmarked`` they do not.
@@ -368,29 +369,33 @@
             seen.add(name)
             first_good += outcome.result == 'good'
     share = first_good / max(1, len(seen))
-    yield measures.Measure('obeying_served_at_return', arm, share, 'share')
-    yield measures.Measure('obeying_returned', arm, len(seen), 'requests')
+    yield lines.Figure('obeying_served_at_return', arm, share, 'share')
+    yield lines.Figure('obeying_returned', arm, len(seen), 'requests')
     waits = sorted(
         outcome.retry_after_s
         for outcome in run.outcomes
         if outcome.retry_after_s is not None
     )
     middle = waits[len(waits) // 2] if waits else 0.0
-    yield measures.Measure('retry_after_median', arm, middle, 's')
+    yield lines.Figure('retry_after_median', arm, middle, 's')
+
+
+PARTS = {'flood': flood, 'gap': gap, 'returns': returns}
+ARMS = {'returns': ('fair', 'unmarked', 'fifo')}
 
 
 def main(argv: list[str]) -> int:
-    """Run every part for both arms and print the measures."""
-    parser = measures.make_parser(__doc__)
-    parts = {'flood': flood, 'gap': gap, 'returns': returns}
-    arms = {'returns': ('fair', 'unmarked', 'fifo')}
-    parser.add_argument('--part', choices=sorted(parts), action='append')
+    """Run the chosen parts for all arms and print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--json', action='store_true')
+    parser.add_argument('--part', choices=sorted(PARTS), action='append')
     args = parser.parse_args(argv)
-    chosen = args.part or list(parts)
+    chosen = args.part or list(PARTS)
+    figures: list[lines.Figure] = []
     for name in chosen:
-        for arm in arms.get(name, ('fair', 'fifo')):
-            measures.show(parts[name](arm, args.seed), args.json)
-    missing = [name for name in parts if name not in chosen]
-    last = measures.Measure('not_run', '-', missing, '-')
-    measures.show([last], args.json)
+        for arm in ARMS.get(name, ('fair', 'fifo')):
+            figures += PARTS[name](arm, args.seed)
+    missing = [name for name in PARTS if name not in chosen]
+    lines.show(figures, args.json, missing)
     return 0
