Learn the time of prompt and output tokens apart

Cause: one figure for both made long prompts look slow by a hundred times on an engine, and max_tokens far above the answers made deadlines look too short: refused though an idle fleet had served them. Refused requests also used up the token limit though they did not run. Change: recursive least squares for the two times, the used part of max_tokens a customer, too short only on recent evidence; a refusal gives its limit back.

--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -35,7 +35,7 @@
     def __init__(self, waiter: pools.Waiter, decision: pools.Decision) -> None:
         self.work = waiter.work
         self.decision = decision
-        self.cost = waiter.cost
+        self.usage: pools.Usage | None = None
 
     def charge(
         self, prompt_tokens: int, output_tokens: int, cached_tokens: int = 0
@@ -47,9 +47,10 @@
         """
         weights = works.DEFAULT_WEIGHTS
         fresh = max(0, prompt_tokens - cached_tokens)
-        self.cost = (
+        cost = (
             fresh * weights.prompt_token + output_tokens * weights.output_token
         )
+        self.usage = pools.Usage(fresh, output_tokens, cost)
 
 
 class Queue:
@@ -135,7 +136,7 @@
         finally:
             # A caller that hung up arrives here too: its place in the
             # queue or its slot is free at once.
-            pool.leave(waiter, ticket.cost, started_s, self._clock())
+            pool.leave(waiter, ticket.usage, started_s, self._clock())
 
     def waiting(self, model: str) -> int:
         """Return how many requests of a model wait here."""
--- a/gentianstair/entry/limits.py
+++ b/gentianstair/entry/limits.py
@@ -18,6 +18,7 @@
 import uuid
 
 from gentianstair import errors
+from gentianstair import verdict as verdicts
 from gentianstair.entry import fairness
 from gentianstair.generated import messages
 from gentianstair.util import clock as clocks
@@ -170,8 +171,14 @@
         if use.tokens.level is not None:
             use.tokens.level -= tokens
         use.running += 1
+        held = Hold(use, tokens)
         try:
-            yield Hold(use, tokens)
+            yield held
+        except errors.RequestError as error:
+            # Refused further on: what did not run must use up no limit.
+            if error.verdict is verdicts.Verdict.NOT_RUN:
+                held.used(0)
+            raise
         finally:
             use.running -= 1
 
--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -7,19 +7,23 @@
 
 from gentianstair.entry import fairness
 from gentianstair.entry import promises as promise_books
+from gentianstair.entry import speed as speeds
 from gentianstair.entry import work as works
 from gentianstair.generated import messages
 
 # How fast demand and speed are forgotten.
 DEMAND_HALF_LIFE_S = 2.0
-# Weight of the newest finished request in the learned figures.
-NEWEST = 0.05
 # Assumed until told or learned, in cost units a second for each slot.
 FIRST_SLOT_COST_PER_S = 200.0
 # Told to those refused for want of any upstream, which no queue can date.
 NO_UPSTREAM_RETRY_S = 5.0
 # Time in which the split tries to level customers that differ.
 CATCH_UP_S = 10.0
+# A deadline is refused as too short if the service is expected to take this
+# many times what is left; below it the expectation is too rough.
+TOO_SHORT_TIMES = 1.25
+# Weight of the newest finished request in the mean service time.
+NEWEST = 0.05
 # Share of the patience that a promise leaves unused, against its error.
 PROMISE_SLACK = 0.5
 
@@ -46,6 +50,14 @@
     retry_after_s: float | None
 
 
+class Usage(typing.NamedTuple):
+    """What an upstream says that a request used."""
+
+    fresh_tokens: int
+    output_tokens: int
+    cost: float
+
+
 class Waiter:
     """One request in the queue or on a slot."""
 
@@ -54,6 +66,7 @@
         self.order = order
         self.queued_s = now_s
         self.cost = works.cost(work)
+        self.service_s = 0.0
         self.granted = trio.Event()
         self.running = False
         self.refusal: Decision | None = None
@@ -76,8 +89,7 @@
         self.slots = 0.0
         self._weight_of = weight_of
         self._fleet_slots = 0
-        self._slot_cost_per_s = FIRST_SLOT_COST_PER_S
-        self._learned = False
+        self.speed = speeds.Speed()
         self._mean_service_s = 0.0
         # Waiters by customer, each line ordered by rank.
         self._lines: dict[str, list[tuple[tuple[int, int], Waiter]]] = {}
@@ -89,8 +101,9 @@
     def set_capacity(self, slots: int, cost_per_s: float) -> None:
         """Set the fleet's slots, and its speed until one is learned."""
         self._fleet_slots = slots
-        if cost_per_s > 0.0 and slots > 0 and not self._learned:
-            self._slot_cost_per_s = cost_per_s / slots
+        if cost_per_s > 0.0 and slots > 0:
+            weight = works.DEFAULT_WEIGHTS.output_token
+            self.speed.expect(cost_per_s / slots, weight)
 
     def waiting_count(self) -> int:
         """Return how many requests wait."""
@@ -98,13 +111,25 @@
 
     # Estimates.
 
-    def service_s(self, cost: float) -> float:
-        """Return how long a request of this cost is expected to run."""
-        return cost / self._slot_cost_per_s
+    @property
+    def _slot_cost_per_s(self) -> float:
+        return self.speed.slot_cost_per_s(FIRST_SLOT_COST_PER_S)
+
+    def _estimate(self, waiter: Waiter) -> None:
+        """Set the cost and the time on a slot that are to be expected."""
+        work = waiter.work
+        output = self.speed.output_tokens(work.customer, work.max_tokens)
+        weights = works.DEFAULT_WEIGHTS
+        waiter.cost = (
+            work.prompt_tokens * weights.prompt_token
+            + output * weights.output_token
+        )
+        waiter.service_s = self.speed.service_s(work.prompt_tokens, output)
 
     def latest_start_s(self, waiter: Waiter) -> float:
         """Return the time after which the deadline cannot be met."""
-        return waiter.work.deadline_s - self.service_s(waiter.cost)
+        latest_s = waiter.work.deadline_s - waiter.service_s
+        return max(latest_s, waiter.queued_s)
 
     def customer_cost_per_s(self, customer: str) -> float:
         """Return the part of this VM's speed that a customer is sure of."""
@@ -145,12 +170,12 @@
         up only its own callers.
         """
         work = waiter.work
+        self._estimate(waiter)
         self._note_demand(work.customer, waiter.cost, now_s)
         book = self._promises.setdefault(work.customer, promise_books.Book())
         kept = book.redeem(now_s) or returning
-        service_s = self.service_s(waiter.cost)
         left_s = work.deadline_s - now_s
-        patience_s = left_s - service_s
+        patience_s = max(0.0, left_s - waiter.service_s)
         ahead = self._ahead_cost(waiter)
         promised = 0.0
         allowed_s = patience_s
@@ -164,7 +189,7 @@
             start_s = ahead / self.customer_cost_per_s(work.customer)
             promised = book.due_cost(now_s + start_s)
         wait_s = self._wait_s(work.customer, ahead + promised)
-        reason = self._judge(work.customer, wait_s, patience_s, allowed_s)
+        reason = self._judge(waiter, wait_s, allowed_s, now_s)
         retry_after_s = None
         if reason == 'no-upstream':
             retry_after_s = NO_UPSTREAM_RETRY_S
@@ -178,21 +203,30 @@
         return decision
 
     def _judge(
-        self,
-        customer: str,
-        wait_s: float,
-        patience_s: float,
-        allowed_s: float,
+        self, waiter: Waiter, wait_s: float, allowed_s: float, now_s: float
     ) -> str:
+        customer = waiter.work.customer
         if self._fleet_slots <= 0:
             return 'no-upstream'
-        if patience_s < 0.0:
+        if self._too_short(waiter, now_s):
             return 'deadline-too-short'
         if wait_s <= allowed_s:
             return 'admitted'
         others = [name for name in self._lines if name != customer]
         return 'over-share' if others else 'busy'
 
+    def _too_short(self, waiter: Waiter, now_s: float) -> bool:
+        """Return whether even an idle fleet would be too late.
+
+        max_tokens is often far above what is used, so this needs recent
+        answers to the same customer; a guess could refuse it for ever.
+        """
+        left_s = waiter.work.deadline_s - now_s
+        if left_s <= 0.0:
+            return True
+        certain = self.speed.certain(waiter.work.customer, now_s)
+        return certain and waiter.service_s > TOO_SHORT_TIMES * left_s
+
     def _promise(
         self, waiter: Waiter, patience_s: float, now_s: float
     ) -> float:
@@ -231,7 +265,7 @@
             running=self.running_count,
             backlogged_customers=len(self._lines),
             wait_s=wait_s,
-            service_s=self.service_s(waiter.cost),
+            service_s=waiter.service_s,
             left_s=left_s,
             retry_after_s=retry_after_s,
         )
@@ -296,28 +330,39 @@
     def leave(
         self,
         waiter: Waiter,
-        cost: float,
+        usage: Usage | None,
         started_s: float | None,
         now_s: float,
     ) -> None:
-        """Free the waiter's place or slot and settle its true cost."""
+        """Free the waiter's place or slot and settle its true cost.
+
+        Without a usage the expected cost stands, as of work that failed.
+        """
         if not waiter.running:
             if not waiter.granted.is_set():
                 self._remove(waiter)
             return
         self.running_count -= 1
+        customer = waiter.work.customer
         if started_s is None:
             # Granted in the same instant as its caller hung up.
-            cost = 0.0
-        self.counters.add(waiter.work.customer, cost - waiter.cost)
-        if started_s is not None and now_s > started_s and cost > 0.0:
-            self._learn(cost, now_s - started_s)
+            self.counters.add(customer, -waiter.cost)
+        elif usage is not None:
+            self.counters.add(customer, usage.cost - waiter.cost)
+            self._learn(waiter, usage, now_s - started_s, now_s)
         self._grant()
 
-    def _learn(self, cost: float, took_s: float) -> None:
-        self._learned = True
-        speed = cost / took_s
-        self._slot_cost_per_s += NEWEST * (speed - self._slot_cost_per_s)
+    def _learn(
+        self, waiter: Waiter, usage: Usage, took_s: float, now_s: float
+    ) -> None:
+        work = waiter.work
+        if took_s <= 0.0:
+            return
+        self.speed.learn(
+            usage.fresh_tokens, usage.output_tokens, usage.cost, took_s
+        )
+        used = usage.output_tokens / max(1, work.max_tokens)
+        self.speed.learn_used(work.customer, min(used, 1.0), now_s)
         self._mean_service_s += NEWEST * (took_s - self._mean_service_s)
 
     def drop_late(self, now_s: float) -> None:
