Plan deadlines with a margin, and learn from what was cut off

Cause: with half the upstreams slow the queue stood at the very edge of the deadlines, so half of what was admitted came late; and what its deadline cut off taught nothing, so the slow fleet looked fast. A lasting refusal as too short could not be unlearned either. Ruled out: ejection (none happened with half slow). Change: an unfinished request that ran longer than expected is learned from; deadlines are planned with twice the mean error; with a slot free a request runs whatever its estimate; time-outs may eject a quarter of the upstreams at most.

--- a/gentianstair/entry/ejection.py
+++ b/gentianstair/entry/ejection.py
@@ -18,6 +18,11 @@
 # on the rest, so nobody is ejected. Two lost failure domains of three are
 # still below it.
 MOST_EJECTED = 0.8
+# A failure that took this many times a typical answer is one of slowness
+# (a timeout). Overload makes those by itself, and taking out whom it hits
+# first overloads the rest; so only this share may be out for slowness.
+SLOW_TIMES = 2.0
+MOST_SLOW_EJECTED = 0.25
 # A probe without a report after this long is taken for lost.
 PROBE_TIMEOUT_S = 10.0
 
@@ -90,8 +95,26 @@
             self._succeeded(upstream, state, now_s)
             return
         state.failed_in_a_row += 1
+        if self._is_slow(latency_s) and not self._slow_may_go(upstream):
+            return
         self._failed(upstream, state, now_s)
 
+    def _typical_s(self) -> float | None:
+        known = [
+            state.latency_s
+            for state in self._states.values()
+            if state.latency_s is not None
+        ]
+        return statistics.median_low(known) if known else None
+
+    def _is_slow(self, latency_s: float) -> bool:
+        typical_s = self._typical_s()
+        return typical_s is not None and latency_s > SLOW_TIMES * typical_s
+
+    def _slow_may_go(self, upstream: str) -> bool:
+        out = len(self._bad - {upstream}) + 1
+        return out <= MOST_SLOW_EJECTED * len(self._states)
+
     def _succeeded(self, upstream: str, state: _State, now_s: float) -> None:
         state.failed_in_a_row = 0
         if state.until_s is not None:
@@ -127,12 +150,8 @@
         A slow upstream still works, so it is not ejected: with half of
         them slow that would throw away capacity. The choice weighs it.
         """
-        known = [
-            state.latency_s
-            for state in self._states.values()
-            if state.latency_s is not None
-        ]
+        typical_s = self._typical_s()
         state = self._states.get(upstream)
-        if state is None or state.latency_s is None or len(known) < 2:
+        if state is None or state.latency_s is None or not typical_s:
             return 1.0
-        return state.latency_s / max(statistics.median_low(known), 1e-9)
+        return state.latency_s / typical_s
--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -124,7 +124,8 @@
             work.prompt_tokens * weights.prompt_token
             + output * weights.output_token
         )
-        waiter.service_s = self.speed.service_s(work.prompt_tokens, output)
+        expected_s = self.speed.service_s(work.prompt_tokens, output)
+        waiter.service_s = expected_s * self.speed.safe_factor()
 
     def latest_start_s(self, waiter: Waiter) -> float:
         """Return the time after which the deadline cannot be met."""
@@ -219,11 +220,15 @@
         """Return whether even an idle fleet would be too late.
 
         max_tokens is often far above what is used, so this needs recent
-        answers to the same customer; a guess could refuse it for ever.
+        answers to the same customer. With a slot free the request runs all
+        the same: were all refused by what a slow time taught, no answer
+        would ever teach that it is over.
         """
         left_s = waiter.work.deadline_s - now_s
         if left_s <= 0.0:
             return True
+        if self._free() and not self._lines:
+            return False
         certain = self.speed.certain(waiter.work.customer, now_s)
         return certain and waiter.service_s > TOO_SHORT_TIMES * left_s
 
@@ -350,6 +355,11 @@
         elif usage is not None:
             self.counters.add(customer, usage.cost - waiter.cost)
             self._learn(waiter, usage, now_s - started_s, now_s)
+        elif now_s - started_s > waiter.service_s:
+            # Cut off by its deadline, a failure or its caller, it had
+            # already run longer than expected. Learning only from what
+            # ends in time, a slow fleet would look fast.
+            self._learn_unfinished(waiter, now_s - started_s)
         self._grant()
 
     def _learn(
@@ -365,6 +375,11 @@
         self.speed.learn_used(work.customer, min(used, 1.0), now_s)
         self._mean_service_s += NEWEST * (took_s - self._mean_service_s)
 
+    def _learn_unfinished(self, waiter: Waiter, took_s: float) -> None:
+        work = waiter.work
+        output = self.speed.output_tokens(work.customer, work.max_tokens)
+        self.speed.learn(work.prompt_tokens, output, waiter.cost, took_s)
+
     def drop_late(self, now_s: float) -> None:
         """Refuse waiters whom a loss of capacity has made too late."""
         late = []
--- a/gentianstair/entry/speed.py
+++ b/gentianstair/entry/speed.py
@@ -4,6 +4,10 @@
 
 # Share that the learned figures keep at each finished request.
 KEPT = 0.98
+# A deadline is planned with this many mean errors beyond the expected time:
+# at the mean itself every second request would come late under overload.
+SAFETY_ERRORS = 2.0
+FIRST_ERROR_SHARE = 0.2
 # Until learned: seconds for one prompt token and for one output token.
 FIRST_PROMPT_TOKEN_S = 0.0005
 FIRST_OUTPUT_TOKEN_S = 0.03
@@ -48,6 +52,7 @@
         self._first_cost_per_s: float | None = None
         self._used: dict[str, _Used] = {}
         self._used_share = FIRST_USED_SHARE
+        self._error_share = FIRST_ERROR_SHARE
 
     def expect(self, cost_per_s: float, output_weight: float) -> None:
         """Set a slot's speed until one is learned, in cost units."""
@@ -72,6 +77,10 @@
             + max(0.0, output_s) * output_tokens / OUTPUT_SCALE
         )
 
+    def safe_factor(self) -> float:
+        """Return by how much to stretch an expected time for safety."""
+        return 1.0 + SAFETY_ERRORS * self._error_share
+
     def output_tokens(self, customer: str, max_tokens: int) -> float:
         """Return how many output tokens to expect."""
         used = self._used.get(customer)
@@ -104,6 +113,9 @@
         took_s: float,
     ) -> None:
         """Take a finished request: its tokens, cost and time on a slot."""
+        expected_s = self.service_s(prompt_tokens, output_tokens)
+        error = min(1.0, abs(took_s - expected_s) / max(expected_s, 1e-9))
+        self._error_share += (1.0 - KEPT) * (error - self._error_share)
         self._cost = KEPT * self._cost + cost
         self._slot_s = KEPT * self._slot_s + took_s
         self._fit(
