Eject only upstreams that fail more than the best quarter

Cause: in a brown-out of all upstreams chance ejected one after the other; for half a minute after it the rest carried all the load, with all slots taken up by waiting in their lines. Change: ejection needs a failure share 0.2 above the best quarter.

--- a/gentianstair/entry/ejection.py
+++ b/gentianstair/entry/ejection.py
@@ -2,6 +2,7 @@
 
 import random
 import statistics
+import typing
 
 # Failures in a row that eject an upstream.
 FAILURES_IN_A_ROW = 3
@@ -23,6 +24,13 @@
 # first overloads the rest; so only this share may be out for slowness.
 SLOW_TIMES = 2.0
 MOST_SLOW_EJECTED = 0.25
+# An upstream is bad only if it fails by this much more often than the best
+# quarter: in a common brown-out all fail, and chance alone would take out
+# one after the other for far longer than the brown-out lasts.
+WORSE_THAN_BEST = 0.2
+BEST_QUANTILE = 0.25
+# Figures over all upstreams are worked out at most this often.
+COMMON_AGE_S = 0.25
 # A probe without a report after this long is taken for lost.
 PROBE_TIMEOUT_S = 10.0
 
@@ -40,6 +48,13 @@
         self.probe_since_s: float | None = None
 
 
+class _Common(typing.NamedTuple):
+    """Figures over all upstreams."""
+
+    best_failed_share: float
+    typical_s: float | None
+
+
 class Ejector:
     """Judge upstreams by the reports of their tries.
 
@@ -51,6 +66,8 @@
         self._random = random.Random(seed)
         self._states: dict[str, _State] = {}
         self._bad: set[str] = set()
+        self._common = _Common(0.0, None)
+        self._common_s: float | None = None
 
     def set_upstreams(self, names: set[str]) -> None:
         """Forget upstreams that left; the share of bad is of these."""
@@ -87,6 +104,7 @@
     ) -> None:
         """Take the outcome of a try; cancelled tries are not reported."""
         state = self._states.setdefault(upstream, _State())
+        self._refresh(now_s)
         state.tries += 1
         state.failed_share += NEWEST * ((not ok) - state.failed_share)
         if ok:
@@ -99,16 +117,21 @@
             return
         self._failed(upstream, state, now_s)
 
-    def _typical_s(self) -> float | None:
-        known = [
-            state.latency_s
-            for state in self._states.values()
-            if state.latency_s is not None
-        ]
-        return statistics.median_low(known) if known else None
+    def _refresh(self, now_s: float) -> None:
+        """Work the common figures out anew if they are old."""
+        last_s = self._common_s
+        if last_s is not None and now_s - last_s < COMMON_AGE_S:
+            return
+        self._common_s = now_s
+        tried = [state for state in self._states.values() if state.tries]
+        known = [s.latency_s for s in tried if s.latency_s is not None]
+        shares = sorted(state.failed_share for state in tried)
+        best = shares[int(BEST_QUANTILE * len(shares))] if shares else 0.0
+        typical_s = statistics.median_low(known) if known else None
+        self._common = _Common(best, typical_s)
 
     def _is_slow(self, latency_s: float) -> bool:
-        typical_s = self._typical_s()
+        typical_s = self._common.typical_s
         return typical_s is not None and latency_s > SLOW_TIMES * typical_s
 
     def _slow_may_go(self, upstream: str) -> bool:
@@ -134,6 +157,9 @@
         often = state.tries >= LEAST_TRIES and state.failed_share > BAD_SHARE
         if not (in_a_row or often or state.until_s is not None):
             return
+        best = self._common.best_failed_share
+        if state.failed_share < best + WORSE_THAN_BEST:
+            return
         self._bad.add(upstream)
         if state.until_s is not None and now_s < state.until_s:
             return
@@ -150,7 +176,7 @@
         A slow upstream still works, so it is not ejected: with half of
         them slow that would throw away capacity. The choice weighs it.
         """
-        typical_s = self._typical_s()
+        typical_s = self._common.typical_s
         state = self._states.get(upstream)
         if state is None or state.latency_s is None or not typical_s:
             return 1.0
