Close slots while requests do not finish

Cause: in a brown-out each try that timed out left its work on the upstream while its slot was given away, so every upstream had a line of dead work and nearly all tries timed out. Change: an unfinished request closes 5 % of the slots, a finished one opens 1 %; the estimates of waiting count the closed slots.

--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -19,6 +19,13 @@
 NO_UPSTREAM_RETRY_S = 5.0
 # Time in which the split tries to level customers that differ.
 CATCH_UP_S = 10.0
+# An upstream may go on with work that was given up, so a slot that is free
+# here can still be taken there, and each new request makes all of them
+# later. So unfinished requests close slots and finished ones open them;
+# they balance at one unfinished in six.
+BRAKE_DOWN = 0.95
+BRAKE_UP = 0.01
+LEAST_BRAKE = 0.2
 # A deadline is refused as too short if the service is expected to take this
 # many times what is left; below it the expectation is too rough.
 TOO_SHORT_TIMES = 1.25
@@ -66,6 +73,8 @@
         self.order = order
         self.queued_s = now_s
         self.cost = works.cost(work)
+        # The time on a slot: the mean, and one that few requests exceed.
+        self.mean_s = 0.0
         self.service_s = 0.0
         self.granted = trio.Event()
         self.running = False
@@ -90,6 +99,8 @@
         self._weight_of = weight_of
         self._fleet_slots = 0
         self.speed = speeds.Speed()
+        # Part of the slots in use; falls while requests do not finish.
+        self.brake = 1.0
         self._mean_service_s = 0.0
         # Waiters by customer, each line ordered by rank.
         self._lines: dict[str, list[tuple[tuple[int, int], Waiter]]] = {}
@@ -124,8 +135,8 @@
             work.prompt_tokens * weights.prompt_token
             + output * weights.output_token
         )
-        expected_s = self.speed.service_s(work.prompt_tokens, output)
-        waiter.service_s = expected_s * self.speed.safe_factor()
+        waiter.mean_s = self.speed.service_s(work.prompt_tokens, output)
+        waiter.service_s = waiter.mean_s * self.speed.safe_factor()
 
     def latest_start_s(self, waiter: Waiter) -> float:
         """Return the time after which the deadline cannot be met."""
@@ -138,7 +149,8 @@
             self._weight_of(name) for name in self._lines if name != customer
         )
         weight = max(self._weight_of(customer), 1e-9)
-        speed = max(self.slots, 1e-9) * self._slot_cost_per_s
+        slots = max(self.slots * self.brake, 1e-9)
+        speed = slots * self._slot_cost_per_s
         return speed * weight / (weight + others)
 
     def _ahead_cost(self, waiter: Waiter) -> float:
@@ -150,7 +162,7 @@
 
     def _free(self) -> bool:
         # No VM is left without a slot while the fleet has one.
-        return self.running_count < max(1, round(self.slots))
+        return self.running_count < max(1, round(self.slots * self.brake))
 
     def _wait_s(self, customer: str, ahead_cost: float) -> float:
         if self._free() and not self._lines:
@@ -355,7 +367,7 @@
         elif usage is not None:
             self.counters.add(customer, usage.cost - waiter.cost)
             self._learn(waiter, usage, now_s - started_s, now_s)
-        elif now_s - started_s > waiter.service_s:
+        elif now_s - started_s > waiter.mean_s:
             # Cut off by its deadline, a failure or its caller, it had
             # already run longer than expected. Learning only from what
             # ends in time, a slow fleet would look fast.
@@ -366,6 +378,7 @@
         self, waiter: Waiter, usage: Usage, took_s: float, now_s: float
     ) -> None:
         work = waiter.work
+        self.brake = min(1.0, self.brake + BRAKE_UP)
         if took_s <= 0.0:
             return
         self.speed.learn(
@@ -377,6 +390,7 @@
 
     def _learn_unfinished(self, waiter: Waiter, took_s: float) -> None:
         work = waiter.work
+        self.brake = max(LEAST_BRAKE, self.brake * BRAKE_DOWN)
         output = self.speed.output_tokens(work.customer, work.max_tokens)
         self.speed.learn(work.prompt_tokens, output, waiter.cost, took_s)
 
