Keep a cut-off VM to an even part of the limits

Cause: a VM that never heard its peers took the whole limit for itself: with two of eight cut off, 55 requests passed in a second where the stated error allows 48. The first quarter second also judged time-outs without knowing what is typical, and ejected half of the upstreams for slowness. Change: silent peers keep an even part; heartbeats show who is silent.

--- a/gentianstair/entry/ejection.py
+++ b/gentianstair/entry/ejection.py
@@ -120,7 +120,8 @@
     def _refresh(self, now_s: float) -> None:
         """Work the common figures out anew if they are old."""
         last_s = self._common_s
-        if last_s is not None and now_s - last_s < COMMON_AGE_S:
+        fresh = last_s is not None and now_s - last_s < COMMON_AGE_S
+        if fresh and self._common.typical_s is not None:
             return
         self._common_s = now_s
         tried = [state for state in self._states.values() if state.tries]
--- a/gentianstair/entry/limits.py
+++ b/gentianstair/entry/limits.py
@@ -3,8 +3,8 @@
 Each VM enforces its part of a limit: a small even part, and the rest by the
 demand that the VMs told each other. A VM counts a rise of its own demand
 only one interval after it told it, a fall at once. So the parts never sum to
-more than the whole while summaries arrive within the interval, and a cut
-peer keeps the part it last told.
+more than the whole while summaries arrive within the interval. A silent
+peer keeps an even part, which is all that a VM cut off takes.
 
 The stated error, for N VMs: in any window of W seconds at most
 ``limit * (W + BURST_S) + N`` requests pass; tokens likewise plus one request
@@ -32,6 +32,11 @@
 # Least time between two summaries, and the lag that they are allowed.
 INTERVAL_S = 0.5
 FULL_SUMMARY_S = 10.0
+# A summary is sent at least this often, also without rows, and a peer that
+# was silent for three times as long keeps an even part for itself: it may
+# be cut off and unable to hear what is asked of others.
+HEARTBEAT_S = 2.0
+SILENT_S = 3.0 * HEARTBEAT_S
 
 
 class Terms(typing.NamedTuple):
@@ -121,7 +126,9 @@
         self._peers: dict[str, dict[str, messages.UseRow]] = {}
         self._peer_incarnation: dict[str, str] = {}
         self._sent: dict[str, messages.UseRow] = {}
+        self._heard_s: dict[str, float] = {}
         self._summary_s = -INTERVAL_S
+        self._sent_s = -HEARTBEAT_S
         self._full_s = -FULL_SUMMARY_S
 
     def set_vms(self, live: collections.abc.Iterable[str]) -> None:
@@ -129,9 +136,11 @@
         self._live = {self._vm, *live}
         for vm in set(self._peers) - self._live:
             del self._peers[vm]
+            self._heard_s.pop(vm, None)
 
     def _share(self, customer: str, use: _Use, kind: int) -> float:
-        own = use.counted(self._clock())[kind]
+        now_s = self._clock()
+        own = use.counted(now_s)[kind]
         total = own
         for rows in self._peers.values():
             row = rows.get(customer)
@@ -144,7 +153,13 @@
         even = 1.0 / len(self._live)
         if total <= 1e-6:
             return even
-        return EVEN_SHARE * even + (1.0 - EVEN_SHARE) * own / total
+        silent = sum(
+            now_s - self._heard_s.get(vm, -SILENT_S) >= SILENT_S
+            for vm in self._live
+            if vm != self._vm
+        )
+        heard = 1.0 - silent * even
+        return EVEN_SHARE * even + (heard - EVEN_SHARE * heard) * own / total
 
     def _peers_running(self, customer: str) -> int:
         return sum(
@@ -226,8 +241,9 @@
                 told['demand_requests_per_s'],
                 told['demand_tokens_per_s'],
             )
-        if not rows:
+        if not rows and now_s - self._sent_s < HEARTBEAT_S:
             return None
+        self._sent_s = now_s
         return {
             'version': SUMMARY_VERSION,
             'vm': self._vm,
@@ -251,6 +267,7 @@
         if self._peer_incarnation.get(vm) != summary['incarnation']:
             self._peer_incarnation[vm] = summary['incarnation']
             self._peers[vm] = {}
+        self._heard_s[vm] = self._clock()
         rows = self._peers.setdefault(vm, {})
         for row in summary['rows']:
             rows[row['customer']] = row
--- /dev/null
+++ b/test/entry/test_retries.py
@@ -0,0 +1,123 @@
+"""Test retry budgets, backoff, hedging and ejection."""
+
+import pytest
+
+from gentianstair import errors
+from gentianstair import verdict
+from gentianstair.entry import ejection
+from gentianstair.entry import retries
+
+NOT_RUN = verdict.Verdict.NOT_RUN
+MAY = verdict.Verdict.MAY_HAVE_RUN
+
+
+@pytest.mark.parametrize(
+    ('found', 'repeatable', 'attempt', 'left_s', 'reason'),
+    [
+        (NOT_RUN, True, 1, 9.0, 'allowed'),
+        (MAY, True, 1, 9.0, 'allowed'),
+        (NOT_RUN, False, 1, 9.0, 'allowed'),
+        # A registration that may have run is never sent again.
+        (MAY, False, 1, 9.0, 'may-have-run'),
+        (verdict.Verdict.RAN, False, 1, 9.0, 'may-have-run'),
+        (NOT_RUN, True, retries.MOST_ATTEMPTS, 9.0, 'attempts'),
+        (NOT_RUN, True, 1, 0.0, 'deadline'),
+    ],
+)
+def test_choice(found, repeatable, attempt, left_s, reason):
+    policy = retries.make_retries(1)
+    error = errors.UpstreamError('x', found)
+    choice = policy.choose(error, 'c', 'u', attempt, repeatable, left_s)
+    assert choice.reason == reason
+
+
+@pytest.mark.promise
+def test_storm_dies_out():
+    # Every try fails for long. With a fixed number of retries a request,
+    # the load stays multiplied for as long as the outage and its backlog
+    # last, which can be for ever.
+    budget = retries.Budget()
+    allowed = 0
+    for number in range(10000):
+        customer, upstream = f'c{number % 3}', f'u{number % 7}'
+        budget.fresh(customer, upstream)
+        for _ in range(4):
+            allowed += budget.allow(customer, upstream)
+    assert allowed <= 10000 * retries.RETRY_SHARE + 7 * retries.MOST_SAVED
+
+
+def test_backoff_is_jittered_and_bounded():
+    policy = retries.make_retries(1)
+    waits = [policy.backoff_s(attempt) for attempt in range(20)]
+    assert len(set(waits)) == len(waits)
+    assert all(0 <= wait <= retries.LONGEST_BACKOFF_S for wait in waits)
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'known', 'hedged'),
+    [(True, 100, True), (True, 5, False), (False, 100, False)],
+)
+def test_only_known_idempotent_calls_are_hedged(idempotent, known, hedged):
+    hedges = retries.Hedges()
+    for number in range(known):
+        hedges.report('stock', 0.01 if number % 20 else 1.0)
+    delay_s = hedges.delay_s('stock', idempotent)
+    assert (delay_s is not None) == hedged
+
+
+def make_ejector(names):
+    ejector = ejection.Ejector(1)
+    ejector.set_upstreams(set(names))
+    for name in names:
+        for _ in range(10):
+            ejector.report(name, True, 1.0, 0.0)
+    return ejector
+
+
+def usable(ejector, names, now_s):
+    found = [name for name in names if ejector.usable(name, now_s)]
+    return ''.join(found)
+
+
+@pytest.mark.parametrize(
+    ('bad', 'latency_s', 'left'),
+    [
+        # One fails at once: it has nothing running, looks idle and would
+        # draw all new work.
+        ('a', 0.0, 'bcdefgh'),
+        # Two failure domains of three are gone.
+        ('abcde', 0.0, 'fgh'),
+        # All fail: the cause is common, and ejection would leave nobody.
+        ('abcdefgh', 0.0, 'abcdefgh'),
+        # Half time out under load: at most a quarter may go for that, or
+        # the rest would be overloaded one after the other.
+        ('abcd', 5.0, 'cdefgh'),
+    ],
+)
+def test_who_is_ejected(bad, latency_s, left):
+    names = 'abcdefgh'
+    ejector = make_ejector(names)
+    for step in range(20):
+        for name in names:
+            if name in bad:
+                ejector.report(name, False, latency_s, step * 0.05)
+            else:
+                ejector.report(name, True, 1.0, step * 0.05)
+    assert usable(ejector, names, 1.0) == left
+
+
+def test_half_open_return_takes_one_probe():
+    # An ejected engine is back. Let in at once, all waiting work would fall
+    # on it while it is cold; one probe decides.
+    ejector = make_ejector('ab')
+    for _ in range(3):
+        ejector.report('a', False, 0.0, 1.0)
+    assert usable(ejector, 'ab', 1.1) == 'b'
+    assert usable(ejector, 'ab', 5.0) == 'ab'
+    ejector.started('a', 5.0)
+    assert usable(ejector, 'ab', 5.1) == 'b'
+    ejector.report('a', False, 0.0, 5.2)
+    assert usable(ejector, 'ab', 5.3) == 'b'
+    ejector.started('a', 12.0)
+    ejector.report('a', True, 1.0, 12.1)
+    assert usable(ejector, 'ab', 12.2) == 'ab'
