--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -32,6 +32,7 @@
 from gentianstair.util import clock
 from gentianstair.util import logs
 from gentianstair.util import serving
+from gentianstair.util import tls
 
 GRACE_S = 1.0
 
@@ -66,7 +67,7 @@
     config: generated.EntrySettings,
 ) -> tuple[nodes.Node, peers.Node]:
     """Return the parts of an entry process, none of them running yet."""
-    view = views.View()
+    view = views.View(config.bundle_public_key)
     store = http_store.connect(config.platform_url, config.store_timeout_s)
     now = clock.boottime_s
     peer = peers.make_node(config, view, store, now)
@@ -144,6 +145,15 @@
 
 async def run(config: generated.EntrySettings) -> None:
     """Serve until stopped, then let running requests end."""
+    credentials = tls.make_caller_credentials(
+        config.tls_cert_file,
+        config.tls_key_file,
+        config.listen,
+        config.insecure_plain,
+    )
+    tls.check_plain(
+        config.operator_listen, config.insecure_plain, '--operator-listen'
+    )
     sock = serving.listen(config.listen, reuse_port=True)
     operator_sock = serving.listen(config.operator_listen)
     node, peer = make_node(config)
@@ -175,12 +185,15 @@
             )
         )
         print(f'listening {host}:{port} {operator_port}', flush=True)
+        if credentials:
+            nursery.start_soon(credentials.run)
         await serving.serve(
             apps.create_app(node, leaving),
             sock,
             leave,
             config.drain_timeout_s,
-            stall_s=config.caller_stall_s,
+            credentials.server if credentials else None,
+            send_stall_s=config.caller_stall_s,
         )
         with trio.move_on_after(GRACE_S):
             await node.claims.flush()
