--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -7,17 +7,30 @@
 
 from gentianstair.entry import fairness
 from gentianstair.entry import promises as promise_books
+from gentianstair.entry import speed as speeds
 from gentianstair.entry import work as works
 from gentianstair.generated import messages
 
 # How fast demand and speed are forgotten.
 DEMAND_HALF_LIFE_S = 2.0
-# Weight of the newest finished request in the learned figures.
-NEWEST = 0.05
 # Assumed until told or learned, in cost units a second for each slot.
 FIRST_SLOT_COST_PER_S = 200.0
 # Told to those refused for want of any upstream, which no queue can date.
 NO_UPSTREAM_RETRY_S = 5.0
+# Time in which the split tries to level customers that differ.
+CATCH_UP_S = 10.0
+# An upstream may go on with work that was given up, so a slot that is free
+# here can still be taken there, and each new request makes all of them
+# later. So unfinished requests close slots and finished ones open them;
+# they balance at one unfinished in six.
+BRAKE_DOWN = 0.95
+BRAKE_UP = 0.01
+LEAST_BRAKE = 0.2
+# A deadline is refused as too short if the service is expected to take this
+# many times what is left; below it the expectation is too rough.
+TOO_SHORT_TIMES = 1.25
+# Weight of the newest finished request in the mean service time.
+NEWEST = 0.05
 # Share of the patience that a promise leaves unused, against its error.
 PROMISE_SLACK = 0.5
 
@@ -44,6 +57,14 @@
     retry_after_s: float | None
 
 
+class Usage(typing.NamedTuple):
+    """What an upstream says that a request used."""
+
+    fresh_tokens: int
+    output_tokens: int
+    cost: float
+
+
 class Waiter:
     """One request in the queue or on a slot."""
 
@@ -52,6 +73,9 @@
         self.order = order
         self.queued_s = now_s
         self.cost = works.cost(work)
+        # The time on a slot: the mean, and one that few requests exceed.
+        self.mean_s = 0.0
+        self.service_s = 0.0
         self.granted = trio.Event()
         self.running = False
         self.refusal: Decision | None = None
@@ -74,8 +98,9 @@
         self.slots = 0.0
         self._weight_of = weight_of
         self._fleet_slots = 0
-        self._slot_cost_per_s = FIRST_SLOT_COST_PER_S
-        self._learned = False
+        self.speed = speeds.Speed()
+        # Part of the slots in use; falls while requests do not finish.
+        self.brake = 1.0
         self._mean_service_s = 0.0
         # Waiters by customer, each line ordered by rank.
         self._lines: dict[str, list[tuple[tuple[int, int], Waiter]]] = {}
@@ -87,8 +112,9 @@
     def set_capacity(self, slots: int, cost_per_s: float) -> None:
         """Set the fleet's slots, and its speed until one is learned."""
         self._fleet_slots = slots
-        if cost_per_s > 0.0 and slots > 0 and not self._learned:
-            self._slot_cost_per_s = cost_per_s / slots
+        if cost_per_s > 0.0 and slots > 0:
+            weight = works.DEFAULT_WEIGHTS.output_token
+            self.speed.expect(cost_per_s / slots, weight)
 
     def waiting_count(self) -> int:
         """Return how many requests wait."""
@@ -96,13 +122,26 @@
 
     # Estimates.
 
-    def service_s(self, cost: float) -> float:
-        """Return how long a request of this cost is expected to run."""
-        return cost / self._slot_cost_per_s
+    @property
+    def _slot_cost_per_s(self) -> float:
+        return self.speed.slot_cost_per_s(FIRST_SLOT_COST_PER_S)
+
+    def _estimate(self, waiter: Waiter) -> None:
+        """Set the cost and the time on a slot that are to be expected."""
+        work = waiter.work
+        output = self.speed.output_tokens(work.customer, work.max_tokens)
+        weights = works.DEFAULT_WEIGHTS
+        waiter.cost = (
+            work.prompt_tokens * weights.prompt_token
+            + output * weights.output_token
+        )
+        waiter.mean_s = self.speed.service_s(work.prompt_tokens, output)
+        waiter.service_s = waiter.mean_s * self.speed.safe_factor()
 
     def latest_start_s(self, waiter: Waiter) -> float:
         """Return the time after which the deadline cannot be met."""
-        return waiter.work.deadline_s - self.service_s(waiter.cost)
+        latest_s = waiter.work.deadline_s - waiter.service_s
+        return max(latest_s, waiter.queued_s)
 
     def customer_cost_per_s(self, customer: str) -> float:
         """Return the part of this VM's speed that a customer is sure of."""
@@ -110,7 +149,8 @@
             self._weight_of(name) for name in self._lines if name != customer
         )
         weight = max(self._weight_of(customer), 1e-9)
-        speed = max(self.slots, 1e-9) * self._slot_cost_per_s
+        slots = max(self.slots * self.brake, 1e-9)
+        speed = slots * self._slot_cost_per_s
         return speed * weight / (weight + others)
 
     def _ahead_cost(self, waiter: Waiter) -> float:
@@ -121,8 +161,8 @@
         return sum(w.cost for rank, w in line if rank < waiter.rank)
 
     def _free(self) -> bool:
-        # Rounding up leaves no VM without a slot while the fleet has one.
-        return self.running_count < max(self.slots, 1.0) - 1e-6
+        # No VM is left without a slot while the fleet has one.
+        return self.running_count < max(1, round(self.slots * self.brake))
 
     def _wait_s(self, customer: str, ahead_cost: float) -> float:
         if self._free() and not self._lines:
@@ -133,23 +173,36 @@
 
     # Entering and leaving.
 
-    def offer(self, waiter: Waiter, now_s: float) -> Decision:
-        """Queue the waiter, or refuse it; grant slots that are free."""
+    def offer(
+        self, waiter: Waiter, now_s: float, returning: bool = False
+    ) -> Decision:
+        """Queue the waiter, or refuse it; grant slots that are free.
+
+        A returning caller is not held up by promises to others. Marking
+        every request as returning wins a customer nothing: promises hold
+        up only its own callers.
+        """
         work = waiter.work
+        self._estimate(waiter)
         self._note_demand(work.customer, waiter.cost, now_s)
         book = self._promises.setdefault(work.customer, promise_books.Book())
-        kept = book.redeem(now_s)
-        service_s = self.service_s(waiter.cost)
+        kept = book.redeem(now_s) or returning
         left_s = work.deadline_s - now_s
-        patience_s = left_s - service_s
+        patience_s = max(0.0, left_s - waiter.service_s)
         ahead = self._ahead_cost(waiter)
         promised = 0.0
-        if not kept:
+        allowed_s = patience_s
+        book.marks = book.marks or returning
+        if not kept and book.total_cost(now_s) > 0.0:
+            if book.marks:
+                # The line must leave room for those told to return. Where
+                # callers do not mark their return this would hit them too.
+                allowed_s *= PROMISE_SLACK
             # Promises due before this one would start go first.
             start_s = ahead / self.customer_cost_per_s(work.customer)
             promised = book.due_cost(now_s + start_s)
         wait_s = self._wait_s(work.customer, ahead + promised)
-        reason = self._judge(work.customer, wait_s, patience_s)
+        reason = self._judge(waiter, wait_s, allowed_s, now_s)
         retry_after_s = None
         if reason == 'no-upstream':
             retry_after_s = NO_UPSTREAM_RETRY_S
@@ -162,16 +215,35 @@
             self._enter(waiter)
         return decision
 
-    def _judge(self, customer: str, wait_s: float, patience_s: float) -> str:
+    def _judge(
+        self, waiter: Waiter, wait_s: float, allowed_s: float, now_s: float
+    ) -> str:
+        customer = waiter.work.customer
         if self._fleet_slots <= 0:
             return 'no-upstream'
-        if patience_s < 0.0:
+        if self._too_short(waiter, now_s):
             return 'deadline-too-short'
-        if wait_s <= patience_s:
+        if wait_s <= allowed_s:
             return 'admitted'
         others = [name for name in self._lines if name != customer]
         return 'over-share' if others else 'busy'
 
+    def _too_short(self, waiter: Waiter, now_s: float) -> bool:
+        """Return whether even an idle fleet would be too late.
+
+        max_tokens is often far above what is used, so this needs recent
+        answers to the same customer. With a slot free the request runs all
+        the same: were all refused by what a slow time taught, no answer
+        would ever teach that it is over.
+        """
+        left_s = waiter.work.deadline_s - now_s
+        if left_s <= 0.0:
+            return True
+        if self._free() and not self._lines:
+            return False
+        certain = self.speed.certain(waiter.work.customer, now_s)
+        return certain and waiter.service_s > TOO_SHORT_TIMES * left_s
+
     def _promise(
         self, waiter: Waiter, patience_s: float, now_s: float
     ) -> float:
@@ -210,7 +282,7 @@
             running=self.running_count,
             backlogged_customers=len(self._lines),
             wait_s=wait_s,
-            service_s=self.service_s(waiter.cost),
+            service_s=waiter.service_s,
             left_s=left_s,
             retry_after_s=retry_after_s,
         )
@@ -218,13 +290,26 @@
     def _enter(self, waiter: Waiter) -> None:
         customer = waiter.work.customer
         if customer not in self._lines:
-            self.counters.join(customer, self._lines)
+            backlogged = self._backlogged()
+            if customer not in backlogged:
+                self.counters.join(customer, backlogged)
             self._lines[customer] = []
         heapq.heappush(self._lines[customer], (waiter.rank, waiter))
         cost = self._line_cost.get(customer, 0.0) + waiter.cost
         self._line_cost[customer] = cost
         self._grant()
 
+    def _backlogged(self) -> set[str]:
+        """Return the customers that wait anywhere, as far as known."""
+        found = set(self._lines)
+        for rows in self._peer_rows.values():
+            found.update(
+                customer
+                for customer, row in rows.items()
+                if row['waiting_cost'] > 0.0
+            )
+        return found
+
     def _remove(self, waiter: Waiter) -> None:
         customer = waiter.work.customer
         line = self._lines[customer]
@@ -262,30 +347,53 @@
     def leave(
         self,
         waiter: Waiter,
-        cost: float,
+        usage: Usage | None,
         started_s: float | None,
         now_s: float,
     ) -> None:
-        """Free the waiter's place or slot and settle its true cost."""
+        """Free the waiter's place or slot and settle its true cost.
+
+        Without a usage the expected cost stands, as of work that failed.
+        """
         if not waiter.running:
             if not waiter.granted.is_set():
                 self._remove(waiter)
             return
         self.running_count -= 1
+        customer = waiter.work.customer
         if started_s is None:
             # Granted in the same instant as its caller hung up.
-            cost = 0.0
-        self.counters.add(waiter.work.customer, cost - waiter.cost)
-        if started_s is not None and now_s > started_s and cost > 0.0:
-            self._learn(cost, now_s - started_s)
+            self.counters.add(customer, -waiter.cost)
+        elif usage is not None:
+            self.counters.add(customer, usage.cost - waiter.cost)
+            self._learn(waiter, usage, now_s - started_s, now_s)
+        elif now_s - started_s > waiter.mean_s:
+            # Cut off by its deadline, a failure or its caller, it had
+            # already run longer than expected. Learning only from what
+            # ends in time, a slow fleet would look fast.
+            self._learn_unfinished(waiter, now_s - started_s)
         self._grant()
 
-    def _learn(self, cost: float, took_s: float) -> None:
-        self._learned = True
-        speed = cost / took_s
-        self._slot_cost_per_s += NEWEST * (speed - self._slot_cost_per_s)
+    def _learn(
+        self, waiter: Waiter, usage: Usage, took_s: float, now_s: float
+    ) -> None:
+        work = waiter.work
+        self.brake = min(1.0, self.brake + BRAKE_UP)
+        if took_s <= 0.0:
+            return
+        self.speed.learn(
+            usage.fresh_tokens, usage.output_tokens, usage.cost, took_s
+        )
+        used = usage.output_tokens / max(1, work.max_tokens)
+        self.speed.learn_used(work.customer, min(used, 1.0), now_s)
         self._mean_service_s += NEWEST * (took_s - self._mean_service_s)
 
+    def _learn_unfinished(self, waiter: Waiter, took_s: float) -> None:
+        work = waiter.work
+        self.brake = max(LEAST_BRAKE, self.brake * BRAKE_DOWN)
+        output = self.speed.output_tokens(work.customer, work.max_tokens)
+        self.speed.learn(work.prompt_tokens, output, waiter.cost, took_s)
+
     def drop_late(self, now_s: float) -> None:
         """Refuse waiters whom a loss of capacity has made too late."""
         late = []
@@ -336,6 +444,10 @@
         if last is not None:
             served = row['served_cost'] - last['served_cost']
             self.counters.add_remote(row['customer'], served)
+        if row['waiting_cost'] > 0.0:
+            backlogged = self._backlogged()
+            if row['customer'] not in backlogged:
+                self.counters.join(row['customer'], backlogged)
         rows[row['customer']] = row
 
     def forget(self, vm: str) -> None:
@@ -359,6 +471,29 @@
         if speed <= 0.0:
             self.slots = 0.0
             return
-        parts = fairness.split(speed, demands, self._weight_of)
+        parts = fairness.split(speed, demands, self._caught_up(speed))
         self.slots = parts[own_vm] / self._slot_cost_per_s
         self._grant()
+
+    def _caught_up(self, speed: float) -> fairness.WeightOf:
+        """Return weights that favour customers who wait and are behind.
+
+        Customers on different VMs meet in no queue, so only the split can
+        level them; without this, rounding makes them drift apart for ever.
+        """
+        waiting = self._backlogged()
+        if len(waiting) < 2:
+            return self._weight_of
+        values = {name: self.counters.value(name) for name in waiting}
+        mean = sum(values.values()) / len(values)
+        total = sum(self._weight_of(name) for name in waiting)
+        step = speed * CATCH_UP_S / max(total, 1e-9)
+
+        def weight_of(customer: str) -> float:
+            weight = self._weight_of(customer)
+            if customer not in values:
+                return weight
+            behind = (mean - values[customer]) / step
+            return weight * min(max(1.0 + behind, 0.5), 2.0)
+
+        return weight_of
