--- /dev/null
+++ b/test/platform/test_budget.py
@@ -0,0 +1,83 @@
+"""Test who gets the store's calls when there are too few."""
+
+import collections
+
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair.platform import budget
+from gentianstair.util import clock
+from standins import memory_store
+
+
+async def offer(store, seconds, rates_per_s):
+    """Offer calls at rates by purpose; return how many passed of each."""
+    passed = collections.Counter()
+    start_s = trio.current_time()
+    due = dict.fromkeys(rates_per_s, 0.0)
+    while trio.current_time() - start_s < seconds:
+        for purpose, rate in rates_per_s.items():
+            due[purpose] += rate * 0.1
+            while due[purpose] >= 1.0:
+                due[purpose] -= 1.0
+                try:
+                    await store.get('a', 'x', purpose=purpose)
+                    passed[purpose] += 1
+                except errors.BudgetError:
+                    pass
+        await trio.sleep(0.1)
+    return passed
+
+
+RATES = {'lease': 5, 'claim': 10, 'usage': 5, 'config': 5, 'status': 25}
+
+
+@pytest.mark.parametrize(
+    'reads_per_s, least',
+    [
+        # Enough for all.
+        (60.0, {'lease': 490, 'claim': 980, 'config': 490, 'status': 2400}),
+        # Half: status goes short, the others do not.
+        (30.0, {'lease': 490, 'claim': 980, 'usage': 480, 'config': 450}),
+        # A tenth: leases keep going, and no purpose stops wholly.
+        (5.0, {'lease': 350, 'config': 10, 'status': 10}),
+    ],
+)
+async def test_priorities_by_budget(autojump_clock, reads_per_s, least):
+    """Leases lapse because status pages use up the store's budget.
+
+    The store's rate is shared; when it is cut to a tenth, most calls must
+    go, and those that keep authority must be the last.
+    """
+    inner = memory_store.MemoryStore()
+    store = budget.BudgetStore(inner, clock.trio_time_s, reads_per_s, 10.0)
+    passed = await offer(store, 100.0, RATES)
+    assert sum(inner.calls.values()) <= 100.0 * reads_per_s * 1.05 + 120
+    for purpose, number in least.items():
+        assert passed[purpose] >= number, passed
+
+
+async def test_outage_lowers_the_calls_and_ends(autojump_clock):
+    """A store that comes back is knocked down again by the calls held up."""
+    inner = memory_store.MemoryStore()
+    store = budget.BudgetStore(inner, clock.trio_time_s, 100.0, 10.0)
+    inner.faults.down = True
+
+    async def attempt():
+        try:
+            await store.get('a', 'x', purpose='claim')
+        except errors.StoreUnavailableError:
+            pass
+
+    for _ in range(6000):
+        await attempt()
+        await trio.sleep(0.01)
+    down_calls = inner.calls['claim']
+    inner.faults.down = False
+    await trio.sleep(30.0)
+    for _ in range(500):
+        await attempt()
+        await trio.sleep(0.01)
+    assert down_calls < 1500
+    assert inner.calls['claim'] - down_calls >= 480
