--- a/gentianstair/platform/budget.py
+++ b/gentianstair/platform/budget.py
@@ -14,6 +14,7 @@
 PRIORITIES = ('lease', 'claim', 'usage', 'config', 'status')
 _ALIASES = {
     'order': 'lease',
+    'upstream': 'lease',
     'outcome': 'claim',
     'audit': 'config',
     'operator': 'config',
