--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -123,6 +123,10 @@
         """Return all VMs known, by name."""
         return sorted(self._members.by_name.values())
 
+    def links(self) -> int:
+        """Return how many links to peers are up."""
+        return len(self._sessions)
+
     def publish(self, topic: str, body: summaries_module.Body) -> None:
         """Spread this node's summary on a topic, with the next heartbeat."""
         self._summaries.publish(topic, body)
