--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -164,7 +164,6 @@
             task_status.started()
             self.started.set()
             nursery.start_soon(self._beat_loop)
-            nursery.start_soon(self._dial_loop)
             nursery.start_soon(self._watch_loop)
             if self._vm_list is not None:
                 nursery.start_soon(self._list_loop, self._vm_list)
@@ -257,25 +256,26 @@
                 self._handlers[message['type']](self, one, message)
 
     async def _beat_loop(self) -> None:
-        """Send beats, give up silent links and expire suspects."""
+        """Do once a heartbeat all that is due by time."""
+        # One loop and one timer: most of an idle node's processor time is
+        # spent on waking up.
         interval_s = self._settings.heartbeat_s
         while True:
-            # Jittered, so that nodes started together do not beat together.
-            await trio.sleep(interval_s * self._rng.uniform(0.45, 0.55))
             now_s = self._clock()
-            if now_s - self._round_s < 0.9 * interval_s:
-                continue
-            self._beat_round()
+            if now_s - self._round_s >= interval_s / 2:
+                self._beat_round()
+            self._dial_wanted(now_s)
             for one in list(self._sessions):
                 if now_s - one.heard_s > self._settings.suspect_s:
                     one.scope.cancel()
             gone_s = self._settings.gone_s
             self._spread_members(self._members.expire(now_s, gone_s))
             self._members.forget(now_s)
-            self._members.count()
             self._start_survey_if_due(now_s)
             for summary in self._summaries.due():
                 self._send_all(summary)
+            # Jittered, so that nodes started together do not beat together.
+            await trio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
 
     def _beat_round(self) -> None:
         now_s = self._clock()
@@ -285,26 +285,23 @@
         self._known = len(self._members.known())
         if self._beats % MEMBERS_BEATS == 0:
             self._members_digest = self._members.digest()
+            self._members.count()
         for one in self._sessions:
             one.ask_beat()
         LINKS.set(len(self._sessions))
         age_s = self._freshness.age_s()
         FRESH_AGE.set(-1.0 if age_s is None else age_s)
 
-    async def _dial_loop(self) -> None:
+    def _dial_wanted(self, now_s: float) -> None:
         """Open the links that this node's place asks for, close others."""
-        while True:
-            now_s = self._clock()
-            place = self._find_place(now_s)
-            for name in place.dial:
-                member = self._members.by_name[name]
-                self._dial_if_due(name, member.address, now_s)
-            self._close_surplus(place)
-            if not self._sessions:
-                for address in self._settings.peer_seeds:
-                    self._dial_if_due(address, address, now_s)
-            pause_s = self._settings.heartbeat_s
-            await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+        place = self._find_place(now_s)
+        for name in place.dial:
+            member = self._members.by_name[name]
+            self._dial_if_due(name, member.address, now_s)
+        self._close_surplus(place)
+        if not self._sessions:
+            for address in self._settings.peer_seeds:
+                self._dial_if_due(address, address, now_s)
 
     def _dial_if_due(self, name: str, address: str, now_s: float) -> None:
         if not address or address == self.address or name in self._dialing:
@@ -514,12 +511,12 @@
         if not changes:
             return
         for member in changes:
-            loguru.logger.bind(vm=member.name, status=member.status).info(
-                'member'
-            )
-            if member.status != membership.GONE:
+            if member.status == membership.LIVE:
                 continue
-            self._summaries.forget({member.name})
+            known = loguru.logger.bind(vm=member.name, status=member.status)
+            known.info('a VM changed its status')
+            if member.status == membership.GONE:
+                self._summaries.forget({member.name})
         self._send_all(_members_message(changes), but)
 
     def _spread_listed(
