--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -29,10 +29,12 @@
 AVOID_BEATS = 10
 # Heartbeats of silence up to which a peer counts as heard.
 HEARD_BEATS = 2.5
-# Share of a heartbeat by which news must be newer to be passed on early.
-PASS_ON_SHARE = 0.75
+# Share of watch_s by which news must be newer than what a peer has, to be
+# passed on before the next heartbeat.
+PASS_ON_SHARE = 0.5
 # Other nodes that are asked whether they reach a silent VM.
 PROBES = 3
+CONFIRM_TRIES = 2
 MAX_MEMBERS_MESSAGE = 500
 # Beats that carry the digest of the members: one in so many.
 MEMBERS_BEATS = 8
@@ -102,9 +104,8 @@
         self._known = 1
         self._members_digest = 0
         self._beats = 0
-        self._round_s = 0.0
-        self._round_news_s = 0.0
         self._surveying = False
+        self._hurry = trio.Event()
         self._nursery: trio.Nursery
         self.started = trio.Event()
         self.address = ''
@@ -140,8 +141,18 @@
 
         A VM that is known and left out did not confirm in time.
         """
-        found = await self._surveys.start(timeout_s, True)
-        return found.revisions
+        found: dict[str, int] = {}
+        known = self._members.known()
+        # A link that closes during a survey takes the answers behind it
+        # along, so VMs that are missing are asked for again.
+        for _ in range(CONFIRM_TRIES):
+            result = await self._surveys.start(
+                timeout_s / CONFIRM_TRIES, revisions=True
+            )
+            found.update(result.revisions)
+            if known <= found.keys():
+                break
+        return found
 
     def leave(self) -> None:
         """Tell the peers that this VM is leaving; links stay up."""
@@ -225,6 +236,7 @@
             loguru.logger.bind(peer=peer.name).debug('link ended: {}', group)
         finally:
             self._sessions.remove(one)
+            self._hurry.set()
             survey_module.lost_link(one)
             LINKS.set(len(self._sessions))
         if not self._linked(peer.name):
@@ -262,8 +274,7 @@
         interval_s = self._settings.heartbeat_s
         while True:
             now_s = self._clock()
-            if now_s - self._round_s >= interval_s / 2:
-                self._beat_round()
+            self._beat_round(now_s)
             self._dial_wanted(now_s)
             for one in list(self._sessions):
                 if now_s - one.heard_s > self._settings.suspect_s:
@@ -275,19 +286,30 @@
             for summary in self._summaries.due():
                 self._send_all(summary)
             # Jittered, so that nodes started together do not beat together.
-            await trio.sleep(interval_s * self._rng.uniform(0.9, 1.1))
+            due_s = now_s + interval_s * self._rng.uniform(0.9, 1.1)
+            await self._wait_hurry(due_s)
+
+    async def _wait_hurry(self, due_s: float) -> None:
+        """Wait until due_s, and meanwhile replace links that ended."""
+        while self._clock() < due_s:
+            with trio.move_on_after(due_s - self._clock()) as scope:
+                await self._hurry.wait()
+            if scope.cancelled_caught:
+                return
+            # A pause, so that many changes at once cost one look.
+            await trio.sleep(self._settings.heartbeat_s / 10)
+            self._hurry = trio.Event()
+            self._dial_wanted(self._clock())
 
-    def _beat_round(self) -> None:
-        now_s = self._clock()
-        self._round_s = now_s
-        self._round_news_s = self._freshness.as_of_s or 0.0
+    def _beat_round(self, now_s: float) -> None:
         self._beats += 1
         self._known = len(self._members.known())
         if self._beats % MEMBERS_BEATS == 0:
             self._members_digest = self._members.digest()
             self._members.count()
         for one in self._sessions:
-            one.ask_beat()
+            if now_s - one.beat_s >= self._settings.heartbeat_s / 2:
+                one.ask_beat()
         LINKS.set(len(self._sessions))
         age_s = self._freshness.age_s()
         FRESH_AGE.set(-1.0 if age_s is None else age_s)
@@ -510,6 +532,7 @@
     ) -> None:
         if not changes:
             return
+        self._hurry.set()
         for member in changes:
             if member.status == membership.LIVE:
                 continue
@@ -542,12 +565,12 @@
                 one.add_objects(taken)
 
     def _pass_on_news(self) -> None:
-        """Beat early when the news are much newer than those last told."""
-        interval_s = self._settings.heartbeat_s
-        gain_s = (self._freshness.as_of_s or 0.0) - self._round_news_s
-        since_s = self._clock() - self._round_s
-        if gain_s >= PASS_ON_SHARE * interval_s and since_s > interval_s / 4:
-            self._beat_round()
+        """Beat early to the peers that our news would make much fresher."""
+        as_of_s = self._freshness.as_of_s or 0.0
+        gain_s = PASS_ON_SHARE * self._settings.watch_s
+        for one in self._sessions:
+            if as_of_s - one.news_s >= gain_s:
+                one.ask_beat()
 
     # What is heard.
 
@@ -593,6 +616,7 @@
     ) -> None:
         now_s = self._clock()
         known = one.heard_beat(beat, now_s)
+        one.heard_news(beat, known)
         self._repair_if_due(one, beat, now_s)
         self._compare_members(one, beat)
         if known is None or not one.synced:
--- a/gentianstair/peers/session.py
+++ b/gentianstair/peers/session.py
@@ -36,6 +36,10 @@
         self.heard_s = now_s
         self.synced = False
         self.scope = trio.CancelScope()
+        # When the last beat was sent, and how recent the peer's news are
+        # at the least, by what it told us and what we told it.
+        self.beat_s = now_s
+        self.news_s = 0.0
         self.peer_digest = 0
         self.differed_s: float | None = None
         self.members_differed = 0
@@ -80,6 +84,16 @@
         self._echo = (beat['sent_ms'], now_s)
         return freshness.estimate(beat.get('echo_ms'), beat.get('held_ms'))
 
+    def heard_news(
+        self,
+        beat: messages.PeerBeat,
+        sent: freshness.Estimate | None,
+    ) -> None:
+        """Note how recent the peer's own news are."""
+        if sent is not None and 'age_ms' in beat:
+            news_s = sent.sent_after_s - beat['age_ms'] / 1000
+            self.news_s = max(self.news_s, news_s)
+
     def _echoes(self, now_s: float) -> link.Message:
         if self._echo is None:
             return {}
@@ -107,7 +121,11 @@
                     await self.channel.send(link.encode(message))
             if self._beat_due:
                 self._beat_due = False
-                beat = {**make_beat(), **self._echoes(clock())}
+                self.beat_s = clock()
+                beat = {**make_beat(), **self._echoes(self.beat_s)}
+                if 'age_ms' in beat:
+                    news_s = self.beat_s - beat['age_ms'] / 1000
+                    self.news_s = max(self.news_s, news_s)
                 await self.channel.send(link.encode(beat))
 
     async def _write_objects(self) -> None:
