--- a/gentianstair/ui/commands/bundle.py
+++ b/gentianstair/ui/commands/bundle.py
@@ -10,6 +10,7 @@
 from gentianstair.generated import messages
 from gentianstair.platform import store
 from gentianstair.ui import change
+from gentianstair.ui import entries
 from gentianstair.ui import session as sessions
 
 KIND = 'bundle'
@@ -68,6 +69,14 @@
     """Put a bundle in force everywhere."""
 
     file: typing.Annotated[pathlib.Path, cappa.Arg(help='The bundle.')]
+    public_key: typing.Annotated[
+        str | None,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env('GENTIANSTAIR_BUNDLE_PUBLIC_KEY'),
+            help='The public key that the entries have, in hex.',
+        ),
+    ] = None
 
 
 @cappa.command(
@@ -91,11 +100,25 @@
     ] = None
 
 
+@cappa.command(
+    name='status', epilog='Example: `gentianstair bundle status --wait-s 10`'
+)
+class Status:
+    """Show the accepted bundle and which VMs have it in force."""
+
+    wait_s: typing.Annotated[
+        float,
+        cappa.Arg(long=True, help='How long to wait for all VMs to have it.'),
+    ] = 0.0
+
+
 @cappa.command(name='bundle')
 class Bundle:
-    """Build, sign, accept and withdraw bundles."""
+    """Build, sign, accept, withdraw and follow bundles."""
 
-    command: cappa.Subcommands[Keygen | Build | Sign | Accept | Withdraw]
+    command: cappa.Subcommands[
+        Keygen | Build | Sign | Accept | Withdraw | Status
+    ]
 
 
 @sessions.run.register
@@ -196,6 +219,13 @@
 @sessions.run.register
 async def _accept(command: Accept, session: sessions.Session) -> None:
     bundle = bundles.decode(_read(command.file))
+    public = command.public_key
+    if public and not bundles.is_signed(bundle, public):
+        # The entries would go on with the bundle before.
+        raise errors.UserError(
+            f'bundle {bundle["number"]} is not signed with the key of'
+            f' {public}; see "gentianstair bundle sign"'
+        )
     version = await accept(session, 'bundle accept', bundle)
     session.out.value({'bundle': bundle['number'], 'version': version})
 
@@ -231,3 +261,37 @@
     session.out.value(
         {'bundle': bundle['number'], 'content_of': older, 'version': version}
     )
+
+
+@sessions.run.register
+async def _status(command: Status, session: sessions.Session) -> None:
+    accepted = await session.store.get(
+        ACCEPTED_KIND, ACCEPTED_NAME, purpose='operator'
+    )
+    if accepted.value is None:
+        raise errors.UserError('no bundle is in force')
+    number = accepted.value['number']
+    answers = await entries.confirm(
+        session,
+        entries.STATUS_PATH,
+        lambda body: (body.get('bundle_number') or 0) >= number,
+        command.wait_s,
+    )
+    session.out.line(f'accepted: {number}')
+    rows = [
+        {
+            'vm': (answer.body or {}).get('vm'),
+            'accepted': number,
+            'bundle_number': (answer.body or {}).get('bundle_number'),
+            'in_force': answer.confirmed,
+            'url': answer.url,
+            'problem': answer.problem,
+        }
+        for answer in answers
+    ]
+    columns = ('vm', 'bundle_number', 'in_force', 'url', 'problem')
+    session.out.rows(columns, rows)
+    if command.wait_s and not all(answer.confirmed for answer in answers):
+        raise change.EffectUnknownError(
+            f'bundle {number} is not in force on every VM yet'
+        )
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -21,7 +21,7 @@
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 65536
-IDLE_CONNECTIONS = 64
+IDLE_CONNECTIONS = 256
 HTTPS_PORT = 443
 HTTP_PORT = 80
 
@@ -214,6 +214,9 @@
             if parser.get_status_code() < 200 and message.done:
                 message = _Message()
                 parser = httptools.HttpResponseParser(message)
+        if request.method == 'HEAD':
+            # The head names the length of a body that never comes.
+            message.done = True
         body = Body(
             stream,
             message,
