Pass changes on before the pause that gathers more; use the shared TLS

A watcher slept its 50 ms before the changes went to its peers. The links' own TLS code is dropped for util/tls, and strangers are tested.

--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -2,9 +2,6 @@
 
 import abc
 import contextlib
-import ipaddress
-import os
-import ssl
 import typing
 
 import cbor2
@@ -18,13 +15,13 @@
 from gentianstair import errors
 from gentianstair import settings as settings_module
 from gentianstair.generated import messages
+from gentianstair.util import tls
 
 VERSION = 1
 MAX_MESSAGE_BYTES = 2 * 1024 * 1024
 MAX_DEPTH = 12
 OPEN_TIMEOUT_S = 3.0
 CLOSE_TIMEOUT_S = 0.5
-TLS_RELOAD_S = 10.0
 # Frames that wait to be read before the sender is held back.
 RECEIVE_QUEUE = 16
 
@@ -155,83 +152,20 @@
         await self._connection.aclose()
 
 
-class TlsFiles(typing.NamedTuple):
-    """Where the certificate, its key and the peers' authorities are."""
-
-    cert_file: str
-    key_file: str
-    ca_file: str
-
-
-class TlsContexts:
-    """Make TLS contexts, and make them anew when a file changes.
-
-    A certificate is renewed by replacing its files; links opened later use
-    the new one and no restart is needed. Half-written files fail to load;
-    the contexts in use are kept then and the load is tried again.
-    """
-
-    def __init__(self, files: TlsFiles) -> None:
-        self._files = files
-        self._stamp: tuple[int, ...] = ()
-        self._server, self._client = self._load()
-        self._stamp = self._read_stamp()
-
-    def _read_stamp(self) -> tuple[int, ...]:
-        return tuple(os.stat(path).st_mtime_ns for path in self._files)
-
-    def _load(self) -> tuple[ssl.SSLContext, ssl.SSLContext]:
-        made = []
-        for side in (ssl.PROTOCOL_TLS_SERVER, ssl.PROTOCOL_TLS_CLIENT):
-            context = ssl.SSLContext(side)
-            context.minimum_version = ssl.TLSVersion.TLSv1_3
-            context.load_cert_chain(
-                self._files.cert_file, self._files.key_file
-            )
-            context.load_verify_locations(self._files.ca_file)
-            # A peer is whoever the fleet's own authority signed; addresses
-            # change with every VM, so names are not compared.
-            context.check_hostname = False
-            context.verify_mode = ssl.CERT_REQUIRED
-            made.append(context)
-        return made[0], made[1]
-
-    def current(self) -> tuple[ssl.SSLContext, ssl.SSLContext]:
-        """Return the contexts for accepting and for opening links."""
-        try:
-            stamp = self._read_stamp()
-            if stamp != self._stamp:
-                # Loaded apart first: a bad file must not spoil the context
-                # that the listener holds on to.
-                _, self._client = self._load()
-                self._server.load_cert_chain(
-                    self._files.cert_file, self._files.key_file
-                )
-                self._server.load_verify_locations(self._files.ca_file)
-                self._stamp = stamp
-        except (OSError, ssl.SSLError):
-            DROPPED.labels('tls reload').inc()
-        return self._server, self._client
-
-    async def follow(self) -> typing.NoReturn:
-        """Look for changed files, for the sake of the listener."""
-        while True:
-            await trio.sleep(TLS_RELOAD_S)
-            self.current()
-
-
 class WebsocketNetwork(Network):
     """Open and accept websockets on TCP, with mutual TLS if set."""
 
-    def __init__(self, listen: str, tls: TlsContexts | None) -> None:
+    def __init__(
+        self, listen: str, credentials: tls.Credentials | None
+    ) -> None:
         self._listen = listen
-        self._tls = tls
+        self._credentials = credentials
 
     @contextlib.asynccontextmanager
     async def open(self, address: str) -> typing.AsyncIterator[Channel]:
         """See Network.open."""
-        scheme = 'wss' if self._tls else 'ws'
-        context = self._tls.current()[1] if self._tls else None
+        scheme = 'wss' if self._credentials else 'ws'
+        context = self._credentials.client if self._credentials else None
         connection = websockets.trio.client.connect(
             f'{scheme}://{address}/peer',
             ssl=context,
@@ -273,12 +207,12 @@
             await handler(WebsocketChannel(connection))
 
         async with trio.open_nursery() as nursery:
-            if self._tls:
-                nursery.start_soon(self._tls.follow)
+            if self._credentials:
+                nursery.start_soon(self._credentials.run)
             await websockets.trio.server.serve(
                 accept,
                 listeners=listeners,
-                ssl=self._tls.current()[0] if self._tls else None,
+                ssl=self._credentials.server if self._credentials else None,
                 compression=None,
                 open_timeout=OPEN_TIMEOUT_S,
                 close_timeout=CLOSE_TIMEOUT_S,
@@ -288,36 +222,19 @@
             )
 
 
-def _is_loopback(address: str) -> bool:
-    host, _ = settings_module.parse_address(address)
-    try:
-        return ipaddress.ip_address(host).is_loopback
-    except ValueError:
-        return host == 'localhost'
-
-
 def make_network(settings: typing.Any) -> WebsocketNetwork:
     """Return the network that the settings describe.
 
     Raise SettingsError when links would be plain beyond loopback without
     insecure_plain, or when the TLS files do not load.
     """
-    files = TlsFiles(
+    files = tls.Files(
         settings.peer_tls_cert_file,
         settings.peer_tls_key_file,
         settings.peer_tls_ca_file,
     )
-    if any(files):
-        try:
-            tls = TlsContexts(files)
-        except (OSError, ssl.SSLError) as error:
-            raise errors.SettingsError(
-                f'--peer-tls-cert-file, -key-file, -ca-file: {error}'
-            ) from error
-        return WebsocketNetwork(settings.peer_listen, tls)
-    if not (settings.insecure_plain or _is_loopback(settings.peer_listen)):
-        raise errors.SettingsError(
-            f'--peer-listen: {settings.peer_listen!r} is not loopback; give '
-            '--peer-tls-cert-file or --insecure-plain'
-        )
-    return WebsocketNetwork(settings.peer_listen, None)
+    credentials = tls.make_peer_credentials(files)
+    if credentials is None:
+        listen = settings.peer_listen
+        tls.check_plain(listen, settings.insecure_plain, '--peer-listen')
+    return WebsocketNetwork(settings.peer_listen, credentials)
--- a/gentianstair/peers/spread.py
+++ b/gentianstair/peers/spread.py
@@ -47,6 +47,7 @@
         # until it listed, or knows that peers gave it a whole view.
         self._cursor: int | None = None
         self._highest = 0
+        self._pause_s = 0.0
 
     def start_from_view(self) -> None:
         """Skip the listing: the view came whole from a peer."""
@@ -107,6 +108,7 @@
     async def _watch(
         self, cursor: int
     ) -> tuple[list[store_module.StoredObject], float | None]:
+        await trio.sleep(self._pause_s)
         sent_s = self._clock()
         found = await self._store.watch(
             view_module.KINDS, cursor, self._watch_s, purpose='config-watch'
@@ -119,8 +121,7 @@
         trusted_s = self._trust(found.revision, as_of_s)
         self._cursor = max(cursor, found.revision)
         taken = self._view.apply(found.objects)
-        if found.objects:
-            await trio.sleep(COALESCE_S)
+        self._pause_s = COALESCE_S if found.objects else 0.0
         return taken, trusted_s
 
     def _trust(self, revision: int, as_of_s: float) -> float | None:
--- a/test/peers/test_link.py
+++ b/test/peers/test_link.py
@@ -8,6 +8,7 @@
 from gentianstair import settings as settings_module
 from gentianstair.generated import settings as generated
 from gentianstair.peers import link
+from test.util import test_tls
 
 BEAT = {'type': 'beat', 'sent_ms': 1, 'revision': 2, 'digest': 3}
 
@@ -97,3 +98,28 @@
     with pytest.raises(link.LinkClosedError):
         async with network.open('127.0.0.1:1'):
             pass
+
+
+def make_tls_network(folder, authority, name):
+    folder = folder / name
+    folder.mkdir()
+    files = authority.issue(folder, name)
+    return link.make_network(
+        make_settings(
+            peer_tls_cert_file=files.cert,
+            peer_tls_key_file=files.key,
+            peer_tls_ca_file=files.ca,
+        )
+    )
+
+
+async def test_strangers_get_no_link(tmp_path):
+    """A stranger on the network takes part as if it were one of our VMs."""
+    ours = test_tls.Authority(tmp_path, 'ours')
+    others = test_tls.Authority(tmp_path, 'others')
+    server = make_tls_network(tmp_path, ours, 'server')
+    client = make_tls_network(tmp_path, ours, 'client')
+    stranger = make_tls_network(tmp_path, others, 'stranger')
+    assert await exchange(server, client) == b'hello'
+    with pytest.RaisesGroup(link.LinkClosedError):
+        await exchange(server, stranger)
