Count usage as it is served, and report it in the demo

Cause: the entry process had no meter, so nothing served was billed; and a stream counted at its end would go unbilled, whole, if its VM were killed. Ruled out: counting each token (a dict update per token on the relay's path). Change: usage is counted each 64 delivered tokens and corrected at the end of each run; control seals and reports it; the demo shows the report and checks that just one names the customer. Calls of the store go through the budget.

--- a/gentianstair/control/demand.py
+++ b/gentianstair/control/demand.py
@@ -3,7 +3,6 @@
 import math
 import typing
 
-
 # The first requests alone say little of a rate.
 MIN_WINDOW_S = 2.0
 
--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -23,6 +23,7 @@
 from gentianstair.control import upstream_orders
 from gentianstair.control import usage
 from gentianstair.generated import settings as generated
+from gentianstair.platform import budget
 from gentianstair.platform import http_store
 from gentianstair.platform import orders as platform_orders
 from gentianstair.platform import reports
@@ -37,7 +38,11 @@
 
 def make_context(config: generated.ControlSettings) -> duties.Context:
     """Return what duties work with, nothing of it running yet."""
-    store = http_store.connect(config.platform_url, config.store_timeout_s)
+    store = budget.make_budget(
+        http_store.connect(config.platform_url, config.store_timeout_s),
+        config,
+        clock.boottime_s,
+    )
     lifetime_s = config.order_lifetime_s
     timeout_s = config.store_timeout_s
     return duties.Context(
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -3,6 +3,7 @@
 import functools
 import os
 import sys
+import time
 import typing
 
 import cappa
@@ -23,10 +24,11 @@
 from gentianstair.entry import retries
 from gentianstair.entry import routing
 from gentianstair.entry import sharing
-from gentianstair.entry import streams
 from gentianstair.entry import upkeep
+from gentianstair.entry import usage as usages
 from gentianstair.generated import settings as generated
 from gentianstair.peers import node as peers
+from gentianstair.platform import budget
 from gentianstair.platform import http_store
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
@@ -59,17 +61,17 @@
     return terms_of
 
 
-def _no_meter(customer: str, kind: str, usage: streams.Usage) -> None:
-    loguru.logger.bind(customer=customer).debug('usage {} {}', kind, usage)
-
-
 def make_node(
     config: generated.EntrySettings,
 ) -> tuple[nodes.Node, peers.Node]:
     """Return the parts of an entry process, none of them running yet."""
     view = views.View(config.bundle_public_key)
-    store = http_store.connect(config.platform_url, config.store_timeout_s)
     now = clock.boottime_s
+    store = budget.make_budget(
+        http_store.connect(config.platform_url, config.store_timeout_s),
+        config,
+        now,
+    )
     peer = peers.make_node(config, view, store, now)
     node = nodes.Node(
         settings=config,
@@ -87,7 +89,16 @@
             config.claim_retention_s,
         ),
         limits=limits.make_limits(config.vm_name, _terms_of(view), now),
-        meter=_no_meter,
+        usage=usages.make_usage(
+            store,
+            config.vm_name,
+            time.time,
+            usages.Terms(
+                config.usage_window_s,
+                config.usage_flush_s,
+                config.usage_flush_tokens,
+            ),
+        ),
         explanations=explain.make_explanations(),
         transport=transport.make_transport(),
     )
@@ -143,6 +154,17 @@
     return app
 
 
+async def _keep_last(node: nodes.Node, limit_s: float) -> None:
+    """Bring outcomes and usage into the store before a planned stop."""
+    with trio.move_on_after(limit_s):
+        await node.claims.flush()
+    with trio.move_on_after(limit_s):
+        try:
+            await node.usage.flush()
+        except errors.StoreError as error:
+            loguru.logger.error('usage not kept at the stop: {}', error)
+
+
 async def run(config: generated.EntrySettings) -> None:
     """Serve until stopped, then let running requests end."""
     credentials = tls.make_caller_credentials(
@@ -174,6 +196,7 @@
         await nursery.start(peer.run)
         nursery.start_soon(sharing.run, node, peer)
         nursery.start_soon(node.claims.run_batches)
+        nursery.start_soon(node.usage.run)
         nursery.start_soon(upkeep.run, node)
         nursery.start_soon(
             functools.partial(
@@ -195,8 +218,7 @@
             credentials.server if credentials else None,
             send_stall_s=config.caller_stall_s,
         )
-        with trio.move_on_after(GRACE_S):
-            await node.claims.flush()
+        await _keep_last(node, config.store_timeout_s)
         nursery.cancel_scope.cancel()
 
 
--- a/gentianstair/entry/node.py
+++ b/gentianstair/entry/node.py
@@ -1,6 +1,5 @@
 """Hold the parts of one entry process that its requests share."""
 
-import collections.abc
 import typing
 
 from gentianstair.config import view as views
@@ -11,7 +10,7 @@
 from gentianstair.entry import limits
 from gentianstair.entry import retries
 from gentianstair.entry import routing
-from gentianstair.entry import streams
+from gentianstair.entry import usage as usages
 from gentianstair.generated import settings
 from gentianstair.upstreams import transport
 from gentianstair.util import clock as clocks
@@ -24,9 +23,6 @@
         """Return whether requests may be served on it."""
 
 
-Meter = collections.abc.Callable[[str, str, streams.Usage], None]
-
-
 class Node(typing.NamedTuple):
     """The parts of one entry process."""
 
@@ -39,7 +35,7 @@
     retries: retries.Retries
     claims: claimses.Claims
     limits: limits.Limits
-    meter: Meter
+    usage: usages.Usage
     explanations: explain.Explanations
     transport: transport.Transport
 
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -21,6 +21,8 @@
 EVENT_STREAM = b'text/event-stream'
 JSON = 'application/json'
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+BILL_STEP_TOKENS = 64
+BILL_STEP_MARGIN = 4
 
 
 def engine_request(
@@ -128,9 +130,15 @@
     usage: streams.Usage,
 ) -> None:
     """Count tokens for the request's customer and the upstream's kind."""
-    if usage != streams.Usage():
-        kind = tried.upstream['capacity_class']
-        node.meter(request.caller.customer, kind, usage)
+    if usage == streams.Usage():
+        return
+    node.usage.count(
+        request.caller.customer,
+        tried.upstream['capacity_class'],
+        requests=1 if usage.prompt_tokens else 0,
+        prompt_tokens=usage.prompt_tokens,
+        output_tokens=usage.output_tokens,
+    )
 
 
 class Streaming:
@@ -149,6 +157,7 @@
         self._request = request
         self._completion = completion
         self._model = model
+        self._billed = 0
         self.answer = streams.Answer(completion.wants_usage)
 
     async def attempt(self, tried: tries.Try) -> streams.Usage:
@@ -179,7 +188,8 @@
             # Each run is billed by itself, also one that was cut, since
             # the runs of one answer may be on upstreams of other kinds.
             used = self.answer.run_usage(self._request.work.prompt_tokens)
-            bill(node, self._request, tried, used)
+            left = max(0, used.output_tokens - self._billed)
+            bill(node, self._request, tried, used._replace(output_tokens=left))
         return self.answer.total()
 
     async def _refused(self, found: httpx.Response) -> None:
@@ -215,6 +225,8 @@
     ) -> None:
         answer = self.answer
         write = self._exchange.write
+        bill_at = answer.tokens + BILL_STEP_TOKENS
+        self._billed = 0
         first = True
         async for data in found.stream:
             out = answer.feed(data)
@@ -225,6 +237,21 @@
                 guard.caller_waits = True
                 await write(out)
             guard.progress()
+            if answer.tokens >= bill_at:
+                bill_at += BILL_STEP_TOKENS
+                self._bill_step(tried)
+
+    def _bill_step(self, tried: tries.Try) -> None:
+        """Count a part of a long answer before its end.
+
+        What is not counted is lost if this VM is killed, and a stream may
+        run for minutes. A step is a little less than was delivered, since
+        an engine may send an event without a token.
+        """
+        tokens = BILL_STEP_TOKENS - BILL_STEP_MARGIN
+        self._billed += tokens
+        used = streams.Usage(output_tokens=tokens)
+        bill(self._node, self._request, tried, used)
 
     async def run(self) -> streams.Usage:
         """Stream the whole answer; raise RequestError if it can't be had."""
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -18,6 +18,8 @@
 BUNDLE = f'note = "demo"\n[models.{MODEL}]\nengine_model = "judging-8b"\n'
 WAIT_S = 20.0
 COMMAND_S = 20.0
+# Short windows, so that a usage report comes while one watches.
+WINDOW_FLAGS = ('--usage-window-s=2', '--usage-grace-s=1')
 
 
 class DemoError(Exception):
@@ -29,7 +31,7 @@
     print(f'\n== {text}', flush=True)
 
 
-def wait_for(what: str, check) -> None:
+def wait_for(what: str, check, step_s: float = 0.05) -> None:
     """Return once check is true; raise DemoError after WAIT_S."""
     end_s = time.monotonic() + WAIT_S
     while time.monotonic() < end_s:
@@ -38,7 +40,7 @@
                 return
         except httpx.TransportError:
             pass
-        time.sleep(0.05)
+        time.sleep(step_s)
     raise DemoError(f'{what}: not within {WAIT_S:g} s')
 
 
@@ -98,10 +100,20 @@
                 '--listen=127.0.0.1:0',
                 '--operator-listen=127.0.0.1:0',
                 '--peer-listen=127.0.0.1:0',
+                *WINDOW_FLAGS,
             )
             self.entry_urls.append(process.url)
             operator_url = f'http://{fleet.HOST}:{process.ports[1]}'
             self.operator_urls.append(operator_url)
+            self.fleet.start(
+                f'control-{number}',
+                'gentianstair.control.main',
+                f'--vm-name=vm-{number}',
+                f'--failure-domain={domain}',
+                f'--platform-url={platform_url}',
+                '--listen=127.0.0.1:0',
+                *WINDOW_FLAGS,
+            )
         self.environ['GENTIANSTAIR_ENTRY_URLS'] = ','.join(self.operator_urls)
 
     def configure(self) -> str:
@@ -196,6 +208,24 @@
         if answers[0] != answers[1]:
             raise DemoError('registration: the repeat got another answer')
 
+    def show_usage(self) -> None:
+        """Show the figures reported for the completion's window."""
+        say('usage report')
+        words = ('usage', 'show', '--customer', CUSTOMER)
+        wait_for(
+            'usage report',
+            lambda: json.loads(self.operate(*words, '--json')),
+            step_s=1.0,
+        )
+        print(self.operate(*words))
+        reports = httpx.get(
+            self.environ['GENTIANSTAIR_PLATFORM_URL'] + '/v1/usage-reports'
+        ).json()['reports']
+        billed = [report for report in reports if CUSTOMER in str(report)]
+        if len(billed) != 1:
+            raise DemoError(f'usage: {len(billed)} reports name {CUSTOMER}')
+        print('the platform has', json.dumps(billed[0]))
+
     def run(self) -> None:
         """Run every step; raise DemoError at the first that fails."""
         self.start_outside()
@@ -207,6 +237,7 @@
         print(self.operate('explain', request_id))
         say('audit trail')
         print(self.operate('audit'))
+        self.show_usage()
 
 
 def main() -> int:
