--- a/gentianstair/bench/__main__.py
+++ b/gentianstair/bench/__main__.py
@@ -7,19 +7,24 @@
 from gentianstair import bench
 
 # Modules of this package that are no experiments.
-HELPERS = frozenset({'__main__', 'lines', 'baselines', 'node', 'plain_relay'})
+HELPERS = frozenset(
+    {
+        '__main__',
+        'baselines',
+        'fleet',
+        'lines',
+        'measures',
+        'node',
+        'plain_relay',
+        'twins',
+    }
+)
 
 
 def names() -> list[str]:
     """Return the names of all experiments."""
-    found = []
-    for module in pkgutil.iter_modules(bench.__path__):
-        if module.name in HELPERS:
-            continue
-        loaded = importlib.import_module(f'gentianstair.bench.{module.name}')
-        if hasattr(loaded, 'main'):
-            found.append(module.name)
-    return sorted(found)
+    found = {module.name for module in pkgutil.iter_modules(bench.__path__)}
+    return sorted(found - HELPERS)
 
 
 def main(argv: list[str]) -> int:
