Count waiting work in the split, and keep silent VMs an even part

Cause: a VM cut off from its peers took their demand for none and would fill the fleet a second time; a long line whose arrivals had stopped asked for nothing. Change: silent live VMs keep an even part, summaries have a heartbeat, and waiting work asks to be served within 10 s.

--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -15,8 +15,10 @@
 from gentianstair.generated import messages
 from gentianstair.util import clock as clocks
 
-# A peer that was silent for this long no longer counts in the split.
-PEER_TIMEOUT_S = 10.0
+# A summary is sent at least this often, also without rows. A peer that was
+# silent for three times as long may be cut off; it keeps an even part.
+HEARTBEAT_S = 2.0
+PEER_TIMEOUT_S = 3.0 * HEARTBEAT_S
 # All rows are sent again this often, so a lost message heals.
 FULL_SUMMARY_S = 10.0
 # Longest Retry-After; a longer line is not worth telling.
@@ -75,6 +77,7 @@
         self._peer_incarnation: dict[str, str] = {}
         self._sent: dict[tuple[str, str], messages.ServiceRow] = {}
         self._full_s = -FULL_SUMMARY_S
+        self._sent_s = -HEARTBEAT_S
 
     def set_capacity(
         self, model: str, slots: int, cost_per_s: float = 0.0
@@ -164,8 +167,9 @@
                     self._sent[key] = row
                     rows.append(row)
             self._resplit(pool)
-        if not rows:
+        if not rows and now_s - self._sent_s < HEARTBEAT_S:
             return None
+        self._sent_s = now_s
         return {
             'version': fairness.SUMMARY_VERSION,
             'vm': self._vm,
@@ -197,7 +201,8 @@
             if vm not in self._live or now_s - heard_s > PEER_TIMEOUT_S:
                 del self._heard_s[vm]
                 self._forget(vm)
-        pool.resplit(self._vm, self._live, now_s)
+        heard = {self._vm, *self._heard_s} & self._live
+        pool.resplit(self._vm, heard, len(self._live), now_s)
         pool.drop_late(now_s)
 
 
--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -13,6 +13,9 @@
 
 # How fast demand and speed are forgotten.
 DEMAND_HALF_LIFE_S = 2.0
+# Time in which waiting work asks to be served; shorter, the split follows
+# each summary's chance and the VMs' parts add up to more than the fleet.
+DRAIN_S = 10.0
 # Assumed until told or learned, in cost units a second for each slot.
 FIRST_SLOT_COST_PER_S = 200.0
 # Told to those refused for want of any upstream, which no queue can date.
@@ -454,20 +457,26 @@
         """Drop a peer's rows; what it served stays counted."""
         self._peer_rows.pop(vm, None)
 
-    def resplit(self, own_vm: str, live: set[str], now_s: float) -> None:
-        """Set this VM's part of the fleet's slots."""
-        demands: dict[str, dict[str, float]] = {vm: {} for vm in live}
+    def resplit(
+        self, own_vm: str, heard: set[str], vms: int, now_s: float
+    ) -> None:
+        """Set this VM's part of the fleet's slots.
+
+        heard are the VMs whose demand is known, of so many that are live;
+        each of the others keeps an even part. A VM that is cut off hears
+        nobody, and so does not take the whole fleet for itself.
+        """
+        demands: dict[str, dict[str, float]] = {vm: {} for vm in heard}
         for vm, rows in self._peer_rows.items():
             if vm in demands:
                 demands[vm] = {
-                    customer: row['demand_cost_per_s']
-                    for customer, row in rows.items()
+                    customer: _asked(row) for customer, row in rows.items()
                 }
         demands[own_vm] = {
-            customer: rate.per_s(now_s)
-            for customer, rate in self._demand.items()
+            row['customer']: _asked(row) for row in self.rows(now_s)
         }
-        speed = self._fleet_slots * self._slot_cost_per_s
+        known = len(heard) / max(1, vms)
+        speed = self._fleet_slots * self._slot_cost_per_s * known
         if speed <= 0.0:
             self.slots = 0.0
             return
@@ -497,3 +506,8 @@
             return weight * min(max(1.0 + behind, 0.5), 2.0)
 
         return weight_of
+
+
+def _asked(row: messages.ServiceRow) -> float:
+    """Return the cost a second asked: what arrives, and what waits."""
+    return row['demand_cost_per_s'] + row['waiting_cost'] / DRAIN_S
--- a/test/entry/test_fairness.py
+++ b/test/entry/test_fairness.py
@@ -1,10 +1,12 @@
 """Test the virtual counters and the split of capacity between VMs."""
 
 import pytest
+import trio
 
 from gentianstair.bench import fairness as bench
 from gentianstair.entry import admission
 from gentianstair.entry import fairness
+from gentianstair.entry import work
 
 
 @pytest.mark.parametrize(
@@ -80,3 +82,31 @@
     monkeypatch.setattr(bench, 'RUN_S', 150.0)
     widest = bench.widest_gap('fair', 1, tuple(range(2, 8)), (0, 1))
     assert widest < bench.gap_bound(bench.GAP_WEIGHTS) / 4.0
+
+
+@pytest.mark.parametrize(
+    ('heard', 'running'),
+    [([], 2), (['v2'], 4), (['v2', 'v3', 'v4'], 8)],
+)
+async def test_cut_off_vm_keeps_to_its_part(autojump_clock, heard, running):
+    # A VM loses its links to its peers but not to the engines. Taking the
+    # others' demand for none, it would fill the whole fleet a second time.
+    queue = admission.make_queue('v1')
+    queue.set_vms(['v1', 'v2', 'v3', 'v4'])
+    queue.set_capacity('m', 8, 800.0)
+    for vm in heard:
+        queue.merge(vm, {**make_summary('x', 0.0), 'vm': vm, 'rows': []})
+
+    async def run(number):
+        item = work.Work(f'r{number}', 'a', 'm', 100, 0, 1e6)
+        async with queue.admit(item):
+            await trio.sleep(60)
+
+    async with trio.open_nursery() as nursery:
+        for number in range(80):
+            nursery.start_soon(run, number)
+        await trio.sleep(1)
+        queue.summary()
+        await trio.sleep(1)
+        assert queue.running('m') == running
+        nursery.cancel_scope.cancel()
