Stop the steady kind while the cheap kind grows, and back off refusals

Cause: any start put off all stops for three minutes, so the first 13 on demand stayed for 40 minutes of rising demand; and each two minutes a closed domain was planned with again, so the mix swung from 15 + 3 to 5 + 14 and back. Change: stops settle by kind, and are checked against what stays ready after a loss; refusals double the wait.

--- a/gentianstair/bench/spend.py
+++ b/gentianstair/bench/spend.py
@@ -218,7 +218,9 @@
             for server in self.servers.values():
                 if 0.0 <= self.now_s - server.ready_s < 1.0 and second:
                     delay_s = server.ready_s - server.ordered_s
-                    self.planner.arrived(server.kind, delay_s)
+                    self.planner.arrived(
+                        server.kind, server.failure_domain, delay_s
+                    )
             self._reclaim(second)
             self._end_draining(self.now_s)
             self._serve(self.now_s)
--- a/gentianstair/control/capacity.py
+++ b/gentianstair/control/capacity.py
@@ -26,11 +26,13 @@
 NEWEST = 0.2
 DELAY_ERRORS = 2.0
 FIRST_DELAY_S = 120.0
-# A kind that the platform could not give is not asked for again until then.
+# A kind that the platform could not give is not asked for again until then;
+# doubled at each refusal, so that a long lack does not make the mix swing.
 UNAVAILABLE_S = 120.0
+LONGEST_UNAVAILABLE_S = 960.0
 # A stop is ordered this long before the billing window ends, for draining.
 RELEASE_LEAD_S = 45.0
-# Stops wait this long after the last start and loss.
+# A kind's stops wait this long after its last start, and after a loss.
 SETTLE_S = 180.0
 
 
@@ -160,7 +162,8 @@
         if cheap is not None:
             self._delays[cheap.name] = _Delay()
         self._unavailable: dict[tuple[str, str], float] = {}
-        self._settled_s = 0.0
+        self._refusals: dict[tuple[str, str], int] = {}
+        self._settled_s: dict[str, float] = {}
 
     def observe(self, now_s: float, demand: float) -> None:
         """Take the demand measured since the last call."""
@@ -179,18 +182,26 @@
         while self._peaks[0][0] < now_s - PEAK_KEPT_S:
             self._peaks.popleft()
 
-    def arrived(self, kind: str, delay_s: float) -> None:
+    def arrived(self, kind: str, failure_domain: str, delay_s: float) -> None:
         """Take how long an order of a kind took until it was ready."""
         self._delays[kind].add(delay_s)
+        self._refusals.pop((kind, failure_domain), None)
 
     def refused(self, kind: str, failure_domain: str, now_s: float) -> None:
         """Note that the platform has no upstream of a kind in a domain."""
-        until_s = now_s + UNAVAILABLE_S
-        self._unavailable[(kind, failure_domain)] = until_s
+        key = (kind, failure_domain)
+        if self._unavailable.get(key, 0.0) > now_s:
+            return
+        times = self._refusals.get(key, 0)
+        self._refusals[key] = times + 1
+        wait_s = min(UNAVAILABLE_S * 2.0**times, LONGEST_UNAVAILABLE_S)
+        self._unavailable[key] = now_s + wait_s
 
     def lost(self, failure_domain: str, now_s: float) -> None:
         """Note that the cheap kind was reclaimed in a domain."""
-        self._settled_s = now_s + SETTLE_S
+        for kind in (self._steady, self._cheap):
+            if kind is not None:
+                self._settled_s[kind.name] = now_s + SETTLE_S
         if self._cheap is not None:
             self.refused(self._cheap.name, failure_domain, now_s)
 
@@ -222,10 +233,10 @@
             total, after_loss, len(domains), self._steady, self._cheap
         )
         orders = self._starts(mix, fleet, domains, now_s)
-        if orders:
-            self._settled_s = max(self._settled_s, now_s + SETTLE_S)
-        elif now_s >= self._settled_s:
-            orders = self._stops(mix, fleet, now_s, after_loss)
+        for order in orders:
+            settled_s = self._settled_s.get(order.kind, 0.0)
+            self._settled_s[order.kind] = max(settled_s, now_s + SETTLE_S)
+        orders += self._stops(mix, fleet, now_s, (total, after_loss))
         return Plan(
             tuple(orders),
             self._level or 0.0,
@@ -265,33 +276,48 @@
         mix: Mix,
         fleet: list[Upstream],
         now_s: float,
-        after_loss: int,
+        needed: tuple[int, int],
     ) -> list[Order]:
         """Stop what is too much, each at the end of what is paid for."""
         orders = []
-        for kind, wanted in (
-            (self._steady, mix.steady),
-            (self._cheap, mix.cheap),
-        ):
-            if kind is None:
+        ready = [item for item in fleet if item.state == 'ready']
+        wanted = {self._steady.name: (self._steady, mix.steady)}
+        if self._cheap is not None:
+            wanted[self._cheap.name] = (self._cheap, mix.cheap)
+        for name, (kind, count) in wanted.items():
+            if now_s < self._settled_s.get(name, 0.0):
                 continue
-            mine = [item for item in fleet if item.kind == kind.name]
-            extra = len(mine) - wanted
-            ending = [
-                item
-                for item in mine
-                if item.state == 'ready' and _ending(item, kind, now_s)
-            ]
-            # From the domain with the most, to keep the spread even.
-            counts = _count(fleet)
-            ending.sort(
-                key=lambda item: -counts[(item.kind, item.failure_domain)]
+            extra = sum(item.kind == name for item in fleet) - count
+            for item in self._ending(kind, ready, now_s)[: max(0, extra)]:
+                left = [other for other in ready if other != item]
+                # What was ordered may never come: only ready ones count.
+                if self._safe(left, needed):
+                    ready = left
+                    orders.append(_stop(item))
+        return orders
+
+    def _ending(
+        self, kind: Kind, ready: list[Upstream], now_s: float
+    ) -> list[Upstream]:
+        """Return those whose window ends, from the fullest domain first."""
+        counts = _count(ready)
+        ending = [
+            item
+            for item in ready
+            if item.kind == kind.name and _window_ends(item, kind, now_s)
+        ]
+        ending.sort(key=lambda item: -counts[(kind.name, item.failure_domain)])
+        return ending
+
+    def _safe(self, ready: list[Upstream], needed: tuple[int, int]) -> bool:
+        total, after_loss = needed
+        lost = 0
+        if self._cheap is not None:
+            counts = _count(ready)
+            lost = max(
+                counts[(self._cheap.name, domain)] for domain in self._domains
             )
-            for item in ending[: max(0, extra)]:
-                orders.append(_stop(item))
-        ready = sum(item.state == 'ready' for item in fleet)
-        # What has been ordered may yet not come; only ready ones count.
-        return orders[: max(0, ready - after_loss)]
+        return len(ready) >= total and len(ready) - lost >= after_loss
 
 
 def _count(fleet: list[Upstream]) -> collections.Counter[tuple[str, str]]:
@@ -317,7 +343,7 @@
     )
 
 
-def _ending(item: Upstream, kind: Kind, now_s: float) -> bool:
+def _window_ends(item: Upstream, kind: Kind, now_s: float) -> bool:
     used_s = (now_s - item.billed_from_s) % kind.window_s
     return used_s >= kind.window_s - RELEASE_LEAD_S
 
