Have one VM write each claim shard, and pace the writes

Change: claims go over links of their own to the VM that rendezvous hashing names for the shard; without a link each VM writes by itself. The version stays the fence, the owner saves conflicts only. Each VM writes 40 times a second at most. Presence of control processes and of claim owners is now one module.

--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -15,7 +15,6 @@
 from gentianstair import errors
 from gentianstair import settings
 from gentianstair.config import view as views
-from gentianstair.control import candidates
 from gentianstair.control import duties
 from gentianstair.control import follow
 from gentianstair.control import lease
@@ -25,6 +24,7 @@
 from gentianstair.generated import settings as generated
 from gentianstair.platform import http_store
 from gentianstair.platform import orders as platform_orders
+from gentianstair.platform import presence
 from gentianstair.platform import reports
 from gentianstair.platform import settled
 from gentianstair.upstreams import orders_client
@@ -33,6 +33,8 @@
 from gentianstair.util import serving
 
 GRACE_S = 1.0
+# Kind of the objects by which control processes see each other.
+CANDIDATE = 'candidate'
 
 
 def make_context(config: generated.ControlSettings) -> duties.Context:
@@ -102,11 +104,11 @@
 
 
 async def _count_candidates(
-    seen: candidates.Candidates, leases: lease.Leases, every_s: float
+    seen: presence.Presence, leases: lease.Leases, every_s: float
 ) -> None:
     """Tell the leases who else there is."""
     while True:
-        leases.candidates = seen.names
+        leases.candidates = tuple(sorted(seen.found))
         await trio.sleep(every_s)
 
 
@@ -128,14 +130,15 @@
         context.clock,
         lease.Terms(config.lease_duration_s, config.lease_margin_s),
     )
-    seen = candidates.make_candidates(
+    host, port = sock.getsockname()[:2]
+    seen = presence.make_presence(
         context.store,
+        CANDIDATE,
         holder,
-        config.failure_domain,
+        f'{host}:{port}',
         context.clock,
         config.lease_duration_s,
     )
-    host, port = sock.getsockname()[:2]
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follow.run, context.store, context.view)
         nursery.start_soon(seen.run)
--- /dev/null
+++ b/gentianstair/entry/claim_links.py
@@ -0,0 +1,220 @@
+"""Send claims to the VM that writes their shard, over links of their own."""
+
+import collections.abc
+import itertools
+import typing
+
+import cbor2
+import msgspec
+import trio
+
+from gentianstair import errors
+from gentianstair.control import preference
+from gentianstair.entry import claim_shard
+from gentianstair.entry import claims as claimses
+from gentianstair.generated import messages
+from gentianstair.peers import link
+from gentianstair.platform import presence
+
+KIND = 'claim-owner'
+VERSION = 1
+HEARTBEAT_S = 3.0
+# A batch that its owner has not settled by then is written from here.
+ANSWER_S = 0.6
+RETRY_S = 1.0
+# So that a message of changes with full bodies stays below a link's limit.
+MAX_CHANGES = 100
+_NO_TEXTS = {'digest': '', 'vm': '', 'content_type': ''}
+
+
+def _to_message(change: claim_shard.Change) -> messages.ClaimChange:
+    fields = {**_NO_TEXTS, 'status': 0, 'body': None, **change._asdict()}
+    fields['type'] = type(change).__name__
+    return typing.cast(messages.ClaimChange, fields)
+
+
+def _to_change(message: messages.ClaimChange) -> claim_shard.Change:
+    kinds = {
+        kind.__name__: kind
+        for kind in (claim_shard.Take, claim_shard.Keep, claim_shard.Drop)
+    }
+    kind = kinds.get(message['type'])
+    if kind is None:
+        raise errors.DecodeError(f'a change of type {message["type"]!r}')
+    fields = {name: message[name] for name in kind._fields}
+    return kind(**fields)
+
+
+def _decode(data: bytes, kind: typing.Any) -> typing.Any:
+    try:
+        return msgspec.convert(cbor2.loads(data), kind)
+    except (msgspec.ValidationError, cbor2.CBORDecodeError) as error:
+        raise errors.DecodeError(str(error)) from error
+
+
+class _Link:
+    """The asks under way on one connection to an owner."""
+
+    def __init__(self, channel: link.Channel) -> None:
+        self._channel = channel
+        self._ids = itertools.count()
+        self._waiting: dict[int, trio.Event] = {}
+        self._answers: dict[int, messages.ClaimAnswer] = {}
+
+    async def ask(
+        self, shard_number: int, changes: list[claim_shard.Change]
+    ) -> list[claim_shard.Found]:
+        """Have changes made; raise StoreUnknownError."""
+        ask: messages.ClaimAsk = {
+            'version': VERSION,
+            'ask_id': next(self._ids),
+            'shard': shard_number,
+            'changes': [_to_message(change) for change in changes],
+        }
+        done = self._waiting[ask['ask_id']] = trio.Event()
+        try:
+            with trio.move_on_after(ANSWER_S):
+                await self._channel.send(cbor2.dumps(ask))
+                await done.wait()
+        except link.LinkClosedError as error:
+            raise errors.StoreUnknownError(str(error)) from error
+        finally:
+            del self._waiting[ask['ask_id']]
+        answer = self._answers.pop(ask['ask_id'], None)
+        if answer is None or answer['founds'] is None:
+            raise errors.StoreUnknownError('the owner did not settle it')
+        return [
+            claim_shard.Found(
+                claim_shard.State(found['state']), found['entry']
+            )
+            for found in answer['founds']
+        ]
+
+    async def read(self) -> None:
+        """Take answers until the connection ends."""
+        while True:
+            data = await self._channel.receive()
+            answer = _decode(data, messages.ClaimAnswer)
+            done = self._waiting.get(answer['ask_id'])
+            # An answer that comes too late has no one waiting for it.
+            if done is not None:
+                self._answers[answer['ask_id']] = answer
+                done.set()
+
+
+class Links(claimses.Owners):
+    """Links to the VMs that write shards, and answers to those that ask."""
+
+    def __init__(
+        self,
+        claims: claimses.Claims,
+        network: link.Network,
+        vm_name: str,
+        make_presence: collections.abc.Callable[[str], presence.Presence],
+    ) -> None:
+        self._claims = claims
+        self._network = network
+        self._vm_name = vm_name
+        self._make_presence = make_presence
+        self._presence: presence.Presence | None = None
+        self._links: dict[str, _Link] = {}
+        self._dialed: dict[str, str] = {}
+        self._chosen: dict[str, str] = {}
+
+    def owner_of(self, shard_name: str) -> str | None:
+        """See Owners.owner_of; only a VM that a link reaches is chosen."""
+        owner = self._chosen.get(shard_name)
+        if owner is None:
+            owner = max(
+                self._presence.found if self._presence else [self._vm_name],
+                key=lambda name: preference.rank(shard_name, name),
+            )
+            self._chosen[shard_name] = owner
+        return owner if owner in self._links else None
+
+    async def forward(
+        self,
+        owner: str,
+        shard_number: int,
+        changes: list[claim_shard.Change],
+    ) -> list[claim_shard.Found]:
+        """See Owners.forward."""
+        founds = []
+        for first in range(0, len(changes), MAX_CHANGES):
+            found_link = self._links.get(owner)
+            if found_link is None:
+                raise errors.StoreUnknownError(f'no link to {owner}')
+            part = changes[first : first + MAX_CHANGES]
+            founds += await found_link.ask(shard_number, part)
+        return founds
+
+    async def run(self) -> None:
+        """Serve and keep links until cancelled."""
+        async with trio.open_nursery() as nursery:
+            address = await nursery.start(self._network.serve, self._answer)
+            self._presence = self._make_presence(address)
+            nursery.start_soon(self._presence.run)
+            self._claims.owners = self
+            while True:
+                self._chosen = {}
+                for name, owner_address in self._presence.found.items():
+                    if name != self._vm_name and name not in self._dialed:
+                        self._dialed[name] = owner_address
+                        nursery.start_soon(self._keep, name, owner_address)
+                await trio.sleep(RETRY_S)
+
+    async def _keep(self, name: str, address: str) -> None:
+        """Hold one link until it breaks."""
+        try:
+            async with self._network.open(address) as channel:
+                self._links[name] = _Link(channel)
+                await self._links[name].read()
+        except (link.LinkClosedError, errors.DecodeError):
+            await trio.sleep(RETRY_S)
+        finally:
+            self._links.pop(name, None)
+            del self._dialed[name]
+
+    async def _answer(self, channel: link.Channel) -> None:
+        """Serve one VM's asks, several at a time."""
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    data = await channel.receive()
+                    ask = _decode(data, messages.ClaimAsk)
+                    nursery.start_soon(self._answer_one, channel, ask)
+        except* (link.LinkClosedError, errors.DecodeError):
+            await channel.aclose()
+
+    async def _answer_one(
+        self, channel: link.Channel, ask: messages.ClaimAsk
+    ) -> None:
+        answer: messages.ClaimAnswer = {
+            'version': VERSION,
+            'ask_id': ask['ask_id'],
+            'founds': None,
+        }
+        changes = [_to_change(message) for message in ask['changes']]
+        try:
+            founds = await self._claims.make_changes(ask['shard'], changes)
+        except errors.StoreError:
+            founds = None
+        if founds is not None:
+            answer['founds'] = [
+                {'state': found.state.value, 'entry': found.entry}
+                for found in founds
+            ]
+        await channel.send(cbor2.dumps(answer))
+
+
+def make_links(
+    claims: claimses.Claims,
+    network: link.Network,
+    vm_name: str,
+    make_presence: collections.abc.Callable[[str], presence.Presence],
+) -> Links:
+    """Return links for claims; make_presence is given the own address.
+
+    It must show objects of this module's KIND, by the name of the VM.
+    """
+    return Links(claims, network, vm_name, make_presence)
--- a/gentianstair/entry/claim_shard.py
+++ b/gentianstair/entry/claim_shard.py
@@ -11,8 +11,9 @@
 MAX_BODY_BYTES = 4096
 # The store takes a megabyte; the rest is room for encoding.
 SHARD_LIMIT_BYTES = 600_000
-# What an entry takes besides its body and its name.
-ENTRY_BYTES = 260
+# What an entry takes besides its texts.
+ENTRY_BYTES = 130
+MAX_CONTENT_TYPE = 100
 # Entries leave after this many whole generations of their shard.
 GENERATIONS = 8
 
@@ -82,10 +83,13 @@
 
 def size_bytes(entries: Entries) -> int:
     """Return an upper estimate of the stored size."""
-    total = 0
-    for name, entry in entries.items():
-        total += ENTRY_BYTES + len(name) + len(entry['body'] or '')
-    return total
+    return sum(_entry_bytes(name, item) for name, item in entries.items())
+
+
+def _entry_bytes(name: str, entry: messages.ClaimEntry) -> int:
+    texts = (name, entry['digest'], entry['nonce'], entry['vm'])
+    fixed = ENTRY_BYTES + sum(len(text) for text in texts)
+    return fixed + len(entry['content_type']) + len(entry['body'] or '')
 
 
 def age_out(entries: Entries, generation: int) -> Entries:
@@ -129,9 +133,7 @@
 def _take(change: Take, entries: Entries, generation: int) -> Found:
     known = entries.get(change.name)
     if known is None:
-        if not make_room(entries, ENTRY_BYTES + len(change.name)):
-            return Found(State.FULL)
-        entries[change.name] = {
+        entry: messages.ClaimEntry = {
             'digest': change.digest,
             'nonce': change.nonce,
             'vm': change.vm,
@@ -140,6 +142,10 @@
             'content_type': '',
             'body': None,
         }
+        needed_bytes = _entry_bytes(change.name, entry) + MAX_CONTENT_TYPE
+        if not make_room(entries, needed_bytes):
+            return Found(State.FULL)
+        entries[change.name] = entry
         return Found(State.GRANTED)
     if known['nonce'] == change.nonce:
         return Found(State.GRANTED, known)
@@ -162,7 +168,7 @@
         entries[change.name] = {
             **entries[change.name],
             'status': change.status,
-            'content_type': change.content_type,
+            'content_type': change.content_type[:MAX_CONTENT_TYPE],
             'body': body,
             'generation': generation,
         }
--- a/gentianstair/entry/claims.py
+++ b/gentianstair/entry/claims.py
@@ -21,6 +21,8 @@
 PURPOSE = 'claim'
 # How long a shard gathers changes before it writes them in one update.
 LINGER_S = 0.005
+# One VM writes no more often than this; eight VMs leave the store a third.
+MAX_WRITES_PER_S = 40.0
 # Longest wait for a claim before the caller is refused.
 CLAIM_TIMEOUT_S = 3.0
 # Longest wait of an answer for its outcome to be stored.
@@ -46,6 +48,10 @@
 CONFLICTS = prometheus_client.Counter(
     'gentianstair_claim_conflicts', 'Updates lost to another VM'
 )
+FORWARD_FAILURES = prometheus_client.Counter(
+    'gentianstair_claim_forward_failures',
+    'Batches that the owner of their shard did not take',
+)
 RESULTS = prometheus_client.Counter(
     'gentianstair_claims', 'Claims by what they came to', ['state']
 )
@@ -74,11 +80,36 @@
     body: bytes | None = None
 
 
+class Owners(typing.Protocol):
+    """Reach the VM that writes a shard, so that writers do not conflict.
+
+    Only speed rests on it. Two VMs may believe that they own a shard, or
+    none be reached: every VM can write every shard, and the conditional
+    update decides.
+    """
+
+    def owner_of(self, shard_name: str) -> str | None:
+        """Return another VM that writes this shard, None for this one."""
+
+    async def forward(
+        self,
+        owner: str,
+        shard_number: int,
+        changes: list[claim_shard.Change],
+    ) -> list[claim_shard.Found]:
+        """Have the owner make changes; raise StoreUnknownError."""
+
+
 class _Waiting:
     """A change on its way into the store."""
 
-    def __init__(self, change: claim_shard.Change) -> None:
+    def __init__(
+        self, change: claim_shard.Change, remote: bool = False
+    ) -> None:
         self.change = change
+        # From another VM that takes this one for the owner: written here,
+        # whoever this VM takes for the owner, so that nothing goes round.
+        self.remote = remote
         self.done = trio.Event()
         self.found: claim_shard.Found | None = None
         self.abandoned = False
@@ -91,8 +122,9 @@
 class _Shard:
     """This VM's copy of one shard, and the changes waiting for it."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, number: int) -> None:
         self.name = name
+        self.number = number
         self.version = 0
         self.current = False
         self.generation = 0
@@ -136,19 +168,41 @@
         self._vm_name = vm_name
         self._clock = clock
         self._retention_s = retention_s
-        self._shards = [_Shard(f'shard-{i:05d}') for i in range(shards)]
+        self._shards = [_Shard(f'shard-{i:05d}', i) for i in range(shards)]
         self._down_until_s = float('-inf')
         self._seen_since_s: dict[str, float] = {}
         self._send, self._receive = trio.open_memory_channel[_Shard](shards)
         self._random = random.Random()
+        self._next_write_s = float('-inf')
         self.linger_s = LINGER_S
+        self.owners: Owners | None = None
 
     def _shard_of(self, name: str) -> _Shard:
         number = xxhash.xxh64_intdigest(name.encode()) % len(self._shards)
         return self._shards[number]
 
-    def _add(self, waiting: _Waiting) -> None:
-        shard = self._shard_of(waiting.change.name)
+    async def make_changes(
+        self, shard_number: int, changes: list[claim_shard.Change]
+    ) -> list[claim_shard.Found]:
+        """Make changes for another VM; raise StoreError if they failed."""
+        names = {f'shard-{shard_number:05d}'}
+        if names != {self._shard_of(item.name).name for item in changes}:
+            # The other VM was set to another number of shards.
+            raise errors.StoreUnknownError(f'not of shard {shard_number}')
+        shard = self._shards[shard_number]
+        waitings = [_Waiting(change, remote=True) for change in changes]
+        for waiting in waitings:
+            self._add(waiting, shard)
+        founds = []
+        for waiting in waitings:
+            await waiting.done.wait()
+            if waiting.found is None:
+                raise errors.StoreUnknownError(shard.name)
+            founds.append(waiting.found)
+        return founds
+
+    def _add(self, waiting: _Waiting, shard: _Shard | None = None) -> None:
+        shard = shard or self._shard_of(waiting.change.name)
         shard.waiting.append(waiting)
         if not shard.busy:
             shard.busy = True
@@ -263,10 +317,16 @@
     async def _run_shard(self, shard: _Shard) -> None:
         """Write the changes of one shard until none waits."""
         while shard.waiting:
-            await trio.sleep(self.linger_s)
+            # A batch for another VM gathers there, and here while the one
+            # before it is under way.
+            if self._owner_of(shard) is None:
+                await trio.sleep(self.linger_s)
+                await self._pace()
             batch = shard.waiting[:MAX_BATCH]
             try:
-                founds = await self._commit(shard, batch)
+                founds = await self._forward(shard, batch)
+                if founds is None:
+                    founds = await self._commit(shard, batch)
             except errors.StoreError as error:
                 shard.current = False
                 if not isinstance(error, _ShardError):
@@ -285,6 +345,18 @@
         if waiting.found is not None:
             self._free(waiting)
 
+    async def _pace(self) -> None:
+        """Wait for this VM's turn, so that claims leave the store room.
+
+        Batches grow meanwhile; that costs less than a queue in the store,
+        which also delays leases and configuration.
+        """
+        now_s = trio.current_time()
+        self._next_write_s = max(now_s, self._next_write_s)
+        wait_s = self._next_write_s - now_s
+        self._next_write_s += 1 / MAX_WRITES_PER_S
+        await trio.sleep(wait_s)
+
     def _complete(self, waiting: _Waiting, found: claim_shard.Found) -> None:
         waiting.found = found
         waiting.done.set()
@@ -304,7 +376,11 @@
         for waiting in shard.waiting:
             change = waiting.change
             if not isinstance(change, claim_shard.Take):
-                kept.append(waiting)
+                if not waiting.remote:
+                    kept.append(waiting)
+                    continue
+                # The VM it is from keeps it, and tries by itself.
+                waiting.done.set()
                 continue
             waiting.done.set()
             if waiting.maybe_written:
@@ -313,6 +389,29 @@
                 kept.append(drop)
         shard.waiting = kept[-MAX_WAITING:]
 
+    def _owner_of(self, shard: _Shard) -> str | None:
+        return self.owners.owner_of(shard.name) if self.owners else None
+
+    async def _forward(
+        self, shard: _Shard, batch: list[_Waiting]
+    ) -> list[claim_shard.Found] | None:
+        """Have the shard's owner make the changes; None if it did not.
+
+        What it may still make of them later does no harm: the nonces show
+        a change that is there already.
+        """
+        owner = self._owner_of(shard)
+        if owner is None or any(waiting.remote for waiting in batch):
+            return None
+        changes = [waiting.change for waiting in batch]
+        try:
+            return await self.owners.forward(owner, shard.number, changes)
+        except errors.StoreError:
+            FORWARD_FAILURES.inc()
+            for waiting in batch:
+                waiting.maybe_written = True
+            return None
+
     async def _commit(
         self, shard: _Shard, batch: list[_Waiting]
     ) -> list[claim_shard.Found]:
--- a/gentianstair/control/candidates.py
+++ b/gentianstair/platform/presence.py
@@ -1,4 +1,4 @@
-"""Know which control processes could hold leases now."""
+"""Show that a process is there, and know which others are."""
 
 import contextlib
 import typing
@@ -11,47 +11,49 @@
 from gentianstair.platform import store as stores
 from gentianstair.util import clock as clocks
 
-KIND = 'candidate'
-PURPOSE = 'candidate'
-# A candidate whose object did not change for so many heartbeats is gone.
+PURPOSE = 'presence'
+# A process whose object did not change for so many heartbeats is gone.
 MISSED = 3
 # Whoever sees an object unchanged for so many heartbeats deletes it.
 FORGOTTEN = 50
 
 
-class Candidates:
+class Presence:
     """This process's heartbeat, and the heartbeats it sees.
 
-    What is seen here decides only who tries first; a wrong view costs a
-    conflict or a delay, never two holders.
+    What is seen here decides only who tries first or is asked first; a
+    wrong view costs a conflict or a delay, never safety.
     """
 
     def __init__(
         self,
         store: stores.Store,
-        holder: str,
-        failure_domain: str,
+        kind: str,
+        name: str,
+        address: str,
         clock: clocks.Clock,
         heartbeat_s: float,
     ) -> None:
         self._store = store
-        self._holder = holder
-        self._failure_domain = failure_domain
+        self._kind = kind
+        self._name = name
+        self._address = address
         self._clock = clock
         self._heartbeat_s = heartbeat_s
         self._version = 0
         self._seen: dict[str, tuple[int, float]] = {}
-        self.names: tuple[str, ...] = (holder,)
+        # Addresses by name, this process's own among them.
+        self.found: dict[str, str] = {name: address}
 
     async def beat(self) -> None:
         """Show that this process is there, and look who else is."""
         try:
             await self._show()
-            listing = await self._store.list(KIND, purpose=PURPOSE)
+            listing = await self._store.list(self._kind, purpose=PURPOSE)
         except errors.StoreError:
             return
         now_s = self._clock()
-        names = {self._holder}
+        found = {self._name: self._address}
         for item in listing.objects:
             known = self._seen.get(item.name)
             if known is None or known[0] != item.version:
@@ -59,21 +61,21 @@
                 self._seen[item.name] = known
             age_s = now_s - known[1]
             if age_s < MISSED * self._heartbeat_s:
-                names.add(item.name)
+                found[item.name] = str(item.value['address'])
             elif age_s > FORGOTTEN * self._heartbeat_s:
                 await self._delete(item.name, item.version)
-        self.names = tuple(sorted(names))
+        self.found = found
 
     async def _show(self) -> None:
-        value: messages.CandidateValue = {
-            'failure_domain': self._failure_domain,
+        value: messages.PresenceValue = {
+            'address': self._address,
             'nonce': settled.new_nonce(),
         }
         try:
             self._version = await settled.put(
                 self._store,
-                KIND,
-                self._holder,
+                self._kind,
+                self._name,
                 typing.cast(stores.Value, value),
                 self._version,
                 purpose=PURPOSE,
@@ -85,7 +87,9 @@
     async def _delete(self, name: str, version: int) -> None:
         self._seen.pop(name, None)
         with contextlib.suppress(errors.StoreError):
-            await self._store.delete(KIND, name, version, purpose=PURPOSE)
+            await self._store.delete(
+                self._kind, name, version, purpose=PURPOSE
+            )
 
     async def run(self) -> None:
         """Beat until cancelled, then leave so that others know at once."""
@@ -96,15 +100,16 @@
         finally:
             with trio.CancelScope(shield=True):
                 with trio.move_on_after(self._heartbeat_s):
-                    await self._delete(self._holder, self._version)
+                    await self._delete(self._name, self._version)
 
 
-def make_candidates(
+def make_presence(
     store: stores.Store,
-    holder: str,
-    failure_domain: str,
+    kind: str,
+    name: str,
+    address: str,
     clock: clocks.Clock,
     heartbeat_s: float,
-) -> Candidates:
-    """Return the candidates as seen by the process named holder."""
-    return Candidates(store, holder, failure_domain, clock, heartbeat_s)
+) -> Presence:
+    """Return what this process shows and sees as objects of a kind."""
+    return Presence(store, kind, name, address, clock, heartbeat_s)
--- /dev/null
+++ b/test/entry/test_claim_links.py
@@ -0,0 +1,84 @@
+"""Test that claims reach the VM that writes their shard."""
+
+import functools
+
+import pytest
+import trio
+
+from gentianstair.entry import claim_links
+from gentianstair.entry import claim_shard
+from gentianstair.entry import claims
+from gentianstair.platform import presence
+from gentianstair.util import clock
+from standins import memory_network
+from standins import memory_store
+from standins.platform import objects
+
+NAMES = ('vm-1', 'vm-2', 'vm-3')
+State = claim_shard.State
+
+
+async def start_vm(nursery, hub, table, name):
+    """Return the claims and the store of a VM with links."""
+    store = memory_store.MemoryStore(table)
+    made = claims.make_claims(store, name, clock.trio_time_s, 4, 1000.0)
+    make_presence = functools.partial(
+        presence.make_presence, store, claim_links.KIND, name
+    )
+    links = claim_links.make_links(
+        made,
+        memory_network.MemoryNetwork(hub, name),
+        name,
+        lambda address: make_presence(
+            address, clock.trio_time_s, claim_links.HEARTBEAT_S
+        ),
+    )
+    nursery.start_soon(made.run_batches)
+    nursery.start_soon(links.run)
+    return made, store
+
+
+async def claim_all(vms, prefix):
+    """Have every VM claim the same 60 keys; return the states by key."""
+    found = {}
+
+    async def claim(made, key):
+        result = await made.claim('c', key, 'd')
+        found.setdefault(key, []).append(result.state)
+
+    async with trio.open_nursery() as nursery:
+        for made, _ in vms:
+            for number in range(60):
+                nursery.start_soon(claim, made, f'{prefix}-{number}')
+    return found
+
+
+@pytest.mark.promise
+async def test_owner_writes_for_all_until_it_is_cut_off(autojump_clock):
+    """Three VMs claim the same keys, then one is cut off from the others.
+
+    While links stand, each shard has one writer and no update is wasted.
+    Behind the cut every VM writes by itself; a key still goes to one.
+    """
+    hub = memory_network.Hub()
+    table = objects.ObjectTable()
+    async with trio.open_nursery() as nursery:
+        vms = [await start_vm(nursery, hub, table, name) for name in NAMES]
+        await trio.sleep(10.0)
+        before = [store.calls['claim'] for _, store in vms]
+        found = await claim_all(vms, 'linked')
+        for states in found.values():
+            assert sorted(s.value for s in states) == [
+                'granted',
+                'running_elsewhere',
+                'running_elsewhere',
+            ]
+        # A read and two writes for each of four shards, for 180 claims.
+        calls = sum(store.calls['claim'] for _, store in vms) - sum(before)
+        assert calls <= 16
+        for other in NAMES[1:]:
+            hub.cut(NAMES[0], other)
+        found = await claim_all(vms, 'cut')
+        for states in found.values():
+            assert states.count(State.GRANTED) == 1
+        nursery.cancel_scope.cancel()
