Stop surveys in good times and repeats of the list of VMs

The second was surveys: the stand-in ended a watch an instant early, which took a whole watch off the age of the news; all nodes then counted at once. A watch may now end 2 % early, and stand-ins for the first watchers are few.

--- a/gentianstair/peers/membership.py
+++ b/gentianstair/peers/membership.py
@@ -172,6 +172,10 @@
             if known is not None and known.at_ms >= entry.at_ms:
                 continue
             self.listed[name] = entry
+            if known is not None and known.state == entry.state:
+                # Read again, no news: passing that on would cost as much
+                # as the whole list, from each VM that starts.
+                continue
             taken[name] = entry
             if entry.state == LEAVING:
                 changed += self.mark(name, LEAVING, now_s)
@@ -199,11 +203,13 @@
         """Return a digest of all that is spread about members."""
         total = 0
         for member in self.by_name.values():
-            if member.status != GONE:
+            if member.status != GONE and member.incarnation:
                 total ^= xxhash.xxh64_intdigest(repr(member).encode())
         for name, entry in self.listed.items():
             if entry.state != ABSENT:
-                total ^= xxhash.xxh64_intdigest(f'{name}/{entry}'.encode())
+                total ^= xxhash.xxh64_intdigest(
+                    f'{name}/{entry.state}'.encode()
+                )
         return total
 
     def present(self) -> list[Member]:
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -25,7 +25,7 @@
 
 MAX_LINKS = 64
 HELLO_TIMEOUT_S = 3.0
-# Heartbeats for which a peer is not dialed again after a failed try.
+# Heartbeats for which a peer is passed over, at most, after failed tries.
 AVOID_BEATS = 10
 # Heartbeats of silence up to which a peer counts as heard.
 HEARD_BEATS = 2.5
@@ -36,6 +36,8 @@
 PROBES = 3
 CONFIRM_TRIES = 2
 MAX_MEMBERS_MESSAGE = 500
+# Nodes that count when the first watchers' count does not come.
+STAND_INS = 16
 # Beats that carry the digest of the members: one in so many.
 MEMBERS_BEATS = 8
 
@@ -99,10 +101,11 @@
         self._dialing: set[str] = set()
         self._questioned: set[str] = set()
         self._avoid_until_s: dict[str, float] = {}
+        self._failed_dials: dict[str, int] = {}
         self._place: topology.Place | None = None
         self._place_key: typing.Any = None
         self._known = 1
-        self._members_digest = 0
+        self._members_digest: int | None = None
         self._beats = 0
         self._surveying = False
         self._hurry = trio.Event()
@@ -198,11 +201,19 @@
         finally:
             self._dialing.discard(name)
             if not reached:
-                pause_s = AVOID_BEATS * self._settings.heartbeat_s
-                self._avoid_until_s[name] = self._clock() + pause_s
+                self._avoid(name)
         if not reached and name in self._members.by_name:
             self._nursery.start_soon(self._question, name)
 
+    def _avoid(self, name: str) -> None:
+        """Pass a peer over for a while, longer with each failed try."""
+        # A first try may fail only since the peer is just starting.
+        tries = self._failed_dials.get(name, 0)
+        self._failed_dials[name] = tries + 1
+        beats = min(AVOID_BEATS, 0.5 * 2**tries)
+        pause_s = beats * self._settings.heartbeat_s
+        self._avoid_until_s[name] = self._clock() + pause_s
+
     async def _run_session(
         self, channel: link.Channel, dialed: bool, wanted: str = ''
     ) -> None:
@@ -226,6 +237,7 @@
         self._sessions.append(one)
         self._close_double(peer.name)
         self._avoid_until_s.pop(peer.name, None)
+        self._failed_dials.pop(peer.name, None)
         self._greet(one, typing.cast(messages.PeerHello, hello))
         try:
             with one.scope:
@@ -380,7 +392,10 @@
                     loguru.logger.debug(
                         'the list of VMs was not read: {}', error
                     )
-            pause_s = self._settings.vms_s
+            # The first watcher reads for its failure domain; the others
+            # read seldom, in case it cannot.
+            place = self._find_place(self._clock())
+            pause_s = self._settings.vms_s * (1 + 2 * place.rank)
             await trio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
 
     def _take_list(self, found: list[vm_list_module.Vm]) -> None:
@@ -398,7 +413,8 @@
             for vm in found
             if vm.name not in self._members.by_name
         ]
-        self._spread_members(self._members.apply(new, now_s))
+        # Not spread: the VM itself will be, once its process runs.
+        self._members.apply(new, now_s)
         states = {vm.name: vm.state for vm in found}
         now_ms = int(time.time() * 1000)
         changes = self._members.poll_changes(states, now_ms)
@@ -439,18 +455,20 @@
     def _start_survey_if_due(self, now_s: float) -> None:
         """Count who is in reach when the store has been silent."""
         quiet_s = self._settings.freshness_s / 2
-        age_s = self._freshness.age_s()
-        if age_s is not None and age_s < quiet_s:
-            return
-        if self._freshness.outage_age_s() is None or self._surveying:
+        silent_s = self._freshness.outage_age_s()
+        if silent_s is None or self._surveying:
             return
         place = self._find_place(now_s)
-        # The first watcher of each failure domain counts for all; others
-        # only when its count does not come.
-        first = place.level == 0 and place.rank == 0
-        due_s = quiet_s / 2 if first else 1.5 * quiet_s
+        if place.level > 0 or place.rank > 0:
+            # The first watcher of each failure domain counts for all. The
+            # others wait for its count, and of many only a few step in.
+            quiet_s *= 1.5
+            if self._rng.random() > STAND_INS / self._known:
+                return
         reached_s = self._freshness.reached_age_s()
-        if reached_s is None or reached_s >= due_s:
+        if silent_s >= quiet_s and (
+            reached_s is None or reached_s >= quiet_s / 2
+        ):
             self._nursery.start_soon(self._survey)
 
     async def _survey(self) -> None:
@@ -491,7 +509,7 @@
         if reached_s is not None and reached_s <= self._settings.freshness_s:
             beat['reached'] = self._freshness.reached
             beat['reached_age_ms'] = int(reached_s * 1000) + 1
-        if self._beats % MEMBERS_BEATS == 0:
+        if self._members_digest and self._beats % MEMBERS_BEATS == 0:
             beat['members_digest'] = self._members_digest
         return beat
 
--- a/gentianstair/peers/spread.py
+++ b/gentianstair/peers/spread.py
@@ -14,6 +14,8 @@
 # Pause after a watch that found changes, so that a burst of changes costs
 # a few calls and not one for each.
 COALESCE_S = 0.05
+# Share of a watch's time after which the store's clock may call it over.
+WAITED_SHARE = 0.98
 RETRY_S = 0.25
 MAX_RETRY_S = 4.0
 
@@ -114,10 +116,11 @@
             view_module.KINDS, cursor, self._watch_s, purpose='config-watch'
         )
         as_of_s = sent_s
-        if not found.objects and self._clock() - sent_s >= self._watch_s:
+        waited_s = WAITED_SHARE * self._watch_s
+        if not found.objects and self._clock() - sent_s >= waited_s:
             # The store waited the whole time before it said that nothing
             # changed, so that is when it was true.
-            as_of_s = sent_s + self._watch_s
+            as_of_s = sent_s + waited_s
         trusted_s = self._trust(found.revision, as_of_s)
         self._cursor = max(cursor, found.revision)
         taken = self._view.apply(found.objects)
