--- a/gentianstair/util/audit.py
+++ b/gentianstair/util/audit.py
@@ -21,6 +21,9 @@
 
 KIND = 'audit'
 OUTCOME_KIND = 'audit-outcome'
+# Objects that hold the record of an order, whose state tells its outcome.
+ORDER_KINDS = frozenset({'engine-order', 'upstream-order'})
+NOT_DONE = 'not done'
 CREATE_TRIES = 3
 # Beyond so many days the whole trail is listed in one call.
 MAX_DAY_LISTS = 40
@@ -184,21 +187,35 @@
     """Return what became of a change whose outcome was not recorded."""
     kind, _, target = entry['target'].partition('/')
     present = await client.get(kind, target, purpose='audit')
-    marks = {_mark(present.value)} | {
-        _mark(later['before'])
+    seen = [present.value] + [
+        later['before']
         for later in entries.values()
         if later['target'] == entry['target'] and later is not entry
-    }
-    if name in marks:
+    ]
+    ours = [value for value in seen if _mark(value) == name]
+    if ours and kind not in ORDER_KINDS:
         return Outcome.DONE.value
+    if ours:
+        return _order_outcome({value['state'] for value in ours if value})
     age_s = time.time() - _unix_time_s(entry['at'])
     # Somebody found the object as it was before this change, and nobody
     # found it as it was after.
-    if age_s > SETTLE_S and _mark(entry['before']) in marks:
-        return 'not done'
+    if age_s > SETTLE_S and _mark(entry['before']) in map(_mark, seen):
+        return NOT_DONE
     return Outcome.UNKNOWN.value
 
 
+def _order_outcome(states: set[str]) -> str:
+    """Return what became of an order whose record was in these states.
+
+    The record of an order carries its entry's name from before it is sent,
+    so the name alone does not tell that it took effect.
+    """
+    if states & {'done', 'accepted'}:
+        return Outcome.DONE.value
+    return Outcome.UNKNOWN.value if states == {'intended'} else NOT_DONE
+
+
 def _unix_time_s(text: str) -> float:
     return datetime.datetime.fromisoformat(text).timestamp()
 
