--- a/gentianstair/ui/commands/bundle.py
+++ b/gentianstair/ui/commands/bundle.py
@@ -284,14 +284,32 @@
             'accepted': number,
             'bundle_number': (answer.body or {}).get('bundle_number'),
             'in_force': answer.confirmed,
-            'url': answer.url,
+            'from': answer.url,
             'problem': answer.problem,
         }
         for answer in answers
     ]
-    columns = ('vm', 'bundle_number', 'in_force', 'url', 'problem')
+    found = await entries.survey(session, accepted.version)
+    asked = {row['vm'] for row in rows}
+    for vms, problem in _heard(found):
+        for vm in sorted(set(vms) - asked):
+            row = {'vm': vm, 'accepted': number, 'in_force': problem is None}
+            rows.append({**row, 'from': 'peers', 'problem': problem})
+    columns = ('vm', 'bundle_number', 'in_force', 'from', 'problem')
     session.out.rows(columns, rows)
     if command.wait_s and not all(answer.confirmed for answer in answers):
         raise change.EffectUnknownError(
             f'bundle {number} is not in force on every VM yet'
         )
+
+
+def _heard(
+    found: entries.Survey | None,
+) -> list[tuple[list[str], str | None]]:
+    if found is None:
+        return []
+    return [
+        (found.heard, None),
+        (found.behind, 'has an earlier configuration'),
+        (found.silent, 'did not answer its peers'),
+    ]
--- a/gentianstair/ui/commands/key.py
+++ b/gentianstair/ui/commands/key.py
@@ -124,15 +124,18 @@
     answers = await entries.confirm(
         session, f'/operator/key/{name}', _is_revoked, command.wait_s
     )
-    session.out.value(
-        {
-            'key': name,
-            'revoked': True,
-            'version': made.version,
-            'confirmed': [a.url for a in answers if a.confirmed],
-            'not_confirmed': [a.url for a in answers if not a.confirmed],
-        }
-    )
+    result = {
+        'key': name,
+        'revoked': True,
+        'version': made.version,
+        'confirmed': [a.url for a in answers if a.confirmed],
+        'not_confirmed': [a.url for a in answers if not a.confirmed],
+    }
+    # Entries that were not named are heard of through their peers.
+    found = await entries.survey(session, made.version)
+    if found is not None:
+        result |= {f'vms_{name}': vms for name, vms in found._asdict().items()}
+    session.out.value(result)
     if command.wait_s and not all(a.confirmed for a in answers):
         raise change.EffectUnknownError(
             'the key is revoked, but not every entry has confirmed it'
--- a/gentianstair/ui/entries.py
+++ b/gentianstair/ui/entries.py
@@ -11,6 +11,7 @@
 from gentianstair.ui import session as sessions
 
 STATUS_PATH = '/operator/status'
+SURVEY_PATH = '/operator/confirmed'
 TIMEOUT_S = 3.0
 POLL_S = 0.2
 
@@ -24,6 +25,18 @@
     confirmed: bool = False
 
 
+class Survey(typing.NamedTuple):
+    """What one entry heard of all VMs it knows, through its peers.
+
+    ``heard`` have a revision of the configuration or a later one, ``behind``
+    an earlier one; ``silent`` did not answer in time.
+    """
+
+    heard: list[str]
+    behind: list[str]
+    silent: list[str]
+
+
 async def get_json(url: str) -> store.Value | None:
     """Return the object at a URL, None when there is none.
 
@@ -87,3 +100,24 @@
         if trio.current_time() >= until_s:
             return answers
         await trio.sleep(POLL_S)
+
+
+async def survey(session: sessions.Session, revision: int) -> Survey | None:
+    """Return who in the fleet has a revision; None if no entry can tell."""
+    for url in session.entry_urls:
+        try:
+            found = await get_json(url + SURVEY_PATH)
+            status = await get_json(url + STATUS_PATH)
+        except errors.StoreUnavailableError:
+            continue
+        if not found or not status:
+            continue
+        revisions = found.get('revisions', {})
+        members = {item['vm'] for item in status.get('members', [])}
+        heard = {vm for vm in revisions if revisions[vm] >= revision}
+        return Survey(
+            sorted(heard),
+            sorted(set(revisions) - heard),
+            sorted(members - set(revisions)),
+        )
+    return None
