--- a/gentianstair/ui/main.py
+++ b/gentianstair/ui/main.py
@@ -21,6 +21,7 @@
 from gentianstair.ui.commands import key
 from gentianstair.ui.commands import lease
 from gentianstair.ui.commands import settings
+from gentianstair.ui.commands import snapshot
 from gentianstair.ui.commands import upstream
 from gentianstair.ui.commands import usage
 from gentianstair.ui.commands import vm
@@ -45,6 +46,7 @@
     | audit.Audit
     | explain.Explain
     | settings.Settings
+    | snapshot.Snapshot
 )
 
 
--- a/test/ui/test_main.py
+++ b/test/ui/test_main.py
@@ -30,6 +30,7 @@
     (['bundle', 'sign', __file__, '--key', __file__], 'not a bundle'),
     (['bundle', 'build', __file__, '--output', '/x'], 'not TOML'),
     (['audit', '--since', 'yesterday'], '--since'),
+    (['snapshot', 'restore', __file__], 'its digest is wrong'),
     (['explain', 'x'], '--entry-urls'),
     (['usage', 'show', '--windows', '0'], '--windows'),
     (['customer', 'list', '--platform-url', 'http://[x'], 'not an http URL'),
@@ -131,7 +132,7 @@
     *(f'bundle {leaf}' for leaf in ('withdraw', 'status')),
     *(f'upstream {leaf}' for leaf in ('add', 'drain', 'withdraw', 'list')),
     *('vm list', 'lease list', 'usage show', 'audit', 'explain'),
-    'settings check',
+    *('settings check', 'snapshot save', 'snapshot restore'),
 ]
 
 
