--- a/gentianstair/util/audit.py
+++ b/gentianstair/util/audit.py
@@ -25,8 +25,8 @@
 ORDER_KINDS = frozenset({'engine-order', 'upstream-order'})
 NOT_DONE = 'not done'
 CREATE_TRIES = 3
-# Beyond so many days the whole trail is listed in one call.
-MAX_DAY_LISTS = 40
+# More hours than this are listed by day, more days in one call.
+MAX_LISTS = 40
 # A write still under way is certainly settled after this long.
 SETTLE_S = 60.0
 
@@ -132,18 +132,23 @@
     outcome: str
 
 
-def _day_prefixes(since: datetime.datetime) -> list[str]:
+def _prefixes(since: datetime.datetime) -> list[str]:
     """Return prefixes that names of entries since then can have.
 
-    Authors' clocks may run ahead, so tomorrow is one of them.
+    Short ones for a long time, so that neither one listing is huge nor
+    their number. Authors' clocks may run ahead, so an hour of the future
+    is among them.
     """
-    last = datetime.datetime.now(datetime.UTC).date()
-    last += datetime.timedelta(days=1)
-    days = (last - since.astimezone(datetime.UTC).date()).days
-    if days > MAX_DAY_LISTS:
-        return ['']
-    found = [last - datetime.timedelta(days=back) for back in range(days + 1)]
-    return [day.strftime('%Y%m%d') for day in reversed(found)]
+    hour = datetime.timedelta(hours=1)
+    first = since.astimezone(datetime.UTC)
+    last = datetime.datetime.now(datetime.UTC) + hour
+    for unit, form in ((hour, '%Y%m%dT%H'), (24 * hour, '%Y%m%d')):
+        count = int((last - first) / unit) + 1
+        if count <= MAX_LISTS:
+            times = [first + unit * step for step in range(count)]
+            found = [time_.strftime(form) for time_ in (*times, last)]
+            return sorted(set(found))
+    return ['']
 
 
 async def _list(
@@ -158,7 +163,7 @@
 
 async def read(client: store.Store, since: datetime.datetime) -> list[Record]:
     """Return the entries since then, oldest first."""
-    prefixes = _day_prefixes(since)
+    prefixes = _prefixes(since)
     entries = await _list(client, KIND, prefixes)
     outcomes = await _list(client, OUTCOME_KIND, prefixes)
     first = timestamp(since)
--- a/test/util/test_audit.py
+++ b/test/util/test_audit.py
@@ -47,16 +47,22 @@
     assert found[0].outcome == outcome
 
 
-async def test_only_entries_since_then_are_read_and_in_order():
+@pytest.mark.parametrize('hours', [0.5, 1, 5, 39, 41, 300, 30000])
+async def test_all_entries_since_then_are_read_in_order(hours):
     client = memory_store.MemoryStore()
+    now = datetime.datetime.now(datetime.UTC)
+    second = datetime.timedelta(seconds=2)
+    since = now - datetime.timedelta(hours=hours)
+    times = [since - second, since + second, since + (now - since) / 2]
+    # An author's clock may be ahead.
+    times += [now, now + datetime.timedelta(minutes=50)]
     names = []
-    for day in (3, 2, 1):
-        at = datetime.datetime.now(datetime.UTC) - datetime.timedelta(day)
+    for at in times:
         entry = audit.make_entry('a', 'b', 'c/d', None, {})
         entry['at'] = audit.timestamp(at)
         names.append(await audit.record(client, entry))
-    days = datetime.timedelta(days=2, hours=1)
-    found = await audit.read(client, SINCE - days)
+    client.calls.clear()
+    found = await audit.read(client, since)
     assert [record.name for record in found] == names[1:]
-    found = await audit.read(client, SINCE - datetime.timedelta(days=900))
-    assert [record.name for record in found] == names
+    settled = len(found)
+    assert client.calls['audit'] - settled <= 2 * (audit.MAX_LISTS + 1)
