Check what engines stream, and resume nothing but text

Found by fuzzing, failed first: 'data: null', usage of another shape and a negative count ended in an internal error or were billed; they are the engine's failure now. A stream with tool calls or several choices was resumed by its text alone, so the caller got parts twice; it now ends with cannot-resume and MAY_HAVE_RUN.

--- a/gentianstair/entry/streams.py
+++ b/gentianstair/entry/streams.py
@@ -3,9 +3,14 @@
 import json
 import typing
 
+import msgspec
+
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.generated import messages
 
+# More than any engine can have counted for one request.
+MAX_TOKENS = 2**40
 EVENT_END = b'\n\n'
 DATA = b'data: '
 DONE = b'data: [DONE]\n\n'
@@ -21,34 +26,68 @@
     cached_tokens: int = 0
 
 
-def parse_usage(found: dict[str, typing.Any]) -> Usage:
+def parse_usage(found: typing.Any) -> Usage:
     """Return the figures of an engine's ``usage`` object.
 
+    Raise UpstreamError if it is none: customers are billed by it.
+
     >>> parse_usage({'prompt_tokens': 3, 'completion_tokens': 2})
     Usage(prompt_tokens=3, output_tokens=2, cached_tokens=0)
     """
-    details = found.get('prompt_tokens_details') or {}
-    return Usage(
-        int(found.get('prompt_tokens') or 0),
-        int(found.get('completion_tokens') or 0),
-        int(details.get('cached_tokens') or 0),
+    try:
+        checked = msgspec.convert(found, messages.TokenUsage)
+    except msgspec.ValidationError as error:
+        raise _bad_usage(str(error)) from error
+    details = checked.get('prompt_tokens_details') or {}
+    usage = Usage(
+        checked.get('prompt_tokens') or 0,
+        checked.get('completion_tokens') or 0,
+        details.get('cached_tokens') or 0,
+    )
+    if not all(0 <= count <= MAX_TOKENS for count in usage):
+        raise _bad_usage('a count is out of bounds')
+    return usage
+
+
+def _bad_usage(why: str) -> errors.UpstreamError:
+    return errors.UpstreamError(
+        f'usage of another shape: {why}', verdicts.Verdict.MAY_HAVE_RUN
+    )
+
+
+def _cannot_resume() -> errors.RequestError:
+    return errors.RequestError(
+        502,
+        'cannot-resume',
+        'the engine was lost, and what it had sent is more than text',
+        verdicts.Verdict.MAY_HAVE_RUN,
+        retry_after_s=1.0,
     )
 
 
 def _event_text(event: bytes) -> str:
-    """Return the text that one event adds to the answer."""
-    if not event.startswith(DATA) or event.startswith(b'data: [DONE]'):
+    """Return the text that one event adds to the answer.
+
+    Raise RequestError if it adds anything else, such as a second choice or
+    a call of a tool: an engine that goes on after the text alone would
+    repeat or lose the rest, and the caller would take that for an answer.
+    """
+    if not event.startswith(DATA):
         return ''
     try:
-        choices = json.loads(event[len(DATA) :]).get('choices') or []
-    except ValueError:
-        return ''
-    if not choices:
-        return ''
-    first = choices[0]
-    if 'text' in first:
-        return first['text'] or ''
-    return (first.get('delta') or {}).get('content') or ''
+        body = json.loads(event[len(DATA) :])
+        choices = body.get('choices') or []
+        if not choices:
+            return ''
+        (choice,) = choices
+        delta = choice.get('delta') or {}
+        text = choice.get('text') or delta.get('content') or ''
+        other = {name for name in delta if delta[name]} - {'role', 'content'}
+        if choice.get('index') or other or not isinstance(text, str):
+            raise _cannot_resume()
+    except (ValueError, TypeError, AttributeError):
+        raise _cannot_resume() from None
+    return text
 
 
 class Answer:
@@ -109,14 +148,17 @@
             body = json.loads(event[len(DATA) :])
         except ValueError:
             return False
-        if not body.get('usage'):
+        if not isinstance(body, dict) or not body.get('usage'):
             return False
         self.usage = parse_usage(body['usage'])
         self._usage_body = body
         return not body.get('choices')
 
     def resume_text(self) -> str:
-        """Return the text that was delivered; forget a partial event."""
+        """Return the text that was delivered; forget a partial event.
+
+        Raise RequestError if more than text was delivered.
+        """
         self._partial = b''
         self._tokens_before = self.tokens
         events = b''.join(self._events).split(EVENT_END)
--- a/test/entry/test_bad_input.py
+++ b/test/entry/test_bad_input.py
@@ -3,6 +3,9 @@
 import contextlib
 import json
 
+import h2.config
+import h2.connection
+import h2.events
 import hypothesis
 from hypothesis import strategies
 import pytest
@@ -570,6 +573,80 @@
             await entry.wait_idle()
 
 
+async def test_a_websocket_is_refused():
+    async with open_entry() as entry:
+        for path in ('/services/stock/a', CHAT, '/'):
+            lines = [f'GET {path} HTTP/1.1', 'host: x', 'upgrade: websocket']
+            lines += ['connection: upgrade', 'sec-websocket-version: 13']
+            lines += ['sec-websocket-key: MDEyMzQ1Njc4OTAxMjM0NQ==']
+            lines += [f'authorization: Bearer {KEY}', '', '']
+            answer = await entry.send('\r\n'.join(lines).encode())
+            assert 400 <= split(answer)[0] < 500
+        assert entry.upstream.requests == []
+
+
+async def ask_http2(entry, headers):
+    """Send one request by HTTP/2 and return the status, None if cut."""
+    config = h2.config.H2Configuration(
+        validate_outbound_headers=False, normalize_outbound_headers=False
+    )
+    connection = h2.connection.H2Connection(config)
+    connection.initiate_connection()
+    connection.send_headers(1, headers, end_stream=True)
+    stream = await entry.connect()
+    async with stream:
+        await stream.send_all(connection.data_to_send())
+        with trio.fail_after(5):
+            while data := await stream.receive_some(65536):
+                for event in connection.receive_data(data):
+                    if isinstance(event, h2.events.ResponseReceived):
+                        return int(dict(event.headers)[b':status'])
+                    if isinstance(event, h2.events.StreamReset):
+                        return None
+                await stream.send_all(connection.data_to_send())
+    return None
+
+
+@pytest.mark.parametrize(
+    ('changes', 'statuses'),
+    [
+        ({}, {200}),
+        ({'authorization': 'Bearer x'}, {401}),
+        ({':method': 'GET /evil HTTP/1.1'}, {None, 400, 405}),
+        ({':method': 'GET /evil HTTP/1.1\r\nx: y'}, {None, 400, 405}),
+        ({':path': '/services/stock/a b'}, {None, 200, 400}),
+        ({':path': '/services/stock/a?b c'}, {None, 400}),
+        ({':path': '/services/stock/a?b\r\nx: y'}, {None, 400}),
+        ({'x': 'a\r\nx-customer: other'}, {None, 400}),
+        ({'x\r\nx-customer': 'other'}, {None, 400}),
+        ({'transfer-encoding': 'chunked'}, {None, 200, 400}),
+    ],
+)
+async def test_http2_cannot_carry_what_http1_could_not(changes, statuses):
+    """A service takes a caller for another customer.
+
+    HTTP/2 has no line ends, so names and values may hold them, and they
+    come out as lines of their own where the request is sent on by HTTP/1.
+    """
+    headers = {
+        ':method': 'GET',
+        ':scheme': 'http',
+        ':authority': 'x',
+        ':path': '/services/stock/a',
+        'authorization': f'Bearer {KEY}',
+    }
+    async with open_entry() as entry:
+        status = await ask_http2(entry, list({**headers, **changes}.items()))
+        assert status in statuses
+        for seen in entry.upstream.requests:
+            lines = seen.lower().split(b'\r\n')
+            assert lines[0].startswith(b'get /prefix/a')
+            assert lines[0].count(b' ') == 2
+            assert b'x-customer: other' not in lines
+            assert b'transfer-encoding: chunked' not in lines
+        assert (await entry.ask(ASK))[0] == 200
+
+
 JSON_VALUE = strategies.recursive(
     strategies.none()
     | strategies.booleans()
