--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -15,8 +15,10 @@
 from gentianstair.generated import messages
 from gentianstair.util import clock as clocks
 
-# A peer that was silent for this long no longer counts in the split.
-PEER_TIMEOUT_S = 10.0
+# A summary is sent at least this often, also without rows. A peer that was
+# silent for three times as long may be cut off; it keeps an even part.
+HEARTBEAT_S = 2.0
+PEER_TIMEOUT_S = 3.0 * HEARTBEAT_S
 # All rows are sent again this often, so a lost message heals.
 FULL_SUMMARY_S = 10.0
 # Longest Retry-After; a longer line is not worth telling.
@@ -35,7 +37,7 @@
     def __init__(self, waiter: pools.Waiter, decision: pools.Decision) -> None:
         self.work = waiter.work
         self.decision = decision
-        self.cost = waiter.cost
+        self.usage: pools.Usage | None = None
 
     def charge(
         self, prompt_tokens: int, output_tokens: int, cached_tokens: int = 0
@@ -47,9 +49,10 @@
         """
         weights = works.DEFAULT_WEIGHTS
         fresh = max(0, prompt_tokens - cached_tokens)
-        self.cost = (
+        cost = (
             fresh * weights.prompt_token + output_tokens * weights.output_token
         )
+        self.usage = pools.Usage(fresh, output_tokens, cost)
 
 
 class Queue:
@@ -74,6 +77,7 @@
         self._peer_incarnation: dict[str, str] = {}
         self._sent: dict[tuple[str, str], messages.ServiceRow] = {}
         self._full_s = -FULL_SUMMARY_S
+        self._sent_s = -HEARTBEAT_S
 
     def set_capacity(
         self, model: str, slots: int, cost_per_s: float = 0.0
@@ -102,17 +106,19 @@
 
     @contextlib.asynccontextmanager
     async def admit(
-        self, work: works.Work
+        self, work: works.Work, returning: bool = False
     ) -> collections.abc.AsyncIterator[Ticket]:
         """Wait for a slot in fair order and hold it for the block.
 
         Raise RequestError (429 or 503, NOT_RUN) as soon as the deadline
         cannot be met. A refusal is final: nothing of it stays queued.
+        returning says that the caller marked the request as a repeat after
+        a refusal, which another VM may have given.
         """
         pool = self._pool(work.model)
         now_s = self._clock()
         waiter = pools.Waiter(work, next(self._order), now_s)
-        decision = pool.offer(waiter, now_s)
+        decision = pool.offer(waiter, now_s, returning)
         self._record(decision)
         if not decision.admitted:
             raise _refusal(decision)
@@ -133,7 +139,7 @@
         finally:
             # A caller that hung up arrives here too: its place in the
             # queue or its slot is free at once.
-            pool.leave(waiter, ticket.cost, started_s, self._clock())
+            pool.leave(waiter, ticket.usage, started_s, self._clock())
 
     def waiting(self, model: str) -> int:
         """Return how many requests of a model wait here."""
@@ -161,8 +167,9 @@
                     self._sent[key] = row
                     rows.append(row)
             self._resplit(pool)
-        if not rows:
+        if not rows and now_s - self._sent_s < HEARTBEAT_S:
             return None
+        self._sent_s = now_s
         return {
             'version': fairness.SUMMARY_VERSION,
             'vm': self._vm,
@@ -194,7 +201,8 @@
             if vm not in self._live or now_s - heard_s > PEER_TIMEOUT_S:
                 del self._heard_s[vm]
                 self._forget(vm)
-        pool.resplit(self._vm, self._live, now_s)
+        heard = {self._vm, *self._heard_s} & self._live
+        pool.resplit(self._vm, heard, len(self._live), now_s)
         pool.drop_late(now_s)
 
 
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -25,15 +25,19 @@
 
 MAX_LINKS = 64
 HELLO_TIMEOUT_S = 3.0
-# Heartbeats for which a peer is not dialed again after a failed try.
+# Heartbeats for which a peer is passed over, at most, after failed tries.
 AVOID_BEATS = 10
 # Heartbeats of silence up to which a peer counts as heard.
 HEARD_BEATS = 2.5
-# Share of a heartbeat by which news must be newer to be passed on early.
-PASS_ON_SHARE = 0.75
+# Share of watch_s by which news must be newer than what a peer has, to be
+# passed on before the next heartbeat.
+PASS_ON_SHARE = 0.5
 # Other nodes that are asked whether they reach a silent VM.
 PROBES = 3
+CONFIRM_TRIES = 2
 MAX_MEMBERS_MESSAGE = 500
+# Nodes that count when the first watchers' count does not come.
+STAND_INS = 16
 # Beats that carry the digest of the members: one in so many.
 MEMBERS_BEATS = 8
 
@@ -97,14 +101,14 @@
         self._dialing: set[str] = set()
         self._questioned: set[str] = set()
         self._avoid_until_s: dict[str, float] = {}
+        self._failed_dials: dict[str, int] = {}
         self._place: topology.Place | None = None
         self._place_key: typing.Any = None
         self._known = 1
-        self._members_digest = 0
+        self._members_digest: int | None = None
         self._beats = 0
-        self._round_s = 0.0
-        self._round_news_s = 0.0
         self._surveying = False
+        self._hurry = trio.Event()
         self._nursery: trio.Nursery
         self.started = trio.Event()
         self.address = ''
@@ -123,6 +127,10 @@
         """Return all VMs known, by name."""
         return sorted(self._members.by_name.values())
 
+    def links(self) -> int:
+        """Return how many links to peers are up."""
+        return len(self._sessions)
+
     def publish(self, topic: str, body: summaries_module.Body) -> None:
         """Spread this node's summary on a topic, with the next heartbeat."""
         self._summaries.publish(topic, body)
@@ -136,8 +144,18 @@
 
         A VM that is known and left out did not confirm in time.
         """
-        found = await self._surveys.start(timeout_s, True)
-        return found.revisions
+        found: dict[str, int] = {}
+        known = self._members.known()
+        # A link that closes during a survey takes the answers behind it
+        # along, so VMs that are missing are asked for again.
+        for _ in range(CONFIRM_TRIES):
+            result = await self._surveys.start(
+                timeout_s / CONFIRM_TRIES, revisions=True
+            )
+            found.update(result.revisions)
+            if known <= found.keys():
+                break
+        return found
 
     def leave(self) -> None:
         """Tell the peers that this VM is leaving; links stay up."""
@@ -160,7 +178,6 @@
             task_status.started()
             self.started.set()
             nursery.start_soon(self._beat_loop)
-            nursery.start_soon(self._dial_loop)
             nursery.start_soon(self._watch_loop)
             if self._vm_list is not None:
                 nursery.start_soon(self._list_loop, self._vm_list)
@@ -184,11 +201,19 @@
         finally:
             self._dialing.discard(name)
             if not reached:
-                pause_s = AVOID_BEATS * self._settings.heartbeat_s
-                self._avoid_until_s[name] = self._clock() + pause_s
+                self._avoid(name)
         if not reached and name in self._members.by_name:
             self._nursery.start_soon(self._question, name)
 
+    def _avoid(self, name: str) -> None:
+        """Pass a peer over for a while, longer with each failed try."""
+        # A first try may fail only since the peer is just starting.
+        tries = self._failed_dials.get(name, 0)
+        self._failed_dials[name] = tries + 1
+        beats = min(AVOID_BEATS, 0.5 * 2**tries)
+        pause_s = beats * self._settings.heartbeat_s
+        self._avoid_until_s[name] = self._clock() + pause_s
+
     async def _run_session(
         self, channel: link.Channel, dialed: bool, wanted: str = ''
     ) -> None:
@@ -212,6 +237,7 @@
         self._sessions.append(one)
         self._close_double(peer.name)
         self._avoid_until_s.pop(peer.name, None)
+        self._failed_dials.pop(peer.name, None)
         self._greet(one, typing.cast(messages.PeerHello, hello))
         try:
             with one.scope:
@@ -222,6 +248,7 @@
             loguru.logger.bind(peer=peer.name).debug('link ended: {}', group)
         finally:
             self._sessions.remove(one)
+            self._hurry.set()
             survey_module.lost_link(one)
             LINKS.set(len(self._sessions))
         if not self._linked(peer.name):
@@ -253,54 +280,62 @@
                 self._handlers[message['type']](self, one, message)
 
     async def _beat_loop(self) -> None:
-        """Send beats, give up silent links and expire suspects."""
+        """Do once a heartbeat all that is due by time."""
+        # One loop and one timer: most of an idle node's processor time is
+        # spent on waking up.
         interval_s = self._settings.heartbeat_s
         while True:
-            # Jittered, so that nodes started together do not beat together.
-            await trio.sleep(interval_s * self._rng.uniform(0.45, 0.55))
             now_s = self._clock()
-            if now_s - self._round_s < 0.9 * interval_s:
-                continue
-            self._beat_round()
+            self._beat_round(now_s)
+            self._dial_wanted(now_s)
             for one in list(self._sessions):
                 if now_s - one.heard_s > self._settings.suspect_s:
                     one.scope.cancel()
             gone_s = self._settings.gone_s
             self._spread_members(self._members.expire(now_s, gone_s))
             self._members.forget(now_s)
-            self._members.count()
             self._start_survey_if_due(now_s)
             for summary in self._summaries.due():
                 self._send_all(summary)
+            # Jittered, so that nodes started together do not beat together.
+            due_s = now_s + interval_s * self._rng.uniform(0.9, 1.1)
+            await self._wait_hurry(due_s)
+
+    async def _wait_hurry(self, due_s: float) -> None:
+        """Wait until due_s, and meanwhile replace links that ended."""
+        while self._clock() < due_s:
+            with trio.move_on_after(due_s - self._clock()) as scope:
+                await self._hurry.wait()
+            if scope.cancelled_caught:
+                return
+            # A pause, so that many changes at once cost one look.
+            await trio.sleep(self._settings.heartbeat_s / 10)
+            self._hurry = trio.Event()
+            self._dial_wanted(self._clock())
 
-    def _beat_round(self) -> None:
-        now_s = self._clock()
-        self._round_s = now_s
-        self._round_news_s = self._freshness.as_of_s or 0.0
+    def _beat_round(self, now_s: float) -> None:
         self._beats += 1
         self._known = len(self._members.known())
         if self._beats % MEMBERS_BEATS == 0:
             self._members_digest = self._members.digest()
+            self._members.count()
         for one in self._sessions:
-            one.ask_beat()
+            if now_s - one.beat_s >= self._settings.heartbeat_s / 2:
+                one.ask_beat()
         LINKS.set(len(self._sessions))
         age_s = self._freshness.age_s()
         FRESH_AGE.set(-1.0 if age_s is None else age_s)
 
-    async def _dial_loop(self) -> None:
+    def _dial_wanted(self, now_s: float) -> None:
         """Open the links that this node's place asks for, close others."""
-        while True:
-            now_s = self._clock()
-            place = self._find_place(now_s)
-            for name in place.dial:
-                member = self._members.by_name[name]
-                self._dial_if_due(name, member.address, now_s)
-            self._close_surplus(place)
-            if not self._sessions:
-                for address in self._settings.peer_seeds:
-                    self._dial_if_due(address, address, now_s)
-            pause_s = self._settings.heartbeat_s
-            await trio.sleep(pause_s * self._rng.uniform(0.5, 1.0))
+        place = self._find_place(now_s)
+        for name in place.dial:
+            member = self._members.by_name[name]
+            self._dial_if_due(name, member.address, now_s)
+        self._close_surplus(place)
+        if not self._sessions:
+            for address in self._settings.peer_seeds:
+                self._dial_if_due(address, address, now_s)
 
     def _dial_if_due(self, name: str, address: str, now_s: float) -> None:
         if not address or address == self.address or name in self._dialing:
@@ -357,7 +392,10 @@
                     loguru.logger.debug(
                         'the list of VMs was not read: {}', error
                     )
-            pause_s = self._settings.vms_s
+            # The first watcher reads for its failure domain; the others
+            # read seldom, in case it cannot.
+            place = self._find_place(self._clock())
+            pause_s = self._settings.vms_s * (1 + 2 * place.rank)
             await trio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
 
     def _take_list(self, found: list[vm_list_module.Vm]) -> None:
@@ -375,7 +413,8 @@
             for vm in found
             if vm.name not in self._members.by_name
         ]
-        self._spread_members(self._members.apply(new, now_s))
+        # Not spread: the VM itself will be, once its process runs.
+        self._members.apply(new, now_s)
         states = {vm.name: vm.state for vm in found}
         now_ms = int(time.time() * 1000)
         changes = self._members.poll_changes(states, now_ms)
@@ -416,18 +455,20 @@
     def _start_survey_if_due(self, now_s: float) -> None:
         """Count who is in reach when the store has been silent."""
         quiet_s = self._settings.freshness_s / 2
-        age_s = self._freshness.age_s()
-        if age_s is not None and age_s < quiet_s:
-            return
-        if self._freshness.outage_age_s() is None or self._surveying:
+        silent_s = self._freshness.outage_age_s()
+        if silent_s is None or self._surveying:
             return
         place = self._find_place(now_s)
-        # The first watcher of each failure domain counts for all; others
-        # only when its count does not come.
-        first = place.level == 0 and place.rank == 0
-        due_s = quiet_s / 2 if first else 1.5 * quiet_s
+        if place.level > 0 or place.rank > 0:
+            # The first watcher of each failure domain counts for all. The
+            # others wait for its count, and of many only a few step in.
+            quiet_s *= 1.5
+            if self._rng.random() > STAND_INS / self._known:
+                return
         reached_s = self._freshness.reached_age_s()
-        if reached_s is None or reached_s >= due_s:
+        if silent_s >= quiet_s and (
+            reached_s is None or reached_s >= quiet_s / 2
+        ):
             self._nursery.start_soon(self._survey)
 
     async def _survey(self) -> None:
@@ -468,7 +509,7 @@
         if reached_s is not None and reached_s <= self._settings.freshness_s:
             beat['reached'] = self._freshness.reached
             beat['reached_age_ms'] = int(reached_s * 1000) + 1
-        if self._beats % MEMBERS_BEATS == 0:
+        if self._members_digest and self._beats % MEMBERS_BEATS == 0:
             beat['members_digest'] = self._members_digest
         return beat
 
@@ -509,13 +550,14 @@
     ) -> None:
         if not changes:
             return
+        self._hurry.set()
         for member in changes:
-            loguru.logger.bind(vm=member.name, status=member.status).info(
-                'member'
-            )
-            if member.status != membership.GONE:
+            if member.status == membership.LIVE:
                 continue
-            self._summaries.forget({member.name})
+            known = loguru.logger.bind(vm=member.name, status=member.status)
+            known.info('a VM changed its status')
+            if member.status == membership.GONE:
+                self._summaries.forget({member.name})
         self._send_all(_members_message(changes), but)
 
     def _spread_listed(
@@ -541,12 +583,12 @@
                 one.add_objects(taken)
 
     def _pass_on_news(self) -> None:
-        """Beat early when the news are much newer than those last told."""
-        interval_s = self._settings.heartbeat_s
-        gain_s = (self._freshness.as_of_s or 0.0) - self._round_news_s
-        since_s = self._clock() - self._round_s
-        if gain_s >= PASS_ON_SHARE * interval_s and since_s > interval_s / 4:
-            self._beat_round()
+        """Beat early to the peers that our news would make much fresher."""
+        as_of_s = self._freshness.as_of_s or 0.0
+        gain_s = PASS_ON_SHARE * self._settings.watch_s
+        for one in self._sessions:
+            if as_of_s - one.news_s >= gain_s:
+                one.ask_beat()
 
     # What is heard.
 
@@ -592,6 +634,7 @@
     ) -> None:
         now_s = self._clock()
         known = one.heard_beat(beat, now_s)
+        one.heard_news(beat, known)
         self._repair_if_due(one, beat, now_s)
         self._compare_members(one, beat)
         if known is None or not one.synced:
--- a/gentianstair/peers/spread.py
+++ b/gentianstair/peers/spread.py
@@ -14,6 +14,8 @@
 # Pause after a watch that found changes, so that a burst of changes costs
 # a few calls and not one for each.
 COALESCE_S = 0.05
+# Share of a watch's time after which the store's clock may call it over.
+WAITED_SHARE = 0.98
 RETRY_S = 0.25
 MAX_RETRY_S = 4.0
 
@@ -47,6 +49,7 @@
         # until it listed, or knows that peers gave it a whole view.
         self._cursor: int | None = None
         self._highest = 0
+        self._pause_s = 0.0
 
     def start_from_view(self) -> None:
         """Skip the listing: the view came whole from a peer."""
@@ -107,20 +110,21 @@
     async def _watch(
         self, cursor: int
     ) -> tuple[list[store_module.StoredObject], float | None]:
+        await trio.sleep(self._pause_s)
         sent_s = self._clock()
         found = await self._store.watch(
             view_module.KINDS, cursor, self._watch_s, purpose='config-watch'
         )
         as_of_s = sent_s
-        if not found.objects and self._clock() - sent_s >= self._watch_s:
+        waited_s = WAITED_SHARE * self._watch_s
+        if not found.objects and self._clock() - sent_s >= waited_s:
             # The store waited the whole time before it said that nothing
             # changed, so that is when it was true.
-            as_of_s = sent_s + self._watch_s
+            as_of_s = sent_s + waited_s
         trusted_s = self._trust(found.revision, as_of_s)
         self._cursor = max(cursor, found.revision)
         taken = self._view.apply(found.objects)
-        if found.objects:
-            await trio.sleep(COALESCE_S)
+        self._pause_s = COALESCE_S if found.objects else 0.0
         return taken, trusted_s
 
     def _trust(self, revision: int, as_of_s: float) -> float | None:
--- a/gentianstair/util/audit.py
+++ b/gentianstair/util/audit.py
@@ -21,9 +21,12 @@
 
 KIND = 'audit'
 OUTCOME_KIND = 'audit-outcome'
+# Objects that hold the record of an order, whose state tells its outcome.
+ORDER_KINDS = frozenset({'engine-order', 'upstream-order'})
+NOT_DONE = 'not done'
 CREATE_TRIES = 3
-# Beyond so many days the whole trail is listed in one call.
-MAX_DAY_LISTS = 40
+# More hours than this are listed by day, more days in one call.
+MAX_LISTS = 40
 # A write still under way is certainly settled after this long.
 SETTLE_S = 60.0
 
@@ -129,18 +132,23 @@
     outcome: str
 
 
-def _day_prefixes(since: datetime.datetime) -> list[str]:
+def _prefixes(since: datetime.datetime) -> list[str]:
     """Return prefixes that names of entries since then can have.
 
-    Authors' clocks may run ahead, so tomorrow is one of them.
+    Short ones for a long time, so that neither one listing is huge nor
+    their number. Authors' clocks may run ahead, so an hour of the future
+    is among them.
     """
-    last = datetime.datetime.now(datetime.UTC).date()
-    last += datetime.timedelta(days=1)
-    days = (last - since.astimezone(datetime.UTC).date()).days
-    if days > MAX_DAY_LISTS:
-        return ['']
-    found = [last - datetime.timedelta(days=back) for back in range(days + 1)]
-    return [day.strftime('%Y%m%d') for day in reversed(found)]
+    hour = datetime.timedelta(hours=1)
+    first = since.astimezone(datetime.UTC)
+    last = datetime.datetime.now(datetime.UTC) + hour
+    for unit, form in ((hour, '%Y%m%dT%H'), (24 * hour, '%Y%m%d')):
+        count = int((last - first) / unit) + 1
+        if count <= MAX_LISTS:
+            times = [first + unit * step for step in range(count)]
+            found = [time_.strftime(form) for time_ in (*times, last)]
+            return sorted(set(found))
+    return ['']
 
 
 async def _list(
@@ -155,7 +163,7 @@
 
 async def read(client: store.Store, since: datetime.datetime) -> list[Record]:
     """Return the entries since then, oldest first."""
-    prefixes = _day_prefixes(since)
+    prefixes = _prefixes(since)
     entries = await _list(client, KIND, prefixes)
     outcomes = await _list(client, OUTCOME_KIND, prefixes)
     first = timestamp(since)
@@ -184,21 +192,35 @@
     """Return what became of a change whose outcome was not recorded."""
     kind, _, target = entry['target'].partition('/')
     present = await client.get(kind, target, purpose='audit')
-    marks = {_mark(present.value)} | {
-        _mark(later['before'])
+    seen = [present.value] + [
+        later['before']
         for later in entries.values()
         if later['target'] == entry['target'] and later is not entry
-    }
-    if name in marks:
+    ]
+    ours = [value for value in seen if _mark(value) == name]
+    if ours and kind not in ORDER_KINDS:
         return Outcome.DONE.value
+    if ours:
+        return _order_outcome({value['state'] for value in ours if value})
     age_s = time.time() - _unix_time_s(entry['at'])
     # Somebody found the object as it was before this change, and nobody
     # found it as it was after.
-    if age_s > SETTLE_S and _mark(entry['before']) in marks:
-        return 'not done'
+    if age_s > SETTLE_S and _mark(entry['before']) in map(_mark, seen):
+        return NOT_DONE
     return Outcome.UNKNOWN.value
 
 
+def _order_outcome(states: set[str]) -> str:
+    """Return what became of an order whose record was in these states.
+
+    The record of an order carries its entry's name from before it is sent,
+    so the name alone does not tell that it took effect.
+    """
+    if states & {'done', 'accepted'}:
+        return Outcome.DONE.value
+    return Outcome.UNKNOWN.value if states == {'intended'} else NOT_DONE
+
+
 def _unix_time_s(text: str) -> float:
     return datetime.datetime.fromisoformat(text).timestamp()
 
