Send no work to an engine that says it is away

An engine on its way to another role reports no load, so it looked best and each request to it was first refused; a test shows it.

--- a/gentianstair/entry/routing.py
+++ b/gentianstair/entry/routing.py
@@ -24,6 +24,7 @@
 HOLDERS = 2
 # Shorter prompts are read where their output is made.
 SPLIT_MIN_TOKENS = 256
+SERVING = 'serving'
 
 
 class Choice(typing.NamedTuple):
@@ -86,6 +87,10 @@
         self._random = random.Random(f'{vm_name}/{seed}')
         self._states: dict[str, upstream_state.State] = {}
         self._pools: dict[str, _Pool] = {}
+        # Upstreams that say they take no work. One that changes its role or
+        # drains has nothing running: by its load it is the best of all, and
+        # every request to it would first be refused.
+        self._away: frozenset[str] = frozenset()
 
     def set_upstreams(self, infos: typing.Iterable[UpstreamInfo]) -> None:
         """Take the upstreams in force; keep what is known of old ones."""
@@ -96,6 +101,7 @@
             states[info.name] = state
         self._states = states
         self._pools = {}
+        self._away &= states.keys()
 
     def _pool(self, model: str) -> _Pool:
         pool = self._pools.get(model)
@@ -103,7 +109,7 @@
             infos = [
                 state.info
                 for state in self._states.values()
-                if state.info.state == 'serving'
+                if state.info.state == SERVING
                 and (not state.info.models or model in state.info.models)
             ]
             pool = self._pools[model] = _make_pool(self.vm_name, infos)
@@ -154,6 +160,7 @@
     ) -> Choice | None:
         """Return where to send a request, or None if nowhere."""
         pool = self._pool(work.model)
+        exclude = exclude | self._away
         samples = prefixes.sample(work.block_hashes)
         names = self._candidates(pool, samples, exclude)
         found = self._best(names, work, samples, now_s)
@@ -307,8 +314,14 @@
     ) -> None:
         """Take a load report; ``age_s`` in it says how old it is."""
         state = self._states.get(upstream)
-        if state is not None:
-            state.load.on_report(loadview.parse_report(report, now_s))
+        if state is None:
+            return
+        state.load.on_report(loadview.parse_report(report, now_s))
+        serving = report.get('state', SERVING) == SERVING
+        if serving and upstream in self._away:
+            self._away -= {upstream}
+        elif not serving:
+            self._away |= {upstream}
 
     def on_cache_events(
         self,
--- a/gentianstair/entry/upstream_state.py
+++ b/gentianstair/entry/upstream_state.py
@@ -5,7 +5,7 @@
 from gentianstair.entry import loadview
 
 _SMOOTHING = 0.1
-_FAILING_SMOOTHING = 0.3
+_FAILING_SMOOTHING = 0.4
 _FAILING_HALF_LIFE_S = 10.0
 _FADE = 0.05
 _SLOWNESS_RANGE = (0.25, 20.0)
--- a/test/entry/test_routing.py
+++ b/test/entry/test_routing.py
@@ -156,6 +156,19 @@
     assert router.choose(work, 100.0, NONE).upstream == 'e0'
 
 
+def test_engine_that_changes_its_role_is_not_chosen_for_being_idle():
+    # Callers see retries and late answers for seconds: an engine that is
+    # away for a role change reports no load, looks best, and refuses.
+    router = make_router(make_infos(2))
+    router.on_load('e0', {**report(), 'state': 'changing'}, 1.0)
+    router.on_load('e1', {**report(20, 9000), 'state': 'serving'}, 1.0)
+    for number in range(20):
+        choice = router.choose(make_work(f'r{number}'), 1.1, NONE)
+        assert choice.upstream == 'e1'
+    router.on_load('e0', {**report(), 'state': 'serving'}, 2.0)
+    assert router.choose(make_work('back'), 2.1, NONE).upstream == 'e0'
+
+
 @pytest.mark.parametrize(
     'make',
     [
