--- a/gentianstair/bench/routing.py
+++ b/gentianstair/bench/routing.py
@@ -42,6 +42,9 @@
     duration_s: float = 120.0
     # Share of requests with a prompt nobody else has.
     lone_share: float = 0.1
+    # So many replicas are so many times as slow as the others.
+    slow_replicas: int = 0
+    slow: float = 3.0
 
 
 def _hashes(chance: random.Random, count: int) -> tuple[int, ...]:
@@ -91,6 +94,7 @@
         name = f'engine-{index}'
         options = model.Options(
             name=name,
+            slow=load.slow if index < load.slow_replicas else 1.0,
             load_lag_s=network.load_lag_s,
             event_delay_s=network.event_delay_s,
             event_loss=network.event_loss,
@@ -139,6 +143,7 @@
     parser.add_argument('--rate', type=float, default=10.0)
     parser.add_argument('--duration-s', type=float, default=120.0)
     parser.add_argument('--documents', type=int, default=80)
+    parser.add_argument('--slow-replicas', type=int, default=0)
     return parser
 
 
@@ -150,6 +155,7 @@
         requests_per_s=args.rate,
         duration_s=args.duration_s,
         documents=args.documents,
+        slow_replicas=args.slow_replicas,
     )
     for arm in args.arms.split(','):
         run = fleet.run_simulated(args.seed, run_arm, arm, load, args.seed)
