--- a/gentianstair/control/roles.py
+++ b/gentianstair/control/roles.py
@@ -33,8 +33,10 @@
     # A plan that is fine now is still left for one that would strain so much
     # less if the share of prompts moved by so much either way, as long as
     # the change itself strains little.
-    prepare_share: float = 0.3
-    prepare_better: float = 0.1
+    prepare_share: float = 0.4
+    prepare_better: float = 0.05
+    # A shift that would strain less than this needs no preparing.
+    prepare_from: float = 0.7
     prepare_hold_s: float = 4.0
     # Most that the engines that stay may work while one is away.
     floor: float = 1.6
@@ -156,6 +158,9 @@
         A change under full load costs most, so it is made before, while it
         costs little.
         """
+        strain_now = self._shift_strain(slow, now)
+        if strain_now < self.policy.prepare_from:
+            return None
         total = sum(now)
         plans = [strains.Plan(count, total - count) for count in range(total)]
         fine = [
@@ -167,7 +172,7 @@
             return None
         found = min(fine, key=lambda plan: self._shift_strain(slow, plan))
         least = self._shift_strain(slow, found)
-        gain = self._shift_strain(slow, now) - least
+        gain = strain_now - least
         return found if gain >= self.policy.prepare_better else None
 
     def _shift_strain(
