--- a/gentianstair/util/logs.py
+++ b/gentianstair/util/logs.py
@@ -1,9 +1,11 @@
 """Write logs as JSON lines to standard error, never with a key in them."""
 
 import json
+import logging
 import re
 import sys
 import traceback
+import types
 import typing
 
 import loguru
@@ -19,6 +21,7 @@
 )
 REDACTED = '[redacted]'
 MAX_TEXT = 8000
+LIBRARY_LEVEL = logging.WARNING
 _SECRET_NAMES = frozenset(
     {'authorization', 'api_key', 'key', 'secret', 'password'}
 )
@@ -102,6 +105,27 @@
         self._stream.flush()
 
 
+class _Forward(logging.Handler):
+    """Hand what libraries log over to our sink."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """See logging.Handler."""
+        loguru.logger.opt(exception=record.exc_info).log(
+            record.levelname, '{}: {}', record.name, record.getMessage()
+        )
+
+
+def _log_crash(
+    kind: type[BaseException],
+    error: BaseException,
+    trace: types.TracebackType | None,
+) -> None:
+    """Log what ends the process; the interpreter would print it as text."""
+    if issubclass(kind, KeyboardInterrupt):
+        return
+    loguru.logger.opt(exception=(kind, error, trace)).critical('crashed')
+
+
 def setup(
     level: str,
     vm_name: str,
@@ -110,6 +134,9 @@
 ) -> None:
     """Send the process's logs to a stream, standard error by default.
 
+    Warnings of libraries and what ends the process go there too, so that
+    nothing is written beside the sink and its redaction.
+
     Call it once, first in main. Bind further fields of FIELDS where they
     are known: ``loguru.logger.bind(request_id=...).info('...')`` or
     ``with loguru.logger.contextualize(...)``.
@@ -126,3 +153,5 @@
         diagnose=False,
         catch=True,
     )
+    logging.basicConfig(handlers=[_Forward()], level=LIBRARY_LEVEL, force=True)
+    sys.excepthook = _log_crash
--- a/test/util/test_logs.py
+++ b/test/util/test_logs.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import logging
+import sys
 
 import loguru
 import pytest
@@ -16,10 +18,12 @@
 
 @pytest.fixture
 def lines():
+    hook, handlers = sys.excepthook, logging.root.handlers[:]
     stream = io.StringIO()
     logs.setup('DEBUG', 'vm-1', 'north', stream)
     yield lambda: [json.loads(x) for x in stream.getvalue().splitlines()]
     loguru.logger.remove()
+    sys.excepthook, logging.root.handlers[:] = hook, handlers
 
 
 def _raise(secret):
@@ -34,6 +38,13 @@
         loguru.logger.exception('failed')
 
 
+def _crash(secret):
+    try:
+        _raise(secret)
+    except errors.DecodeError as error:
+        sys.excepthook(type(error), error, error.__traceback__)
+
+
 # Ways in which a key could slip into a line.
 SLIPS = [
     lambda key: loguru.logger.info(f'header Authorization: Bearer {key}'),
@@ -47,6 +58,8 @@
     lambda key: loguru.logger.bind(h=[f'bearer  {key}']).info('bound'),
     lambda key: loguru.logger.bind(h=f'Bearer {key}'.encode()).info('bound'),
     _log_exception,
+    lambda key: logging.getLogger('library').error('key=%r', f'Bearer {key}'),
+    _crash,
 ]
 
 
