Close connections and count idle time also after Quart's answers

Quart cancels its request as soon as its answer is sent; the server's closing runs in that task and was cancelled with it, about every second time: a caller that asked to close waited for ever, and a kept connection had no idle time.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -92,7 +92,12 @@
             idle = isinstance(event, events.Updated) and event.idle
             if idle and self._read_ended:
                 event = events.Closed()
-            await super().protocol_send(event)
+            # Quart cancels its request once the answer has been sent, and
+            # with it what follows in the same task: the connection would
+            # neither be closed nor count its idle time, and stay open.
+            until_s = trio.current_time() + self.send_stall_s
+            with trio.CancelScope(deadline=until_s, shield=True):
+                await super().protocol_send(event)
             return
         data = event.data
         if self._fd is not None and not self.send_lock.locked():
--- a/test/util/test_serving.py
+++ b/test/util/test_serving.py
@@ -1,6 +1,7 @@
 """Test the server under connections that end in odd ways."""
 
 import pytest
+import quart_trio
 import trio
 
 from gentianstair.util import serving
@@ -41,3 +42,33 @@
                 data += part
         assert data.count(b'done') == requests
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('close', [True, False])
+async def test_quart_answers_leave_no_connection_behind(close, monkeypatch):
+    # A health check that asks to close waits for the end of the connection
+    # until its own time limit, about every second time. Quart cancels its
+    # request as soon as the answer has been sent, and so the server's steps
+    # after it: closing the connection, or starting to count its idle time.
+    monkeypatch.setattr(serving, 'KEEP_ALIVE_S', 0.2)
+    app = quart_trio.QuartTrio('test')
+
+    @app.get('/')
+    async def get():
+        return {}
+
+    sock = serving.listen('127.0.0.1:0')
+    port = sock.getsockname()[1]
+    request = REQUEST
+    if close:
+        request = REQUEST.replace(b'host', b'connection: close\r\nhost')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serving.serve, app, sock, trio.sleep_forever, 1.0)
+        for _ in range(20):
+            stream = await trio.open_tcp_stream('127.0.0.1', port)
+            async with stream:
+                await stream.send_all(request)
+                with trio.fail_after(PROMPT_S):
+                    while await stream.receive_some(65536):
+                        pass
+        nursery.cancel_scope.cancel()
