Stop only what no forecast of the last minutes wanted

Cause: demand that swings by a third every two minutes led to 61 orders in two hours; the trend rose and fell with it, and only the level was kept. Change: stops follow the highest forecast of the last five minutes.

--- a/gentianstair/control/capacity.py
+++ b/gentianstair/control/capacity.py
@@ -158,6 +158,9 @@
         self._peaks: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
+        self._forecasts: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
         self._delays = {steady.name: _Delay()}
         if cheap is not None:
             self._delays[cheap.name] = _Delay()
@@ -226,8 +229,7 @@
         """Return the orders that lead from the fleet to what is wanted."""
         fleet = list(fleet)
         horizon_s, forecast = self._forecast()
-        total = max(1, math.ceil(forecast / TARGET_USE))
-        after_loss = max(1, math.ceil(forecast / MOST_USE))
+        total, after_loss = _needed(forecast)
         domains = self._open(self._cheap, now_s)
         mix = choose_mix(
             total, after_loss, len(domains), self._steady, self._cheap
@@ -236,7 +238,7 @@
         for order in orders:
             settled_s = self._settled_s.get(order.kind, 0.0)
             self._settled_s[order.kind] = max(settled_s, now_s + SETTLE_S)
-        orders += self._stops(mix, fleet, now_s, (total, after_loss))
+        orders += self._stops(fleet, now_s, len(domains), forecast)
         return Plan(
             tuple(orders),
             self._level or 0.0,
@@ -273,12 +275,21 @@
 
     def _stops(
         self,
-        mix: Mix,
         fleet: list[Upstream],
         now_s: float,
-        needed: tuple[int, int],
+        domains: int,
+        forecast: float,
     ) -> list[Order]:
-        """Stop what is too much, each at the end of what is paid for."""
+        """Stop what is too much, each at the end of what is paid for.
+
+        Too much is what no forecast of the last minutes wanted: a demand
+        that swings would else be followed down each time.
+        """
+        self._forecasts.append((now_s, forecast))
+        while self._forecasts[0][0] < now_s - PEAK_KEPT_S:
+            self._forecasts.popleft()
+        needed = _needed(max(most for _, most in self._forecasts))
+        mix = choose_mix(*needed, domains, self._steady, self._cheap)
         orders = []
         ready = [item for item in fleet if item.state == 'ready']
         wanted = {self._steady.name: (self._steady, mix.steady)}
@@ -320,6 +331,12 @@
         return len(ready) >= total and len(ready) - lost >= after_loss
 
 
+def _needed(forecast: float) -> tuple[int, int]:
+    """Return how many to have, and how many right after a loss."""
+    total = max(1, math.ceil(forecast / TARGET_USE))
+    return total, max(1, math.ceil(forecast / MOST_USE))
+
+
 def _count(fleet: list[Upstream]) -> collections.Counter[tuple[str, str]]:
     return collections.Counter(
         (item.kind, item.failure_domain) for item in fleet
