--- a/gentianstair/control/capacity.py
+++ b/gentianstair/control/capacity.py
@@ -155,9 +155,6 @@
         self._level: float | None = None
         self._trend = 0.0
         self._at_s = 0.0
-        self._peaks: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
         self._forecasts: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
@@ -181,9 +178,6 @@
         kept = 0.5 ** (passed_s / TREND_HALF_LIFE_S)
         slope = (self._level - before) / passed_s
         self._trend = kept * self._trend + (1.0 - kept) * slope
-        self._peaks.append((now_s, self._level))
-        while self._peaks[0][0] < now_s - PEAK_KEPT_S:
-            self._peaks.popleft()
 
     def arrived(self, kind: str, failure_domain: str, delay_s: float) -> None:
         """Take how long an order of a kind took until it was ready."""
@@ -218,12 +212,11 @@
         )
 
     def _forecast(self) -> tuple[float, float]:
-        """Return the horizon and the most demand expected until then."""
+        """Return the horizon and the demand expected at its end or now."""
         horizon_s = max(delay.safe_s for delay in self._delays.values())
         level = self._level or 0.0
         ahead = level + max(0.0, self._trend) * horizon_s
-        recent = max((peak for _, peak in self._peaks), default=level)
-        return horizon_s, max(ahead, recent)
+        return horizon_s, ahead
 
     def plan(self, now_s: float, fleet: typing.Iterable[Upstream]) -> Plan:
         """Return the orders that lead from the fleet to what is wanted."""
