--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -29,9 +29,6 @@
 BRAKE_DOWN = 0.95
 BRAKE_UP = 0.01
 LEAST_BRAKE = 0.2
-# A deadline is refused as too short if the service is expected to take this
-# many times what is left; below it the expectation is too rough.
-TOO_SHORT_TIMES = 1.25
 # Weight of the newest finished request in the mean service time.
 NEWEST = 0.05
 # Share of the patience that a promise leaves unused, against its error.
@@ -245,7 +242,7 @@
         if self._free() and not self._lines:
             return False
         certain = self.speed.certain(waiter.work.customer, now_s)
-        return certain and waiter.service_s > TOO_SHORT_TIMES * left_s
+        return certain and waiter.mean_s > left_s
 
     def _promise(
         self, waiter: Waiter, patience_s: float, now_s: float
