Let summaries be cut to a number of rows without starving any

Cause: the peers carry 30 rows of a topic; rows past that were marked as sent and never told until the next full summary, which was cut as well. Change: summary(most_rows) sends the longest unsent first and leaves the others for the next call. Tested with 35 customers and 10 rows.

--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -76,6 +76,7 @@
         self._heard_s: dict[str, float] = {}
         self._peer_incarnation: dict[str, str] = {}
         self._sent: dict[tuple[str, str], messages.ServiceRow] = {}
+        self._sent_numbers: dict[tuple[str, str], int] = {}
         self._full_s = -FULL_SUMMARY_S
         self._sent_s = -HEARTBEAT_S
 
@@ -153,8 +154,14 @@
         """Return the service counters of a model."""
         return self._pool(model).counters
 
-    def summary(self) -> messages.FairnessSummary | None:
-        """Return the rows that changed since the last call, or None."""
+    def summary(
+        self, most_rows: int | None = None
+    ) -> messages.FairnessSummary | None:
+        """Return the rows that changed since the last call, or None.
+
+        With most_rows, those sent longest ago go first and the others wait
+        for the next call.
+        """
         now_s = self._clock()
         if now_s - self._full_s >= FULL_SUMMARY_S:
             self._full_s = now_s
@@ -164,9 +171,15 @@
             for row in pool.rows(now_s):
                 key = (row['model'], row['customer'])
                 if fairness.changed(row, self._sent.get(key)):
-                    self._sent[key] = row
                     rows.append(row)
             self._resplit(pool)
+        if most_rows is not None and len(rows) > most_rows:
+            rows.sort(key=self._sent_number)
+            del rows[most_rows:]
+        for row in rows:
+            key = (row['model'], row['customer'])
+            self._sent[key] = row
+            self._sent_numbers[key] = next(self._order)
         if not rows and now_s - self._sent_s < HEARTBEAT_S:
             return None
         self._sent_s = now_s
@@ -177,6 +190,9 @@
             'rows': rows,
         }
 
+    def _sent_number(self, row: messages.ServiceRow) -> int:
+        return self._sent_numbers.get((row['model'], row['customer']), -1)
+
     def merge(self, vm: str, summary: messages.FairnessSummary) -> None:
         """Take a peer's summary; a repeat or a late one does no harm."""
         if vm == self._vm or summary['version'] != fairness.SUMMARY_VERSION:
--- a/gentianstair/entry/limits.py
+++ b/gentianstair/entry/limits.py
@@ -83,6 +83,7 @@
         # Requests and tokens a second: told now, and an interval before.
         self.told = (0.0, 0.0)
         self.told_before = (0.0, 0.0)
+        self.sent_s = -1.0
 
     def demand(self, now_s: float) -> tuple[float, float]:
         return self.request_rate.per_s(now_s), self.token_rate.per_s(now_s)
@@ -219,8 +220,14 @@
             if wait_s > 0.0:
                 raise _refusal('token-limit', wait_s)
 
-    def summary(self) -> messages.LimitsSummary | None:
-        """Return the rows that changed, or None; call each INTERVAL_S."""
+    def summary(
+        self, most_rows: int | None = None
+    ) -> messages.LimitsSummary | None:
+        """Return the rows that changed, or None; call each INTERVAL_S.
+
+        With most_rows, those sent longest ago go first and the others wait
+        for the next call; until then their demand counts as last told.
+        """
         now_s = self._clock()
         if now_s - self._summary_s < INTERVAL_S - 1e-9:
             return None
@@ -228,19 +235,18 @@
         if now_s - self._full_s >= FULL_SUMMARY_S:
             self._full_s = now_s
             self._sent.clear()
-        rows = []
-        for customer, use in self._uses.items():
-            use.told_before = use.told
-            row = self._row(customer, use, now_s)
-            last = self._sent.get(customer)
-            if last is None or _moved(row, last):
-                self._sent[customer] = row
-                rows.append(row)
-            told = self._sent[customer]
+        rows = self._changed_rows(now_s)
+        if most_rows is not None and len(rows) > most_rows:
+            rows.sort(key=lambda row: self._uses[row['customer']].sent_s)
+            del rows[most_rows:]
+        for row in rows:
+            use = self._uses[row['customer']]
+            use.sent_s = now_s
             use.told = (
-                told['demand_requests_per_s'],
-                told['demand_tokens_per_s'],
+                row['demand_requests_per_s'],
+                row['demand_tokens_per_s'],
             )
+            self._sent[row['customer']] = row
         if not rows and now_s - self._sent_s < HEARTBEAT_S:
             return None
         self._sent_s = now_s
@@ -251,6 +257,16 @@
             'rows': rows,
         }
 
+    def _changed_rows(self, now_s: float) -> list[messages.UseRow]:
+        rows = []
+        for customer, use in self._uses.items():
+            use.told_before = use.told
+            row = self._row(customer, use, now_s)
+            last = self._sent.get(customer)
+            if last is None or _moved(row, last):
+                rows.append(row)
+        return rows
+
     def _row(self, customer: str, use: _Use, now_s: float) -> messages.UseRow:
         requests_per_s, tokens_per_s = use.demand(now_s)
         return {
--- a/test/entry/test_fairness.py
+++ b/test/entry/test_fairness.py
@@ -137,3 +137,21 @@
         await trio.sleep(1)
         assert queue.running('m') == running
         nursery.cancel_scope.cancel()
+
+
+async def test_short_summaries_tell_every_row_in_time(autojump_clock):
+    # More customers are active than a message holds. Were the same ones
+    # picked each time, peers would never hear of the others and each VM
+    # would give those the share that they already had elsewhere.
+    queue = admission.make_queue('v1')
+    queue.set_capacity('m', 100, 1000.0)
+    told = set()
+    for number in range(35):
+        item = work.Work(f'r{number}', f'c{number}', 'm', 100, 0, 1e6)
+        async with queue.admit(item):
+            pass
+    for _ in range(4):
+        rows = queue.summary(10)['rows']
+        assert len(rows) <= 10
+        told.update(row['customer'] for row in rows)
+    assert len(told) == 35
