--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -11,6 +11,7 @@
 from gentianstair import errors
 from gentianstair.entry import fairness
 from gentianstair.entry import pool as pools
+from gentianstair.entry import waiting
 from gentianstair.entry import work as works
 from gentianstair.generated import messages
 from gentianstair.util import clock as clocks
@@ -24,20 +25,22 @@
 # Longest Retry-After; a longer line is not worth telling.
 LONGEST_RETRY_S = 3600.0
 
-Record = collections.abc.Callable[[pools.Decision], None]
+Record = collections.abc.Callable[[waiting.Decision], None]
 
 
-def _log(decision: pools.Decision) -> None:
+def _log(decision: waiting.Decision) -> None:
     loguru.logger.bind(**decision._asdict()).debug('admission')
 
 
 class Ticket:
     """The right to run one request, and what it is charged."""
 
-    def __init__(self, waiter: pools.Waiter, decision: pools.Decision) -> None:
+    def __init__(
+        self, waiter: waiting.Waiter, decision: waiting.Decision
+    ) -> None:
         self.work = waiter.work
         self.decision = decision
-        self.usage: pools.Usage | None = None
+        self.usage: waiting.Usage | None = None
 
     def charge(
         self, prompt_tokens: int, output_tokens: int, cached_tokens: int = 0
@@ -52,7 +55,7 @@
         cost = (
             fresh * weights.prompt_token + output_tokens * weights.output_token
         )
-        self.usage = pools.Usage(fresh, output_tokens, cost)
+        self.usage = waiting.Usage(fresh, output_tokens, cost)
 
 
 class Queue:
@@ -118,7 +121,7 @@
         """
         pool = self._pool(work.model)
         now_s = self._clock()
-        waiter = pools.Waiter(work, next(self._order), now_s)
+        waiter = waiting.Waiter(work, next(self._order), now_s)
         decision = pool.offer(waiter, now_s, returning)
         self._record(decision)
         if not decision.admitted:
@@ -222,7 +225,7 @@
         pool.drop_late(now_s)
 
 
-def _refusal(decision: pools.Decision) -> errors.RequestError:
+def _refusal(decision: waiting.Decision) -> errors.RequestError:
     retry_after_s = decision.retry_after_s
     if retry_after_s is not None:
         retry_after_s = min(retry_after_s, LONGEST_RETRY_S)
--- a/gentianstair/entry/pool.py
+++ b/gentianstair/entry/pool.py
@@ -2,13 +2,11 @@
 
 import collections
 import heapq
-import typing
-
-import trio
 
 from gentianstair.entry import fairness
 from gentianstair.entry import promises as promise_books
 from gentianstair.entry import speed as speeds
+from gentianstair.entry import waiting
 from gentianstair.entry import work as works
 from gentianstair.generated import messages
 
@@ -36,57 +34,6 @@
 PROMISE_SLACK = 0.5
 
 
-class Decision(typing.NamedTuple):
-    """One decision on a request with all it was based on."""
-
-    request_id: str
-    customer: str
-    model: str
-    admitted: bool
-    reason: str
-    priority: int
-    cost: float
-    ahead_cost: float
-    promised_cost: float
-    customer_cost_per_s: float
-    slots: float
-    running: int
-    backlogged_customers: int
-    wait_s: float
-    service_s: float
-    left_s: float
-    retry_after_s: float | None
-
-
-class Usage(typing.NamedTuple):
-    """What an upstream says that a request used."""
-
-    fresh_tokens: int
-    output_tokens: int
-    cost: float
-
-
-class Waiter:
-    """One request in the queue or on a slot."""
-
-    def __init__(self, work: works.Work, order: int, now_s: float) -> None:
-        self.work = work
-        self.order = order
-        self.queued_s = now_s
-        self.cost = works.cost(work)
-        # The time on a slot: the mean, and one that few requests exceed.
-        self.mean_s = 0.0
-        self.service_s = 0.0
-        self.granted = trio.Event()
-        self.running = False
-        self.refusal: Decision | None = None
-
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Return the place within its customer's line; lowest first."""
-        return (-self.work.priority, self.order)
-
-
 class Pool:
     """The queue, the counters and the learned speed of one model."""
 
@@ -109,7 +56,9 @@
         self.brake = 1.0
         self._mean_service_s = 0.0
         # Waiters by customer, each line ordered by rank.
-        self._lines: dict[str, list[tuple[tuple[int, int], Waiter]]] = {}
+        self._lines: dict[
+            str, list[tuple[tuple[int, int], waiting.Waiter]]
+        ] = {}
         self._line_cost: dict[str, float] = {}
         self._demand: dict[str, fairness.Rate] = {}
         self._promises: dict[str, promise_books.Book] = {}
@@ -132,7 +81,7 @@
     def _slot_cost_per_s(self) -> float:
         return self.speed.slot_cost_per_s(FIRST_SLOT_COST_PER_S)
 
-    def _estimate(self, waiter: Waiter) -> None:
+    def _estimate(self, waiter: waiting.Waiter) -> None:
         """Set the cost and the time on a slot that are to be expected."""
         work = waiter.work
         output = self.speed.output_tokens(work.customer, work.max_tokens)
@@ -144,7 +93,7 @@
         waiter.mean_s = self.speed.service_s(work.prompt_tokens, output)
         waiter.service_s = waiter.mean_s * self.speed.safe_factor()
 
-    def latest_start_s(self, waiter: Waiter) -> float:
+    def latest_start_s(self, waiter: waiting.Waiter) -> float:
         """Return the time after which the deadline cannot be met."""
         latest_s = waiter.work.deadline_s - waiter.service_s
         return max(latest_s, waiter.queued_s)
@@ -159,7 +108,7 @@
         speed = slots * self._slot_cost_per_s
         return speed * weight / (weight + others)
 
-    def _ahead_cost(self, waiter: Waiter) -> float:
+    def _ahead_cost(self, waiter: waiting.Waiter) -> float:
         """Return the cost in the customer's line before the waiter."""
         line = self._lines.get(waiter.work.customer, [])
         if not line or waiter.work.priority == 0:
@@ -180,8 +129,8 @@
     # Entering and leaving.
 
     def offer(
-        self, waiter: Waiter, now_s: float, returning: bool = False
-    ) -> Decision:
+        self, waiter: waiting.Waiter, now_s: float, returning: bool = False
+    ) -> waiting.Decision:
         """Queue the waiter, or refuse it; grant slots that are free.
 
         A returning caller is not held up by promises to others. Marking
@@ -222,7 +171,11 @@
         return decision
 
     def _judge(
-        self, waiter: Waiter, wait_s: float, allowed_s: float, now_s: float
+        self,
+        waiter: waiting.Waiter,
+        wait_s: float,
+        allowed_s: float,
+        now_s: float,
     ) -> str:
         customer = waiter.work.customer
         if self._fleet_slots <= 0:
@@ -234,7 +187,7 @@
         others = [name for name in self._lines if name != customer]
         return 'over-share' if others else 'busy'
 
-    def _too_short(self, waiter: Waiter, now_s: float) -> bool:
+    def _too_short(self, waiter: waiting.Waiter, now_s: float) -> bool:
         """Return whether even an idle fleet would be too late.
 
         max_tokens is often far above what is used, so this needs recent
@@ -251,7 +204,7 @@
         return certain and waiter.mean_s > left_s
 
     def _promise(
-        self, waiter: Waiter, patience_s: float, now_s: float
+        self, waiter: waiting.Waiter, patience_s: float, now_s: float
     ) -> float:
         """Return when to come back, and keep the place for then."""
         customer = waiter.work.customer
@@ -264,16 +217,16 @@
 
     def _decision(
         self,
-        waiter: Waiter,
+        waiter: waiting.Waiter,
         reason: str,
         ahead_cost: float,
         promised_cost: float,
         wait_s: float,
         left_s: float,
         retry_after_s: float | None,
-    ) -> Decision:
+    ) -> waiting.Decision:
         work = waiter.work
-        return Decision(
+        return waiting.Decision(
             request_id=work.request_id,
             customer=work.customer,
             model=work.model,
@@ -293,7 +246,7 @@
             retry_after_s=retry_after_s,
         )
 
-    def _enter(self, waiter: Waiter) -> None:
+    def _enter(self, waiter: waiting.Waiter) -> None:
         customer = waiter.work.customer
         if customer not in self._lines:
             if not self._waits_at_peers[customer]:
@@ -318,14 +271,14 @@
         """Return the customers that wait anywhere, as far as known."""
         return set(self._lines) | set(+self._waits_at_peers)
 
-    def _remove(self, waiter: Waiter) -> None:
+    def _remove(self, waiter: waiting.Waiter) -> None:
         customer = waiter.work.customer
         line = self._lines[customer]
         line.remove((waiter.rank, waiter))
         heapq.heapify(line)
         self._taken(customer, waiter)
 
-    def _taken(self, customer: str, waiter: Waiter) -> None:
+    def _taken(self, customer: str, waiter: waiting.Waiter) -> None:
         self._line_cost[customer] -= waiter.cost
         if not self._lines[customer]:
             del self._lines[customer]
@@ -344,7 +297,9 @@
             self.counters.add(customer, waiter.cost)
             waiter.granted.set()
 
-    def give_up(self, waiter: Waiter, now_s: float) -> Decision:
+    def give_up(
+        self, waiter: waiting.Waiter, now_s: float
+    ) -> waiting.Decision:
         """Refuse a waiter whose deadline can no longer be met."""
         left_s = waiter.work.deadline_s - now_s
         patience_s = waiter.work.deadline_s - waiter.queued_s
@@ -357,8 +312,8 @@
 
     def leave(
         self,
-        waiter: Waiter,
-        usage: Usage | None,
+        waiter: waiting.Waiter,
+        usage: waiting.Usage | None,
         started_s: float | None,
         now_s: float,
     ) -> None:
@@ -388,7 +343,11 @@
         self._grant()
 
     def _learn(
-        self, waiter: Waiter, usage: Usage, took_s: float, now_s: float
+        self,
+        waiter: waiting.Waiter,
+        usage: waiting.Usage,
+        took_s: float,
+        now_s: float,
     ) -> None:
         work = waiter.work
         self.brake = min(1.0, self.brake + BRAKE_UP)
@@ -401,7 +360,7 @@
         self.speed.learn_used(work.customer, min(used, 1.0), now_s)
         self._mean_service_s += NEWEST * (took_s - self._mean_service_s)
 
-    def _learn_unfinished(self, waiter: Waiter, took_s: float) -> None:
+    def _learn_unfinished(self, waiter: waiting.Waiter, took_s: float) -> None:
         work = waiter.work
         self.brake = max(LEAST_BRAKE, self.brake * BRAKE_DOWN)
         output = self.speed.output_tokens(work.customer, work.max_tokens)
@@ -512,13 +471,13 @@
         Customers on different VMs meet in no queue, so only the split can
         level them; without this, rounding makes them drift apart for ever.
         """
-        waiting = self._backlogged()
-        values = {name: self.counters.value(name) for name in waiting}
+        backlogged = self._backlogged()
+        values = {name: self.counters.value(name) for name in backlogged}
         self._floor = min(values.values()) if values else None
-        if len(waiting) < 2:
+        if len(backlogged) < 2:
             return self._weight_of
         mean = sum(values.values()) / len(values)
-        total = sum(self._weight_of(name) for name in waiting)
+        total = sum(self._weight_of(name) for name in backlogged)
         step = speed * CATCH_UP_S / max(total, 1e-9)
 
         def weight_of(customer: str) -> float:
