--- a/gentianstair/entry/admission.py
+++ b/gentianstair/entry/admission.py
@@ -11,6 +11,7 @@
 from gentianstair import errors
 from gentianstair.entry import fairness
 from gentianstair.entry import pool as pools
+from gentianstair.entry import waiting
 from gentianstair.entry import work as works
 from gentianstair.generated import messages
 from gentianstair.util import clock as clocks
@@ -24,20 +25,22 @@
 # Longest Retry-After; a longer line is not worth telling.
 LONGEST_RETRY_S = 3600.0
 
-Record = collections.abc.Callable[[pools.Decision], None]
+Record = collections.abc.Callable[[waiting.Decision], None]
 
 
-def _log(decision: pools.Decision) -> None:
+def _log(decision: waiting.Decision) -> None:
     loguru.logger.bind(**decision._asdict()).debug('admission')
 
 
 class Ticket:
     """The right to run one request, and what it is charged."""
 
-    def __init__(self, waiter: pools.Waiter, decision: pools.Decision) -> None:
+    def __init__(
+        self, waiter: waiting.Waiter, decision: waiting.Decision
+    ) -> None:
         self.work = waiter.work
         self.decision = decision
-        self.usage: pools.Usage | None = None
+        self.usage: waiting.Usage | None = None
 
     def charge(
         self, prompt_tokens: int, output_tokens: int, cached_tokens: int = 0
@@ -52,7 +55,7 @@
         cost = (
             fresh * weights.prompt_token + output_tokens * weights.output_token
         )
-        self.usage = pools.Usage(fresh, output_tokens, cost)
+        self.usage = waiting.Usage(fresh, output_tokens, cost)
 
 
 class Queue:
@@ -76,6 +79,7 @@
         self._heard_s: dict[str, float] = {}
         self._peer_incarnation: dict[str, str] = {}
         self._sent: dict[tuple[str, str], messages.ServiceRow] = {}
+        self._sent_numbers: dict[tuple[str, str], int] = {}
         self._full_s = -FULL_SUMMARY_S
         self._sent_s = -HEARTBEAT_S
 
@@ -117,7 +121,7 @@
         """
         pool = self._pool(work.model)
         now_s = self._clock()
-        waiter = pools.Waiter(work, next(self._order), now_s)
+        waiter = waiting.Waiter(work, next(self._order), now_s)
         decision = pool.offer(waiter, now_s, returning)
         self._record(decision)
         if not decision.admitted:
@@ -153,8 +157,14 @@
         """Return the service counters of a model."""
         return self._pool(model).counters
 
-    def summary(self) -> messages.FairnessSummary | None:
-        """Return the rows that changed since the last call, or None."""
+    def summary(
+        self, most_rows: int | None = None
+    ) -> messages.FairnessSummary | None:
+        """Return the rows that changed since the last call, or None.
+
+        With most_rows, those sent longest ago go first and the others wait
+        for the next call.
+        """
         now_s = self._clock()
         if now_s - self._full_s >= FULL_SUMMARY_S:
             self._full_s = now_s
@@ -164,9 +174,15 @@
             for row in pool.rows(now_s):
                 key = (row['model'], row['customer'])
                 if fairness.changed(row, self._sent.get(key)):
-                    self._sent[key] = row
                     rows.append(row)
             self._resplit(pool)
+        if most_rows is not None and len(rows) > most_rows:
+            rows.sort(key=self._sent_number)
+            del rows[most_rows:]
+        for row in rows:
+            key = (row['model'], row['customer'])
+            self._sent[key] = row
+            self._sent_numbers[key] = next(self._order)
         if not rows and now_s - self._sent_s < HEARTBEAT_S:
             return None
         self._sent_s = now_s
@@ -177,6 +193,9 @@
             'rows': rows,
         }
 
+    def _sent_number(self, row: messages.ServiceRow) -> int:
+        return self._sent_numbers.get((row['model'], row['customer']), -1)
+
     def merge(self, vm: str, summary: messages.FairnessSummary) -> None:
         """Take a peer's summary; a repeat or a late one does no harm."""
         if vm == self._vm or summary['version'] != fairness.SUMMARY_VERSION:
@@ -206,7 +225,7 @@
         pool.drop_late(now_s)
 
 
-def _refusal(decision: pools.Decision) -> errors.RequestError:
+def _refusal(decision: waiting.Decision) -> errors.RequestError:
     retry_after_s = decision.retry_after_s
     if retry_after_s is not None:
         retry_after_s = min(retry_after_s, LONGEST_RETRY_S)
