Hedge slow look-ups, tell failures' true time, share summaries by beat

Cause: four seams between parts that were written side by side: hedging was decided but never done; a failed try was reported as taking no time, so a time-out looked like a fast failure; summaries were made four times a beat though only the newest is sent, which lost rows; refusals at admission did not reach explain, nor a caller's own mark that it was told to return. Change: each is connected. A copy of a look-up goes to another upstream, is paid from the retry budget, and the first answer ends the other.

--- a/gentianstair/entry/app.py
+++ b/gentianstair/entry/app.py
@@ -26,6 +26,8 @@
 
 _REQUEST_ID = re.compile(r'[A-Za-z0-9._-]{1,64}')
 NOT_FRESH_RETRY_S = 1.0
+# Set by the usual client libraries to the number of the repeat.
+RETRY_HEADER = 'x-stainless-retry-count'
 SERVICE_TOKENS = 1
 
 REQUESTS = prometheus_client.Counter(
@@ -174,18 +176,22 @@
         model = callers.resolve_model(bundle, caller, completion.model)
         work = self._work(caller, completion, model, deadline_s)
         request = requests.Request(self._request_id, caller, work, bundle)
+        returning = self._returns()
 
         async def run() -> None:
             tokens = work.prompt_tokens + work.max_tokens
             with node.limits.hold(caller.customer, tokens) as hold:
-                async with node.queue.admit(work) as ticket:
-                    self._explain('admitted', **ticket.decision._asdict())
+                async with node.queue.admit(work, returning) as ticket:
                     usage = await self._generate(request, completion, model)
                     hold.used(usage.prompt_tokens + usage.output_tokens)
                     ticket.charge(*usage)
 
         await self._until_gone(run, deadline_s)
 
+    def _returns(self) -> bool:
+        """Return whether the caller says that it was told to come back."""
+        return (self._exchange.header(RETRY_HEADER) or '0') != '0'
+
     async def _until_gone(
         self,
         run: collections.abc.Callable[[], collections.abc.Awaitable[None]],
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -26,6 +26,7 @@
 from gentianstair.entry import sharing
 from gentianstair.entry import upkeep
 from gentianstair.entry import usage as usages
+from gentianstair.entry import waiting
 from gentianstair.generated import settings as generated
 from gentianstair.peers import node as peers
 from gentianstair.platform import budget
@@ -73,12 +74,22 @@
         now,
     )
     peer = peers.make_node(config, view, store, now)
+    explanations = explain.make_explanations()
+
+    def record(decision: waiting.Decision) -> None:
+        step = 'admitted' if decision.admitted else 'not-admitted'
+        explanations.add(
+            decision.request_id, decision.customer, step, **decision._asdict()
+        )
+
     node = nodes.Node(
         settings=config,
         clock=now,
         view=view,
         freshness=peer,
-        queue=admission.make_queue(config.vm_name, _weight_of(view), now),
+        queue=admission.make_queue(
+            config.vm_name, _weight_of(view), now, record
+        ),
         router=routing.make_router(config.vm_name, config.failure_domain),
         retries=retries.make_retries(),
         claims=claims.make_claims(
@@ -99,7 +110,7 @@
                 config.usage_flush_tokens,
             ),
         ),
-        explanations=explain.make_explanations(),
+        explanations=explanations,
         transport=transport.make_transport(),
     )
     return node, peer
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -5,6 +5,8 @@
 import urllib.parse
 
 import httpx
+import prometheus_client
+import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
@@ -18,6 +20,9 @@
 from gentianstair.entry import tries
 
 PREFIX = '/services/'
+HEDGES = prometheus_client.Counter(
+    'gentianstair_hedges', 'Copies sent of slow look-ups', ['service']
+)
 IDEMPOTENCY_HEADER = 'idempotency-key'
 MAX_KEY_LENGTH = 255
 REPEATABLE_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS'})
@@ -283,13 +288,55 @@
     request: requests.Request,
     call: Call,
     claim: claimses.ClaimResult | None,
+    trying: set[str] | None = None,
 ) -> Reply:
     made = Relay(node, request, call, claim)
-    await tries.run(node, request, made.attempt)
+    await tries.run(node, request, made.attempt, trying)
     assert made.reply is not None
     return made.reply
 
 
+async def _hedged(
+    node: nodes.Node, request: requests.Request, call: Call
+) -> Reply:
+    """Make a look-up, and a copy of it elsewhere if it takes long.
+
+    The first answer counts and ends the other copy.
+    """
+    delay_s = node.retries.hedges.delay_s(call.service, call.repeatable)
+    if delay_s is None:
+        return await _once(node, request, call, None)
+    trying: set[str] = set()
+    replies: list[Reply] = []
+    failures: list[errors.RequestError] = []
+
+    async def copy(scope: trio.CancelScope) -> None:
+        try:
+            reply = await _once(node, request, call, None, trying)
+        except errors.RequestError as error:
+            failures.append(error)
+            return
+        replies.append(reply)
+        scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(copy, nursery.cancel_scope)
+        await trio.sleep(delay_s)
+        first = next(iter(trying), '')
+        customer = request.caller.customer
+        settled = bool(replies or failures)
+        if (
+            first
+            and not settled
+            and node.retries.budget.allow(customer, first)
+        ):
+            HEDGES.labels(call.service).inc()
+            nursery.start_soon(copy, nursery.cancel_scope)
+    if replies:
+        return replies[0]
+    raise max(failures, key=lambda error: error.verdict)
+
+
 async def run(
     node: nodes.Node, request: requests.Request, call: Call
 ) -> Reply:
@@ -299,4 +346,9 @@
     """
     if not call.repeatable and call.idempotency_key is not None:
         return await _claimed(node, request, call)
-    return await _once(node, request, call, None)
+    if not call.repeatable:
+        return await _once(node, request, call, None)
+    started_s = node.clock()
+    reply = await _hedged(node, request, call)
+    node.retries.hedges.report(call.service, node.clock() - started_s)
+    return reply
--- a/gentianstair/entry/sharing.py
+++ b/gentianstair/entry/sharing.py
@@ -1,6 +1,5 @@
 """Share what this VM's queue and limits know with the other VMs."""
 
-import collections
 import typing
 
 import loguru
@@ -13,36 +12,32 @@
 
 FAIRNESS = 'fairness'
 LIMITS = 'limits'
-INTERVAL_S = 0.5
-# Rows of one summary, so that it stays below the peers' limit of a message;
-# past this many the rows that changed least lately wait.
-MAX_ROWS = 30
+# Rows of one summary and of the one before, together below the peers' limit
+# of a message; with more customers the rows take turns.
+MAX_ROWS = 15
 
 Summary = dict[str, typing.Any]
 
 
 class Rows:
-    """The rows that changed last, gathered over several summaries.
+    """The rows of the last two summaries.
 
-    A peer takes just the newest summary of a topic. Were each to hold only
-    the changes since the one before, a row that changed once could be
-    replaced before it was ever sent.
+    A peer takes just the newest summary of a topic, with each heartbeat.
+    Were each to hold only the changes since the one before, a row that
+    changed once could be replaced before it was ever sent.
     """
 
     def __init__(self) -> None:
-        self._rows: collections.OrderedDict[tuple, Summary] = (
-            collections.OrderedDict()
-        )
+        self._last: dict[tuple, Summary] = {}
 
     def add(self, summary: Summary) -> Summary:
-        """Return the summary with earlier rows beside its own."""
-        for row in summary['rows']:
-            key = (row.get('model'), row['customer'])
-            self._rows[key] = row
-            self._rows.move_to_end(key)
-        while len(self._rows) > MAX_ROWS:
-            self._rows.popitem(last=False)
-        return {**summary, 'rows': list(self._rows.values())}
+        """Return the summary with the rows of the one before beside it."""
+        rows = {
+            (row.get('model'), row['customer']): row for row in summary['rows']
+        }
+        both = {**self._last, **rows}
+        self._last = rows
+        return {**summary, 'rows': list(both.values())}
 
 
 def _live(peer: peers.Node) -> list[str]:
@@ -66,11 +61,13 @@
         live = _live(peer)
         for topic, (source, rows) in sources.items():
             source.set_vms(live)
-            summary = source.summary()
+            summary = source.summary(MAX_ROWS)
             if summary is None:
                 continue
             try:
                 peer.publish(topic, rows.add(summary))
             except errors.DecodeError as error:
                 loguru.logger.warning('summary not sent: {}', error)
-        await trio.sleep(INTERVAL_S)
+        # Limits hold as long as a summary is delivered before the next one
+        # is made, so both keep the time of the heartbeats.
+        await trio.sleep(node.settings.heartbeat_s)
--- a/gentianstair/entry/tries.py
+++ b/gentianstair/entry/tries.py
@@ -79,7 +79,10 @@
         usage = await attempt(Try(upstream, choice.upstream, first_token))
     except errors.UpstreamError:
         failed = True
-        node.ejector.report(choice.upstream, False, 0.0, node.clock())
+        # The true time: a time-out counted as a fast failure would let
+        # slow upstreams be ejected like dead ones.
+        now_s = node.clock()
+        node.ejector.report(choice.upstream, False, now_s - started_s, now_s)
         raise
     finally:
         node.router.finished(
@@ -124,18 +127,25 @@
 
 
 async def run(
-    node: nodes.Node, request: requests.Request, attempt: Attempt
+    node: nodes.Node,
+    request: requests.Request,
+    attempt: Attempt,
+    trying: set[str] | None = None,
 ) -> streams.Usage:
     """Return the usage once an upstream has completed the request.
 
+    trying holds the upstreams that a hedge of this request is at; a copy
+    goes to another one.
+
     Raise RequestError with the verdict of all tries together.
     """
     verdict = verdicts.Verdict.NOT_RUN
     failed: set[str] = set()
     customer = request.caller.customer
+    trying = set() if trying is None else trying
     made = 0
     while True:
-        choice = _choose(node, request, failed)
+        choice = _choose(node, request, failed | trying)
         if choice is None:
             _explain(node, request, 'no-upstream', failed=sorted(failed))
             raise _none_left(verdict)
@@ -143,6 +153,7 @@
         if made == 1:
             node.retries.budget.fresh(customer, choice.upstream)
         _explain(node, request, 'route', **choice._asdict())
+        trying.add(choice.upstream)
         try:
             return await _one(node, request, choice, attempt)
         except errors.UpstreamError as error:
@@ -167,4 +178,6 @@
             ).warning('a try failed: {}', error)
             if not again.retry:
                 raise _final(error, verdict) from error
+        finally:
+            trying.discard(choice.upstream)
         await trio.sleep(again.wait_s)
