--- a/gentianstair/entry/claim_links.py
+++ b/gentianstair/entry/claim_links.py
@@ -13,8 +13,12 @@
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims as claimses
 from gentianstair.generated import messages
+from gentianstair.generated import settings
 from gentianstair.peers import link
 from gentianstair.platform import presence
+from gentianstair.platform import settled
+from gentianstair.platform import store as stores
+from gentianstair.util import clock as clocks
 
 KIND = 'claim-owner'
 VERSION = 1
@@ -218,3 +222,24 @@
     It must show objects of this module's KIND, by the name of the VM.
     """
     return Links(claims, network, vm_name, make_presence)
+
+
+def connect(
+    config: settings.EntrySettings,
+    claims: claimses.Claims,
+    store: stores.Store,
+    clock: clocks.Clock,
+) -> Links:
+    """Return links as set, for one process of a VM that may run several."""
+    network = link.make_network(
+        config._replace(peer_listen=config.claim_listen)
+    )
+    name = f'{config.vm_name}.{settled.new_nonce()}'
+
+    def make_presence(address: str) -> presence.Presence:
+        shown = config.claim_advertise or address
+        return presence.make_presence(
+            store, KIND, name, shown, clock, HEARTBEAT_S
+        )
+
+    return make_links(claims, network, name, make_presence)
--- a/gentianstair/entry/claims.py
+++ b/gentianstair/entry/claims.py
@@ -164,7 +164,7 @@
         shards: int,
         retention_s: float,
     ) -> None:
-        self._store = store
+        self.store = store
         self._vm_name = vm_name
         self._clock = clock
         self._retention_s = retention_s
@@ -458,7 +458,7 @@
         await trio.sleep(self._random.uniform(0, limit_s))
 
     async def _read(self, shard: _Shard) -> None:
-        found = await self._store.get(KIND, shard.name, purpose=PURPOSE)
+        found = await self.store.get(KIND, shard.name, purpose=PURPOSE)
         if found.version < shard.version:
             # The store answers from the past; what we know is newer.
             raise _ShardError('an old answer')
@@ -506,7 +506,7 @@
             'entries': entries,
         }
         WRITES.inc()
-        version = await self._store.put(
+        version = await self.store.put(
             KIND,
             shard.name,
             typing.cast(stores.Value, value),
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -17,6 +17,7 @@
 from gentianstair.config import view as views
 from gentianstair.entry import admission
 from gentianstair.entry import app as apps
+from gentianstair.entry import claim_links
 from gentianstair.entry import claims
 from gentianstair.entry import explain
 from gentianstair.entry import limits
@@ -179,6 +180,9 @@
     sock = serving.listen(config.listen, reuse_port=True)
     operator_sock = serving.listen(config.operator_listen)
     node, peer = make_node(config)
+    links = claim_links.connect(
+        config, node.claims, node.claims.store, node.clock
+    )
     leaving = trio.Event()
 
     async def leave() -> None:
@@ -196,6 +200,7 @@
         await nursery.start(peer.run)
         nursery.start_soon(sharing.run, node, peer)
         nursery.start_soon(node.claims.run_batches)
+        nursery.start_soon(links.run)
         nursery.start_soon(node.usage.run)
         nursery.start_soon(upkeep.run, node)
         nursery.start_soon(
