--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -52,6 +52,7 @@
         self.table = objects.ObjectTable()
         self.events: list[history.Event] = []
         self.down = False
+        self.tokens: set[str] = set()
 
     def add(self, source: str, type_: str, /, **data: typing.Any) -> None:
         """Record an event."""
@@ -302,3 +303,46 @@
         if self._process.chance(self._process.chances.refuse):
             raise errors.UpstreamError('no answer', verdict.Verdict.NOT_RUN)
         return found
+
+
+class ChaosPlatform:
+    """A process's sender of upstream orders, with the same steps."""
+
+    def __init__(self, process: Process, lifetime_s: float) -> None:
+        self._process = process
+        self._lifetime_s = lifetime_s
+
+    async def send(
+        self, body: dict[str, typing.Any], check: checked_call.Check
+    ) -> None:
+        """See Sender.send."""
+        await self._process.step()
+        left_s = check()
+        checked_s = trio.current_time()
+        await self._process.step()
+        if trio.current_time() - checked_s > left_s:
+            raise KilledError(self._process.name)
+        arrived = trio.Event()
+        if not self._process.chance(self._process.chances.lose_request):
+            self._process.world.nursery.start_soon(
+                self._deliver, body, arrived
+            )
+        with trio.move_on_after(1.0):
+            await arrived.wait()
+            await self._process.step()
+            if not self._process.chance(self._process.chances.lose_answer):
+                return
+        raise errors.UpstreamError('no answer', verdict.Verdict.MAY_HAVE_RUN)
+
+    async def _deliver(
+        self, body: dict[str, typing.Any], arrived: trio.Event
+    ) -> None:
+        world = self._process.world
+        limit_s = self._process.chances.delay_s
+        if self._process.chance(self._process.chances.late):
+            limit_s = self._lifetime_s
+        await trio.sleep(world.random.uniform(0, limit_s))
+        repeat = body['token'] in world.tokens
+        world.tokens.add(body['token'])
+        world.add('platform', 'upstream-order', repeat=repeat, **body)
+        arrived.set()
--- a/standins/checkers.py
+++ b/standins/checkers.py
@@ -86,11 +86,20 @@
     """One token is always the same order, and each scope's go in order."""
     breaches = []
     bodies: dict[str, dict] = {}
+    last: dict[str, tuple[int, int]] = {}
     for event in _of(events, 'upstream-order'):
         body = {k: v for k, v in event.data.items() if k != 'repeat'}
         known = bodies.setdefault(body['token'], body)
         if known != body:
             breaches.append(f'{known} then {body}')
+        if event.data['repeat']:
+            continue
+        scope, _, number = body['token'].rpartition('-')
+        place = (int(number), body['epoch'])
+        before = last.setdefault(scope, place)
+        if place[0] < before[0] or place[1] < before[1]:
+            breaches.append(f'{scope}: {place} after {before}')
+        last[scope] = place
     return breaches
 
 
--- a/test/control/test_authority.py
+++ b/test/control/test_authority.py
@@ -6,6 +6,7 @@
 from gentianstair import errors
 from gentianstair.control import lease
 from gentianstair.control import orders
+from gentianstair.control import upstream_orders
 from standins import chaos
 from standins import checkers
 
@@ -34,6 +35,11 @@
             self.process.clock,
             LIFETIME_S,
         )
+        self.upstream_orders = upstream_orders.make_upstream_orders(
+            self.store,
+            chaos.ChaosPlatform(self.process, LIFETIME_S),
+            LIFETIME_S,
+        )
         self.leases = lease.make_leases(
             self.store, name, self.process.clock, TERMS
         )
@@ -43,6 +49,8 @@
             await trio.sleep(self.world.random.uniform(0, 3.0))
             self.act(authority)
             await self.order_one(authority)
+            if self.process.chance(0.3):
+                await self.order_upstream(authority)
 
     def act(self, authority):
         try:
@@ -66,6 +74,16 @@
         except (errors.StoreError, errors.UpstreamError):
             pass
 
+    async def order_upstream(self, authority):
+        count = self.world.random.randint(1, 9)
+        order = upstream_orders.UpstreamOrder(
+            'start', authority.scope, 'spot', count
+        )
+        try:
+            await self.upstream_orders.order(authority, order)
+        except (errors.StoreError, errors.UpstreamError):
+            pass
+
     async def run(self):
         await self.leases.run(lambda: dict.fromkeys(SCOPES, self.role))
 
@@ -142,6 +160,7 @@
     assert acts_out_of_order(world.events) == []
     assert checkers.check_conflicting_orders(world.events) == []
     assert checkers.check_stale_orders(world.events) == []
+    assert checkers.check_upstream_orders(world.events) == []
     applied = [e for e in world.events if e.type == 'order']
     epochs = {e.data['epoch'] for e in applied}
     assert len(applied) > 50
--- a/test/test_checkers.py
+++ b/test/test_checkers.py
@@ -14,7 +14,7 @@
     'applied': True,
 }
 REPORT = {'window': 1, 'rows': [1], 'late': [], 'epoch': 4, 'holder': 'a'}
-UPSTREAM = {'token': 't', 'count': 1, 'repeat': False}
+UPSTREAM = {'token': 's-2', 'epoch': 4, 'count': 1, 'repeat': False}
 ANSWER = {
     'request_id': 'r',
     'verdict': 'RAN',
@@ -64,6 +64,11 @@
         [('upstream-order', UPSTREAM), ('upstream-order', UPSTREAM)],
         ('upstream-order', {**UPSTREAM, 'count': 2}),
     ),
+    (
+        checkers.check_upstream_orders,
+        [('upstream-order', UPSTREAM)],
+        ('upstream-order', {**UPSTREAM, 'token': 's-3', 'epoch': 3}),
+    ),
     (
         checkers.check_double_reports,
         [('usage-report', REPORT), ('usage-report', REPORT)],
