Plan roles from what entries count, and order the changes

Change: control/planning.py reads demand off the usage counts, asks the engines for role and state, and gives the planner's changes as orders under the lease of the failure domain. A setting turns it off. Ruled out: a demand message of its own, as the counts are in the store already; they lag by a flush and show what was served, not what arrived.

--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -19,6 +19,7 @@
 from gentianstair.control import follow
 from gentianstair.control import lease
 from gentianstair.control import orders as engine_orders
+from gentianstair.control import planning
 from gentianstair.control import upstream_orders
 from gentianstair.control import usage
 from gentianstair.generated import settings as generated
@@ -125,6 +126,8 @@
     an answer by then stays as an intent that the next holder settles.
     """
     check_terms(config)
+    if config.plan_roles:
+        planning.add_duties()
     sock = serving.listen(config.listen)
     context = make_context(config)
     # New at each start: a restarted process is not its predecessor.
