--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -181,6 +181,16 @@
         return version
 
 
+NO_ORDER: messages.LastOrder = {
+    'epoch': 0,
+    'order_number': 0,
+    'holder': '',
+    'type': '',
+    'argument': '',
+    'state': 'none',
+}
+
+
 class Engine:
     """An engine that takes orders."""
 
@@ -188,14 +198,7 @@
         self.world = world
         self.name = name
         self.checks = checks
-        self.last: messages.LastOrder = {
-            'epoch': 0,
-            'order_number': 0,
-            'holder': '',
-            'type': '',
-            'argument': '',
-            'state': 'none',
-        }
+        self.last = NO_ORDER
         self._highest_epoch = 0
         self._frozen_until_s = 0.0
 
@@ -206,6 +209,13 @@
             length_s = self.world.random.uniform(0, longest_s)
             self._frozen_until_s = trio.current_time() + length_s
 
+    async def run_crashes(self) -> None:
+        """Restart now and then; what it knew of orders is gone."""
+        while True:
+            await trio.sleep(self.world.random.uniform(0, 200.0))
+            self.last = NO_ORDER
+            self._highest_epoch = 0
+
     async def wake(self) -> None:
         """Wait until the engine runs."""
         while trio.current_time() < self._frozen_until_s:
--- a/test/control/test_authority.py
+++ b/test/control/test_authority.py
@@ -118,8 +118,9 @@
             for scope in SCOPES
             for name in (f'{scope}-new', f'{scope}-old')
         }
-        if freeze_s:
-            for engine in engines.values():
+        for engine in engines.values():
+            nursery.start_soon(engine.run_crashes)
+            if freeze_s:
                 nursery.start_soon(engine.run_freezes, freeze_s)
         for name in ('a', 'b', 'c'):
             nursery.start_soon(live, world, name, engines, chances, deadman)
@@ -151,10 +152,10 @@
 async def test_no_order_of_lapsed_authority_takes_effect(seed, autojump_clock):
     """Holders are paused, killed and cut off while they order engines.
 
-    The store refuses, loses requests and answers, applies writes late and
-    answers from the past. A successor orders the same engines; an engine
-    must never hold an older order after a newer, nor take one of an epoch
-    that is over.
+    Engines restart and forget what they were told. The store refuses,
+    loses requests and answers, applies writes late and answers from the
+    past. A successor orders the same engines; an engine must never hold an
+    older order after a newer, nor take one of an epoch that is over.
     """
     world = await explore(seed)
     assert acts_out_of_order(world.events) == []
