Free a claim only where it was made; keep claims within the budget

Story: a VM forwards a claim to the owner of its shard, hears nothing, writes the claim by itself and sends. The owner's store call fails; it frees the claim it took for lost, and another VM runs the key again.

--- a/gentianstair/control/follow.py
+++ b/gentianstair/control/follow.py
@@ -8,7 +8,7 @@
 from gentianstair.platform import store as stores
 
 KINDS = ('upstream', 'bundle', 'accepted', 'customer')
-PURPOSE = 'follow'
+PURPOSE = 'config'
 WATCH_S = 20.0
 RETRY_S = 0.5
 
--- a/gentianstair/control/planning.py
+++ b/gentianstair/control/planning.py
@@ -14,7 +14,7 @@
 from gentianstair.generated import messages
 from gentianstair.util import usage_rows
 
-PURPOSE = 'plan'
+PURPOSE = 'status'
 LOOK_S = 2.0
 ACTIVE = 'active'
 # How an engine shows that does not answer; it counts as changing.
--- a/gentianstair/control/upstream_orders.py
+++ b/gentianstair/control/upstream_orders.py
@@ -16,7 +16,7 @@
 from gentianstair.util import audit
 
 KIND = 'upstream-order'
-PURPOSE = 'upstream-order'
+PURPOSE = 'upstream'
 
 ORDERS = prometheus_client.Counter(
     'gentianstair_upstream_orders', 'Orders to the platform', ['outcome']
--- a/gentianstair/entry/claims.py
+++ b/gentianstair/entry/claims.py
@@ -21,8 +21,10 @@
 PURPOSE = 'claim'
 # How long a shard gathers changes before it writes them in one update.
 LINGER_S = 0.005
-# One VM writes no more often than this; eight VMs leave the store a third.
-MAX_WRITES_PER_S = 40.0
+# One VM writes no more often than this; eight VMs leave the store half.
+MAX_WRITES_PER_S = 25.0
+# Wait after this process's own budget of calls refused one.
+BUDGET_WAIT_S = 0.05
 # Longest wait for a claim before the caller is refused.
 CLAIM_TIMEOUT_S = 3.0
 # Longest wait of an answer for its outcome to be stored.
@@ -134,6 +136,11 @@
         self.busy = False
 
 
+def _is_dead(waiting: _Waiting) -> bool:
+    """Return whether nobody waits for a claim that was never written."""
+    return waiting.abandoned and not waiting.maybe_written
+
+
 def _entry_name(customer: str, key: str) -> str:
     # Hashed, so that a caller's key has one length and no odd characters.
     text = f'{len(customer)}:{customer}:{key}'
@@ -317,6 +324,9 @@
     async def _run_shard(self, shard: _Shard) -> None:
         """Write the changes of one shard until none waits."""
         while shard.waiting:
+            shard.waiting = [
+                waiting for waiting in shard.waiting if not _is_dead(waiting)
+            ]
             # A batch for another VM gathers there, and here while the one
             # before it is under way.
             if self._owner_of(shard) is None:
@@ -327,6 +337,10 @@
                 founds = await self._forward(shard, batch)
                 if founds is None:
                     founds = await self._commit(shard, batch)
+            except errors.BudgetError:
+                # Not an outage: the batch grows until its turn comes.
+                await trio.sleep(BUDGET_WAIT_S)
+                continue
             except errors.StoreError as error:
                 shard.current = False
                 if not isinstance(error, _ShardError):
@@ -375,13 +389,15 @@
         kept = []
         for waiting in shard.waiting:
             change = waiting.change
-            if not isinstance(change, claim_shard.Take):
-                if not waiting.remote:
-                    kept.append(waiting)
-                    continue
-                # The VM it is from keeps it, and tries by itself.
+            if waiting.remote:
+                # The VM it is from goes on by itself. It may be granted the
+                # claim and send; freeing the key here would let it run
+                # again.
                 waiting.done.set()
                 continue
+            if not isinstance(change, claim_shard.Take):
+                kept.append(waiting)
+                continue
             waiting.done.set()
             if waiting.maybe_written:
                 drop = _Waiting(claim_shard.Drop(change.name, change.nonce))
--- a/gentianstair/platform/presence.py
+++ b/gentianstair/platform/presence.py
@@ -11,7 +11,7 @@
 from gentianstair.platform import store as stores
 from gentianstair.util import clock as clocks
 
-PURPOSE = 'presence'
+PURPOSE = 'status'
 # A process whose object did not change for so many heartbeats is gone.
 MISSED = 3
 # Whoever sees an object unchanged for so many heartbeats deletes it.
--- a/test/entry/test_claims.py
+++ b/test/entry/test_claims.py
@@ -9,6 +9,7 @@
 from gentianstair import verdict
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims
+from gentianstair.platform import budget
 from gentianstair.util import clock
 from standins import memory_store
 from standins.platform import objects
@@ -173,3 +174,26 @@
     assert claim_shard.size_bytes(entries) < 1_000_000
     assert claim_shard.age_out(entries, claim_shard.GENERATIONS) == entries
     assert claim_shard.age_out(entries, claim_shard.GENERATIONS + 1) == {}
+
+
+async def test_budget_delays_claims_and_refuses_none(autojump_clock):
+    """A VM has fewer calls than requests; batches grow, nobody is refused."""
+    inner = memory_store.MemoryStore()
+    store = budget.BudgetStore(inner, clock.trio_time_s, 20.0, 10.0)
+    made = claims.make_claims(store, 'vm', clock.trio_time_s, 2, RETENTION_S)
+    states = []
+
+    async def claim(number):
+        await trio.sleep(number / 50.0)
+        found = await made.claim('c', f'k-{number}', 'd')
+        states.append(found.state)
+        await made.finish(found, 200, '', b'')
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(made.run_batches)
+        async with trio.open_nursery() as callers:
+            for number in range(500):
+                callers.start_soon(claim, number)
+        nursery.cancel_scope.cancel()
+    assert states == [State.GRANTED] * 500
+    assert inner.calls['claim'] < 300
