--- a/test/entry/test_fairness.py
+++ b/test/entry/test_fairness.py
@@ -1,5 +1,7 @@
 """Test the virtual counters and the split of capacity between VMs."""
 
+import random
+
 import pytest
 import trio
 
@@ -30,15 +32,40 @@
     counters = fairness.Counters(lambda name: 1.0)
     for _ in range(1000):
         counters.add('busy', 100.0)
-    counters.join('back', ['busy'])
+    counters.lift('back', counters.value('busy'))
+    waiting = fairness.Turns(counters)
+    waiting.add('busy')
+    waiting.add('back')
     turns = []
     for _ in range(10):
-        name = counters.lowest(['busy', 'back'])
+        name = waiting.lowest()
         counters.add(name, 100.0)
         turns.append(name)
     assert turns.count('busy') == 5
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_turns_agree_with_a_plain_search(seed):
+    rng = random.Random(seed)
+    counters = fairness.Counters(lambda name: 1.0 + ord(name) % 3)
+    turns = fairness.Turns(counters)
+    waiting = set()
+    for _ in range(2000):
+        name = rng.choice('abcdefgh')
+        if rng.random() < 0.2 and name in waiting:
+            waiting.discard(name)
+            turns.remove(name)
+        elif name not in waiting:
+            waiting.add(name)
+            turns.add(name)
+        amount = rng.uniform(-30.0, 100.0)
+        counters.add(name, amount)
+        if amount < 0.0 and name in waiting:
+            turns.add(name)
+        plain = min(waiting, key=counters.turn, default=None)
+        assert turns.lowest() == plain
+
+
 def make_summary(incarnation, served, waiting=0.0):
     row = {
         'model': 'm',
@@ -110,3 +137,21 @@
         await trio.sleep(1)
         assert queue.running('m') == running
         nursery.cancel_scope.cancel()
+
+
+async def test_short_summaries_tell_every_row_in_time(autojump_clock):
+    # More customers are active than a message holds. Were the same ones
+    # picked each time, peers would never hear of the others and each VM
+    # would give those the share that they already had elsewhere.
+    queue = admission.make_queue('v1')
+    queue.set_capacity('m', 100, 1000.0)
+    told = set()
+    for number in range(35):
+        item = work.Work(f'r{number}', f'c{number}', 'm', 100, 0, 1e6)
+        async with queue.admit(item):
+            pass
+    for _ in range(4):
+        rows = queue.summary(10)['rows']
+        assert len(rows) <= 10
+        told.update(row['customer'] for row in rows)
+    assert len(told) == 35
