--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -52,6 +52,7 @@
         self.table = objects.ObjectTable()
         self.events: list[history.Event] = []
         self.down = False
+        self.tokens: set[str] = set()
 
     def add(self, source: str, type_: str, /, **data: typing.Any) -> None:
         """Record an event."""
@@ -180,6 +181,16 @@
         return version
 
 
+NO_ORDER: messages.LastOrder = {
+    'epoch': 0,
+    'order_number': 0,
+    'holder': '',
+    'type': '',
+    'argument': '',
+    'state': 'none',
+}
+
+
 class Engine:
     """An engine that takes orders."""
 
@@ -187,14 +198,7 @@
         self.world = world
         self.name = name
         self.checks = checks
-        self.last: messages.LastOrder = {
-            'epoch': 0,
-            'order_number': 0,
-            'holder': '',
-            'type': '',
-            'argument': '',
-            'state': 'none',
-        }
+        self.last = NO_ORDER
         self._highest_epoch = 0
         self._frozen_until_s = 0.0
 
@@ -205,6 +209,13 @@
             length_s = self.world.random.uniform(0, longest_s)
             self._frozen_until_s = trio.current_time() + length_s
 
+    async def run_crashes(self) -> None:
+        """Restart now and then; what it knew of orders is gone."""
+        while True:
+            await trio.sleep(self.world.random.uniform(0, 200.0))
+            self.last = NO_ORDER
+            self._highest_epoch = 0
+
     async def wake(self) -> None:
         """Wait until the engine runs."""
         while trio.current_time() < self._frozen_until_s:
@@ -302,3 +313,46 @@
         if self._process.chance(self._process.chances.refuse):
             raise errors.UpstreamError('no answer', verdict.Verdict.NOT_RUN)
         return found
+
+
+class ChaosPlatform:
+    """A process's sender of upstream orders, with the same steps."""
+
+    def __init__(self, process: Process, lifetime_s: float) -> None:
+        self._process = process
+        self._lifetime_s = lifetime_s
+
+    async def send(
+        self, body: dict[str, typing.Any], check: checked_call.Check
+    ) -> None:
+        """See Sender.send."""
+        await self._process.step()
+        left_s = check()
+        checked_s = trio.current_time()
+        await self._process.step()
+        if trio.current_time() - checked_s > left_s:
+            raise KilledError(self._process.name)
+        arrived = trio.Event()
+        if not self._process.chance(self._process.chances.lose_request):
+            self._process.world.nursery.start_soon(
+                self._deliver, body, arrived
+            )
+        with trio.move_on_after(1.0):
+            await arrived.wait()
+            await self._process.step()
+            if not self._process.chance(self._process.chances.lose_answer):
+                return
+        raise errors.UpstreamError('no answer', verdict.Verdict.MAY_HAVE_RUN)
+
+    async def _deliver(
+        self, body: dict[str, typing.Any], arrived: trio.Event
+    ) -> None:
+        world = self._process.world
+        limit_s = self._process.chances.delay_s
+        if self._process.chance(self._process.chances.late):
+            limit_s = self._lifetime_s
+        await trio.sleep(world.random.uniform(0, limit_s))
+        repeat = body['token'] in world.tokens
+        world.tokens.add(body['token'])
+        world.add('platform', 'upstream-order', repeat=repeat, **body)
+        arrived.set()
--- a/test/control/test_authority.py
+++ b/test/control/test_authority.py
@@ -6,6 +6,7 @@
 from gentianstair import errors
 from gentianstair.control import lease
 from gentianstair.control import orders
+from gentianstair.control import upstream_orders
 from standins import chaos
 from standins import checkers
 
@@ -13,7 +14,7 @@
 LIFETIME_S = 6.0
 TIMEOUT_S = 1.0
 SCOPES = ('north', 'south')
-RUN_S = 600.0
+RUN_S = 900.0
 CHANCES = chaos.Chances()
 
 
@@ -34,6 +35,11 @@
             self.process.clock,
             LIFETIME_S,
         )
+        self.upstream_orders = upstream_orders.make_upstream_orders(
+            self.store,
+            chaos.ChaosPlatform(self.process, LIFETIME_S),
+            LIFETIME_S,
+        )
         self.leases = lease.make_leases(
             self.store, name, self.process.clock, TERMS
         )
@@ -43,6 +49,8 @@
             await trio.sleep(self.world.random.uniform(0, 3.0))
             self.act(authority)
             await self.order_one(authority)
+            if self.process.chance(0.3):
+                await self.order_upstream(authority)
 
     def act(self, authority):
         try:
@@ -66,6 +74,16 @@
         except (errors.StoreError, errors.UpstreamError):
             pass
 
+    async def order_upstream(self, authority):
+        count = self.world.random.randint(1, 9)
+        order = upstream_orders.UpstreamOrder(
+            'start', authority.scope, 'spot', count
+        )
+        try:
+            await self.upstream_orders.order(authority, order)
+        except (errors.StoreError, errors.UpstreamError):
+            pass
+
     async def run(self):
         await self.leases.run(lambda: dict.fromkeys(SCOPES, self.role))
 
@@ -100,8 +118,9 @@
             for scope in SCOPES
             for name in (f'{scope}-new', f'{scope}-old')
         }
-        if freeze_s:
-            for engine in engines.values():
+        for engine in engines.values():
+            nursery.start_soon(engine.run_crashes)
+            if freeze_s:
                 nursery.start_soon(engine.run_freezes, freeze_s)
         for name in ('a', 'b', 'c'):
             nursery.start_soon(live, world, name, engines, chances, deadman)
@@ -133,15 +152,16 @@
 async def test_no_order_of_lapsed_authority_takes_effect(seed, autojump_clock):
     """Holders are paused, killed and cut off while they order engines.
 
-    The store refuses, loses requests and answers, applies writes late and
-    answers from the past. A successor orders the same engines; an engine
-    must never hold an older order after a newer, nor take one of an epoch
-    that is over.
+    Engines restart and forget what they were told. The store refuses,
+    loses requests and answers, applies writes late and answers from the
+    past. A successor orders the same engines; an engine must never hold an
+    older order after a newer, nor take one of an epoch that is over.
     """
     world = await explore(seed)
     assert acts_out_of_order(world.events) == []
     assert checkers.check_conflicting_orders(world.events) == []
     assert checkers.check_stale_orders(world.events) == []
+    assert checkers.check_upstream_orders(world.events) == []
     applied = [e for e in world.events if e.type == 'order']
     epochs = {e.data['epoch'] for e in applied}
     assert len(applied) > 50
