Count VMs in reach early enough, and pass the count on at once

test_store_down_ten_minutes failed now and then: the count began up to two heartbeats after the store fell silent and waited a heartbeat at each link, so that some views grew stale for an instant before it came. The first watchers now wake for it, and a newer count is passed on like news.

--- a/gentianstair/bench/control.py
+++ b/gentianstair/bench/control.py
@@ -103,7 +103,7 @@
     label = f'{name}/{number}'
     with clusters.open_cluster(number, arm, args.seed) as cluster:
         cluster.start_all(90.0)
-        time.sleep(SETTLE_S)
+        time.sleep(args.settle_s)
         quiet = idle(cluster)
         loaded = busy(cluster, spread.Writer(cluster))
         made = _figures(label, quiet, loaded) + _parts(label, quiet)
@@ -125,6 +125,7 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--json', action='store_true')
     parser.add_argument('--arm', choices=sorted(spread.ARMS), action='append')
+    parser.add_argument('--settle-s', type=float, default=SETTLE_S)
     args = parser.parse_args(argv)
     figures = []
     for arm in args.arm or spread.ARMS:
--- a/gentianstair/peers/freshness.py
+++ b/gentianstair/peers/freshness.py
@@ -36,11 +36,13 @@
         self.as_of_s = as_of_s
         return True
 
-    def heard_count(self, reached: int, at_s: float) -> None:
-        """Record how many VMs could be reached at at_s."""
-        if self.reached_at_s is None or at_s > self.reached_at_s:
-            self.reached = reached
-            self.reached_at_s = at_s
+    def heard_count(self, reached: int, at_s: float) -> bool:
+        """Record how many VMs were reached at at_s; say if it is news."""
+        if self.reached_at_s is not None and at_s <= self.reached_at_s:
+            return False
+        self.reached = reached
+        self.reached_at_s = at_s
+        return True
 
     def heard_outage(self, as_of_s: float) -> None:
         """Record a peer's last news from the store, however old."""
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -1,5 +1,6 @@
 """Run one node's part in the fleet: links, membership, spread."""
 
+import math
 import random
 import time
 import typing
@@ -294,12 +295,13 @@
             gone_s = self._settings.gone_s
             self._spread_members(self._members.expire(now_s, gone_s))
             self._members.forget(now_s)
-            self._start_survey_if_due(now_s)
+            self._start_survey_if_due()
             for summary in self._summaries.due():
                 self._send_all(summary)
             # Jittered, so that nodes started together do not beat together.
-            due_s = now_s + interval_s * self._rng.uniform(0.9, 1.1)
-            await self._wait_hurry(due_s)
+            pause_s = interval_s * self._rng.uniform(0.9, 1.1)
+            pause_s = min(pause_s, self._until_survey_s())
+            await self._wait_hurry(now_s + pause_s)
 
     async def _wait_hurry(self, due_s: float) -> None:
         """Wait until due_s, and meanwhile replace links that ended."""
@@ -452,23 +454,37 @@
         count = min(number, len(self._sessions))
         return self._rng.sample(self._sessions, count)
 
-    def _start_survey_if_due(self, now_s: float) -> None:
-        """Count who is in reach when the store has been silent."""
+    def _quiet_s(self) -> float:
+        """Return the store's silence after which this node counts VMs.
+
+        The first watcher of each failure domain counts for all, early
+        enough for the count to be everywhere before any view is stale.
+        The others wait longer.
+        """
         quiet_s = self._settings.freshness_s / 2
+        place = self._find_place(self._clock())
+        first = place.level == 0 and place.rank == 0
+        return quiet_s if first else 1.5 * quiet_s
+
+    def _until_survey_s(self) -> float:
+        """Return the seconds until a survey would be due; never none."""
+        least_s = self._settings.freshness_s / 12
         silent_s = self._freshness.outage_age_s()
-        if silent_s is None or self._surveying:
+        if silent_s is None:
+            return math.inf
+        return max(least_s, self._quiet_s() - silent_s)
+
+    def _start_survey_if_due(self) -> None:
+        """Count who is in reach when the store has been silent."""
+        silent_s = self._freshness.outage_age_s()
+        quiet_s = self._quiet_s()
+        if silent_s is None or silent_s < quiet_s or self._surveying:
             return
-        place = self._find_place(now_s)
-        if place.level > 0 or place.rank > 0:
-            # The first watcher of each failure domain counts for all. The
-            # others wait for its count, and of many only a few step in.
-            quiet_s *= 1.5
-            if self._rng.random() > STAND_INS / self._known:
-                return
         reached_s = self._freshness.reached_age_s()
-        if silent_s >= quiet_s and (
-            reached_s is None or reached_s >= quiet_s / 2
-        ):
+        if reached_s is not None and reached_s < quiet_s / 2:
+            return
+        first = quiet_s <= self._settings.freshness_s / 2
+        if first or self._rng.random() < STAND_INS / self._known:
             self._nursery.start_soon(self._survey)
 
     async def _survey(self) -> None:
@@ -477,10 +493,19 @@
             sent_s = self._clock()
             timeout_s = self._settings.freshness_s / 4
             found = await self._surveys.start(timeout_s, False)
-            self._freshness.heard_count(found.reached, sent_s)
+            self._hear_count(found.reached, sent_s)
         finally:
             self._surveying = False
 
+    def _hear_count(self, reached: int, at_s: float) -> None:
+        """Take a count of VMs within reach and pass it on if it is news."""
+        if not self._freshness.heard_count(reached, at_s):
+            return
+        gain_s = self._settings.freshness_s / 8
+        for one in self._sessions:
+            if at_s - one.count_s >= gain_s:
+                one.ask_beat()
+
     # What is sent.
 
     def _make_hello(self) -> link.Message:
@@ -639,9 +664,14 @@
         self._compare_members(one, beat)
         if known is None or not one.synced:
             return
-        self._hear(beat, known.sent_after_s)
+        self._hear(one, beat, known.sent_after_s)
 
-    def _hear(self, beat: messages.PeerBeat, sent_after_s: float) -> None:
+    def _hear(
+        self,
+        one: session_module.Session,
+        beat: messages.PeerBeat,
+        sent_after_s: float,
+    ) -> None:
         """Take from a beat how fresh the sender's view was."""
         if 'age_ms' in beat:
             as_of_s = sent_after_s - beat['age_ms'] / 1000
@@ -652,7 +682,8 @@
             self._freshness.heard_outage(sent_after_s - silent_s)
         if 'reached' in beat and 'reached_age_ms' in beat:
             at_s = sent_after_s - beat['reached_age_ms'] / 1000
-            self._freshness.heard_count(beat['reached'], at_s)
+            one.count_s = max(one.count_s, at_s)
+            self._hear_count(beat['reached'], at_s)
 
     def _repair_if_due(
         self,
--- a/gentianstair/peers/session.py
+++ b/gentianstair/peers/session.py
@@ -40,6 +40,8 @@
         # at the least, by what it told us and what we told it.
         self.beat_s = now_s
         self.news_s = 0.0
+        # When the newest count of VMs that both ends know of was made.
+        self.count_s = 0.0
         self.peer_digest = 0
         self.differed_s: float | None = None
         self.members_differed = 0
@@ -126,6 +128,9 @@
                 if 'age_ms' in beat:
                     news_s = self.beat_s - beat['age_ms'] / 1000
                     self.news_s = max(self.news_s, news_s)
+                if 'reached_age_ms' in beat:
+                    count_s = self.beat_s - beat['reached_age_ms'] / 1000
+                    self.count_s = max(self.count_s, count_s)
                 await self.channel.send(link.encode(beat))
 
     async def _write_objects(self) -> None:
