--- a/gentianstair/peers/membership.py
+++ b/gentianstair/peers/membership.py
@@ -83,12 +83,21 @@
         self.suspect_since_s: dict[str, float] = {}
         self._gone_since_s: dict[str, float] = {}
         self._started_s: float | None = None
+        # Raised at each change, so that what is worked out from thousands
+        # of members is worked out once for each change and not each time.
+        self.generation = 0
+        self._digest = (-1, 0)
 
     @property
     def own(self) -> Member:
         """Return this node's own record."""
         return self.by_name[self.own_name]
 
+    def set_address(self, address: str) -> None:
+        """Set this node's own address, known once it listens."""
+        self.generation += 1
+        self.by_name[self.own_name] = self.own._replace(address=address)
+
     def apply(
         self, found: typing.Iterable[Member], now_s: float
     ) -> list[Member]:
@@ -125,6 +134,7 @@
         return own._replace(counter=claim.counter + 1)
 
     def _set(self, member: Member, now_s: float) -> None:
+        self.generation += 1
         self.by_name[member.name] = member
         if member.status == GONE:
             self._gone_since_s.setdefault(member.name, now_s)
@@ -171,6 +181,7 @@
             known = self.listed.get(name)
             if known is not None and known.at_ms >= entry.at_ms:
                 continue
+            self.generation += 1
             self.listed[name] = entry
             if known is not None and known.state == entry.state:
                 # Read again, no news: passing that on would cost as much
@@ -201,6 +212,8 @@
 
     def digest(self) -> int:
         """Return a digest of all that is spread about members."""
+        if self._digest[0] == self.generation:
+            return self._digest[1]
         total = 0
         for member in self.by_name.values():
             if member.status != GONE and member.incarnation:
@@ -210,6 +223,7 @@
                 total ^= xxhash.xxh64_intdigest(
                     f'{name}/{entry.state}'.encode()
                 )
+        self._digest = (self.generation, total)
         return total
 
     def present(self) -> list[Member]:
@@ -254,6 +268,7 @@
             entry = self.listed.get(name)
             listed = entry is not None and entry.state != ABSENT
             if now_s - since_s > FORGET_S and not listed:
+                self.generation += 1
                 del self._gone_since_s[name]
                 self.by_name.pop(name, None)
                 self.listed.pop(name, None)
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -39,6 +39,10 @@
 MAX_MEMBERS_MESSAGE = 500
 # Nodes that count when the first watchers' count does not come.
 STAND_INS = 16
+# Shortest time between two rounds of summaries, and the bytes a second that
+# all VMs' summaries together may bring to one VM.
+SUMMARY_PAUSE_S = 0.25
+SUMMARY_BYTES_PER_S = 200e3
 # Beats that carry the digest of the members: one in so many.
 MEMBERS_BEATS = 8
 
@@ -106,6 +110,7 @@
         self._place: topology.Place | None = None
         self._place_key: typing.Any = None
         self._known = 1
+        self._known_at = -1
         self._members_digest: int | None = None
         self._beats = 0
         self._surveying = False
@@ -133,7 +138,7 @@
         return len(self._sessions)
 
     def publish(self, topic: str, body: summaries_module.Body) -> None:
-        """Spread this node's summary on a topic, with the next heartbeat."""
+        """Spread this node's summary on a topic; a later one replaces it."""
         self._summaries.publish(topic, body)
 
     def subscribe(self, topic: str, handler: summaries_module.Handler) -> None:
@@ -174,12 +179,12 @@
                 self._network.serve, self._accept
             )
             if not self._settings.peer_advertise:
-                own = self._members.own._replace(address=self.address)
-                self._members.by_name[self.name] = own
+                self._members.set_address(self.address)
             task_status.started()
             self.started.set()
             nursery.start_soon(self._beat_loop)
             nursery.start_soon(self._watch_loop)
+            nursery.start_soon(self._summary_loop)
             if self._vm_list is not None:
                 nursery.start_soon(self._list_loop, self._vm_list)
 
@@ -296,8 +301,6 @@
             self._spread_members(self._members.expire(now_s, gone_s))
             self._members.forget(now_s)
             self._start_survey_if_due()
-            for summary in self._summaries.due():
-                self._send_all(summary)
             # Jittered, so that nodes started together do not beat together.
             pause_s = interval_s * self._rng.uniform(0.9, 1.1)
             pause_s = min(pause_s, self._until_survey_s())
@@ -317,7 +320,9 @@
 
     def _beat_round(self, now_s: float) -> None:
         self._beats += 1
-        self._known = len(self._members.known())
+        if self._known_at != self._members.generation:
+            self._known_at = self._members.generation
+            self._known = len(self._members.known())
         if self._beats % MEMBERS_BEATS == 0:
             self._members_digest = self._members.digest()
             self._members.count()
@@ -358,6 +363,22 @@
                 one.scope.cancel()
                 return
 
+    async def _summary_loop(self) -> None:
+        """Send summaries that changed, seldom enough for the fleet's size.
+
+        Each summary goes to every VM, so its cost grows with their number;
+        the pause grows with it and the bytes a second stay bounded.
+        """
+        while True:
+            await self._summaries.wait_published()
+            size_bytes = 0
+            for summary in self._summaries.due():
+                size_bytes += len(link.encode(summary))
+                self._send_all(summary)
+            copies = self._known * max(1, len(self._sessions))
+            pause_s = copies * size_bytes / SUMMARY_BYTES_PER_S
+            await trio.sleep(max(SUMMARY_PAUSE_S, pause_s))
+
     async def _watch_loop(self) -> None:
         """Watch the store while this node's place asks for it."""
         # A moment for peers to bring the view, which spares the store a
@@ -799,18 +820,17 @@
         return any(one.peer.name == name for one in self._sessions)
 
     def _find_place(self, now_s: float) -> topology.Place:
-        domains = self._members.placed()
         avoid = frozenset(
             name
             for name, until_s in self._avoid_until_s.items()
             if until_s > now_s and not self._linked(name)
         )
-        key = (tuple(sorted(domains.items())), avoid)
+        key = (self._members.generation, avoid)
         if key != self._place_key or self._place is None:
             self._place_key = key
             self._place = topology.place(
                 self.name,
-                domains,
+                self._members.placed(),
                 self._settings.watchers_per_domain,
                 self._settings.peer_fanout,
                 avoid,
--- a/gentianstair/peers/summaries.py
+++ b/gentianstair/peers/summaries.py
@@ -4,6 +4,7 @@
 import typing
 
 import cbor2
+import trio
 
 from gentianstair import errors
 from gentianstair.generated import messages
@@ -25,6 +26,7 @@
         self._sequence = 0
         self._latest: dict[tuple[str, str], link.Message] = {}
         self._waiting: dict[str, Body] = {}
+        self._published = trio.Event()
         self._handlers = collections.defaultdict(list)
 
     def publish(self, topic: str, body: Body) -> None:
@@ -36,6 +38,11 @@
         if size > MAX_BODY_BYTES:
             raise errors.DecodeError(f'summary {topic}: {size} bytes')
         self._waiting[topic] = body
+        self._published.set()
+
+    async def wait_published(self) -> None:
+        """Return once there is a summary that due() was not asked for."""
+        await self._published.wait()
 
     def subscribe(self, topic: str, handler: Handler) -> None:
         """Call handler(origin, body) for each change of another VM."""
@@ -60,6 +67,7 @@
             self._latest[(self._name, topic)] = message
             made.append(message)
         self._waiting.clear()
+        self._published = trio.Event()
         return made
 
     def take(self, found: messages.PeerSummary) -> bool:
--- a/test/peers/test_node.py
+++ b/test/peers/test_node.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from gentianstair import errors
 from test.peers import fleet as fleet_module
 
 FRESHNESS_S = 6.0
@@ -188,3 +189,25 @@
         for index in range(9):
             fleet.start(f'w{index}', 'abc'[index % 3])
         await fleet.wait(fleet_module.accepts, limit_s=10.0)
+
+
+async def test_summaries_reach_all_and_only_newest_counts(autojump_clock):
+    """Two VMs give a customer its whole share each, for want of news."""
+    async with fleet_module.open_fleet(6) as fleet:
+        heard = {}
+        for name, one in fleet.running.items():
+            seen = heard.setdefault(name, {})
+            one.node.subscribe('load', seen.__setitem__)
+        for value in range(5):
+            fleet.running['v0'].node.publish('load', {'value': value})
+            await trio.sleep(0.1)
+        await trio.sleep(2.0)
+        assert heard.pop('v0') == {}
+        assert all(seen == {'v0': {'value': 4}} for seen in heard.values())
+        sent = fleet.hub.bytes_sent
+        fleet.running['v0'].node.publish('load', {'value': 4})
+        before = fleet.running['v0'].node._summaries.due()
+        assert before == [], 'an unchanged summary was sent again'
+        assert fleet.hub.bytes_sent == sent
+        with pytest.raises(errors.DecodeError):
+            fleet.running['v0'].node.publish('load', {'value': 'x' * 5000})
