--- a/gentianstair/peers/topology.py
+++ b/gentianstair/peers/topology.py
@@ -5,7 +5,7 @@
 import xxhash
 
 # Links of a watcher to watchers of other failure domains, at most.
-ACROSS = 8
+ACROSS = 4
 # Peers of the level above that a node subscribes to.
 PARENTS = 2
 
