Let a senseless message or address cost one link, not the VM

Found by a table of messages that the schema allows: a time of 10**400 ms, a survey of that length and an address that is none each ended the whole node. Decoders are fuzzed with 800 fixed cases.

--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -166,22 +166,24 @@
         """See Network.open."""
         scheme = 'wss' if self._credentials else 'ws'
         context = self._credentials.client if self._credentials else None
-        connection = websockets.trio.client.connect(
-            f'{scheme}://{address}/peer',
-            ssl=context,
-            compression=None,
-            proxy=None,
-            open_timeout=OPEN_TIMEOUT_S,
-            close_timeout=CLOSE_TIMEOUT_S,
-            ping_interval=None,
-            max_size=MAX_MESSAGE_BYTES,
-            max_queue=RECEIVE_QUEUE,
-        )
         try:
+            connection = websockets.trio.client.connect(
+                f'{scheme}://{address}/peer',
+                ssl=context,
+                compression=None,
+                proxy=None,
+                open_timeout=OPEN_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+                ping_interval=None,
+                max_size=MAX_MESSAGE_BYTES,
+                max_queue=RECEIVE_QUEUE,
+            )
             opened = await connection.__aenter__()
         except (
             OSError,
             TimeoutError,
+            # An address that is none, from a peer or the list of VMs.
+            ValueError,
             trio.TooSlowError,
             trio.BrokenResourceError,
             websockets.exceptions.WebSocketException,
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -283,7 +283,19 @@
             message = link.decode(await one.channel.receive())
             one.heard_s = self._clock()
             if message is not None:
-                self._handlers[message['type']](self, one, message)
+                self._handle(one, message)
+
+    def _handle(
+        self, one: session_module.Session, message: link.Message
+    ) -> None:
+        """Act on a message; one that makes no sense ends its link alone."""
+        try:
+            self._handlers[message['type']](self, one, message)
+        except (ArithmeticError, ValueError, TypeError, KeyError) as error:
+            # The schema bounds types, not sense: a peer with a fault can
+            # send a time of 2**70 ms, and must not take this VM with it.
+            link.DROPPED.labels('senseless').inc()
+            raise errors.DecodeError(f'{message["type"]}: {error}') from error
 
     async def _beat_loop(self) -> None:
         """Do once a heartbeat all that is due by time."""
--- a/gentianstair/peers/survey.py
+++ b/gentianstair/peers/survey.py
@@ -19,6 +19,7 @@
 # Share of the time left that one hop leaves to the hops behind it.
 HOP_SHARE = 0.8
 REMEMBERED = 256
+MAX_LEFT_MS = 10000
 
 
 class Result(typing.NamedTuple):
@@ -57,7 +58,8 @@
             found = Result(0, {})
         else:
             self._remember(survey_id)
-            left_s = survey['left_ms'] / 1000 * HOP_SHARE
+            left_ms = min(survey['left_ms'], MAX_LEFT_MS)
+            left_s = max(0, left_ms) / 1000 * HOP_SHARE
             wanted = survey['revisions']
             found = await self._ask(survey_id, left_s, wanted, asker)
         asker.add(
--- a/test/peers/test_link.py
+++ b/test/peers/test_link.py
@@ -1,6 +1,8 @@
 """Test what a link lets through, and links on real sockets."""
 
 import cbor2
+import hypothesis
+from hypothesis import strategies
 import pytest
 import trio
 
@@ -123,3 +125,71 @@
     assert await exchange(server, client) == b'hello'
     with pytest.RaisesGroup(link.LinkClosedError):
         await exchange(server, stranger)
+
+
+def leaves():
+    return (
+        strategies.none()
+        | strategies.booleans()
+        | strategies.integers(-(2**70), 2**70)
+        | strategies.floats()
+        | strategies.text()
+        | strategies.binary()
+        | strategies.builds(
+            cbor2.CBORTag, strategies.integers(0, 300), strategies.text()
+        )
+    )
+
+
+def values():
+    return strategies.recursive(
+        leaves(),
+        lambda inner: (
+            strategies.lists(inner, max_size=4)
+            | strategies.dictionaries(strategies.text(), inner, max_size=4)
+        ),
+        max_leaves=12,
+    )
+
+
+def try_decode(data):
+    try:
+        link.decode(data)
+    except errors.DecodeError:
+        pass
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes_decode_or_are_refused(data):
+    try_decode(data)
+
+
+@hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
+@hypothesis.given(
+    strategies.sampled_from(sorted(link.MESSAGE_TYPES)),
+    strategies.dictionaries(
+        strategies.sampled_from(
+            ['member', 'members', 'states', 'objects', 'buckets', 'body']
+        ),
+        values(),
+    ),
+    strategies.integers(0, 60),
+    strategies.integers(0, 255),
+)
+def test_any_message_decodes_or_is_refused(name, fields, place, byte):
+    data = bytearray(cbor2.dumps({'version': 1, 'type': name, **fields}))
+    try_decode(bytes(data))
+    data[place % len(data)] = byte
+    try_decode(bytes(data))
+
+
+@pytest.mark.parametrize(
+    'address', ['', 'nowhere', 'a:b', '127.0.0.1:99999999', '::::', 'x y:1']
+)
+async def test_address_that_is_none_is_a_closed_link(address):
+    network = link.make_network(make_settings())
+    with pytest.raises(link.LinkClosedError):
+        with trio.fail_after(10.0):
+            async with network.open(address):
+                pass
--- a/test/peers/test_node.py
+++ b/test/peers/test_node.py
@@ -4,6 +4,8 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.peers import link
+from standins import memory_network
 from test.peers import fleet as fleet_module
 
 FRESHNESS_S = 6.0
@@ -211,3 +213,73 @@
         assert fleet.hub.bytes_sent == sent
         with pytest.raises(errors.DecodeError):
             fleet.running['v0'].node.publish('load', {'value': 'x' * 5000})
+
+
+HUGE = 2**70
+STRANGER = {
+    'name': 'x',
+    'incarnation': HUGE,
+    'counter': -1,
+    'status': 'odd',
+    'failure_domain': 'z',
+    'region': '',
+    'address': 'nowhere',
+}
+SENSELESS = [
+    {'type': 'beat', 'sent_ms': HUGE, 'revision': HUGE, 'digest': -1},
+    {
+        'type': 'beat',
+        'sent_ms': 0,
+        'echo_ms': 10**400,
+        'held_ms': -HUGE,
+        'age_ms': -HUGE,
+        'reached': HUGE,
+        'reached_age_ms': -HUGE,
+        'outage_age_ms': -HUGE,
+        'revision': 0,
+        'digest': 0,
+        'members_digest': 0,
+    },
+    {'type': 'members', 'members': [STRANGER, STRANGER]},
+    {'type': 'listed', 'states': {'': {'state': '', 'at_ms': -HUGE}}},
+    {'type': 'ask', 'buckets': [HUGE] * 7},
+    {
+        'type': 'survey',
+        'survey_id': '',
+        'left_ms': 10**400,
+        'revisions': True,
+    },
+    {
+        'type': 'survey_answer',
+        'survey_id': '',
+        'reached': -HUGE,
+        'revisions': {},
+    },
+    {'type': 'probe', 'name': 'nobody'},
+    {
+        'type': 'objects',
+        'objects': [{'kind': '', 'name': '', 'version': -1, 'value': None}],
+        'final': True,
+    },
+]
+
+
+async def test_senseless_messages_cost_a_link_at_most(autojump_clock):
+    """One VM with a fault takes down every VM that it talks to."""
+    async with fleet_module.open_fleet(3) as fleet:
+        network = memory_network.MemoryNetwork(fleet.hub, 'x:1')
+        hello = {
+            'type': 'hello',
+            'member': {**STRANGER, 'incarnation': 1},
+            'digest': 0,
+            'members_digest': 0,
+            'buckets': [],
+        }
+        for message in SENSELESS:
+            async with network.open('v0:1') as channel:
+                await channel.send(link.encode(hello))
+                await channel.send(link.encode(message))
+                await trio.sleep(3.0)
+            assert all(one.node.is_fresh() for one in fleet.each())
+        await trio.sleep(30.0)
+        assert all(one.node.is_fresh() for one in fleet.each())
