--- a/gentianstair/peers/session.py
+++ b/gentianstair/peers/session.py
@@ -13,6 +13,8 @@
 
 # Objects in one message; a slow peer gets newer beats between two.
 CHUNK_OBJECTS = 200
+# Messages other than objects that may wait for a slow peer.
+MAX_WAITING = 5000
 
 
 class Session:
@@ -65,6 +67,11 @@
 
     def add(self, message: link.Message) -> None:
         """Queue any other message."""
+        if len(self._others) >= MAX_WAITING:
+            # The peer shows life but does not read, and what waits for it
+            # would grow for as long as it does. A new link starts clean.
+            self.scope.cancel()
+            return
         self._others.append(message)
         self._wake.set()
 
