--- a/gentianstair/control/capacity.py
+++ b/gentianstair/control/capacity.py
@@ -11,11 +11,11 @@
 # Share of the fleet's capacity that the forecast should use, and the share
 # that is still served in time right after a failure domain's loss.
 TARGET_USE = 0.8
-MOST_USE = 0.95
+MOST_USE = 1.0
 # Part of what must survive a loss that is not of the cheap kind, since the
 # cheap kind may be reclaimed in a second failure domain before the first
 # loss is made good.
-LEAST_STEADY = 0.3
+LEAST_STEADY = 0.15
 # The forecast's level and trend forget with these half-lives.
 LEVEL_HALF_LIFE_S = 30.0
 TREND_HALF_LIFE_S = 120.0
@@ -100,7 +100,7 @@
     >>> steady = Kind('on-demand', 1.0, 60.0, False)
     >>> cheap = Kind('spot', 0.3, 60.0, True)
     >>> choose_mix(10, 8, 3, steady, cheap)
-    Mix(steady=3, cheap=8)
+    Mix(steady=2, cheap=9)
     >>> choose_mix(10, 8, 0, steady, cheap)
     Mix(steady=10, cheap=0)
     """
@@ -155,7 +155,7 @@
         self._level: float | None = None
         self._trend = 0.0
         self._at_s = 0.0
-        self._peaks: collections.deque[tuple[float, float]] = (
+        self._forecasts: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
         self._delays = {steady.name: _Delay()}
@@ -178,9 +178,6 @@
         kept = 0.5 ** (passed_s / TREND_HALF_LIFE_S)
         slope = (self._level - before) / passed_s
         self._trend = kept * self._trend + (1.0 - kept) * slope
-        self._peaks.append((now_s, self._level))
-        while self._peaks[0][0] < now_s - PEAK_KEPT_S:
-            self._peaks.popleft()
 
     def arrived(self, kind: str, failure_domain: str, delay_s: float) -> None:
         """Take how long an order of a kind took until it was ready."""
@@ -215,19 +212,17 @@
         )
 
     def _forecast(self) -> tuple[float, float]:
-        """Return the horizon and the most demand expected until then."""
+        """Return the horizon and the demand expected at its end or now."""
         horizon_s = max(delay.safe_s for delay in self._delays.values())
         level = self._level or 0.0
         ahead = level + max(0.0, self._trend) * horizon_s
-        recent = max((peak for _, peak in self._peaks), default=level)
-        return horizon_s, max(ahead, recent)
+        return horizon_s, ahead
 
     def plan(self, now_s: float, fleet: typing.Iterable[Upstream]) -> Plan:
         """Return the orders that lead from the fleet to what is wanted."""
         fleet = list(fleet)
         horizon_s, forecast = self._forecast()
-        total = max(1, math.ceil(forecast / TARGET_USE))
-        after_loss = max(1, math.ceil(forecast / MOST_USE))
+        total, after_loss = _needed(forecast)
         domains = self._open(self._cheap, now_s)
         mix = choose_mix(
             total, after_loss, len(domains), self._steady, self._cheap
@@ -236,7 +231,7 @@
         for order in orders:
             settled_s = self._settled_s.get(order.kind, 0.0)
             self._settled_s[order.kind] = max(settled_s, now_s + SETTLE_S)
-        orders += self._stops(mix, fleet, now_s, (total, after_loss))
+        orders += self._stops(fleet, now_s, len(domains), forecast)
         return Plan(
             tuple(orders),
             self._level or 0.0,
@@ -273,12 +268,21 @@
 
     def _stops(
         self,
-        mix: Mix,
         fleet: list[Upstream],
         now_s: float,
-        needed: tuple[int, int],
+        domains: int,
+        forecast: float,
     ) -> list[Order]:
-        """Stop what is too much, each at the end of what is paid for."""
+        """Stop what is too much, each at the end of what is paid for.
+
+        Too much is what no forecast of the last minutes wanted: a demand
+        that swings would else be followed down each time.
+        """
+        self._forecasts.append((now_s, forecast))
+        while self._forecasts[0][0] < now_s - PEAK_KEPT_S:
+            self._forecasts.popleft()
+        needed = _needed(max(most for _, most in self._forecasts))
+        mix = choose_mix(*needed, domains, self._steady, self._cheap)
         orders = []
         ready = [item for item in fleet if item.state == 'ready']
         wanted = {self._steady.name: (self._steady, mix.steady)}
@@ -320,6 +324,12 @@
         return len(ready) >= total and len(ready) - lost >= after_loss
 
 
+def _needed(forecast: float) -> tuple[int, int]:
+    """Return how many to have, and how many right after a loss."""
+    total = max(1, math.ceil(forecast / TARGET_USE))
+    return total, max(1, math.ceil(forecast / MOST_USE))
+
+
 def _count(fleet: list[Upstream]) -> collections.Counter[tuple[str, str]]:
     return collections.Counter(
         (item.kind, item.failure_domain) for item in fleet
