--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -1,5 +1,6 @@
 """Run one node's part in the fleet: links, membership, spread."""
 
+import math
 import random
 import time
 import typing
@@ -38,6 +39,10 @@
 MAX_MEMBERS_MESSAGE = 500
 # Nodes that count when the first watchers' count does not come.
 STAND_INS = 16
+# Shortest time between two rounds of summaries, and the bytes a second that
+# all VMs' summaries together may bring to one VM.
+SUMMARY_PAUSE_S = 0.25
+SUMMARY_BYTES_PER_S = 200e3
 # Beats that carry the digest of the members: one in so many.
 MEMBERS_BEATS = 8
 
@@ -105,6 +110,7 @@
         self._place: topology.Place | None = None
         self._place_key: typing.Any = None
         self._known = 1
+        self._known_at = -1
         self._members_digest: int | None = None
         self._beats = 0
         self._surveying = False
@@ -132,7 +138,7 @@
         return len(self._sessions)
 
     def publish(self, topic: str, body: summaries_module.Body) -> None:
-        """Spread this node's summary on a topic, with the next heartbeat."""
+        """Spread this node's summary on a topic; a later one replaces it."""
         self._summaries.publish(topic, body)
 
     def subscribe(self, topic: str, handler: summaries_module.Handler) -> None:
@@ -173,12 +179,12 @@
                 self._network.serve, self._accept
             )
             if not self._settings.peer_advertise:
-                own = self._members.own._replace(address=self.address)
-                self._members.by_name[self.name] = own
+                self._members.set_address(self.address)
             task_status.started()
             self.started.set()
             nursery.start_soon(self._beat_loop)
             nursery.start_soon(self._watch_loop)
+            nursery.start_soon(self._summary_loop)
             if self._vm_list is not None:
                 nursery.start_soon(self._list_loop, self._vm_list)
 
@@ -277,7 +283,19 @@
             message = link.decode(await one.channel.receive())
             one.heard_s = self._clock()
             if message is not None:
-                self._handlers[message['type']](self, one, message)
+                self._handle(one, message)
+
+    def _handle(
+        self, one: session_module.Session, message: link.Message
+    ) -> None:
+        """Act on a message; one that makes no sense ends its link alone."""
+        try:
+            self._handlers[message['type']](self, one, message)
+        except (ArithmeticError, ValueError, TypeError, KeyError) as error:
+            # The schema bounds types, not sense: a peer with a fault can
+            # send a time of 2**70 ms, and must not take this VM with it.
+            link.DROPPED.labels('senseless').inc()
+            raise errors.DecodeError(f'{message["type"]}: {error}') from error
 
     async def _beat_loop(self) -> None:
         """Do once a heartbeat all that is due by time."""
@@ -294,12 +312,11 @@
             gone_s = self._settings.gone_s
             self._spread_members(self._members.expire(now_s, gone_s))
             self._members.forget(now_s)
-            self._start_survey_if_due(now_s)
-            for summary in self._summaries.due():
-                self._send_all(summary)
+            self._start_survey_if_due()
             # Jittered, so that nodes started together do not beat together.
-            due_s = now_s + interval_s * self._rng.uniform(0.9, 1.1)
-            await self._wait_hurry(due_s)
+            pause_s = interval_s * self._rng.uniform(0.9, 1.1)
+            pause_s = min(pause_s, self._until_survey_s())
+            await self._wait_hurry(now_s + pause_s)
 
     async def _wait_hurry(self, due_s: float) -> None:
         """Wait until due_s, and meanwhile replace links that ended."""
@@ -315,7 +332,9 @@
 
     def _beat_round(self, now_s: float) -> None:
         self._beats += 1
-        self._known = len(self._members.known())
+        if self._known_at != self._members.generation:
+            self._known_at = self._members.generation
+            self._known = len(self._members.known())
         if self._beats % MEMBERS_BEATS == 0:
             self._members_digest = self._members.digest()
             self._members.count()
@@ -356,6 +375,22 @@
                 one.scope.cancel()
                 return
 
+    async def _summary_loop(self) -> None:
+        """Send summaries that changed, seldom enough for the fleet's size.
+
+        Each summary goes to every VM, so its cost grows with their number;
+        the pause grows with it and the bytes a second stay bounded.
+        """
+        while True:
+            await self._summaries.wait_published()
+            size_bytes = 0
+            for summary in self._summaries.due():
+                size_bytes += len(link.encode(summary))
+                self._send_all(summary)
+            copies = self._known * max(1, len(self._sessions))
+            pause_s = copies * size_bytes / SUMMARY_BYTES_PER_S
+            await trio.sleep(max(SUMMARY_PAUSE_S, pause_s))
+
     async def _watch_loop(self) -> None:
         """Watch the store while this node's place asks for it."""
         # A moment for peers to bring the view, which spares the store a
@@ -452,23 +487,37 @@
         count = min(number, len(self._sessions))
         return self._rng.sample(self._sessions, count)
 
-    def _start_survey_if_due(self, now_s: float) -> None:
-        """Count who is in reach when the store has been silent."""
+    def _quiet_s(self) -> float:
+        """Return the store's silence after which this node counts VMs.
+
+        The first watcher of each failure domain counts for all, early
+        enough for the count to be everywhere before any view is stale.
+        The others wait longer.
+        """
         quiet_s = self._settings.freshness_s / 2
+        place = self._find_place(self._clock())
+        first = place.level == 0 and place.rank == 0
+        return quiet_s if first else 1.5 * quiet_s
+
+    def _until_survey_s(self) -> float:
+        """Return the seconds until a survey would be due; never none."""
+        least_s = self._settings.freshness_s / 12
+        silent_s = self._freshness.outage_age_s()
+        if silent_s is None:
+            return math.inf
+        return max(least_s, self._quiet_s() - silent_s)
+
+    def _start_survey_if_due(self) -> None:
+        """Count who is in reach when the store has been silent."""
         silent_s = self._freshness.outage_age_s()
-        if silent_s is None or self._surveying:
+        quiet_s = self._quiet_s()
+        if silent_s is None or silent_s < quiet_s or self._surveying:
             return
-        place = self._find_place(now_s)
-        if place.level > 0 or place.rank > 0:
-            # The first watcher of each failure domain counts for all. The
-            # others wait for its count, and of many only a few step in.
-            quiet_s *= 1.5
-            if self._rng.random() > STAND_INS / self._known:
-                return
         reached_s = self._freshness.reached_age_s()
-        if silent_s >= quiet_s and (
-            reached_s is None or reached_s >= quiet_s / 2
-        ):
+        if reached_s is not None and reached_s < quiet_s / 2:
+            return
+        first = quiet_s <= self._settings.freshness_s / 2
+        if first or self._rng.random() < STAND_INS / self._known:
             self._nursery.start_soon(self._survey)
 
     async def _survey(self) -> None:
@@ -477,10 +526,19 @@
             sent_s = self._clock()
             timeout_s = self._settings.freshness_s / 4
             found = await self._surveys.start(timeout_s, False)
-            self._freshness.heard_count(found.reached, sent_s)
+            self._hear_count(found.reached, sent_s)
         finally:
             self._surveying = False
 
+    def _hear_count(self, reached: int, at_s: float) -> None:
+        """Take a count of VMs within reach and pass it on if it is news."""
+        if not self._freshness.heard_count(reached, at_s):
+            return
+        gain_s = self._settings.freshness_s / 8
+        for one in self._sessions:
+            if at_s - one.count_s >= gain_s:
+                one.ask_beat()
+
     # What is sent.
 
     def _make_hello(self) -> link.Message:
@@ -639,9 +697,14 @@
         self._compare_members(one, beat)
         if known is None or not one.synced:
             return
-        self._hear(beat, known.sent_after_s)
+        self._hear(one, beat, known.sent_after_s)
 
-    def _hear(self, beat: messages.PeerBeat, sent_after_s: float) -> None:
+    def _hear(
+        self,
+        one: session_module.Session,
+        beat: messages.PeerBeat,
+        sent_after_s: float,
+    ) -> None:
         """Take from a beat how fresh the sender's view was."""
         if 'age_ms' in beat:
             as_of_s = sent_after_s - beat['age_ms'] / 1000
@@ -652,7 +715,8 @@
             self._freshness.heard_outage(sent_after_s - silent_s)
         if 'reached' in beat and 'reached_age_ms' in beat:
             at_s = sent_after_s - beat['reached_age_ms'] / 1000
-            self._freshness.heard_count(beat['reached'], at_s)
+            one.count_s = max(one.count_s, at_s)
+            self._hear_count(beat['reached'], at_s)
 
     def _repair_if_due(
         self,
@@ -768,18 +832,17 @@
         return any(one.peer.name == name for one in self._sessions)
 
     def _find_place(self, now_s: float) -> topology.Place:
-        domains = self._members.placed()
         avoid = frozenset(
             name
             for name, until_s in self._avoid_until_s.items()
             if until_s > now_s and not self._linked(name)
         )
-        key = (tuple(sorted(domains.items())), avoid)
+        key = (self._members.generation, avoid)
         if key != self._place_key or self._place is None:
             self._place_key = key
             self._place = topology.place(
                 self.name,
-                domains,
+                self._members.placed(),
                 self._settings.watchers_per_domain,
                 self._settings.peer_fanout,
                 avoid,
--- a/gentianstair/peers/session.py
+++ b/gentianstair/peers/session.py
@@ -13,6 +13,8 @@
 
 # Objects in one message; a slow peer gets newer beats between two.
 CHUNK_OBJECTS = 200
+# Messages other than objects that may wait for a slow peer.
+MAX_WAITING = 5000
 
 
 class Session:
@@ -40,6 +42,8 @@
         # at the least, by what it told us and what we told it.
         self.beat_s = now_s
         self.news_s = 0.0
+        # When the newest count of VMs that both ends know of was made.
+        self.count_s = 0.0
         self.peer_digest = 0
         self.differed_s: float | None = None
         self.members_differed = 0
@@ -63,6 +67,11 @@
 
     def add(self, message: link.Message) -> None:
         """Queue any other message."""
+        if len(self._others) >= MAX_WAITING:
+            # The peer shows life but does not read, and what waits for it
+            # would grow for as long as it does. A new link starts clean.
+            self.scope.cancel()
+            return
         self._others.append(message)
         self._wake.set()
 
@@ -126,6 +135,9 @@
                 if 'age_ms' in beat:
                     news_s = self.beat_s - beat['age_ms'] / 1000
                     self.news_s = max(self.news_s, news_s)
+                if 'reached_age_ms' in beat:
+                    count_s = self.beat_s - beat['reached_age_ms'] / 1000
+                    self.count_s = max(self.count_s, count_s)
                 await self.channel.send(link.encode(beat))
 
     async def _write_objects(self) -> None:
