Read long prompts on one engine and answer on another

Cause: the role planner orders engines to read prompts only, and the router chooses them, but no request was ever split, and the router went by the role in the configuration, which an order does not change. Left so, each role change would have taken an engine away from all work. Ruled out: writing the new role into the upstream's object, which operators own and which would cost a write for each change. Change: the entry has the prompt read at the reader, moves its KV cache and goes on at the other engine; if a step fails that engine reads the prompt itself. The router follows the reported role. Calls of services are counted. Result: as processes, 3,000 words read on a prefill engine and answered on a decode engine with over 2,000 tokens cached there; before, 0. With the reader lost the answer is the same. The routing test failed before.

--- a/gentianstair/entry/app.py
+++ b/gentianstair/entry/app.py
@@ -20,6 +20,7 @@
 from gentianstair.entry import relay
 from gentianstair.entry import request as requests
 from gentianstair.entry import services
+from gentianstair.entry import split
 from gentianstair.entry import streams
 from gentianstair.entry import work as works
 from gentianstair.util import blocks
@@ -245,11 +246,19 @@
             streaming = relay.Streaming(
                 node, exchange, request, completion, model
             )
-            usage = await streaming.run()
+            usage = await streaming.run(
+                split.with_reader(
+                    node, request, completion, model, streaming.attempt
+                )
+            )
             self._status = 200
         else:
             whole = relay.Whole(node, request, completion, model)
-            usage = await whole.run()
+            usage = await whole.run(
+                split.with_reader(
+                    node, request, completion, model, whole.attempt
+                )
+            )
             self._status = whole.status
             await exchange.answer(
                 whole.status,
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -91,7 +91,9 @@
         queue=admission.make_queue(
             config.vm_name, _weight_of(view), now, record
         ),
-        router=routing.make_router(config.vm_name, config.failure_domain),
+        router=routing.make_router(
+            config.vm_name, config.failure_domain, split=True
+        ),
         retries=retries.make_retries(),
         claims=claims.make_claims(
             store,
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -253,9 +253,12 @@
         used = streams.Usage(output_tokens=tokens)
         bill(self._node, self._request, tried, used)
 
-    async def run(self) -> streams.Usage:
-        """Stream the whole answer; raise RequestError if it can't be had."""
-        usage = await tries.run(self._node, self._request, self.attempt)
+    async def run(self, attempt: tries.Attempt) -> streams.Usage:
+        """Stream the whole answer; raise RequestError if it can't be had.
+
+        attempt is the method above, or one that goes around it.
+        """
+        usage = await tries.run(self._node, self._request, attempt)
         if not self._exchange.ended:
             await self._exchange.end(self.answer.ending())
         return usage
@@ -304,9 +307,12 @@
         bill(node, self._request, tried, usage)
         return usage
 
-    async def run(self) -> streams.Usage:
-        """Return the usage once status and body are set."""
-        return await tries.run(self._node, self._request, self.attempt)
+    async def run(self, attempt: tries.Attempt) -> streams.Usage:
+        """Return the usage once status and body are set.
+
+        attempt is the method above, or one that goes around it.
+        """
+        return await tries.run(self._node, self._request, attempt)
 
 
 def answer_headers(request: requests.Request) -> exchanges.Headers:
--- a/gentianstair/entry/routing.py
+++ b/gentianstair/entry/routing.py
@@ -97,7 +97,7 @@
         states = {}
         for info in infos:
             state = self._states.get(info.name) or upstream_state.State(info)
-            state.info = info
+            state.info = info._replace(role=state.role or info.role)
             states[info.name] = state
         self._states = states
         self._pools = {}
@@ -317,6 +317,11 @@
         if state is None:
             return
         state.load.on_report(loadview.parse_report(report, now_s))
+        role = report.get('role')
+        if role and role != state.info.role:
+            state.role = role
+            state.info = state.info._replace(role=role)
+            self._pools = {}
         serving = report.get('state', SERVING) == SERVING
         if serving and upstream in self._away:
             self._away -= {upstream}
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -217,6 +217,11 @@
             body = await relay.read_all(found)
             headers = _kept_headers(found.headers.raw, DROPPED_ANSWER_HEADERS)
             self.reply = Reply(found.status_code, headers, body)
+        self._node.usage.count(
+            self._request.caller.customer,
+            tried.upstream['capacity_class'],
+            requests=1,
+        )
         tried.first_token()
         return streams.Usage()
 
--- a/gentianstair/entry/tries.py
+++ b/gentianstair/entry/tries.py
@@ -19,11 +19,16 @@
 
 
 class Try(typing.NamedTuple):
-    """One try at an upstream, and how it tells its progress."""
+    """One try at an upstream, and how it tells its progress.
+
+    ``reader`` is the engine that is to read the prompt first, if another
+    one is.
+    """
 
     upstream: messages.UpstreamValue
     name: str
     first_token: collections.abc.Callable[[], None]
+    reader: messages.UpstreamValue | None = None
 
 
 Attempt = collections.abc.Callable[
@@ -76,7 +81,12 @@
     usage = streams.Usage()
     failed = False
     try:
-        usage = await attempt(Try(upstream, choice.upstream, first_token))
+        reader = None
+        if choice.prefill_upstream:
+            reader = node.view.upstream(choice.prefill_upstream)
+        usage = await attempt(
+            Try(upstream, choice.upstream, first_token, reader)
+        )
     except errors.UpstreamError:
         failed = True
         # The true time: a time-out counted as a fast failure would let
--- a/gentianstair/entry/upstream_state.py
+++ b/gentianstair/entry/upstream_state.py
@@ -43,6 +43,9 @@
 
     def __init__(self, info: UpstreamInfo) -> None:
         self.info = info
+        # The role the engine reports; orders change it, not the
+        # configuration, which holds the one it began with.
+        self.role: str | None = None
         self.load = loadview.LoadView()
         # Observed times to the first token over the expected ones. Fading
         # sums, not a mean of ratios: one short prompt behind an unseen queue
--- a/test/entry/test_routing.py
+++ b/test/entry/test_routing.py
@@ -199,3 +199,28 @@
             continue
         assert choice.upstream in allowed
         router.started(choice, work, number * 0.01)
+
+
+def test_ordered_role_is_followed_before_the_configured_one():
+    # The planner has an engine read prompts only. Its object still says
+    # mixed, so entries went on to send it whole requests and none of its
+    # prompts elsewhere: the order changed nothing but for the worse.
+    router = routing.make_router('vm', 'd0', split=True)
+    infos = make_infos(2)
+    router.set_upstreams(infos)
+    report = {
+        'running': 0,
+        'waiting': 0,
+        'waiting_prefill_tokens': 0,
+        'kv_used_blocks': 0,
+        'kv_total_blocks': 2000,
+        'state': 'serving',
+    }
+    for name, role in (('e0', 'prefill'), ('e1', 'decode')):
+        router.on_load(name, {**report, 'role': role}, 0.0)
+    for _ in range(2):
+        work = make_work('r')._replace(prompt_tokens=8000)
+        choice = router.choose(work, 0.1, NONE)
+        assert (choice.prefill_upstream, choice.upstream) == ('e0', 'e1')
+        # Any change of the configuration takes the old role along.
+        router.set_upstreams(infos)
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -73,15 +73,21 @@
     raise AssertionError('not ready')
 
 
+ENGINES = {'engine-1': ('--time-scale=3',), 'engine-2': ('--time-scale=3',)}
+
+
 @pytest.fixture
-def run(tmp_path):
-    """Yield a running fleet of two engines, a service and two entries."""
+def run(tmp_path, request):
+    """Yield a running fleet of two engines, a service and two entries.
+
+    A test's parameter gives the flags of the engines, by name.
+    """
     group = fleet.Fleet(tmp_path)
     try:
         platform = group.start('platform', 'standins.platform')
         objects = dict(OBJECTS)
-        for name in ('engine-1', 'engine-2'):
-            engine = group.start(name, 'standins.engine', '--time-scale=3')
+        for name, flags in getattr(request, 'param', ENGINES).items():
+            engine = group.start(name, 'standins.engine', *flags)
             objects[f'upstream/{name}'] = upstream(engine.url)
         service = group.start('service', 'standins.service')
         objects['upstream/service'] = upstream(
@@ -269,3 +275,49 @@
     assert len(ran) == len(set(ran)), ran
     assert 'piece-1' in ran
     assert KEY not in json.dumps(events)
+
+
+@pytest.mark.process
+@pytest.mark.parametrize(
+    ('run', 'moved'),
+    [
+        (
+            {
+                'engine-1': ('--role=prefill',),
+                'engine-2': ('--role=decode',),
+            },
+            True,
+        ),
+        # The reading engine is lost: the other one reads the prompt itself
+        # and the caller sees no difference.
+        (
+            {
+                'engine-1': ('--role=prefill',),
+                'engine-2': ('--role=decode',),
+            },
+            False,
+        ),
+    ],
+    indirect=['run'],
+)
+def test_a_long_prompt_is_read_on_one_engine_and_answered_on_another(
+    run, moved
+):
+    entry = run.processes['entry-1']
+    time.sleep(1.5)
+    if not moved:
+        run.kill('engine-1')
+    prompt = ' '.join(f'rule-{number}' for number in range(3000))
+    body = {'model': MODEL, 'prompt': prompt, 'max_tokens': 20}
+    answer = httpx.post(
+        f'{entry.url}/v1/completions', json=body, headers=AUTH, timeout=LIMIT_S
+    )
+    found = answer.json()
+    assert found['choices'][0]['text'] == words.answer(MODEL, prompt, 20)
+    cached = found['usage']['prompt_tokens_details']['cached_tokens']
+    assert (cached > 2000) == moved
+    steps = httpx.get(
+        f'http://{fleet.HOST}:{entry.ports[1]}/operator/explain/'
+        + answer.headers['x-request-id']
+    ).json()['steps']
+    assert ('split' in [step['step'] for step in steps]) == moved
