--- a/test/test_path.py
+++ b/test/test_path.py
@@ -229,6 +229,58 @@
         assert text == words.answer(MODEL, prompt, 60)
 
 
+def write(group, path, value):
+    """Write an object over what is there."""
+    url = f'{group.processes["platform"].url}/v1/objects/{path}'
+    found = httpx.get(url).json()
+    expect = found['version'] if found['value'] is not None else 0
+    params = {'expect_version': expect}
+    httpx.put(url, params=params, json=value).raise_for_status()
+    return value
+
+
+@pytest.mark.process
+@pytest.mark.promise
+def test_no_planned_change_cuts_a_request(run):
+    """Operators work through the show while twelve drafts are streamed.
+
+    They roll out a bundle, grant a key, drain an engine, stop it, and have
+    the other one change its role. Every draft must reach its end.
+    """
+    url = run.processes['entry-1'].url
+    names = ('engine-1', 'engine-2')
+    values = {name: upstream(run.processes[name].url) for name in names}
+    with concurrent.futures.ThreadPoolExecutor(12) as pool:
+        prompts = [f'{PROMPT} {number}' for number in range(12)]
+        answers = [pool.submit(stream, url, text, 60) for text in prompts]
+        time.sleep(0.3)
+        write(run, 'bundle/2', {**OBJECTS['bundle/1'], 'number': 2})
+        write(run, 'accepted/current', {'number': 2, 'previous': 1})
+        digest = hashlib.sha256(b'another').hexdigest()
+        granted = {'customer': 'burlwood', 'label': '', 'revoked': False}
+        write(run, f'key/{digest}', granted)
+        leaving = {**values['engine-1'], 'state': 'draining'}
+        write(run, 'upstream/engine-1', leaving)
+        order = {
+            'epoch': 1,
+            'order_number': 1,
+            'holder': 'test',
+            'type': 'set_role',
+            'argument': 'decode',
+        }
+        ordered = httpx.post(f'{values["engine-2"]["url"]}/orders', json=order)
+        assert ordered.status_code == 200
+        assert run.stop('engine-1', LIMIT_S) == 0
+        found = [answer.result(LIMIT_S) for answer in answers]
+    for prompt, (text, ended) in zip(prompts, found, strict=True):
+        assert ended
+        assert text == words.answer(MODEL, prompt, 60)
+    models = httpx.get(
+        f'{url}/v1/models', headers={'authorization': 'Bearer another'}
+    )
+    assert models.status_code == 200
+
+
 @pytest.mark.process
 @pytest.mark.promise
 def test_a_registration_runs_once_across_vms_and_a_kill(run):
