--- a/gentianstair/entry/upkeep.py
+++ b/gentianstair/entry/upkeep.py
@@ -17,7 +17,7 @@
 
 LOAD_INTERVAL_S = 0.5
 LOAD_TIMEOUT_S = 2.0
-EVENTS_WAIT_S = 5.0
+EVENTS_WAIT_S = 2.0
 EVENTS_INTERVAL_S = 0.05
 RETRY_S = 1.0
 HTTP_OK = 200
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -83,37 +83,48 @@
     A test's parameter gives the flags of the engines, by name.
     """
     group = fleet.Fleet(tmp_path)
+    engines = getattr(request, 'param', ENGINES)
     try:
         platform = group.start('platform', 'standins.platform')
         objects = dict(OBJECTS)
-        for name, flags in getattr(request, 'param', ENGINES).items():
-            engine = group.start(name, 'standins.engine', *flags)
-            objects[f'upstream/{name}'] = upstream(engine.url)
-        service = group.start('service', 'standins.service')
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            for name, flags in engines.items():
+                pool.submit(group.start, name, 'standins.engine', *flags)
+            pool.submit(group.start, 'service', 'standins.service')
+        for name in engines:
+            objects[f'upstream/{name}'] = upstream(group.processes[name].url)
         objects['upstream/service'] = upstream(
-            service.url, 'service', 'registration'
+            group.processes['service'].url, 'service', 'registration'
         )
         for path, value in objects.items():
             url = f'{platform.url}/v1/objects/{path}?expect_version=0'
             httpx.put(url, json=value).raise_for_status()
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            for number in (1, 2):
+                pool.submit(start_entry, group, number, platform.url)
         for number in (1, 2):
-            entry = group.start(
-                f'entry-{number}',
-                'gentianstair.entry.main',
-                f'--vm-name=vm-{number}',
-                '--failure-domain=north',
-                f'--platform-url={platform.url}',
-                '--listen=127.0.0.1:0',
-                '--operator-listen=127.0.0.1:0',
-                '--peer-listen=127.0.0.1:0',
-                '--leave-wait-s=0.2',
-            )
-            wait_ready(entry.url)
+            wait_ready(group.processes[f'entry-{number}'].url)
         yield group
     finally:
         group.stop_all()
 
 
+def start_entry(group, number, platform_url):
+    """Start an entry VM."""
+    group.start(
+        f'entry-{number}',
+        'gentianstair.entry.main',
+        f'--vm-name=vm-{number}',
+        '--failure-domain=north',
+        f'--platform-url={platform_url}',
+        '--listen=127.0.0.1:0',
+        '--operator-listen=127.0.0.1:0',
+        '--peer-listen=127.0.0.1:0',
+        '--claim-listen=127.0.0.1:0',
+        '--leave-wait-s=0.2',
+    )
+
+
 def stream(url, prompt, tokens, on_event=lambda count: None):
     """Return the text of a streamed answer and whether it ended whole."""
     body = {
