Keep connections to upstreams, and tell interim responses apart

Cause: no test met the transport by itself. Its first ones showed that no connection was ever kept (the parser was asked whether to after it had turned to what follows) and that interim and final response in one read were taken for one message. Change: the parser's callbacks decide both; headers are bounded; a read waits before it tries the socket, where a token is hardly ever there.

--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import contextlib
+import os
 import select
 import ssl
 
@@ -20,6 +21,7 @@
 from gentianstair import verdict as verdicts
 
 READ_BYTES = 65536
+FINAL_STATUS = 200
 MAX_HEADER_BYTES = 65536
 IDLE_CONNECTIONS = 256
 HTTPS_PORT = 443
@@ -27,26 +29,46 @@
 
 
 class _Message:
-    """Collect what the parser finds in one response."""
+    """Collect what the parser finds in one response.
+
+    Interim responses (1xx) may come before it, also in the same read; they
+    are forgotten when they end.
+    """
 
     def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.parts: list[bytes] = []
-        self.head_done = False
+        self._header_bytes = 0
         self.done = False
+        # Only known until the parser turns to what follows.
+        self.keep_alive = False
+
+    @property
+    def head_done(self) -> bool:
+        """Return whether the final response's headers are here."""
+        return self.status >= FINAL_STATUS
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._header_bytes += len(name) + len(value)
+        if self._header_bytes > MAX_HEADER_BYTES:
+            # The parser reports it as an error of the upstream's.
+            raise ValueError('the headers are too long')
         self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self.head_done = True
+        self.status = self.parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
-        # An interim (1xx) response is complete before the final one starts.
-        self.done = True
+        if self.head_done:
+            self.done = True
+            self.keep_alive = self.parser.should_keep_alive()
+        else:
+            self.headers.clear()
 
 
 class Body(httpx.AsyncByteStream):
@@ -60,12 +82,10 @@
         self,
         stream: trio.abc.Stream,
         message: _Message,
-        parser: httptools.HttpResponseParser,
         give_back: collections.abc.Callable[[trio.abc.Stream], None],
     ) -> None:
         self._stream = stream
         self._message = message
-        self._parser = parser
         self._give_back = give_back
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
@@ -77,27 +97,45 @@
                 yield found
             if message.done:
                 return
-            await _feed(self._stream, self._parser)
+            await _feed(self._stream, message)
 
     async def aclose(self) -> None:
         """Keep the connection if the body is whole, else cut it.
 
         Cutting it is how the upstream learns that the work is cancelled.
         """
-        if self._message.done and self._parser.should_keep_alive():
+        if self._message.done and self._message.keep_alive:
             self._give_back(self._stream)
         else:
             await trio.aclose_forcefully(self._stream)
 
 
-async def _feed(
-    stream: trio.abc.Stream, parser: httptools.HttpResponseParser
-) -> None:
+async def _receive(stream: trio.abc.Stream) -> bytes:
+    """Return what comes next, or nothing at the end.
+
+    A token is hardly ever there yet when it is waited for. Trio's own
+    receive tries the socket first, in vain, and once more after the wait.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return await stream.receive_some(READ_BYTES)
+    while True:
+        await trio.lowlevel.wait_readable(stream.socket)
+        try:
+            return os.read(stream.socket.fileno(), READ_BYTES)
+        except BlockingIOError:
+            continue
+
+
+async def _feed(stream: trio.abc.Stream, message: _Message) -> None:
     try:
-        data = await stream.receive_some(READ_BYTES)
+        data = await _receive(stream)
         if data:
-            parser.feed_data(data)
-    except (trio.BrokenResourceError, httptools.HttpParserError) as error:
+            message.parser.feed_data(data)
+    except (
+        OSError,
+        trio.BrokenResourceError,
+        httptools.HttpParserError,
+    ) as error:
         raise _lost(f'{type(error).__name__} while reading') from error
     if not data:
         raise _lost('the upstream closed the connection')
@@ -208,23 +246,17 @@
         except trio.BrokenResourceError as error:
             raise _lost('the connection broke while sending') from error
         message = _Message()
-        parser = httptools.HttpResponseParser(message)
-        while not message.head_done or parser.get_status_code() < 200:
-            await _feed(stream, parser)
-            if parser.get_status_code() < 200 and message.done:
-                message = _Message()
-                parser = httptools.HttpResponseParser(message)
+        while not message.head_done:
+            await _feed(stream, message)
         if request.method == 'HEAD':
             # The head names the length of a body that never comes.
             message.done = True
         body = Body(
-            stream,
-            message,
-            parser,
-            lambda kept: self._keep(request.url, kept),
+            stream, message, lambda kept: self._keep(request.url, kept)
+        )
+        return httpx.Response(
+            message.status, headers=message.headers, stream=body
         )
-        status = parser.get_status_code()
-        return httpx.Response(status, headers=message.headers, stream=body)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- /dev/null
+++ b/test/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Test the clients of engines and plain services."""
