Drop a summary that no schema matches, not the link it came by

Cause: found on reading: a summary is passed on by other VMs and was given to the queue as it came; an odd one raised KeyError and cost the link to the VM that had only passed it on, on every VM. Change: summaries are checked against the schema and dropped with a count.

--- a/gentianstair/entry/sharing.py
+++ b/gentianstair/entry/sharing.py
@@ -1,12 +1,16 @@
 """Share what this VM's queue and limits know with the other VMs."""
 
+import collections.abc
 import typing
 
 import loguru
+import msgspec
+import prometheus_client
 import trio
 
 from gentianstair import errors
 from gentianstair.entry import node as nodes
+from gentianstair.generated import messages
 from gentianstair.peers import membership
 from gentianstair.peers import node as peers
 
@@ -16,6 +20,10 @@
 # of a message; with more customers the rows take turns.
 MAX_ROWS = 15
 
+DROPPED = prometheus_client.Counter(
+    'gentianstair_summaries_dropped', 'Summaries that no schema matches'
+)
+
 Summary = dict[str, typing.Any]
 
 
@@ -40,6 +48,27 @@
         return {**summary, 'rows': list(both.values())}
 
 
+def checked(
+    kind: type, merge: collections.abc.Callable[[str, typing.Any], None]
+) -> collections.abc.Callable[[str, Summary], None]:
+    """Return merge for summaries that match the schema; drop others.
+
+    Summaries are passed on by other VMs. One of a kind that this version
+    does not know must not cost the link to the VM that passed it on.
+    """
+
+    def take(vm: str, summary: Summary) -> None:
+        try:
+            found = msgspec.convert(summary, kind)
+        except msgspec.ValidationError as error:
+            DROPPED.inc()
+            loguru.logger.debug('summary of {} dropped: {}', vm, error)
+            return
+        merge(vm, found)
+
+    return take
+
+
 def _live(peer: peers.Node) -> list[str]:
     """Return the VMs that serve callers, by their names."""
     return [
@@ -55,8 +84,10 @@
         FAIRNESS: (node.queue, Rows()),
         LIMITS: (node.limits, Rows()),
     }
-    peer.subscribe(FAIRNESS, node.queue.merge)
-    peer.subscribe(LIMITS, node.limits.merge)
+    fairness = checked(messages.FairnessSummary, node.queue.merge)
+    limits = checked(messages.LimitsSummary, node.limits.merge)
+    peer.subscribe(FAIRNESS, fairness)
+    peer.subscribe(LIMITS, limits)
     while True:
         live = _live(peer)
         for topic, (source, rows) in sources.items():
