--- a/test/test_path.py
+++ b/test/test_path.py
@@ -4,6 +4,7 @@
 import hashlib
 import json
 import signal
+import threading
 import time
 
 import httpx
@@ -292,6 +293,50 @@
     assert models.status_code == 200
 
 
+LEAVING_S = 5.0
+
+
+@pytest.mark.process
+@pytest.mark.promise
+@pytest.mark.parametrize('state', ['draining', 'withdrawn'])
+def test_a_leaving_engine_gets_no_new_work(run, state):
+    """An operator takes an engine away while drafts keep coming.
+
+    Through both VMs new drafts are asked for without a pause. Some seconds
+    after the change none may start at the engine that leaves, and none of
+    those that run there is cut.
+    """
+    entries = [run.processes[f'entry-{number}'].url for number in (1, 2)]
+    engine = run.processes['engine-1']
+    stop = threading.Event()
+
+    def ask(worker):
+        count = 0
+        while not stop.is_set():
+            count += 1
+            prompt = f'{PROMPT} {worker} {count}'
+            text, ended = stream(entries[worker % 2], prompt, 6)
+            assert ended
+            assert text == words.answer(MODEL, prompt, 6)
+        return count
+
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        asked = [pool.submit(ask, worker) for worker in range(8)]
+        time.sleep(1.0)
+        leaving = {**upstream(engine.url), 'state': state}
+        write(run, 'upstream/engine-1', leaving)
+        changed_s = time.clock_gettime(time.CLOCK_BOOTTIME)
+        time.sleep(LEAVING_S)
+        stop.set()
+        assert sum(answer.result(LIMIT_S) for answer in asked) > 50
+    events = httpx.get(f'{engine.url}/switch/history').json()['events']
+    started = [e['at_s'] for e in events if e['type'] == 'request_started']
+    assert started
+    last_s = max(started) - changed_s
+    print(f'last request {last_s:.3f} s after the change')
+    assert last_s < LEAVING_S / 2
+
+
 @pytest.mark.process
 @pytest.mark.promise
 def test_a_registration_runs_once_across_vms_and_a_kill(run):
