Start both daemons alike, and tell unknown flags a line each

Cause: an unknown flag stopped the start with a page of usage before any other mistake was told; and both programs held the same twenty lines. The new test failed before (there was no such function; by hand: exit 2 with the usage page).

--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -1,10 +1,7 @@
 """Run the program gentianstair-control."""
 
-import os
-import sys
 import time
 
-import cappa
 import httpx
 import loguru
 import prometheus_client
@@ -12,8 +9,8 @@
 import quart_trio
 import trio
 
+from gentianstair import daemon
 from gentianstair import errors
-from gentianstair import settings
 from gentianstair.config import view as views
 from gentianstair.control import duties
 from gentianstair.control import follow
@@ -31,7 +28,6 @@
 from gentianstair.platform import settled
 from gentianstair.upstreams import orders_client
 from gentianstair.util import clock
-from gentianstair.util import logs
 from gentianstair.util import serving
 
 GRACE_S = 1.0
@@ -172,21 +168,12 @@
 
 def main() -> None:
     """Read settings and run; a bad setting is told in one line."""
-    flags = settings.flags_class('control', generated.CONTROL)
-    given = cappa.parse(flags, help=True)
-    try:
-        values = settings.collect(
-            generated.CONTROL,
-            vars(given),
-            os.environ,
-            {setting.variable for setting in generated.ENTRY},
-        )
-        config = generated.ControlSettings(**values)
-        logs.setup(config.log_level, config.vm_name, config.failure_domain)
-        trio.run(run, config)
-    except errors.UserError as error:
-        print(error, file=sys.stderr)
-        sys.exit(1)
+    daemon.start(
+        'control',
+        generated.CONTROL,
+        generated.ControlSettings,
+        run,
+    )
 
 
 if __name__ == '__main__':
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -1,19 +1,16 @@
 """Run the program gentianstair-entry."""
 
 import functools
-import os
-import sys
 import time
 import typing
 
-import cappa
 import loguru
 import quart
 import quart_trio
 import trio
 
+from gentianstair import daemon
 from gentianstair import errors
-from gentianstair import settings
 from gentianstair.config import view as views
 from gentianstair.entry import admission
 from gentianstair.entry import app as apps
@@ -34,7 +31,6 @@
 from gentianstair.platform import http_store
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
-from gentianstair.util import logs
 from gentianstair.util import serving
 from gentianstair.util import tls
 
@@ -242,21 +238,12 @@
 
 def main() -> None:
     """Read settings and run; a bad setting is told in one line."""
-    flags = settings.flags_class('entry', generated.ENTRY)
-    given = cappa.parse(flags, help=True)
-    try:
-        values = settings.collect(
-            generated.ENTRY,
-            vars(given),
-            os.environ,
-            {setting.variable for setting in generated.CONTROL},
-        )
-        config = generated.EntrySettings(**values)
-        logs.setup(config.log_level, config.vm_name, config.failure_domain)
-        trio.run(run, config)
-    except errors.UserError as error:
-        print(error, file=sys.stderr)
-        sys.exit(1)
+    daemon.start(
+        'entry',
+        generated.ENTRY,
+        generated.EntrySettings,
+        run,
+    )
 
 
 if __name__ == '__main__':
--- a/gentianstair/settings.py
+++ b/gentianstair/settings.py
@@ -183,3 +183,58 @@
     if problems:
         raise errors.SettingsError('\n'.join(problems))
     return values
+
+
+def split_flags(
+    table: collections.abc.Sequence[Setting],
+    argv: collections.abc.Sequence[str],
+) -> tuple[list[str], list[str]]:
+    """Return the arguments that are known, and the flags that are not.
+
+    An unknown flag's value goes with it. The parser would stop at the first
+    with a page of usage; here all are told, a line each.
+
+    >>> split_flags((), ['-h', '--listne', 'x', '--lisetn=y'])
+    (['-h'], ['--listne', '--lisetn'])
+    """
+    flags = {setting.flag for setting in table} | {'--help', '--completion'}
+    known: list[str] = []
+    unknown: list[str] = []
+    taken = known
+    for argument in argv:
+        if argument.startswith('-'):
+            flag = argument.partition('=')[0]
+            wanted = not flag.startswith('--') or flag in flags
+            taken = known if wanted else unknown
+        if taken is known:
+            known.append(argument)
+        elif argument.startswith('-'):
+            unknown.append(argument.partition('=')[0])
+    return known, unknown
+
+
+def read(
+    program: str,
+    table: collections.abc.Sequence[Setting],
+    argv: collections.abc.Sequence[str],
+    environ: collections.abc.Mapping[str, str],
+    other_variables: collections.abc.Collection[str] = (),
+) -> dict[str, typing.Any]:
+    """Return the checked settings of a program by name.
+
+    Raise SettingsError with a line for each bad or unknown setting.
+    """
+    known, unknown = split_flags(table, argv)
+    given = cappa.parse(
+        flags_class(program, table),
+        argv=known,
+        output=cappa.Output(error_format='{message}'),
+    )
+    problems = [f'{flag}: no such setting; see --help' for flag in unknown]
+    try:
+        values = collect(table, vars(given), environ, other_variables)
+    except errors.SettingsError as error:
+        problems += str(error).splitlines()
+    if problems:
+        raise errors.SettingsError('\n'.join(problems))
+    return values
--- a/test/test_settings.py
+++ b/test/test_settings.py
@@ -51,3 +51,15 @@
     values = settings.collect(generated.ENTRY, GIVEN, environ)
     assert values['vm_name'] == 'vm-1'
     assert values['request_timeout_s'] == 300.0
+
+
+def test_unknown_flags_are_reported_with_all_else():
+    # A misspelt flag stopped the start with a page of usage, and the other
+    # mistakes showed only at the next starts, one at a time.
+    argv = ['--vm-name', 'vm-1', '--listne', 'x', '--failure-domain=a b']
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.read('entry', generated.ENTRY, argv, {})
+    lines = str(caught.value).splitlines()
+    assert lines[0] == '--listne: no such setting; see --help'
+    assert lines[1].startswith("--failure-domain: 'a b' is not allowed")
+    assert lines[2:] == ['--platform-url: must be given']
