--- a/gentianstair/bench/faults.py
+++ b/gentianstair/bench/faults.py
@@ -28,12 +28,15 @@
 CALLS = 4
 CALM_S = 6.0
 FAULT_EVERY_S = 2.5
+# Longer than a lease of the bench stands.
+CUT_S = 5.0
 # A revoked key may still work while a VM that hears nobody counts as fresh.
 REVOKED_BOUND_S = 10.0
 SETTLE_S = 4.0
 READY_S = 20.0
+CUTS = 'cuts and one-way cuts (--cuts)'
 NOT_RUN = (
-    'cuts and one-way cuts between processes',
+    'cuts between entry VMs',
     'clocks that jump',
     'failure domain of cheap upstreams reclaimed',
     'several hundred processes',
@@ -43,8 +46,11 @@
 class World:
     """A running fleet, and what may be done to it."""
 
-    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, seed: int, cuts: bool = False
+    ) -> None:
         self.folder = folder
+        self.cuts = cuts
         self.group = fleet.Fleet(folder)
         self.random = random.Random(seed)
         self.flags: dict[str, tuple[str, ...]] = {}
@@ -79,8 +85,9 @@
             if number == 2:
                 flags.append('--ignores-fencing')
             engine = self._start(name, 'standins.engine', *flags)
+            url = self._wired(name, engine)
             objects[f'upstream/{name}'] = upstream(
-                engine.url, 'engine', MODEL, domain, number != 2
+                url, 'engine', MODEL, domain, number != 2
             )
         service = self._start(
             'service', 'standins.service', self._history('service')
@@ -93,6 +100,13 @@
         for number, domain in enumerate(DOMAINS, 1):
             self._start_vm(number, domain)
 
+    def _wired(self, name: str, process: fleet.Process) -> str:
+        """Return a URL of a process, over a wire if there are cuts."""
+        if not self.cuts:
+            return process.url
+        to = f'--to={fleet.HOST}:{process.ports[0]}'
+        return self._start(f'wire-{name}', 'standins.wire', to).url
+
     def _history(self, name: str) -> str:
         return f'--history={self.folder}/{name}.jsonl'
 
@@ -125,10 +139,11 @@
         return objects
 
     def _start_vm(self, number: int, domain: str) -> None:
+        platform_url = self._wired(f'store-{number}', self.platform)
         common = (
             f'--vm-name=vm-{number}',
             f'--failure-domain={domain}',
-            f'--platform-url={self.platform.url}',
+            f'--platform-url={platform_url}',
             '--usage-window-s=3',
             '--usage-grace-s=2',
         )
@@ -242,6 +257,14 @@
         await trio.sleep(away_s)
 
 
+async def _cut(world: World, wire: str, back_only: bool) -> None:
+    """Cut a wire for some seconds; what was held then arrives late."""
+    process = world.group.processes[f'wire-{wire}']
+    process.send(signal.SIGUSR2 if back_only else signal.SIGUSR1)
+    await trio.sleep(CUT_S)
+    process.send(signal.SIGHUP)
+
+
 class Fault(typing.NamedTuple):
     """Something that goes wrong; ``lock`` is what it happens to."""
 
@@ -250,6 +273,23 @@
     run: typing.Callable[[World], typing.Awaitable[None]]
 
 
+def _cuts() -> list[Fault]:
+    """Return the cuts of each VM from the store and of each engine."""
+    found = []
+    for number in (1, 2, 3):
+        for name in (f'store-{number}', f'engine-{number}'):
+            for back_only in (False, True):
+                way = 'one-way ' if back_only else ''
+                found.append(
+                    Fault(
+                        f'{way}cut {name}',
+                        name,
+                        lambda w, n=name, b=back_only: _cut(w, n, b),
+                    )
+                )
+    return found
+
+
 def _menu() -> list[Fault]:
     """Return all faults there are."""
     menu = []
@@ -298,7 +338,7 @@
         await fault.run(world)
         busy.discard(fault.lock)
 
-    menu = _menu()
+    menu = _menu() + (2 * _cuts() if world.cuts else [])
     end_s = trio.current_time() + for_s
     async with trio.open_nursery() as nursery:
         while trio.current_time() < end_s:
@@ -466,13 +506,16 @@
 
 
 def measure(
-    seed: int, faults_s: float, keep: pathlib.Path | None = None
+    seed: int,
+    faults_s: float,
+    keep: pathlib.Path | None = None,
+    cuts: bool = False,
 ) -> list[lines.Figure]:
     """Run one seed and return its figures."""
     with tempfile.TemporaryDirectory() as temporary:
         folder = keep or pathlib.Path(temporary)
         folder.mkdir(parents=True, exist_ok=True)
-        world = World(folder, seed)
+        world = World(folder, seed, cuts)
         record = history.History('callers')
         try:
             world.start()
@@ -492,8 +535,12 @@
     parser.add_argument('--seed', type=int, default=0)
     parser.add_argument('--json', action='store_true')
     parser.add_argument('--faults-s', type=float, default=18.0)
+    parser.add_argument(
+        '--cuts', action='store_true', help='cut VMs from store and engines'
+    )
     parser.add_argument('--keep', type=pathlib.Path)
     args = parser.parse_args(argv)
-    found = measure(args.seed, args.faults_s, args.keep)
-    lines.show(found, args.json, NOT_RUN)
+    found = measure(args.seed, args.faults_s, args.keep, args.cuts)
+    not_run = NOT_RUN if args.cuts else (CUTS, *NOT_RUN)
+    lines.show(found, args.json, not_run)
     return 1 if bad(found) else 0
