--- a/gentianstair/bench/faults.py
+++ b/gentianstair/bench/faults.py
@@ -2,6 +2,7 @@
 
 import argparse
 import collections
+from concurrent import futures
 import functools
 import hashlib
 import json
@@ -78,27 +79,35 @@
         self.platform = self._start(
             'platform', 'standins.platform', self._history('platform')
         )
+        numbers = range(1, len(DOMAINS) + 1)
         objects = self._objects()
-        for number, domain in enumerate(DOMAINS, 1):
-            name = f'engine-{number}'
-            flags = ['--name', name, self._history(name)]
-            if number == 2:
-                flags.append('--ignores-fencing')
-            engine = self._start(name, 'standins.engine', *flags)
-            url = self._wired(name, engine)
-            objects[f'upstream/{name}'] = upstream(
-                url, 'engine', MODEL, domain, number != 2
+        with futures.ThreadPoolExecutor() as pool:
+            service = pool.submit(
+                self._start,
+                'service',
+                'standins.service',
+                self._history('service'),
             )
-        service = self._start(
-            'service', 'standins.service', self._history('service')
-        )
+            engines = list(pool.map(self._start_engine, numbers, DOMAINS))
+        for number, value in zip(numbers, engines, strict=True):
+            objects[f'upstream/engine-{number}'] = value
         objects['upstream/service'] = upstream(
-            service.url, 'service', 'registration', 'north', True
+            service.result().url, 'service', 'registration', 'north', True
         )
         for path, value in objects.items():
             self.write(path, value)
-        for number, domain in enumerate(DOMAINS, 1):
-            self._start_vm(number, domain)
+        with futures.ThreadPoolExecutor() as pool:
+            self.urls += pool.map(self._start_vm, numbers, DOMAINS)
+
+    def _start_engine(self, number: int, domain: str) -> dict:
+        """Start an engine and return its object."""
+        name = f'engine-{number}'
+        flags = ['--name', name, self._history(name)]
+        if number == 2:
+            flags.append('--ignores-fencing')
+        engine = self._start(name, 'standins.engine', *flags)
+        url = self._wired(name, engine)
+        return upstream(url, 'engine', MODEL, domain, number != 2)
 
     def _wired(self, name: str, process: fleet.Process) -> str:
         """Return a URL of a process, over a wire if there are cuts."""
@@ -138,7 +147,8 @@
             objects[f'key/{digest(key)}'] = key_value(False)
         return objects
 
-    def _start_vm(self, number: int, domain: str) -> None:
+    def _start_vm(self, number: int, domain: str) -> str:
+        """Start the processes of a VM and return its entry's URL."""
         platform_url = self._wired(f'store-{number}', self.platform)
         common = (
             f'--vm-name=vm-{number}',
@@ -156,7 +166,6 @@
             '--leave-wait-s=0.2',
             '--upstream-stall-s=5',
         )
-        self.urls.append(entry.url)
         if number < 3:
             self._start(
                 f'control-{number}',
@@ -166,6 +175,7 @@
                 '--lease-margin-s=0.3',
                 '--order-lifetime-s=1',
             )
+        return entry.url
 
     def write(self, path: str, value: dict) -> None:
         """Write an object whatever its version is."""
