Have the demo's entries use signed-off bundles only

Cause: the demo signed its bundle, but its entries were started without the key, so an unsigned one would have passed as well. Result: scripts/demo exits 0 with the key given to both entries.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -50,6 +50,7 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.folder = folder
         self.fleet = fleet.Fleet(folder)
+        self.key = str(folder / 'operator.pem')
         self.environ: dict[str, str] = {}
         self.entry_urls: list[str] = []
         self.operator_urls: list[str] = []
@@ -87,7 +88,13 @@
         self.fleet.start('registration', 'standins.service')
 
     def start_system(self) -> None:
-        """Start two VMs' worth of the system itself."""
+        """Start two VMs' worth of the system itself.
+
+        The entries know the key with which bundles are signed off, and use
+        no others.
+        """
+        made = self.operate('bundle', 'keygen', self.key, '--json')
+        public_key = json.loads(made)['public_key']
         say('two entry and two control processes')
         platform_url = self.environ['GENTIANSTAIR_PLATFORM_URL']
         for number, domain in ((1, 'north'), (2, 'south')):
@@ -100,6 +107,7 @@
                 '--listen=127.0.0.1:0',
                 '--operator-listen=127.0.0.1:0',
                 '--peer-listen=127.0.0.1:0',
+                f'--bundle-public-key={public_key}',
                 *WINDOW_FLAGS,
             )
             self.entry_urls.append(process.url)
@@ -146,10 +154,8 @@
         source = self.folder / 'bundle.toml'
         source.write_text(BUNDLE)
         bundle = str(self.folder / 'bundle.json')
-        key = str(self.folder / 'operator.pem')
-        self.operate('bundle', 'keygen', key)
         self.operate('bundle', 'build', str(source), '--output', bundle)
-        self.operate('bundle', 'sign', bundle, '--key', key)
+        self.operate('bundle', 'sign', bundle, '--key', self.key)
         self.operate('bundle', 'accept', bundle)
         for url in self.operator_urls:
             wait_for(
