--- a/gentianstair/bench/claims.py
+++ b/gentianstair/bench/claims.py
@@ -17,7 +17,7 @@
 from gentianstair.bench import measures
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 from standins import memory_store
 from standins.platform import objects
 
--- a/gentianstair/bench/node.py
+++ b/gentianstair/bench/node.py
@@ -25,9 +25,9 @@
 from gentianstair.peers import link
 from gentianstair.peers import node as node_module
 from gentianstair.peers import spread
-from gentianstair.platform import budget
-from gentianstair.platform import http_store
-from gentianstair.platform import store
+from gentianstair.store import budget
+from gentianstair.store import http_store
+from gentianstair.store import store
 from gentianstair.util import clock
 
 # Time between two looks at a node's freshness, which cost it little.
--- a/gentianstair/config/snapshots.py
+++ b/gentianstair/config/snapshots.py
@@ -9,7 +9,7 @@
 from gentianstair import errors
 from gentianstair.config import view as views
 from gentianstair.generated import messages
-from gentianstair.platform import store
+from gentianstair.store import store
 
 FORMAT = 1
 
--- a/gentianstair/config/view.py
+++ b/gentianstair/config/view.py
@@ -9,7 +9,7 @@
 
 from gentianstair.config import bundles
 from gentianstair.generated import messages
-from gentianstair.platform import store
+from gentianstair.store import store
 
 # Kinds that every node follows.
 KINDS = ('customer', 'key', 'bundle', 'accepted', 'upstream')
--- a/gentianstair/control/duties.py
+++ b/gentianstair/control/duties.py
@@ -17,7 +17,7 @@
 from gentianstair.control import usage
 from gentianstair.generated import messages
 from gentianstair.generated import settings
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
 USAGE_SCOPE = 'usage'
--- a/gentianstair/control/follow.py
+++ b/gentianstair/control/follow.py
@@ -5,7 +5,7 @@
 
 from gentianstair import errors
 from gentianstair.config import view as views
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 
 KINDS = ('upstream', 'bundle', 'accepted', 'customer')
 PURPOSE = 'config'
--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -11,8 +11,8 @@
 from gentianstair import errors
 from gentianstair.control import preference
 from gentianstair.generated import messages
-from gentianstair.platform import settled
-from gentianstair.platform import store as stores
+from gentianstair.store import settled
+from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
 KIND = 'lease'
@@ -42,6 +42,10 @@
 
     duration_s: float
     margin_s: float
+    # A process that held a lease does not take it again for so long. Where
+    # upstreams ignore epochs, two holders that take turns quickly look to
+    # them like two that act at once.
+    rest_s: float = 0.0
 
 
 class Authority:
@@ -109,6 +113,7 @@
         self._highest_epoch = 0
         self._looked_at_s = clock() - NEVER_S
         self._running: dict[str, trio.CancelScope] = {}
+        self._rests_until_s: dict[str, float] = {}
         self.candidates: tuple[str, ...] = (holder,)
         self.held: dict[str, Authority] = {}
 
@@ -171,6 +176,8 @@
         return sight.since_s + duration_s + self._terms.margin_s
 
     def _may_take(self, sight: _Sight) -> bool:
+        if self._clock() < self._rests_until_s.get(sight.item.name, 0.0):
+            return False
         return self._clock() >= self._vacant_since_s(sight)
 
     def _is_my_turn(self, sight: _Sight, preferred: dict[str, str]) -> bool:
@@ -224,6 +231,8 @@
                     with trio.move_on_after(self._terms.duration_s):
                         await self._release(authority)
                 del self._running[scope]
+                rest_s = self._terms.rest_s
+                self._rests_until_s[scope] = self._clock() + rest_s
 
     def _end(self, authority: Authority) -> None:
         self.held.pop(authority.scope, None)
--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -20,12 +20,12 @@
 from gentianstair.control import upstream_orders
 from gentianstair.control import usage
 from gentianstair.generated import settings as generated
-from gentianstair.platform import budget
-from gentianstair.platform import http_store
-from gentianstair.platform import orders as platform_orders
-from gentianstair.platform import presence
-from gentianstair.platform import reports
-from gentianstair.platform import settled
+from gentianstair.store import budget
+from gentianstair.store import http_store
+from gentianstair.store import orders as platform_orders
+from gentianstair.store import presence
+from gentianstair.store import reports
+from gentianstair.store import settled
 from gentianstair.upstreams import orders_client
 from gentianstair.util import clock
 from gentianstair.util import serving
--- a/gentianstair/control/orders.py
+++ b/gentianstair/control/orders.py
@@ -14,8 +14,8 @@
 from gentianstair import verdict
 from gentianstair.control import lease
 from gentianstair.generated import messages
-from gentianstair.platform import settled
-from gentianstair.platform import store as stores
+from gentianstair.store import settled
+from gentianstair.store import store as stores
 from gentianstair.upstreams import orders_client
 from gentianstair.util import audit
 from gentianstair.util import checked_call
--- a/gentianstair/control/upstream_orders.py
+++ b/gentianstair/control/upstream_orders.py
@@ -10,9 +10,9 @@
 from gentianstair import errors
 from gentianstair.control import lease
 from gentianstair.generated import messages
-from gentianstair.platform import orders
-from gentianstair.platform import settled
-from gentianstair.platform import store as stores
+from gentianstair.store import orders
+from gentianstair.store import settled
+from gentianstair.store import store as stores
 from gentianstair.util import audit
 
 KIND = 'upstream-order'
--- a/gentianstair/control/usage.py
+++ b/gentianstair/control/usage.py
@@ -10,9 +10,9 @@
 from gentianstair.control import lease
 from gentianstair.entry import usage
 from gentianstair.generated import messages
-from gentianstair.platform import reports
-from gentianstair.platform import settled
-from gentianstair.platform import store as stores
+from gentianstair.store import reports
+from gentianstair.store import settled
+from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 from gentianstair.util import usage_rows
 
--- a/gentianstair/entry/claim_links.py
+++ b/gentianstair/entry/claim_links.py
@@ -15,9 +15,9 @@
 from gentianstair.generated import messages
 from gentianstair.generated import settings
 from gentianstair.peers import link
-from gentianstair.platform import presence
-from gentianstair.platform import settled
-from gentianstair.platform import store as stores
+from gentianstair.store import presence
+from gentianstair.store import settled
+from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
 KIND = 'claim-owner'
--- a/gentianstair/entry/claims.py
+++ b/gentianstair/entry/claims.py
@@ -14,7 +14,7 @@
 from gentianstair import errors
 from gentianstair.entry import claim_shard
 from gentianstair.generated import messages
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
 KIND = 'claim'
--- a/gentianstair/entry/exchange.py
+++ b/gentianstair/entry/exchange.py
@@ -43,10 +43,13 @@
     ) -> None:
         self.path: str = scope['path']
         self.method: str = scope['method']
+        self.raw_path: bytes = scope.get('raw_path', self.path.encode())
         self.query: bytes = scope.get('query_string', b'')
         self.raw_headers: Headers = list(scope['headers'])
         self.started = False
         self.ended = False
+        # Asked when the answer starts: whether its connection is to close.
+        self.closes: collections.abc.Callable[[], bool] | None = None
         self._receive = receive
         self._send = send
 
@@ -142,6 +145,8 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send status and headers."""
         self.started = True
+        if self.closes is not None and self.closes():
+            headers = [*headers, (b'connection', b'close')]
         await self._send(
             {
                 'type': 'http.response.start',
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -27,8 +27,8 @@
 from gentianstair.entry import waiting
 from gentianstair.generated import settings as generated
 from gentianstair.peers import node as peers
-from gentianstair.platform import budget
-from gentianstair.platform import http_store
+from gentianstair.store import budget
+from gentianstair.store import http_store
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
 from gentianstair.util import serving
--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -63,6 +63,16 @@
         self.verdict = verdict
 
 
+class TurnedAwayError(UpstreamError):
+    """Report an upstream that answered that it did not run the request.
+
+    A full one does so; it is no sign of a fault.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdicts.Verdict.NOT_RUN)
+
+
 class RequestError(GentianstairError):
     """Refuse or fail a caller's request with a problem body (RFC 9457).
 
--- /dev/null
+++ b/gentianstair/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the callers of a fixed fleet: one process on each entry VM."""
--- /dev/null
+++ b/gentianstair/gateway/cache_watch.py
@@ -0,0 +1,80 @@
+"""Hear from each model replica which parts of prompts it keeps."""
+
+import loguru
+import trio
+
+from gentianstair import errors
+from gentianstair.gateway import forward
+from gentianstair.gateway import node as nodes
+from gentianstair.gateway import replicas
+from gentianstair.platform import wire
+
+# A call waits at the replica until something changes; shorter waits are
+# counted as probes by the users.
+WAIT_S = 1.0
+GRACE_S = 0.8
+RETRY_S = 0.5
+# Pause between calls, so that a busy replica's changes come in one answer.
+GATHER_S = 0.2
+LOOK_S = 0.5
+
+
+async def run(node: nodes.Node) -> None:
+    """Follow the caches of all model replicas, until cancelled."""
+    following: dict[str, trio.CancelScope] = {}
+    async with trio.open_nursery() as nursery:
+        while True:
+            wanted = {
+                (replica.name, replica.born_ms): replica
+                for replica in node.registry.all()
+                if replica.stage
+            }
+            names = {f'{name}/{born}': r for (name, born), r in wanted.items()}
+            for key in set(following) - set(names):
+                following.pop(key).cancel()
+                node.cache.forget(key.partition('/')[0])
+            for key in set(names) - set(following):
+                following[key] = trio.CancelScope()
+                nursery.start_soon(_follow, node, names[key], following[key])
+            await trio.sleep(LOOK_S)
+
+
+async def _follow(
+    node: nodes.Node, replica: replicas.Replica, scope: trio.CancelScope
+) -> None:
+    since = 0
+    epoch: str | None = None
+    with scope:
+        while True:
+            try:
+                changes = await _ask(node, replica, since)
+            except (errors.UpstreamError, errors.DecodeError) as error:
+                loguru.logger.bind(
+                    event='cache-watch-failed', replica=replica.name
+                ).debug('{}', error)
+                await trio.sleep(RETRY_S)
+                continue
+            if epoch is not None and changes.epoch != epoch:
+                node.cache.forget(replica.name)
+            epoch, since = changes.epoch, changes.next
+            for change in changes.changes:
+                node.cache.set(replica.name, change.part, change.tokens)
+            await trio.sleep(GATHER_S)
+
+
+async def _ask(
+    node: nodes.Node, replica: replicas.Replica, since: int
+) -> wire.CacheChanges:
+    request = wire.cache_events_request(
+        replica.address, since, WAIT_S, forward.CONNECT_S
+    )
+    with trio.move_on_after(WAIT_S + GRACE_S):
+        response = await node.transport.handle_async_request(request)
+        try:
+            body = await forward.read_body(response)
+        finally:
+            await response.stream.aclose()
+        if response.status_code != 200:
+            raise errors.DecodeError(f'status {response.status_code}')
+        return wire.decode_cache_events(body)
+    raise errors.DecodeError('no answer in time')
--- /dev/null
+++ b/gentianstair/gateway/following.py
@@ -0,0 +1,157 @@
+"""Follow the store: the configuration and the replicas' entries."""
+
+import collections.abc
+import typing
+
+import loguru
+import trio
+
+from gentianstair import errors
+from gentianstair.gateway import catalog
+from gentianstair.gateway import replicas
+from gentianstair.store import store as stores
+from gentianstair.util import clock as clocks
+
+# A watch waits at the store for this long when nothing changes; its
+# connection may go silent for good, so this bounds how late that shows.
+WATCH_S = 1.5
+# Pause after a failed call. The store may be down for seconds, and all VMs
+# come back at once.
+RETRY_S = 0.25
+# Replicas beat every second or so and each beat is an event; the changes of
+# this long are fetched with one call. It is far below the time within which
+# a leaving replica must get no more work.
+GATHER_S = 0.6
+
+
+class Source(typing.NamedTuple):
+    """One kind of object to follow, and what to do with it."""
+
+    kind: str
+    # Takes all objects; the flag says that the store was away before.
+    replace: collections.abc.Callable[[list[stores.StoredObject], bool], None]
+    change: collections.abc.Callable[[stores.StoredObject], None]
+    gather_s: float
+
+
+class Touch:
+    """When the store last answered; dependents look at its age."""
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._at_s = clock()
+        self._lost_s: float | None = None
+
+    @property
+    def age_s(self) -> float:
+        """Return how long ago the store last answered."""
+        return self._clock() - self._at_s
+
+    def answered(self) -> None:
+        """Note an answer; tell if the store is back."""
+        now_s = self._clock()
+        if self._lost_s is not None:
+            loguru.logger.bind(
+                event='store-back', away_s=round(now_s - self._lost_s, 2)
+            ).info('the store answers again')
+            self._lost_s = None
+        self._at_s = now_s
+
+    def failed(self, error: errors.StoreError) -> None:
+        """Note a failed call; tell if it is the first."""
+        if self._lost_s is None:
+            self._lost_s = self._at_s
+            loguru.logger.bind(event='store-lost', why=str(error)[:200]).info(
+                'the store does not answer'
+            )
+
+
+async def follow(store: stores.Store, source: Source, touch: Touch) -> None:
+    """Keep what source describes up to date, until cancelled.
+
+    Changes are taken by watches. When the store has dropped the history
+    asked for, or a call failed, a whole listing is read again, and no
+    answer older than the newest seen is taken.
+    """
+    revision: int | None = None
+    highest = 0
+    away = False
+    while True:
+        try:
+            if revision is None:
+                listing = await store.list(source.kind, purpose='follow')
+                if listing.revision < highest:
+                    # A read from the past would undo what is known.
+                    await trio.sleep(RETRY_S)
+                    continue
+                source.replace(listing.objects, away)
+                away = False
+            else:
+                listing = await store.watch(
+                    [source.kind], revision, WATCH_S, purpose='follow'
+                )
+                for item in listing.objects:
+                    source.change(item)
+            touch.answered()
+            revision = max(highest, listing.revision)
+            highest = revision
+            await trio.sleep(source.gather_s)
+        except errors.WatchTooOldError:
+            revision = None
+        except errors.StoreError as error:
+            touch.failed(error)
+            # What lapsed meanwhile is told by events, but whether an entry
+            # lapsed because of the outage only a listing shows.
+            revision = None
+            away = True
+            await trio.sleep(RETRY_S)
+
+
+def config_source(
+    decode: collections.abc.Callable[[typing.Any], catalog.Catalog],
+    name: str,
+    kind: str,
+    take: collections.abc.Callable[[catalog.Catalog], None],
+) -> Source:
+    """Return the source of the configuration object called name."""
+
+    def change(item: stores.StoredObject) -> None:
+        if item.name != name or item.value is None:
+            return
+        try:
+            take(decode(item.value))
+        except errors.DecodeError as error:
+            # The version before stays in force.
+            loguru.logger.bind(event='config-unreadable').error('{}', error)
+
+    def replace(items: list[stores.StoredObject], _: bool) -> None:
+        for item in items:
+            change(item)
+
+    return Source(kind, replace, change, 0.0)
+
+
+def replica_source(
+    decode: collections.abc.Callable[
+        [stores.StoredObject], replicas.Replica | None
+    ],
+    kind: str,
+    registry: replicas.Registry,
+) -> Source:
+    """Return the source of the replicas' entries."""
+
+    def change(item: stores.StoredObject) -> None:
+        if item.value is None:
+            registry.remove(item.name)
+            return
+        replica = decode(item)
+        if replica is None:
+            registry.remove(item.name)
+        else:
+            registry.put(replica)
+
+    def replace(items: list[stores.StoredObject], away: bool) -> None:
+        found = [decode(item) for item in items if item.value is not None]
+        registry.replace([r for r in found if r is not None], away)
+
+    return Source(kind, replace, change, GATHER_S)
--- /dev/null
+++ b/gentianstair/gateway/forward.py
@@ -0,0 +1,97 @@
+"""Send a call to one replica and read what it answers."""
+
+import collections.abc
+import contextlib
+import typing
+
+import httpx
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.gateway import calls
+from gentianstair.gateway import node as nodes
+from gentianstair.platform import wire
+
+# A replica accepts within milliseconds; one that has lost power or lies
+# behind a cut does not answer at all, and the request can go elsewhere.
+CONNECT_S = 0.5
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class Answer(typing.NamedTuple):
+    """A whole answer of a replica, as it goes on to the caller."""
+
+    status: int
+    headers: calls.Headers
+    body: bytes
+    verdict: verdicts.Verdict
+
+
+def ejector_key(service: str, replica: str) -> str:
+    """Return the name under which tries at a replica are judged."""
+    return f'{service}/{replica}'
+
+
+@contextlib.asynccontextmanager
+async def open_answer(
+    node: nodes.Node, call: calls.Call, sending: calls.Sending
+) -> collections.abc.AsyncIterator[httpx.Response]:
+    """Yield the answer at its headers; leaving early cancels the work.
+
+    Raise UpstreamError with what is known of the request's effect.
+    """
+    outgoing = wire.encode_sending(call, sending, CONNECT_S)
+    response = await node.transport.handle_async_request(outgoing)
+    try:
+        yield response
+    finally:
+        with trio.CancelScope(shield=True):
+            await response.stream.aclose()
+
+
+async def read_body(response: httpx.Response) -> bytes:
+    """Return a whole body; raise UpstreamError if it does not come whole."""
+    parts = []
+    size = 0
+    async for part in response.stream:
+        parts.append(part)
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise errors.UpstreamError(
+                'the answer is too long', verdicts.Verdict.RAN
+            )
+    return b''.join(parts)
+
+
+async def read_answer(response: httpx.Response) -> Answer:
+    """Return an answer with its body."""
+    body = await read_body(response)
+    return Answer(
+        response.status_code,
+        wire.answer_headers(response),
+        body,
+        wire.verdict_of(response),
+    )
+
+
+async def ask(
+    node: nodes.Node, call: calls.Call, sending: calls.Sending
+) -> Answer:
+    """Send a call and return its whole answer; raise UpstreamError."""
+    async with open_answer(node, call, sending) as response:
+        return await read_answer(response)
+
+
+async def release_kv(
+    node: nodes.Node, replica: str, source: calls.KvSource
+) -> None:
+    """Free a KV cache that nobody will take; it frees itself in the end."""
+    request = wire.release_kv_request(replica, source, CONNECT_S)
+    with trio.move_on_after(CONNECT_S * 2):
+        with contextlib.suppress(errors.UpstreamError):
+            response = await node.transport.handle_async_request(request)
+            try:
+                await read_body(response)
+            finally:
+                await response.stream.aclose()
--- /dev/null
+++ b/gentianstair/gateway/handler.py
@@ -0,0 +1,258 @@
+"""Serve one caller's request: from its headers to the end of the answer."""
+
+import collections.abc
+
+import loguru
+import prometheus_client
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.entry import exchange as exchanges
+from gentianstair.gateway import calls
+from gentianstair.gateway import catalog
+from gentianstair.gateway import forward
+from gentianstair.gateway import node as nodes
+from gentianstair.gateway import plain
+from gentianstair.gateway import streaming
+from gentianstair.gateway import task as tasks
+from gentianstair.platform import wire
+
+# Told by a process that has no configuration yet: it reads one as soon as
+# the store or a peer answers.
+NO_CATALOG_RETRY_S = 0.7
+# An answer that the deadline ends must still reach its caller in time.
+ANSWER_S = 0.05
+HTTP_CALLER_GONE = 499
+
+REQUESTS = prometheus_client.Counter(
+    'gentianstair_gateway_requests',
+    'Requests of callers by their answer',
+    ['status', 'verdict'],
+)
+RUNNING = prometheus_client.Gauge(
+    'gentianstair_gateway_requests_running', 'Requests being served'
+)
+DURATION_S = prometheus_client.Histogram(
+    'gentianstair_gateway_request_duration_seconds',
+    'Time from a request to the end of its answer',
+)
+
+
+class Handler:
+    """Serve one request, written down from start to end."""
+
+    def __init__(self, node: nodes.Node, exchange: exchanges.Exchange):
+        self._node = node
+        self._exchange = exchange
+        # At a planned stop callers are told not to come back on it.
+        exchange.closes = node.leaving.is_set
+        self._arrived_s = node.clock()
+        self._call: calls.Call | None = None
+        self._task: tasks.Task | None = None
+        self._status = 0
+
+    async def serve(self) -> None:
+        """Serve the request; every failure ends in a final answer."""
+        RUNNING.inc()
+        try:
+            await self._serve()
+        except errors.RequestError as error:
+            await self._fail(error)
+        except exchanges.CallerGoneError:
+            self._status = HTTP_CALLER_GONE
+            if self._exchange.started:
+                # The server closes a connection whose answer is not ended.
+                raise
+        finally:
+            RUNNING.dec()
+            self._account()
+
+    def _account(self) -> None:
+        took_s = self._node.clock() - self._arrived_s
+        DURATION_S.observe(took_s)
+        task = self._task
+        verdict = task.verdict.name if task else 'NOT_RUN'
+        REQUESTS.labels(str(self._status), verdict).inc()
+        loguru.logger.bind(
+            event='answer',
+            request_id=self._call.request_id if self._call else '',
+            customer=task.customer_name if task else None,
+            route=task.route.name if task else None,
+            status=self._status,
+            verdict=verdict,
+            sent=task.sent if task else 0,
+            took_s=round(took_s, 3),
+        ).info('answered {}', self._status)
+
+    async def _fail(self, error: errors.RequestError) -> None:
+        self._status = error.status
+        exchange = self._exchange
+        if exchange.ended:
+            return
+        if exchange.started:
+            # An answer that is cut must not look complete.
+            raise exchanges.CallerGoneError(f'cut: {error.detail}')
+        call = self._call
+        headers = wire.refusal_headers(
+            call.request_id if call else '', error.retry_after_s
+        )
+        loguru.logger.bind(
+            event='refusal',
+            request_id=call.request_id if call else '',
+            status=error.status,
+            kind=error.kind,
+            verdict=error.verdict.name,
+            retry_after_s=error.retry_after_s,
+        ).info('refused: {}', error.detail)
+        await self._answer(error.status, headers, b'')
+
+    async def _answer(
+        self, status: int, headers: calls.Headers, body: bytes
+    ) -> None:
+        self._status = status
+        headers = [*headers, (b'content-length', b'%d' % len(body))]
+        await self._exchange.start(status, headers)
+        await self._exchange.end(body)
+
+    async def _serve(self) -> None:
+        node, exchange = self._node, self._exchange
+        call = self._call = wire.decode_call(
+            exchange.method,
+            exchange.raw_path,
+            exchange.query,
+            exchange.raw_headers,
+        )
+        limits = node.force.catalog.limits if node.force.catalog else (
+            catalog.Limits()
+        )
+        # Read before any answer: a connection whose request was not read
+        # to its end can't be used again, and its caller would not know.
+        body = await exchange.read_body(
+            limits.body_bytes, call.patience_s or limits.idle_s
+        )
+        found = node.force.catalog
+        if found is None:
+            raise errors.RequestError(
+                503,
+                'no-configuration',
+                'this VM has no configuration yet',
+                retry_after_s=NO_CATALOG_RETRY_S,
+            )
+        route = found.route(call.host, call.path)
+        if route is None:
+            raise errors.RequestError(404, 'no-route', 'no such route')
+        customer = self._customer(found, route, call)
+        task = self._task = self._make_task(call, body, route, customer)
+        node.repeats.request(task.service)
+        await self._until_gone(task, found.services.get(task.service))
+
+    def _customer(
+        self, found: catalog.Catalog, route: catalog.Route, call: calls.Call
+    ) -> catalog.Customer | None:
+        customer = found.customers.get(call.key) if call.key else None
+        if customer is None and found.keyed and not route.public:
+            raise errors.RequestError(401, 'unknown-key', 'unknown key')
+        return customer
+
+    def _make_task(
+        self,
+        call: calls.Call,
+        body: bytes,
+        route: catalog.Route,
+        customer: catalog.Customer | None,
+    ) -> tasks.Task:
+        limit_s = route.timeout_s
+        if call.patience_s is not None:
+            limit_s = min(limit_s, call.patience_s)
+        return tasks.Task(
+            self._node,
+            self._exchange,
+            call,
+            body,
+            route,
+            catalog.pick_service(route, call.request_id),
+            customer,
+            self._arrived_s + limit_s - ANSWER_S,
+        )
+
+    async def _until_gone(
+        self, task: tasks.Task, service: catalog.Service | None
+    ) -> None:
+        """Serve until done, the caller leaves or its deadline passes."""
+        gone = False
+        failure: Exception | None = None
+
+        async def watch(scope: trio.CancelScope) -> None:
+            nonlocal gone
+            await self._exchange.wait_gone()
+            if not self._exchange.ended:
+                gone = True
+                scope.cancel()
+
+        with trio.move_on_after(task.left_s()) as late:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch, nursery.cancel_scope)
+                try:
+                    await self._run(task, service)
+                except (errors.RequestError, exchanges.CallerGoneError) as e:
+                    # Raised out of the nursery it would come in a group.
+                    failure = e
+                nursery.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        if gone and not self._exchange.ended:
+            raise exchanges.CallerGoneError('the caller hung up')
+        if late.cancelled_caught:
+            raise self._late(task)
+
+    def _late(self, task: tasks.Task) -> errors.RequestError:
+        """Return the error at the deadline; what was sent may have run."""
+        if task.sent:
+            task.note(verdicts.Verdict.MAY_HAVE_RUN)
+        if task.verdict is verdicts.Verdict.NOT_RUN:
+            return task.give_up()
+        return errors.RequestError(
+            504, 'deadline-passed', 'no answer in time', task.verdict
+        )
+
+    async def _run(
+        self, task: tasks.Task, service: catalog.Service | None
+    ) -> None:
+        answer: forward.Answer | None
+        if task.route.kind is catalog.CallKind.STREAM:
+            engine = service.engine if service else None
+            answer = await streaming.Streaming(task, engine).serve()
+        else:
+            answer = await plain.serve(task)
+        if answer is None:
+            self._status = 200
+            return
+        await self._answer(answer.status, answer.headers, answer.body)
+
+
+def make_app(
+    node: nodes.Node,
+) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
+    """Return the application that callers meet."""
+
+    async def app(scope, receive, send) -> None:
+        if scope['type'] != 'http':
+            # The server's own start and stop; a websocket is not served.
+            await _pass_lifespan(scope, receive, send)
+            return
+        exchange = exchanges.Exchange(scope, receive, send)
+        await Handler(node, exchange).serve()
+
+    return app
+
+
+async def _pass_lifespan(scope, receive, send) -> None:
+    if scope['type'] != 'lifespan':
+        await send({'type': 'websocket.close'})
+        return
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
--- /dev/null
+++ b/gentianstair/gateway/main.py
@@ -0,0 +1,236 @@
+"""Run the program gentianstair-gateway: one process on each entry VM."""
+
+import functools
+import random
+import sys
+import time
+import typing
+
+import loguru
+import trio
+
+from gentianstair import errors
+from gentianstair.control import lease
+from gentianstair.entry import ejection
+from gentianstair.gateway import cache_watch
+from gentianstair.gateway import deployment
+from gentianstair.gateway import duties
+from gentianstair.gateway import following
+from gentianstair.gateway import handler
+from gentianstair.gateway import loads
+from gentianstair.gateway import members as memberships
+from gentianstair.gateway import node as nodes
+from gentianstair.gateway import placement
+from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import ready
+from gentianstair.gateway import repeats
+from gentianstair.gateway import replicas
+from gentianstair.gateway import speeds
+from gentianstair.gateway import usage
+from gentianstair.platform import cloud
+from gentianstair.platform import configuration
+from gentianstair.platform import objects
+from gentianstair.platform import registry
+from gentianstair.platform import settings
+from gentianstair.store import settled
+from gentianstair.upstreams import transport
+from gentianstair.util import clock
+from gentianstair.util import logs
+from gentianstair.util import serving
+
+# The balancer asks each second and needs two refusals; until then it sends
+# new connections here.
+LEAVE_S = 2.6
+# Left of the grace for the last writes.
+LAST_WRITES_S = 1.0
+# Connections to replicas are kept for less than any of them keeps an idle
+# one that it says nothing about.
+REPLICA_IDLE_S = 1.0
+READY_GRACE_S = 0.1
+
+
+class Process(typing.NamedTuple):
+    """The parts of one process, none of them running yet."""
+
+    node: nodes.Node
+    members: memberships.Members
+    leases: lease.Leases
+    reporter: duties.UsageReporter
+    touch: following.Touch
+
+
+def make_process(
+    found: deployment.Deployment, nursery: trio.Nursery
+) -> Process:
+    """Return the parts of a process for a deployment."""
+    now = clock.boottime_s
+    store = objects.connect(found.store_address)
+    bounds = found.bounds
+    counts = usage.Counts(time.time, bounds.usage_window_s)
+    name = f'{found.vm}.{settled.new_nonce()}'
+    record = memberships.Record(
+        vm=found.vm,
+        failure_domain=found.failure_domain,
+        peer_address=f'{found.ip}:{found.peer_port}',
+        beat=0,
+        windows={},
+    )
+    members = memberships.Members(
+        store, name, record, counts, now, found.store_writes_per_s
+    )
+    node = _make_node(found, store, counts, members, nursery)
+    leases = lease.make_leases(
+        store, name, now, duties.lease_terms(bounds.lease_s)
+    )
+    reporter = duties.UsageReporter(
+        store,
+        members,
+        cloud.Cloud(found.duties_address, found.vm),
+        counts,
+        duties.Terms(bounds.usage_window_s, bounds.usage_late_s),
+        time.time,
+    )
+    return Process(node, members, leases, reporter, following.Touch(now))
+
+
+def _make_node(
+    found: deployment.Deployment,
+    store: objects.ObjectStore,
+    counts: usage.Counts,
+    members: memberships.Members,
+    nursery: trio.Nursery,
+) -> nodes.Node:
+    now = clock.boottime_s
+    bounds = found.bounds
+    work = loads.Loads(now)
+    cache = prefix_cache.PrefixCache()
+    read_speeds = speeds.ReadSpeeds()
+    return nodes.Node(
+        deployment=found,
+        clock=now,
+        force=nodes.Force(),
+        registry=replicas.Registry(now),
+        work=work,
+        cache=cache,
+        read_speeds=read_speeds,
+        placement=placement.Placement(
+            found.failure_domain,
+            work,
+            cache,
+            read_speeds,
+            random.Random(found.vm),
+        ),
+        repeats=repeats.Repeats(
+            repeats.Terms(
+                bounds.repeat_ratio,
+                bounds.repeat_allowance,
+                bounds.repeat_window_s,
+            ),
+            now,
+            members.count,
+        ),
+        ejector=ejection.Ejector(),
+        transport=transport.make_transport(idle_s=REPLICA_IDLE_S),
+        store=store,
+        usage=counts,
+        leaving=trio.Event(),
+        nursery=nursery,
+    )
+
+
+def _sources(process: Process) -> list[following.Source]:
+    node = process.node
+
+    def take(found) -> None:
+        if node.force.take(found):
+            loguru.logger.bind(event='config', version=found.version).info(
+                'configuration {} is in force', found.version
+            )
+
+    return [
+        following.config_source(
+            configuration.decode, configuration.NAME, configuration.KIND, take
+        ),
+        following.replica_source(
+            registry.decode, registry.KIND, node.registry
+        ),
+    ]
+
+
+async def _hold_duties(process: Process) -> None:
+    """Compete for the lease, and do the duties while it is held."""
+    found = process.node.deployment
+    if not found.whole_system_starts:
+        # The process before this one may have held the lease a moment ago;
+        # to take it right after another would be taking turns.
+        await trio.sleep(duties.lease_terms(found.bounds.lease_s).rest_s)
+    scopes = {duties.SCOPE: process.reporter.run}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(process.leases.run, lambda: scopes)
+        while True:
+            alive = [member.name for member in process.members.alive()]
+            process.leases.candidates = tuple(sorted(alive)) or (
+                process.members.name,
+            )
+            await trio.sleep(duties.LOOK_S)
+
+
+async def _leave(node: nodes.Node) -> None:
+    """Return when callers have been told to go elsewhere."""
+    await serving.wait_for_stop()
+    loguru.logger.bind(event='stopping').info('stopping')
+    node.leaving.set()
+    await trio.sleep(LEAVE_S)
+
+
+async def run(found: deployment.Deployment) -> None:
+    """Serve until stopped, then let running requests end."""
+    callers = serving.listen(found.callers_address)
+    ready_sock = serving.listen(found.ready_address)
+    async with trio.open_nursery() as nursery:
+        process = make_process(found, nursery)
+        node = process.node
+        nursery.start_soon(
+            functools.partial(
+                serving.serve,
+                ready.make_app(node),
+                ready_sock,
+                ready.never,
+                READY_GRACE_S,
+            )
+        )
+        for source in _sources(process):
+            nursery.start_soon(
+                following.follow, node.store, source, process.touch
+            )
+        nursery.start_soon(process.members.run)
+        nursery.start_soon(cache_watch.run, node)
+        async with trio.open_nursery() as duty_nursery:
+            duty_nursery.start_soon(_hold_duties, process)
+            loguru.logger.bind(event='started').info('serving')
+            await serving.serve(
+                handler.make_app(node),
+                callers,
+                functools.partial(_leave, node),
+                found.bounds.grace_s - LEAVE_S - LAST_WRITES_S,
+            )
+            duty_nursery.cancel_scope.cancel()
+        with trio.move_on_after(LAST_WRITES_S / 2):
+            await process.members.beat()
+        loguru.logger.bind(event='stopped').info('stopped')
+        nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Read settings and run; a bad setting is told in one line."""
+    try:
+        found = settings.read(settings.path())
+        logs.setup('INFO', found.vm, found.failure_domain, sys.stdout)
+        trio.run(run, found)
+    except errors.UserError as error:
+        print(error, file=sys.stderr)
+        sys.exit(1)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/gentianstair/gateway/members.py
@@ -0,0 +1,198 @@
+"""Show this process to the others in the store, and see them there.
+
+Each process writes one object: that it lives, where its peers find it, and
+its usage counts. It stays for a while after the process is gone, so that
+what the process counted is still reported.
+"""
+
+import typing
+
+import loguru
+import msgspec
+import trio
+
+from gentianstair import errors
+from gentianstair.gateway import usage
+from gentianstair.store import store as stores
+from gentianstair.util import clock as clocks
+
+KIND = 'gateway-process'
+PURPOSE = 'members'
+# How often a process writes its object: what it counted since is lost when
+# it is killed, and one call a second each is a small part of the store's
+# rate for tens of VMs.
+BEAT_S = 1.0
+# Share of the store's write rate that all beats together may take.
+BEATS_SHARE = 0.25
+# Beats missed after which a process counts as gone.
+MISSED_BEATS = 3.0
+# A process that was never seen again is forgotten after this long; its
+# counts are reported by then.
+FORGET_S = 60.0
+# Assumed while nobody is known: too many rather than too few, as each takes
+# an even part of what all may do.
+UNKNOWN_MEMBERS = 16
+
+
+class Record(msgspec.Struct):
+    """What a process writes of itself."""
+
+    vm: str
+    failure_domain: str
+    # HOST:PORT of its links to peers.
+    peer_address: str
+    beat: int
+    # Requests that began to run, by window and customer.
+    windows: dict[str, dict[str, int]]
+
+
+class Member(typing.NamedTuple):
+    """A process as it was last seen."""
+
+    name: str
+    record: Record
+    version: int
+    since_s: float
+
+
+def counts_of(record: Record) -> usage.Windows:
+    """Return the usage counts in a record."""
+    return {int(window): found for window, found in record.windows.items()}
+
+
+def decode(value: typing.Any) -> Record | None:
+    """Return the record in an object, or None if it can't be read."""
+    try:
+        return msgspec.convert(value, Record)
+    except (msgspec.ValidationError, TypeError) as error:
+        loguru.logger.bind(event='member-unreadable').warning('{}', error)
+        return None
+
+
+class Members:
+    """The processes that are there, and this one's own object."""
+
+    def __init__(
+        self,
+        store: stores.Store,
+        name: str,
+        record: Record,
+        counts: usage.Counts,
+        clock: clocks.Clock,
+        writes_per_s: float,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._record = record
+        self._counts = counts
+        self._clock = clock
+        self._writes_per_s = writes_per_s
+        self._version = 0
+        self._seen: dict[str, Member] = {}
+
+    @property
+    def name(self) -> str:
+        """Return this process's name, new at each start."""
+        return self._name
+
+    @property
+    def beat_s(self) -> float:
+        """Return the pause between beats, longer in a large fleet."""
+        found = len(self._seen)
+        return max(BEAT_S, found / (BEATS_SHARE * self._writes_per_s))
+
+    def alive(self) -> list[Member]:
+        """Return the processes seen lately, this one among them."""
+        oldest_s = self._clock() - MISSED_BEATS * self.beat_s
+        return [m for m in self._seen.values() if m.since_s >= oldest_s]
+
+    def count(self) -> int:
+        """Return how many there are, if that is known."""
+        if not self._seen:
+            return UNKNOWN_MEMBERS
+        return max(1, len(self.alive()))
+
+    async def run(self) -> None:
+        """Beat and look until cancelled."""
+        while True:
+            started_s = self._clock()
+            await self.beat()
+            await self._look()
+            spent_s = self._clock() - started_s
+            await trio.sleep(max(0.1, self.beat_s - spent_s))
+
+    async def beat(self) -> bool:
+        """Write this process's object; say whether it is there now."""
+        self._record.beat += 1
+        self._record.windows = {
+            str(window): found
+            for window, found in self._counts.windows().items()
+        }
+        try:
+            self._version = await self._store.put(
+                KIND,
+                self._name,
+                msgspec.to_builtins(self._record),
+                self._version,
+                purpose=PURPOSE,
+            )
+            return True
+        except errors.StoreConflictError as error:
+            # A write whose answer was lost took effect after all. Only this
+            # process writes under its name.
+            self._version = error.current_version
+        except errors.StoreUnknownError:
+            await self._read_back()
+        except errors.StoreError as error:
+            loguru.logger.bind(event='beat-failed').debug('{}', error)
+        return False
+
+    async def _read_back(self) -> None:
+        try:
+            item = await self._store.get(KIND, self._name, purpose=PURPOSE)
+        except errors.StoreError as error:
+            loguru.logger.bind(event='beat-failed').debug('{}', error)
+            return
+        self._version = item.version
+
+    async def records(self) -> list[Record]:
+        """Return all records as the store has them; raise StoreError."""
+        return [member.record for member in await self._list()]
+
+    async def _list(self) -> list[Member]:
+        listing = await self._store.list(KIND, purpose=PURPOSE)
+        now_s = self._clock()
+        found = []
+        for item in listing.objects:
+            record = decode(item.value)
+            if record is None:
+                continue
+            known = self._seen.get(item.name)
+            since_s = now_s
+            if known is not None and known.version == item.version:
+                since_s = known.since_s
+            found.append(Member(item.name, record, item.version, since_s))
+        return found
+
+    async def _look(self) -> None:
+        try:
+            found = await self._list()
+        except errors.StoreError as error:
+            loguru.logger.bind(event='look-failed').debug('{}', error)
+            return
+        gone = set(self._seen) - {member.name for member in found}
+        new = {member.name for member in found} - set(self._seen)
+        if gone or new:
+            loguru.logger.bind(
+                event='members', new=sorted(new), gone=sorted(gone)
+            ).info('{} processes are known', len(found))
+        self._seen = {member.name: member for member in found}
+
+    async def forget_old(self) -> None:
+        """Delete objects of processes gone for long; raise StoreError."""
+        oldest_s = self._clock() - FORGET_S
+        for member in list(self._seen.values()):
+            if member.since_s < oldest_s:
+                await self._store.delete(
+                    KIND, member.name, member.version, purpose=PURPOSE
+                )
--- /dev/null
+++ b/gentianstair/gateway/node.py
@@ -0,0 +1,55 @@
+"""Hold the parts of one gateway process that its tasks share."""
+
+import typing
+
+import trio
+
+from gentianstair.entry import ejection
+from gentianstair.gateway import catalog
+from gentianstair.gateway import deployment
+from gentianstair.gateway import loads
+from gentianstair.gateway import placement
+from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import repeats
+from gentianstair.gateway import replicas
+from gentianstair.gateway import speeds
+from gentianstair.gateway import usage
+from gentianstair.store import store as stores
+from gentianstair.upstreams import transport as transports
+from gentianstair.util import clock as clocks
+
+
+class Force:
+    """The configuration in force; it only ever gets newer."""
+
+    def __init__(self) -> None:
+        self.catalog: catalog.Catalog | None = None
+
+    def take(self, found: catalog.Catalog) -> bool:
+        """Put a catalog in force; say whether it is newer."""
+        if self.catalog and found.version <= self.catalog.version:
+            return False
+        self.catalog = found
+        return True
+
+
+class Node(typing.NamedTuple):
+    """What the tasks of a process work with."""
+
+    deployment: deployment.Deployment
+    clock: clocks.Clock
+    force: Force
+    registry: replicas.Registry
+    work: loads.Loads
+    cache: prefix_cache.PrefixCache
+    read_speeds: speeds.ReadSpeeds
+    placement: placement.Placement
+    repeats: repeats.Repeats
+    ejector: ejection.Ejector
+    transport: transports.Transport
+    store: stores.Store
+    usage: usage.Counts
+    # Set at a planned stop: answers close their connections.
+    leaving: trio.Event
+    # Runs what must outlive a request, such as freeing a KV cache.
+    nursery: trio.Nursery
--- /dev/null
+++ b/gentianstair/gateway/placement.py
@@ -0,0 +1,179 @@
+"""Choose the replicas of a request by what it costs to serve it there.
+
+Plain calls go to the replica with the least work. A prompt is read where its
+shared parts lie in memory, unless the wait there is longer than reading them
+anew elsewhere; it is read either by a replica that only reads, and its KV
+cache then moved, or by the replica that makes the output.
+"""
+
+import random
+import typing
+
+from gentianstair.gateway import calls
+from gentianstair.gateway import catalog
+from gentianstair.gateway import loads
+from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import replicas
+from gentianstair.gateway import speeds
+
+READS = 'prefill'
+# What a move of KV costs besides its bytes, in seconds: setting it up and
+# one more exchange with a replica.
+MOVE_SETUP_S = 0.015
+# Seconds of waiting that are as bad as sending a byte to another failure
+# domain: bytes between domains are dear, and a request of 17 KB sent across
+# costs about as much as 80 ms more wait for it and for those behind it.
+FAR_S_PER_BYTE = 0.08 / 17000
+# A replica that makes output serves each stream more slowly the more there
+# are, by some hundredth of a second until its slots are full.
+RUNNING_S = 0.01
+FULL_S = 0.25
+# Prompts that are read beside running streams hold those up.
+INTERFERENCE = 0.5
+# Differences below this are decided by chance, so that VMs which know the
+# same do not all choose the same replica.
+TIE_S = 0.004
+
+
+class Plan(typing.NamedTuple):
+    """Where a prompt is read and its output made."""
+
+    maker: replicas.Replica
+    # None if the maker reads the prompt itself.
+    reader: replicas.Replica | None
+    unread_tokens: int
+    # Time to the first event that is to be expected.
+    expected_s: float
+
+
+class _Candidate(typing.NamedTuple):
+    replica: replicas.Replica
+    unread_tokens: int
+    # Time to the end of the read, and what it costs besides.
+    read_s: float
+    cost_s: float
+
+
+class Placement:
+    """Choose replicas from what this VM knows of them."""
+
+    def __init__(
+        self,
+        failure_domain: str,
+        work: loads.Loads,
+        cache: prefix_cache.PrefixCache,
+        read_speeds: speeds.ReadSpeeds,
+        chance: random.Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._work = work
+        self._cache = cache
+        self._speeds = read_speeds
+        self._random = chance
+
+    def plain(
+        self, found: list[replicas.Replica]
+    ) -> replicas.Replica | None:
+        """Return the replica of a plain service with the least work."""
+        best = None
+        for replica in found:
+            running = self._work.at(replica.name).running
+            near = replica.failure_domain == self._failure_domain
+            share = (running + (0 if near else 0.5)) / max(1, replica.slots)
+            rank = (share, self._random.random())
+            if best is None or rank < best[0]:
+                best = (rank, replica)
+        return best[1] if best else None
+
+    def stream(
+        self,
+        found: list[replicas.Replica],
+        prompt: calls.Prompt,
+        engine: catalog.Engine,
+        body_bytes: int,
+    ) -> Plan | None:
+        """Return where to read a prompt and make its output."""
+        makers = [r for r in found if r.stage != READS]
+        readers = [r for r in found if r.stage == READS]
+        if not makers:
+            return None
+        direct = [self._reading(r, prompt, body_bytes) for r in makers]
+        pressed = {c.replica.name: self._pressure_s(c.replica) for c in direct}
+        options = [
+            Plan(c.replica, None, c.unread_tokens, c.read_s)
+            for c in direct
+        ]
+        costs = [
+            c.read_s
+            + c.cost_s
+            + pressed[c.replica.name]
+            + self._interference_s(c)
+            for c in direct
+        ]
+        if readers:
+            moved_s = MOVE_SETUP_S + move_s(prompt.tokens, engine)
+            read = self._least(
+                [self._reading(r, prompt, body_bytes) for r in readers]
+            )
+            maker = min(
+                direct, key=lambda c: pressed[c.replica.name] + c.cost_s
+            )
+            options.append(
+                Plan(
+                    maker.replica,
+                    read.replica,
+                    read.unread_tokens,
+                    read.read_s + moved_s,
+                )
+            )
+            costs.append(
+                read.read_s
+                + read.cost_s
+                + moved_s
+                + maker.cost_s
+                + pressed[maker.replica.name]
+            )
+        ties = [self._random.uniform(0, TIE_S) for _ in costs]
+        ranked = [cost + tie for cost, tie in zip(costs, ties, strict=True)]
+        return options[ranked.index(min(ranked))]
+
+    def _reading(
+        self, replica: replicas.Replica, prompt: calls.Prompt, body_bytes: int
+    ) -> _Candidate:
+        unread = self._cache.unread_tokens(replica.name, prompt)
+        speed = self._speeds.get(replica.service, replica.stage)
+        before = self._work.at(replica.name).unread_tokens
+        far = replica.failure_domain != self._failure_domain
+        return _Candidate(
+            replica,
+            unread,
+            (before + unread) / speed,
+            FAR_S_PER_BYTE * body_bytes if far else 0.0,
+        )
+
+    def _least(self, found: list[_Candidate]) -> _Candidate:
+        return min(
+            found,
+            key=lambda c: (
+                c.read_s + c.cost_s + self._random.uniform(0, TIE_S)
+            ),
+        )
+
+    def _pressure_s(self, replica: replicas.Replica) -> float:
+        running = self._work.at(replica.name).running
+        over = max(0, running - replica.slots * 0.9)
+        return RUNNING_S * running + FULL_S * over
+
+    def _interference_s(self, candidate: _Candidate) -> float:
+        running = self._work.at(candidate.replica.name).running
+        speed = self._speeds.get(
+            candidate.replica.service, candidate.replica.stage
+        )
+        busy = min(1.0, running / 8)
+        return INTERFERENCE * busy * candidate.unread_tokens / speed
+
+
+def move_s(tokens: int, engine: catalog.Engine) -> float:
+    """Return how long the KV cache of some tokens takes over a link."""
+    bits = tokens * engine.kv_token_bytes * 8
+    return bits / (engine.link_mbps * 1e6)
--- /dev/null
+++ b/gentianstair/gateway/repeats.py
@@ -0,0 +1,81 @@
+"""Keep the fleet's repeats at a service within what the users allow.
+
+All VMs share one budget for each service: of the sendings in a window, those
+beyond the first of each request may be a share of the requests and some
+more. No VM asks another before it repeats. Each spends from the share that
+its own requests earn, and from an even part of the allowance.
+"""
+
+import collections
+import typing
+
+from gentianstair.util import clock as clocks
+
+# Kept back from each VM's part: requests and repeats are counted by the
+# users in windows that do not begin where ours do.
+SAFETY = 0.7
+
+
+class Terms(typing.NamedTuple):
+    """What is allowed in each window, over all VMs."""
+
+    ratio: float
+    allowance: float
+    window_s: float
+
+
+class _Counts:
+    """Events of one service by time, forgotten after a window."""
+
+    def __init__(self) -> None:
+        self.first: collections.deque[float] = collections.deque()
+        self.repeats: collections.deque[float] = collections.deque()
+
+    def forget(self, before_s: float) -> None:
+        for times in (self.first, self.repeats):
+            while times and times[0] < before_s:
+                times.popleft()
+
+
+class Repeats:
+    """Say whether this VM may send a request once more."""
+
+    def __init__(
+        self,
+        terms: Terms,
+        clock: clocks.Clock,
+        vms: typing.Callable[[], int],
+    ) -> None:
+        self._terms = terms
+        self._clock = clock
+        self._vms = vms
+        self._counts: dict[str, _Counts] = {}
+        # A process that was restarted does not know what its predecessor
+        # spent in this window, so it begins as if half of it were gone.
+        self._started_s = clock()
+
+    def _of(self, service: str) -> _Counts:
+        counts = self._counts.setdefault(service, _Counts())
+        counts.forget(self._clock() - self._terms.window_s)
+        return counts
+
+    def request(self, service: str) -> None:
+        """Count a caller's request for a service."""
+        self._of(service).first.append(self._clock())
+
+    def left(self, service: str) -> float:
+        """Return how many repeats this VM may send now."""
+        terms = self._terms
+        counts = self._of(service)
+        allowance = terms.allowance / max(1, self._vms())
+        if self._clock() - self._started_s < terms.window_s:
+            allowance /= 2
+        earned = terms.ratio * len(counts.first)
+        return SAFETY * (earned + allowance) - len(counts.repeats)
+
+    def take(self, service: str) -> bool:
+        """Spend one repeat; say whether there was one."""
+        if self.left(service) < 1:
+            return False
+        self._of(service).repeats.append(self._clock())
+        return True
--- /dev/null
+++ b/gentianstair/gateway/streaming.py
@@ -0,0 +1,289 @@
+"""Serve a streamed request: its events as they come, over several replicas.
+
+The prompt is read by one replica and the output made by the same or by
+another one, to which the KV cache is moved. Where a route's streams may be
+resumed, one whose replica is lost goes on at another after the last event
+that was passed on.
+"""
+
+import math
+
+import httpx
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.gateway import calls
+from gentianstair.gateway import catalog
+from gentianstair.gateway import events
+from gentianstair.gateway import forward
+from gentianstair.gateway import placement
+from gentianstair.gateway import replicas
+from gentianstair.gateway import task as tasks
+from gentianstair.platform import wire
+
+# A replica whose stream pauses for so many times the longest pause that is
+# on time is taken for lost. Callers give up after eight of those.
+SILENT_PAUSES = 4.0
+LEAST_SILENCE_S = 1.2
+LEAST_URGENT = 9
+# Replicas rank requests from 0; requests with a rank of their own begin here
+# and leave room above for streams that go on after a loss.
+FIRST_URGENCY = 2
+# The engines' defaults when a service of streams says nothing of them.
+ENGINE = catalog.Engine(64, 100000, 16384, 100000.0, 5.0, 3.0, ())
+
+
+class Streaming:
+    """One streamed answer."""
+
+    def __init__(self, task: tasks.Task, engine: catalog.Engine | None):
+        self._task = task
+        self._node = task.node
+        self._engine = engine or ENGINE
+        self._prompt = task.call.prompt or calls.Prompt('', 0, 0, ())
+        self._events = events.Events()
+        # Passed through when a replica itself refuses or fails.
+        self.answer: forward.Answer | None = None
+
+    async def serve(self) -> forward.Answer | None:
+        """Stream to the caller; return an answer that is no stream.
+
+        Raise RequestError when there is nothing to pass on.
+        """
+        task = self._task
+        while True:
+            plan = self._plan()
+            if plan is None:
+                break
+            try:
+                await self._run(plan)
+                return self.answer
+            except errors.UpstreamError as error:
+                task.note(error.verdict)
+                task.tell(
+                    'try-failed',
+                    f'a try failed: {error}',
+                    replica=plan.maker.name,
+                    reader=plan.reader.name if plan.reader else None,
+                    verdict=error.verdict.name,
+                    events=self._events.delivered,
+                )
+                if not task.may_repeat(error.verdict):
+                    break
+            self._events.restart()
+        if task.failure is not None and not task.exchange.started:
+            return task.failure
+        raise task.give_up()
+
+    def _plan(self) -> placement.Plan | None:
+        task = self._task
+        plan = self._node.placement.stream(
+            task.candidates(), self._prompt, self._engine, len(task.body)
+        )
+        if plan is not None:
+            task.tell(
+                'route',
+                'chose replicas',
+                replica=plan.maker.name,
+                reader=plan.reader.name if plan.reader else None,
+                unread_tokens=plan.unread_tokens,
+                prompt_tokens=self._prompt.tokens,
+                expected_s=round(plan.expected_s, 3),
+                left_s=round(task.left_s(), 3),
+            )
+        return plan
+
+    async def _run(self, plan: placement.Plan) -> None:
+        if plan.reader is None:
+            await self._make(plan.maker, None, plan.unread_tokens)
+            return
+        source = await self._read(plan.reader, plan.unread_tokens)
+        try:
+            await self._make(plan.maker, source, 0)
+            source = None
+        finally:
+            if source is not None:
+                self._node.nursery.start_soon(
+                    forward.release_kv, self._node, plan.reader.name, source
+                )
+
+    async def _read(
+        self, reader: replicas.Replica, unread_tokens: int
+    ) -> calls.KvSource:
+        """Have a prompt read; return where its KV cache lies.
+
+        A read does not run the request, so its failure never means that
+        the request may have run.
+        """
+        task, node = self._task, self._node
+        started_s = node.clock()
+        node.work.begin(reader.name, unread_tokens)
+        node.cache.expect(reader.name, self._prompt, self._engine.kv_tokens)
+        sending = task.sending(
+            reader, reads_only=True, urgency=self._urgency()
+        )
+        try:
+            answer = await forward.ask(node, task.call, sending)
+            took_s = node.clock() - started_s
+            source = wire.decode_handle(
+                reader.address, answer.status, answer.body
+            )
+        except errors.UpstreamError as error:
+            task.tried.add(reader.name)
+            task.sent += 1
+            node.cache.forget(reader.name)
+            raise errors.UpstreamError(
+                f'{reader.name}: {error}', verdicts.Verdict.NOT_RUN
+            ) from error
+        finally:
+            node.work.read(reader.name, unread_tokens)
+            node.work.end(reader.name)
+        node.read_speeds.note(
+            reader.service, reader.stage, unread_tokens, took_s
+        )
+        return source
+
+    def _urgency(self) -> int:
+        if self._events.delivered:
+            return 0
+        return min(LEAST_URGENT, FIRST_URGENCY + self._task.urgency())
+
+    async def _make(
+        self,
+        maker: replicas.Replica,
+        source: calls.KvSource | None,
+        unread_tokens: int,
+    ) -> None:
+        """Have the output made and pass it on."""
+        task, node = self._task, self._node
+        started_s = task.begin(maker)
+        node.work.begin(maker.name, unread_tokens)
+        if self._prompt.parts:
+            node.cache.expect(
+                maker.name, self._prompt, self._engine.kv_tokens
+            )
+        sending = task.sending(
+            maker,
+            kv_source=source,
+            resume_after=self._resume_after(),
+            urgency=self._urgency(),
+        )
+        reading = _Reading(self, maker, unread_tokens, started_s)
+        ok = False
+        try:
+            async with forward.open_answer(node, task.call, sending) as found:
+                await self._pass_on(found, reading)
+            ok = True
+        except errors.UpstreamError as error:
+            if not isinstance(error, errors.TurnedAwayError):
+                task.judge(maker, False, started_s)
+            raise
+        finally:
+            reading.done()
+            node.work.end(maker.name)
+        if ok:
+            task.judge(maker, True, reading.first_s or started_s)
+
+    def _resume_after(self) -> str | None:
+        return self._events.last_id or self._task.call.resume_after
+
+    async def _pass_on(
+        self, found: httpx.Response, reading: '_Reading'
+    ) -> None:
+        task = self._task
+        verdict = wire.verdict_of(found)
+        if found.status_code != 200:
+            await self._refused(found, verdict)
+            return
+        silence_s = max(
+            LEAST_SILENCE_S, SILENT_PAUSES * task.route.pause_s
+        )
+        stream = aiter(found.stream)
+        # The first event may have to wait for its turn.
+        limit_s = math.inf
+        while True:
+            data = None
+            with trio.move_on_after(limit_s):
+                data = await anext(stream, b'')
+            if data is None:
+                raise errors.UpstreamError(
+                    f'silent for {silence_s:g} s', verdicts.Verdict.RAN
+                )
+            if not data:
+                break
+            whole = self._events.feed(data)
+            if not whole:
+                continue
+            if reading.first():
+                limit_s = silence_s
+                await self._start(found)
+            await task.exchange.write(whole)
+        if not self._events.is_whole() or not self._events.delivered:
+            raise errors.UpstreamError(
+                'the stream ends in an event', verdicts.Verdict.RAN
+            )
+        task.note(verdicts.Verdict.RAN)
+        await task.exchange.end()
+
+    async def _start(self, found: httpx.Response) -> None:
+        if not self._task.exchange.started:
+            headers = wire.answer_headers(found)
+            await self._task.exchange.start(200, headers)
+
+    async def _refused(
+        self, found: httpx.Response, verdict: verdicts.Verdict
+    ) -> None:
+        """Take an answer that is no stream."""
+        answer = await forward.read_answer(found)
+        task = self._task
+        if answer.status < 500 and verdict is verdicts.Verdict.RAN:
+            task.note(verdict)
+            if task.exchange.started:
+                raise errors.UpstreamError(
+                    f'a resumption was answered {answer.status}', verdict
+                )
+            self.answer = answer
+            return
+        if verdict is verdicts.Verdict.NOT_RUN:
+            raise errors.TurnedAwayError(f'it answered {answer.status}')
+        task.failure = answer
+        raise errors.UpstreamError(f'it answered {answer.status}', verdict)
+
+
+class _Reading:
+    """Tell loads, speeds and usage when a replica begins its output."""
+
+    def __init__(
+        self,
+        streaming: Streaming,
+        maker: replicas.Replica,
+        unread_tokens: int,
+        started_s: float,
+    ) -> None:
+        self._task = streaming._task
+        self._maker = maker
+        self._unread_tokens = unread_tokens
+        self._started_s = started_s
+        self.first_s: float | None = None
+
+    def first(self) -> bool:
+        """Note an event; say whether it is the run's first."""
+        if self.first_s is not None:
+            return False
+        node = self._task.node
+        self.first_s = node.clock()
+        node.usage.began(self._task.customer_name)
+        node.read_speeds.note(
+            self._maker.service,
+            self._maker.stage,
+            self._unread_tokens,
+            self.first_s - self._started_s,
+        )
+        node.work.read(self._maker.name, self._unread_tokens)
+        return True
+
+    def done(self) -> None:
+        """Count the prompt as read or given up."""
+        if self.first_s is None:
+            self._task.node.work.read(self._maker.name, self._unread_tokens)
--- /dev/null
+++ b/gentianstair/gateway/task.py
@@ -0,0 +1,156 @@
+"""Hold one caller's request while it is served, and its story so far."""
+
+import typing
+
+import loguru
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.entry import exchange as exchanges
+from gentianstair.gateway import calls
+from gentianstair.gateway import catalog
+from gentianstair.gateway import forward
+from gentianstair.gateway import node as nodes
+from gentianstair.gateway import replicas
+
+# A request may be sent once more than it may run: a replica that is full or
+# has left says that it did not run it, and another may have room.
+EXTRA_SENDINGS = 1
+# Told to callers when a replica was full or has just left: some answers end
+# in that time, and the next look at the store shows who is there.
+SOON_S = 0.4
+# An attempt with less time left than this is not worth a replica's work.
+LEAST_LEFT_S = 0.03
+
+
+class Task:
+    """One request: what it asks, where it went, what is known of it."""
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        exchange: exchanges.Exchange,
+        call: calls.Call,
+        body: bytes,
+        route: catalog.Route,
+        service: str,
+        customer: catalog.Customer | None,
+        deadline_s: float,
+    ) -> None:
+        self.node = node
+        self.exchange = exchange
+        self.call = call
+        self.body = body
+        self.route = route
+        self.service = service
+        self.customer = customer
+        self.deadline_s = deadline_s
+        self.verdict = verdicts.Verdict.NOT_RUN
+        self.sent = 0
+        self.ran = 0
+        self.tried: set[str] = set()
+        # The newest failure that a replica itself answered with.
+        self.failure: forward.Answer | None = None
+
+    @property
+    def customer_name(self) -> str | None:
+        """Return the customer's name, None on a public route."""
+        return self.customer.name if self.customer else None
+
+    def left_s(self) -> float:
+        """Return how long the caller still waits."""
+        return self.deadline_s - self.node.clock()
+
+    def urgency(self) -> int:
+        """Return the rank for replicas; a customer's goes first."""
+        if self.customer and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
+    def sending(
+        self, replica: replicas.Replica, **more: typing.Any
+    ) -> calls.Sending:
+        """Return this call as it goes to a replica now."""
+        return calls.Sending(
+            replica, self.customer_name, self.left_s(), self.body, **more
+        )
+
+    def candidates(self) -> list[replicas.Replica]:
+        """Return the replicas to choose from, the untried ones first.
+
+        Replicas that fail are left out while others are there.
+        """
+        now_s = self.node.clock()
+        found = self.node.registry.usable(self.service)
+        good = [
+            replica
+            for replica in found
+            if self.node.ejector.usable(self._key(replica), now_s)
+        ]
+        fresh = [r for r in good or found if r.name not in self.tried]
+        return fresh or [r for r in found if r.name not in self.tried]
+
+    def _key(self, replica: replicas.Replica) -> str:
+        return forward.ejector_key(self.service, replica.name)
+
+    def begin(self, replica: replicas.Replica) -> float:
+        """Note a sending; return its time."""
+        now_s = self.node.clock()
+        self.sent += 1
+        self.tried.add(replica.name)
+        self.node.ejector.started(self._key(replica), now_s)
+        return now_s
+
+    def judge(
+        self, replica: replicas.Replica, ok: bool, started_s: float
+    ) -> None:
+        """Tell the ejector how a sending went."""
+        now_s = self.node.clock()
+        self.node.ejector.report(
+            self._key(replica), ok, now_s - started_s, now_s
+        )
+
+    def note(self, verdict: verdicts.Verdict) -> None:
+        """Take what a sending says of the request's effect."""
+        self.verdict = verdicts.combine(self.verdict, verdict)
+        if verdict is not verdicts.Verdict.NOT_RUN:
+            self.ran += 1
+
+    def may_repeat(self, last: verdicts.Verdict) -> bool:
+        """Say whether to send once more, and spend a repeat if so."""
+        if self.left_s() < LEAST_LEFT_S:
+            return False
+        if last is not verdicts.Verdict.NOT_RUN and not self.route.repeatable:
+            return False
+        most = self.route.max_attempts
+        if self.ran >= most or self.sent >= most + EXTRA_SENDINGS:
+            return False
+        return self.node.repeats.take(self.service)
+
+    def tell(self, event: str, message: str, **fields: typing.Any) -> None:
+        """Log one decision on this request."""
+        loguru.logger.bind(
+            event=event,
+            request_id=self.call.request_id,
+            customer=self.customer_name,
+            route=self.route.name,
+            **fields,
+        ).info(message)
+
+    def give_up(self) -> errors.RequestError:
+        """Return the final error, true to what is known of the effect."""
+        if self.verdict is verdicts.Verdict.NOT_RUN:
+            return errors.RequestError(
+                503,
+                'no-replica',
+                'no replica could take the request',
+                self.verdict,
+                SOON_S,
+            )
+        if self.left_s() < LEAST_LEFT_S:
+            return errors.RequestError(
+                504, 'deadline-passed', 'no answer in time', self.verdict
+            )
+        return errors.RequestError(
+            502, 'replica-failed', 'the replica failed', self.verdict
+        )
--- /dev/null
+++ b/gentianstair/gateway/usage.py
@@ -0,0 +1,56 @@
+"""Count the requests that began to run, by window and customer."""
+
+import collections
+import typing
+
+# Windows kept by each process: the last one that can still be reported, and
+# one for clocks that differ.
+KEPT_WINDOWS = 4
+
+Windows = dict[int, dict[str, int]]
+
+
+class Counts:
+    """This process's counts; window k begins k times window_s after 1970."""
+
+    def __init__(
+        self, wall: typing.Callable[[], float], window_s: float
+    ) -> None:
+        self._wall = wall
+        self._window_s = window_s
+        self._windows: dict[int, collections.Counter[str]] = {}
+        # Rises with each count, so that a writer sees what is new.
+        self.changes = 0
+
+    def now(self) -> int:
+        """Return the window of this moment."""
+        return int(self._wall() // self._window_s)
+
+    def began(self, customer: str | None) -> None:
+        """Count a request that began to run now."""
+        if customer is None:
+            return
+        window = self.now()
+        counts = self._windows.get(window)
+        if counts is None:
+            counts = self._windows[window] = collections.Counter()
+            for old in [w for w in self._windows if w < window - KEPT_WINDOWS]:
+                del self._windows[old]
+        counts[customer] += 1
+        self.changes += 1
+
+    def windows(self) -> Windows:
+        """Return the counts of the last windows."""
+        return {window: dict(c) for window, c in self._windows.items()}
+
+
+def total(parts: typing.Iterable[Windows], window: int) -> dict[str, int]:
+    """Return the counts of one window over all processes.
+
+    >>> total([{7: {'a': 1}}, {7: {'a': 2, 'b': 1}, 8: {'a': 9}}], 7)
+    {'a': 3, 'b': 1}
+    """
+    found: collections.Counter[str] = collections.Counter()
+    for windows in parts:
+        found.update(windows.get(window, {}))
+    return dict(sorted(found.items()))
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -20,8 +20,8 @@
 from gentianstair.peers import summaries as summaries_module
 from gentianstair.peers import survey as survey_module
 from gentianstair.peers import topology
-from gentianstair.platform import store as store_module
-from gentianstair.platform import vm_list as vm_list_module
+from gentianstair.store import store as store_module
+from gentianstair.store import vm_list as vm_list_module
 from gentianstair.util import clock as clock_module
 
 MAX_LINKS = 64
--- a/gentianstair/peers/session.py
+++ b/gentianstair/peers/session.py
@@ -9,7 +9,7 @@
 from gentianstair.peers import freshness
 from gentianstair.peers import link
 from gentianstair.peers import membership
-from gentianstair.platform import store
+from gentianstair.store import store
 
 # Objects in one message; a slow peer gets newer beats between two.
 CHUNK_OBJECTS = 200
--- a/gentianstair/peers/spread.py
+++ b/gentianstair/peers/spread.py
@@ -8,7 +8,7 @@
 
 from gentianstair import errors
 from gentianstair.config import view as view_module
-from gentianstair.platform import store as store_module
+from gentianstair.store import store as store_module
 from gentianstair.util import clock as clock_module
 
 # Pause after a watch that found changes, so that a burst of changes costs
--- /dev/null
+++ b/gentianstair/platform/configuration.py
@@ -0,0 +1,188 @@
+"""Decode the operator's configuration object into a catalog."""
+
+import typing
+
+import msgspec
+
+from gentianstair import errors
+from gentianstair.gateway import catalog
+
+KIND = 'config'
+NAME = 'main'
+LEAST_URGENT = 9
+
+_KINDS = {
+    'idempotent': catalog.CallKind.IDEMPOTENT,
+    'non_idempotent': catalog.CallKind.AT_MOST_ONCE,
+    'streaming': catalog.CallKind.STREAM,
+}
+
+
+class _Target(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    type: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    target_gap_ms: float = 0.0
+    priority: int = LEAST_URGENT
+    service: str | None = None
+    traffic_split: list[_Target] | None = None
+    max_attempts: int = 1
+    # Whoever calls needs no key.
+    public: bool = False
+    # Requests carry prompts with shared parts.
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int
+    kv_capacity_tokens: int
+    kv_token_bytes: int
+    link_mbps: float = 100000.0
+    kv_hold_s: float = 5.0
+    stage_switch_s: float = 3.0
+    models: list[_Model] = []
+
+
+class _Scaling(msgspec.Struct):
+    min: int
+    max: int
+    boot_s: float
+    spot_price: float = 1.0
+    zone_prices: dict[str, float] = {}
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = '/health'
+    max_connections: int = 64
+    engine: _Engine | None = None
+    scaling: _Scaling | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+def _route(raw: _Route) -> catalog.Route:
+    targets = tuple((t.service, t.weight) for t in raw.traffic_split or ())
+    if raw.service is not None:
+        targets = ((raw.service, 1.0),)
+    return catalog.Route(
+        name=raw.name,
+        host=raw.host,
+        path_prefix=raw.path_prefix,
+        kind=_KINDS.get(raw.type, catalog.CallKind.AT_MOST_ONCE),
+        timeout_s=raw.timeout_ms / 1000,
+        objective_s=raw.target_latency_ms / 1000,
+        pause_s=raw.target_gap_ms / 1000,
+        priority=raw.priority,
+        targets=targets,
+        max_attempts=max(1, raw.max_attempts),
+        public=raw.public,
+        prompts=raw.sticky,
+        resumable=raw.resumable,
+    )
+
+
+def _engine(raw: _Engine) -> catalog.Engine:
+    return catalog.Engine(
+        slots=raw.slots,
+        kv_tokens=raw.kv_capacity_tokens,
+        kv_token_bytes=raw.kv_token_bytes,
+        link_mbps=raw.link_mbps,
+        handle_s=raw.kv_hold_s,
+        stage_change_s=raw.stage_switch_s,
+        models=tuple(model.name for model in raw.models),
+    )
+
+
+def _service(raw: _Service) -> catalog.Service:
+    scaling = raw.scaling
+    return catalog.Service(
+        name=raw.name,
+        health_path=raw.health_path,
+        max_connections=raw.max_connections,
+        engine=_engine(raw.engine) if raw.engine else None,
+        scaling=catalog.Scaling(
+            scaling.min,
+            scaling.max,
+            scaling.boot_s,
+            scaling.spot_price,
+            scaling.zone_prices,
+        )
+        if scaling
+        else None,
+    )
+
+
+def _routes(
+    routes: list[_Route],
+) -> dict[str, tuple[catalog.Route, ...]]:
+    by_host: dict[str, list[catalog.Route]] = {}
+    for raw in routes:
+        by_host.setdefault(raw.host.lower(), []).append(_route(raw))
+    for found in by_host.values():
+        found.sort(key=lambda route: -len(route.path_prefix))
+    return {host: tuple(found) for host, found in by_host.items()}
+
+
+def decode(spec: typing.Any) -> catalog.Catalog:
+    """Return the catalog that an object's content describes.
+
+    Raise DecodeError for one that is not of this form: the version before
+    it stays in force.
+    """
+    try:
+        raw = msgspec.convert(spec, _Config)
+    except (msgspec.ValidationError, TypeError) as error:
+        raise errors.DecodeError(f'configuration: {error}') from error
+    limits = raw.limits
+    customers = {
+        key: catalog.Customer(tenant.name, tenant.priority)
+        for tenant in raw.tenants or ()
+        for key in tenant.api_keys
+    }
+    return catalog.Catalog(
+        version=raw.version,
+        routes=_routes(raw.routes),
+        services={s.name: _service(s) for s in raw.services},
+        customers=customers,
+        keyed=raw.tenants is not None,
+        limits=catalog.Limits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / 1000,
+            limits.idle_timeout_ms / 1000,
+        ),
+        raw=spec,
+    )
--- /dev/null
+++ b/gentianstair/platform/wire.py
@@ -0,0 +1,305 @@
+"""Translate callers' requests, and what replicas are sent and answer."""
+
+import typing
+
+import httpx
+import msgspec
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.gateway import calls
+
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'expect',
+    }
+)
+# Headers of the system; whatever a caller puts there goes no further.
+OWN = frozenset(
+    {
+        b'authorization',
+        b'content-length',
+        b'x-tenant',
+        b'x-expect-instance',
+        b'x-expect-version',
+        b'x-request-deadline-ms',
+        b'x-request-priority',
+        b'x-stage',
+        b'x-kv-source',
+        b'x-kv-hold',
+        b'x-kv-backup',
+        b'x-pin-ms',
+        b'kv-fetch',
+        b'last-event-id',
+    }
+)
+SCHEME = 'bearer '
+REQUEST_ID = b'x-request-id'
+SIGNATURE = b'x-response-signature'
+# Says that the replica did not run the request.
+NOT_EXECUTED = b'x-not-executed'
+# Another replica has the address; it did not run the request either.
+HTTP_MISDIRECTED = 421
+READS_PROMPTS = 'prefill'
+LEAST_LEFT_MS = 1
+LAST_URGENCY = 9
+
+
+def _fields(headers: calls.Headers) -> dict[bytes, bytes]:
+    """Return headers by name; one that comes twice is refused.
+
+    Two readers could otherwise take different ones for the right one.
+    """
+    found: dict[bytes, bytes] = {}
+    for name, value in headers:
+        if name in found and name in _ONCE:
+            raise _bad(f'{name.decode()} is given more than once')
+        found[name] = value
+    return found
+
+
+_ONCE = OWN | {b'host', REQUEST_ID, b'x-model', b'x-token-count'}
+
+
+def _bad(detail: str) -> errors.RequestError:
+    return errors.RequestError(400, 'bad-request', detail)
+
+
+def _text(fields: dict[bytes, bytes], name: bytes) -> str | None:
+    value = fields.get(name)
+    return None if value is None else value.decode('latin-1')
+
+
+def _patience_s(fields: dict[bytes, bytes]) -> float | None:
+    text = _text(fields, b'x-request-deadline-ms')
+    if text is None:
+        return None
+    try:
+        return max(0.0, float(text) / 1000)
+    except ValueError:
+        raise _bad('the deadline is no number')
+
+
+def _key(fields: dict[bytes, bytes]) -> str | None:
+    text = _text(fields, b'authorization')
+    if text is None or not text.lower().startswith(SCHEME):
+        return None
+    return text[len(SCHEME) :].strip()
+
+
+def decode_prompt(
+    model: str | None, counts: str | None, parts: str | None
+) -> calls.Prompt | None:
+    """Return what headers say of a prompt, or None if that can't be read.
+
+    >>> decode_prompt('m', '1460,80', '5c:800,91:660').parts[1]
+    PromptPart(name='91', tokens=660)
+    >>> decode_prompt('m', 'many', None) is None
+    True
+    """
+    if counts is None:
+        return None
+    try:
+        prompt, _, output = counts.partition(',')
+        found = []
+        for entry in filter(None, (parts or '').split(',')):
+            name, _, tokens = entry.strip().rpartition(':')
+            found.append(calls.PromptPart(name, int(tokens)))
+        return calls.Prompt(
+            model or '', int(prompt), int(output or 0), tuple(found)
+        )
+    except ValueError:
+        return None
+
+
+def decode_call(
+    method: str, raw_path: bytes, query: bytes, headers: calls.Headers
+) -> calls.Call:
+    """Return a caller's request; raise RequestError if it is none."""
+    fields = _fields(headers)
+    host = (_text(fields, b'host') or '').lower()
+    host = host.rpartition(':')[0] or host
+    path = raw_path.decode('latin-1')
+    return calls.Call(
+        request_id=_text(fields, REQUEST_ID) or '',
+        method=method,
+        target=raw_path + (b'?' + query if query else b''),
+        host=host,
+        path=path,
+        headers=[
+            (name, value)
+            for name, value in headers
+            if name not in HOP_BY_HOP and name not in OWN
+        ],
+        key=_key(fields),
+        patience_s=_patience_s(fields),
+        resume_after=_text(fields, b'last-event-id'),
+        prompt=decode_prompt(
+            _text(fields, b'x-model'),
+            _text(fields, b'x-token-count'),
+            _text(fields, b'x-prefix-hash'),
+        ),
+    )
+
+
+def encode_sending(
+    call: calls.Call, sending: calls.Sending, connect_s: float
+) -> httpx.Request:
+    """Return the request as a replica gets it."""
+    replica = sending.replica
+    left_ms = max(LEAST_LEFT_MS, int(sending.left_s * 1000))
+    headers = list(call.headers)
+    headers.append((b'x-expect-instance', replica.name.encode()))
+    headers.append((b'x-request-deadline-ms', b'%d' % left_ms))
+    if sending.customer is not None:
+        headers.append((b'x-tenant', sending.customer.encode()))
+    if sending.resume_after is not None:
+        headers.append((b'last-event-id', sending.resume_after.encode()))
+    if sending.reads_only:
+        headers.append((b'x-stage', READS_PROMPTS.encode()))
+    if sending.kv_source is not None:
+        source = f'{sending.kv_source.address}/{sending.kv_source.handle}'
+        headers.append((b'x-kv-source', source.encode()))
+    if sending.urgency is not None:
+        urgency = min(LAST_URGENCY, sending.urgency)
+        headers.append((b'x-request-priority', b'%d' % urgency))
+    if sending.body or call.method in ('POST', 'PUT', 'PATCH'):
+        headers.append((b'content-length', b'%d' % len(sending.body)))
+    return httpx.Request(
+        call.method,
+        f'http://{replica.address}/',
+        headers=headers,
+        content=sending.body,
+        extensions={
+            'target': call.target,
+            'answer_id': call.request_id.encode() or None,
+            'connect_s': connect_s,
+        },
+    )
+
+
+def release_kv_request(
+    replica_name: str, source: calls.KvSource, connect_s: float
+) -> httpx.Request:
+    """Return the request that frees a KV cache that nobody will take."""
+    return httpx.Request(
+        'DELETE',
+        f'http://{source.address}/api/kv-handle/{source.handle}',
+        headers={'x-expect-instance': replica_name},
+        extensions={'connect_s': connect_s},
+    )
+
+
+def answer_headers(response: httpx.Response) -> calls.Headers:
+    """Return a replica's headers as they go on to the caller."""
+    return [
+        (name.lower(), value)
+        for name, value in response.headers.raw
+        if name.lower() not in HOP_BY_HOP and name.lower() != b'content-length'
+    ]
+
+
+def verdict_of(response: httpx.Response) -> verdicts.Verdict:
+    """Return whether the replica ran the request that it answered."""
+    if response.status_code == HTTP_MISDIRECTED:
+        return verdicts.Verdict.NOT_RUN
+    if NOT_EXECUTED.decode() in response.headers:
+        return verdicts.Verdict.NOT_RUN
+    return verdicts.Verdict.RAN
+
+
+class _PromptRead(msgspec.Struct):
+    kv_handle: str
+    tokens: int = 0
+
+
+def decode_handle(
+    replica_address: str, status: int, body: bytes
+) -> calls.KvSource:
+    """Return where the KV cache of a prompt lies that was just read."""
+    try:
+        if status != 200:
+            raise ValueError(f'status {status}')
+        found = msgspec.json.decode(body, type=_PromptRead)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise errors.UpstreamError(
+            f'the prompt was not read: {error}', verdicts.Verdict.RAN
+        ) from error
+    return calls.KvSource(replica_address, found.kv_handle)
+
+
+def refusal_headers(
+    request_id: str, retry_after_s: float | None
+) -> calls.Headers:
+    """Return the headers of an answer of the system's own.
+
+    The time to come back may have fractions here.
+    """
+    headers: calls.Headers = []
+    if request_id:
+        headers.append((REQUEST_ID, request_id.encode('latin-1')))
+    if retry_after_s is not None:
+        headers.append((b'retry-after', b'%.2f' % retry_after_s))
+    return headers
+
+
+class _CacheEvents(msgspec.Struct):
+    # Changes when the replica starts again.
+    epoch: typing.Any
+    next: int
+    # Whether events are missing before these.
+    lost: typing.Any = False
+    events: list[list[typing.Any]] = []
+
+
+class CacheChange(typing.NamedTuple):
+    """A part of a prompt that a replica began or ceased to keep."""
+
+    part: str
+    # Tokens kept now; 0 when it is gone.
+    tokens: int
+
+
+class CacheChanges(typing.NamedTuple):
+    """What changed in a replica's cache since the last look."""
+
+    epoch: str
+    next: int
+    lost: bool
+    changes: list[CacheChange]
+
+
+def cache_events_request(
+    address: str, since: int, wait_s: float, connect_s: float
+) -> httpx.Request:
+    """Return the request that waits for changes of a replica's cache."""
+    return httpx.Request(
+        'GET',
+        f'http://{address}/api/kv-events?since={since}',
+        headers={'wait-ms': str(int(wait_s * 1000))},
+        extensions={'connect_s': connect_s},
+    )
+
+
+def decode_cache_events(body: bytes) -> CacheChanges:
+    """Return the changes in an answer; raise DecodeError."""
+    try:
+        found = msgspec.json.decode(body, type=_CacheEvents)
+        changes = []
+        for row in found.events:
+            _, sign, _, part, tokens = row[:5]
+            kept = int(tokens) if sign == '+' else 0
+            changes.append(CacheChange(str(part), kept))
+    except (msgspec.DecodeError, ValueError, TypeError) as error:
+        raise errors.DecodeError(f'cache events: {error}') from error
+    return CacheChanges(
+        str(found.epoch), found.next, bool(found.lost), changes
+    )
--- /dev/null
+++ b/gentianstair/store/__init__.py
@@ -0,0 +1,1 @@
+"""Meet the platform: its object store, orders and usage reports."""
--- a/gentianstair/platform/budget.py
+++ b/gentianstair/store/budget.py
@@ -6,7 +6,7 @@
 import prometheus_client
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.util import clock as clock_module
 
 # Purposes by priority: what keeps authority goes first, what only informs
--- a/gentianstair/platform/http_store.py
+++ b/gentianstair/store/http_store.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 
 # Added to a watch's own time limit before the connection counts as dead.
 WATCH_GRACE_S = 2.0
--- a/gentianstair/platform/presence.py
+++ b/gentianstair/store/presence.py
@@ -7,8 +7,8 @@
 
 from gentianstair import errors
 from gentianstair.generated import messages
-from gentianstair.platform import settled
-from gentianstair.platform import store as stores
+from gentianstair.store import settled
+from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
 PURPOSE = 'status'
--- a/gentianstair/platform/reports.py
+++ b/gentianstair/store/reports.py
@@ -1,6 +1,6 @@
 """Connect to the platform's interface for usage reports."""
 
-from gentianstair.platform import checked_sender
+from gentianstair.store import checked_sender
 
 Sender = checked_sender.Sender
 
--- a/gentianstair/platform/settled.py
+++ b/gentianstair/store/settled.py
@@ -5,7 +5,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 
 ATTEMPTS = 4
 RETRY_S = 0.05
--- a/gentianstair/ui/change.py
+++ b/gentianstair/ui/change.py
@@ -5,7 +5,7 @@
 import typing
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import session as sessions
 from gentianstair.util import audit
 
--- a/gentianstair/ui/commands/audit.py
+++ b/gentianstair/ui/commands/audit.py
@@ -7,7 +7,7 @@
 import cappa
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import session as sessions
 from gentianstair.util import audit
 
--- a/gentianstair/ui/commands/bundle.py
+++ b/gentianstair/ui/commands/bundle.py
@@ -8,7 +8,7 @@
 from gentianstair import errors
 from gentianstair.config import bundles
 from gentianstair.generated import messages
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import change
 from gentianstair.ui import entries
 from gentianstair.ui import session as sessions
--- a/gentianstair/ui/commands/explain.py
+++ b/gentianstair/ui/commands/explain.py
@@ -7,7 +7,7 @@
 import cappa
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import entries
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
--- a/gentianstair/ui/commands/snapshot.py
+++ b/gentianstair/ui/commands/snapshot.py
@@ -9,7 +9,7 @@
 from gentianstair import errors
 from gentianstair.config import snapshots
 from gentianstair.generated import messages
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import change
 from gentianstair.ui import session as sessions
 from gentianstair.util import audit
--- a/gentianstair/ui/entries.py
+++ b/gentianstair/ui/entries.py
@@ -7,7 +7,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import session as sessions
 
 STATUS_PATH = '/operator/status'
--- a/gentianstair/ui/main.py
+++ b/gentianstair/ui/main.py
@@ -11,7 +11,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import http_store
+from gentianstair.store import http_store
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
 from gentianstair.ui.commands import audit
--- a/gentianstair/ui/session.py
+++ b/gentianstair/ui/session.py
@@ -4,7 +4,7 @@
 import typing
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.ui import output
 
 
--- a/gentianstair/util/audit.py
+++ b/gentianstair/util/audit.py
@@ -17,7 +17,7 @@
 
 from gentianstair import errors
 from gentianstair.generated import messages
-from gentianstair.platform import store
+from gentianstair.store import store
 
 KIND = 'audit'
 OUTCOME_KIND = 'audit-outcome'
--- a/gentianstair/util/checked_call.py
+++ b/gentianstair/util/checked_call.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import types
 import typing
 import urllib.parse
 
@@ -53,6 +54,7 @@
     method: str,
     parts: urllib.parse.SplitResult,
     body: typing.Any,
+    extra: collections.abc.Mapping[str, str],
 ) -> bytes:
     content = b'' if body is None else json.dumps(body).encode()
     headers = [
@@ -60,6 +62,7 @@
         ('content-type', 'application/json'),
         ('content-length', str(len(content))),
         ('connection', 'close'),
+        *extra.items(),
     ]
     target = parts.path + (f'?{parts.query}' if parts.query else '')
     request = h11.Request(method=method, target=target, headers=headers)
@@ -115,6 +118,7 @@
     check: Check,
     lifetime_s: float,
     timeout_s: float,
+    headers: collections.abc.Mapping[str, str] = types.MappingProxyType({}),
 ) -> Answer:
     """Connect, check, send and return the answer.
 
@@ -126,7 +130,7 @@
     if parts.scheme != 'http':
         raise errors.UserError(f'{url}: orders need a plain http URL')
     connection = h11.Connection(h11.CLIENT)
-    data = _request_bytes(connection, method, parts, body)
+    data = _request_bytes(connection, method, parts, body, headers)
     known = verdict.Verdict.NOT_RUN
     sock = _make_socket(lifetime_s)
     wrapped = trio.socket.from_stdlib_socket(sock)
--- a/standins/chaos.py
+++ b/standins/chaos.py
@@ -8,7 +8,7 @@
 from gentianstair import errors
 from gentianstair import verdict
 from gentianstair.generated import messages
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 from gentianstair.upstreams import orders_client
 from gentianstair.util import checked_call
 from standins import history
--- a/standins/platform/app.py
+++ b/standins/platform/app.py
@@ -7,7 +7,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 from standins import history
 from standins.platform import objects
 
--- a/standins/platform/objects.py
+++ b/standins/platform/objects.py
@@ -6,7 +6,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import store
+from gentianstair.store import store
 
 KEPT_CHANGES = 10000
 
--- a/test/config/test_view.py
+++ b/test/config/test_view.py
@@ -4,7 +4,7 @@
 
 from gentianstair.config import bundles
 from gentianstair.config import view as views
-from gentianstair.platform import store
+from gentianstair.store import store
 
 
 @pytest.fixture
--- a/test/control/test_planning.py
+++ b/test/control/test_planning.py
@@ -9,7 +9,7 @@
 from gentianstair.control import lease
 from gentianstair.control import planning
 from gentianstair.entry import usage
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 from standins import memory_store
 
 ENGINES = 6
--- a/test/control/test_usage.py
+++ b/test/control/test_usage.py
@@ -10,7 +10,7 @@
 from gentianstair.control import lease
 from gentianstair.control import usage as control_usage
 from gentianstair.entry import usage as entry_usage
-from gentianstair.platform import store as stores
+from gentianstair.store import store as stores
 from standins import chaos
 from standins import checkers
 from standins import memory_store
--- a/test/entry/test_bad_input.py
+++ b/test/entry/test_bad_input.py
@@ -21,7 +21,7 @@
 from gentianstair.entry import services
 from gentianstair.entry import upkeep
 from gentianstair.generated import settings as generated
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.util import serving
 
 KEY = 'gst_ours0123456789'
--- a/test/entry/test_claim_links.py
+++ b/test/entry/test_claim_links.py
@@ -8,7 +8,7 @@
 from gentianstair.entry import claim_links
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims
-from gentianstair.platform import presence
+from gentianstair.store import presence
 from gentianstair.util import clock
 from standins import memory_network
 from standins import memory_store
--- a/test/entry/test_claims.py
+++ b/test/entry/test_claims.py
@@ -9,7 +9,7 @@
 from gentianstair import verdict
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims
-from gentianstair.platform import budget
+from gentianstair.store import budget
 from gentianstair.util import clock
 from standins import memory_store
 from standins.platform import objects
--- a/test/peers/fleet.py
+++ b/test/peers/fleet.py
@@ -9,7 +9,7 @@
 from gentianstair.config import view as view_module
 from gentianstair.generated import settings as generated
 from gentianstair.peers import node as node_module
-from gentianstair.platform import vm_list
+from gentianstair.store import vm_list
 from gentianstair.util import clock
 from standins import memory_network
 from standins import memory_store
--- a/test/peers/test_spread.py
+++ b/test/peers/test_spread.py
@@ -7,7 +7,7 @@
 
 from gentianstair.config import view as view_module
 from gentianstair.peers import spread
-from gentianstair.platform import store
+from gentianstair.store import store
 from gentianstair.util import clock
 from standins import memory_store
 from standins.platform import objects
--- a/test/platform/test_budget.py
+++ b/test/store/test_budget.py
@@ -6,7 +6,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import budget
+from gentianstair.store import budget
 from gentianstair.util import clock
 from standins import memory_store
 
--- a/test/platform/test_store.py
+++ b/test/store/test_store.py
@@ -6,7 +6,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.platform import http_store
+from gentianstair.store import http_store
 from standins import history
 from standins import memory_store
 from standins import serving
