--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -64,10 +64,23 @@
             if self._exchange.started:
                 # The server closes a connection whose answer is not ended.
                 raise
+        except Exception:
+            # A fault of this program: the caller is told at once, and the
+            # log has the place.
+            self._status = 500
+            loguru.logger.bind(event='fault', **self._named()).exception(
+                'a request failed inside this process'
+            )
+            if self._exchange.started:
+                raise
+            await self._answer(500, [], b'')
         finally:
             RUNNING.dec()
             self._account()
 
+    def _named(self) -> dict[str, str]:
+        return {'request_id': self._call.request_id if self._call else ''}
+
     def _account(self) -> None:
         took_s = self._node.clock() - self._arrived_s
         DURATION_S.observe(took_s)
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -58,8 +58,8 @@
         return self.customer.name if self.customer else None
 
     def left_s(self) -> float:
-        """Return how long the caller still waits."""
-        return self.deadline_s - self.node.clock()
+        """Return how long the caller still waits, 0 when it is too late."""
+        return max(0.0, self.deadline_s - self.node.clock())
 
     def urgency(self) -> int:
         """Return the rank for replicas; a customer's goes first."""
