Link gateway processes: loads told, news asked for while the store is away

Cause: a VM that the store turns away kept old keys and routes, and each VM knew only its own part of a replica's work. Change: websocket links carry each VM's load five times a second and the version it knows; a VM without the store asks peers for configuration, replicas and addresses. The platform's control address serves as theirs.

--- a/gentianstair/gateway/deployment.py
+++ b/gentianstair/gateway/deployment.py
@@ -29,7 +29,10 @@
     ip: str
     callers_address: str
     ready_address: str
-    peer_port: int
+    # Where peers find this VM, and where it looks for its first peers; the
+    # latter may be out of date.
+    peer_address: str
+    peer_seeds: tuple[str, ...]
     metrics_port: int
     store_address: str
     store_reads_per_s: float
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -136,8 +136,10 @@
             exchange.query,
             exchange.raw_headers,
         )
-        limits = node.force.catalog.limits if node.force.catalog else (
-            catalog.Limits()
+        limits = (
+            node.force.catalog.limits
+            if node.force.catalog
+            else (catalog.Limits())
         )
         # Read before any answer: a connection whose request was not read
         # to its end can't be used again, and its caller would not know.
--- /dev/null
+++ b/gentianstair/gateway/links.py
@@ -0,0 +1,283 @@
+"""Tell peers this VM's load, and learn from them when the store is away.
+
+The store may refuse some VMs while it serves the others and the operator. A
+VM that it refuses would go on with old keys and routes, so it asks its peers
+for what they have read.
+"""
+
+import math
+import random
+import typing
+
+import loguru
+import msgspec
+import trio
+
+from gentianstair import errors
+from gentianstair.gateway import catalog
+from gentianstair.gateway import following
+from gentianstair.gateway import loads
+from gentianstair.gateway import members as memberships
+from gentianstair.gateway import node as nodes
+from gentianstair.gateway import replicas
+from gentianstair.generated import messages
+from gentianstair.peers import link
+
+# Loads are told this often. A choice of a replica goes wrong when it is made
+# on a load older than the time in which a prompt is read, some 0.2 s.
+TELL_S = 0.2
+# With more peers than this they are told less often, so that telling costs
+# a VM the same.
+FULL_RATE_PEERS = 16
+# A VM asks its peers when the store has not answered for this long: a watch
+# that waits in vain is answered sooner.
+STORE_AWAY_S = 2.4
+# Pause between questions; a configuration must be in force everywhere
+# within seconds although the store refuses this VM.
+ASK_S = 0.8
+# How much longer ago than ours a peer's last answer of the store may be for
+# its list of replicas to be taken.
+RECONNECT_S = 0.7
+LOOK_S = 0.5
+# The longest that one message may take to be sent before the link is dropped.
+SEND_S = 1.0
+# A peer that tells nothing for so long has gone without a word.
+SILENT_S = 5.0
+
+
+class Knowledge(typing.NamedTuple):
+    """What a process does with news; the adapter decodes configurations."""
+
+    decode_catalog: typing.Callable[[typing.Any], catalog.Catalog]
+    take_catalog: typing.Callable[[catalog.Catalog], None]
+    touch: following.Touch
+
+
+class Links:
+    """Links to all peers: one opened to each, one accepted from each."""
+
+    def __init__(
+        self,
+        node: nodes.Node,
+        members: memberships.Members,
+        network: link.Network,
+        knowledge: Knowledge,
+        chance: random.Random,
+    ) -> None:
+        self._node = node
+        self._members = members
+        self._network = network
+        self._knowledge = knowledge
+        self._random = chance
+        self._open: dict[str, link.Channel] = {}
+        # Addresses heard of from seeds and peers, beside the members'.
+        self._heard: set[str] = set(node.deployment.peer_seeds)
+        # The highest version of the configuration a peer says it has.
+        self._newest_version = 0
+
+    async def run(self) -> None:
+        """Keep the links until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._network.serve, self._accept)
+            nursery.start_soon(self._ask_when_away)
+            linked: dict[str, trio.CancelScope] = {}
+            while True:
+                wanted = self._wanted()
+                for address in set(linked) - wanted:
+                    linked.pop(address).cancel()
+                for address in wanted - set(linked):
+                    linked[address] = trio.CancelScope()
+                    nursery.start_soon(self._keep, address, linked[address])
+                await trio.sleep(LOOK_S)
+
+    def _wanted(self) -> set[str]:
+        members = {m.record.peer_address for m in self._members.alive()}
+        if len(members) <= 1 or self._away():
+            # The store does not show who is there.
+            members |= self._heard
+        else:
+            self._heard = set(members)
+        return members - {self._node.deployment.peer_address}
+
+    def _away(self) -> bool:
+        return self._knowledge.touch.age_s > STORE_AWAY_S
+
+    async def _keep(self, address: str, scope: trio.CancelScope) -> None:
+        """Keep a link to one peer open and tell it this VM's load."""
+        with scope:
+            while True:
+                try:
+                    async with self._network.open(address) as channel:
+                        await self._speak(address, channel)
+                except link.LinkClosedError as error:
+                    loguru.logger.bind(event='link-lost', peer=address).debug(
+                        '{}', error
+                    )
+                await trio.sleep(RECONNECT_S * self._random.uniform(0.7, 1.3))
+
+    async def _speak(self, address: str, channel: link.Channel) -> None:
+        self._open[address] = channel
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._tell, channel)
+                try:
+                    # Only answers to questions come back on it.
+                    await self._hear(channel, math.inf)
+                finally:
+                    nursery.cancel_scope.cancel()
+        except* link.LinkClosedError as group:
+            raise link.LinkClosedError(str(group.exceptions[0]))
+        finally:
+            if self._open.get(address) is channel:
+                del self._open[address]
+
+    async def _tell(self, channel: link.Channel) -> None:
+        node = self._node
+        while True:
+            force = node.force.catalog
+            message: messages.GatewayLoad = {
+                'version': link.VERSION,
+                'type': 'load',
+                'process': self._members.name,
+                'address': node.deployment.peer_address,
+                'config_version': force.version if force else 0,
+                'loads': {
+                    name: list(load) for name, load in node.work.own().items()
+                },
+            }
+            await _send(channel, message)
+            crowd = len(self._open) / FULL_RATE_PEERS
+            await trio.sleep(TELL_S * max(1.0, crowd))
+
+    async def _accept(self, channel: link.Channel) -> None:
+        """Serve a link that a peer opened."""
+        try:
+            await self._hear(channel, SILENT_S)
+        except link.LinkClosedError as error:
+            loguru.logger.bind(event='link-lost').debug('{}', error)
+            await channel.aclose()
+
+    async def _hear(self, channel: link.Channel, limit_s: float) -> None:
+        while True:
+            data = None
+            with trio.move_on_after(limit_s):
+                data = await channel.receive()
+            if data is None:
+                raise link.LinkClosedError('silent')
+            try:
+                message = link.decode(data)
+            except errors.DecodeError as error:
+                loguru.logger.bind(event='peer-unreadable').warning(
+                    '{}', error
+                )
+                continue
+            if message is not None:
+                await self._take(channel, message)
+
+    async def _take(
+        self, channel: link.Channel, message: link.Message
+    ) -> None:
+        if message['type'] == 'load':
+            self._take_load(typing.cast(messages.GatewayLoad, message))
+        elif message['type'] == 'ask_news':
+            await _send(channel, self._news(message['config_version']))
+        elif message['type'] == 'news':
+            self._take_news(typing.cast(messages.GatewayNews, message))
+
+    def _take_load(self, message: messages.GatewayLoad) -> None:
+        found = {
+            name: loads.Load(*pair)
+            for name, pair in message['loads'].items()
+            if len(pair) == len(loads.NOTHING)
+        }
+        self._node.work.tell(message['process'], found)
+        self._heard.add(message['address'])
+        self._newest_version = max(
+            self._newest_version, message['config_version']
+        )
+
+    def _news(self, known_version: int) -> messages.GatewayNews:
+        node = self._node
+        news: messages.GatewayNews = {
+            'version': link.VERSION,
+            'type': 'news',
+            'age_ms': int(self._knowledge.touch.age_s * 1000),
+            'replicas': [list(r) for r in node.registry.all()],
+            'addresses': sorted(self._heard),
+        }
+        force = node.force.catalog
+        if force is not None and force.version > known_version:
+            news['config'] = force.raw
+        return news
+
+    def _take_news(self, news: messages.GatewayNews) -> None:
+        self._heard.update(news['addresses'])
+        if 'config' in news:
+            try:
+                found = self._knowledge.decode_catalog(news['config'])
+                self._knowledge.take_catalog(found)
+            except errors.DecodeError as error:
+                loguru.logger.bind(event='peer-unreadable').warning(
+                    '{}', error
+                )
+        age_s = news['age_ms'] / 1000
+        if not self._away() or age_s > self._knowledge.touch.age_s:
+            return
+        try:
+            known = msgspec.convert(news['replicas'], list[replicas.Replica])
+        except msgspec.ValidationError as error:
+            loguru.logger.bind(event='peer-unreadable').warning('{}', error)
+            return
+        self._node.registry.replace(known, after_outage=False)
+
+    def _behind(self) -> bool:
+        force = self._node.force.catalog
+        return (force.version if force else 0) < self._newest_version
+
+    async def _ask_when_away(self) -> None:
+        """Ask a peer for news while the store is silent or others know more.
+
+        A different peer is asked each time: one may be cut off as well.
+        """
+        while True:
+            await trio.sleep(ASK_S)
+            if not self._open or not (self._away() or self._behind()):
+                continue
+            address = self._random.choice(sorted(self._open))
+            force = self._node.force.catalog
+            ask: messages.GatewayAsk = {
+                'version': link.VERSION,
+                'type': 'ask_news',
+                'config_version': force.version if force else 0,
+            }
+            try:
+                await _send(self._open[address], ask)
+            except link.LinkClosedError as error:
+                loguru.logger.bind(event='link-lost', peer=address).debug(
+                    '{}', error
+                )
+
+
+async def _send(channel: link.Channel, message: typing.Any) -> None:
+    """Send a message; a peer that takes none for long is dropped.
+
+    A silent connection or a frozen peer would otherwise hold the link's
+    task for minutes while new connections work.
+    """
+    with trio.move_on_after(SEND_S) as scope:
+        await channel.send(link.encode(message))
+    if scope.cancelled_caught:
+        await channel.aclose()
+        raise link.LinkClosedError('the peer takes nothing')
+
+
+def connect(
+    node: nodes.Node, members: memberships.Members, knowledge: Knowledge
+) -> Links:
+    """Return the links of a process, none of them open yet."""
+    found = node.deployment
+    network = link.WebsocketNetwork(found.peer_address, None)
+    return Links(node, members, network, knowledge, random.Random(found.vm))
+
+
+__all__ = ['Knowledge', 'Links', 'connect']
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -13,10 +13,12 @@
 from gentianstair.control import lease
 from gentianstair.entry import ejection
 from gentianstair.gateway import cache_watch
+from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import duties
 from gentianstair.gateway import following
 from gentianstair.gateway import handler
+from gentianstair.gateway import links
 from gentianstair.gateway import loads
 from gentianstair.gateway import members as memberships
 from gentianstair.gateway import node as nodes
@@ -71,7 +73,7 @@
     record = memberships.Record(
         vm=found.vm,
         failure_domain=found.failure_domain,
-        peer_address=f'{found.ip}:{found.peer_port}',
+        peer_address=found.peer_address,
         beat=0,
         windows={},
     )
@@ -138,18 +140,21 @@
     )
 
 
-def _sources(process: Process) -> list[following.Source]:
-    node = process.node
+def _take_catalog(node: nodes.Node, found: catalog.Catalog) -> None:
+    if node.force.take(found):
+        loguru.logger.bind(event='config', version=found.version).info(
+            'configuration {} is in force', found.version
+        )
 
-    def take(found) -> None:
-        if node.force.take(found):
-            loguru.logger.bind(event='config', version=found.version).info(
-                'configuration {} is in force', found.version
-            )
 
+def _sources(process: Process) -> list[following.Source]:
+    node = process.node
     return [
         following.config_source(
-            configuration.decode, configuration.NAME, configuration.KIND, take
+            configuration.decode,
+            configuration.NAME,
+            configuration.KIND,
+            functools.partial(_take_catalog, node),
         ),
         following.replica_source(
             registry.decode, registry.KIND, node.registry
@@ -204,6 +209,12 @@
                 following.follow, node.store, source, process.touch
             )
         nursery.start_soon(process.members.run)
+        knowledge = links.Knowledge(
+            configuration.decode,
+            functools.partial(_take_catalog, node),
+            process.touch,
+        )
+        nursery.start_soon(links.connect(node, process.members, knowledge).run)
         nursery.start_soon(cache_watch.run, node)
         async with trio.open_nursery() as duty_nursery:
             duty_nursery.start_soon(_hold_duties, process)
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -71,9 +71,7 @@
         self._speeds = read_speeds
         self._random = chance
 
-    def plain(
-        self, found: list[replicas.Replica]
-    ) -> replicas.Replica | None:
+    def plain(self, found: list[replicas.Replica]) -> replicas.Replica | None:
         """Return the replica of a plain service with the least work."""
         best = None
         for replica in found:
@@ -100,8 +98,7 @@
         direct = [self._reading(r, prompt, body_bytes) for r in makers]
         pressed = {c.replica.name: self._pressure_s(c.replica) for c in direct}
         options = [
-            Plan(c.replica, None, c.unread_tokens, c.read_s)
-            for c in direct
+            Plan(c.replica, None, c.unread_tokens, c.read_s) for c in direct
         ]
         costs = [
             c.read_s
@@ -154,9 +151,7 @@
     def _least(self, found: list[_Candidate]) -> _Candidate:
         return min(
             found,
-            key=lambda c: (
-                c.read_s + c.cost_s + self._random.uniform(0, TIE_S)
-            ),
+            key=lambda c: c.read_s + c.cost_s + self._random.uniform(0, TIE_S),
         )
 
     def _pressure_s(self, replica: replicas.Replica) -> float:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -160,9 +160,7 @@
         started_s = task.begin(maker)
         node.work.begin(maker.name, unread_tokens)
         if self._prompt.parts:
-            node.cache.expect(
-                maker.name, self._prompt, self._engine.kv_tokens
-            )
+            node.cache.expect(maker.name, self._prompt, self._engine.kv_tokens)
         sending = task.sending(
             maker,
             kv_source=source,
@@ -196,9 +194,7 @@
         if found.status_code != 200:
             await self._refused(found, verdict)
             return
-        silence_s = max(
-            LEAST_SILENCE_S, SILENT_PAUSES * task.route.pause_s
-        )
+        silence_s = max(LEAST_SILENCE_S, SILENT_PAUSES * task.route.pause_s)
         stream = aiter(found.stream)
         # The first event may have to wait for its turn.
         limit_s = math.inf
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -2,6 +2,7 @@
 
 import abc
 import contextlib
+import socket
 import typing
 
 import cbor2
@@ -22,6 +23,8 @@
 MAX_DEPTH = 12
 OPEN_TIMEOUT_S = 3.0
 CLOSE_TIMEOUT_S = 0.5
+# Longest time that sent bytes may stay undelivered.
+DELIVERY_MS = 3000
 # Frames that wait to be read before the sender is held back.
 RECEIVE_QUEUE = 16
 
@@ -36,6 +39,9 @@
     'survey': messages.PeerSurvey,
     'survey_answer': messages.PeerSurveyAnswer,
     'probe': messages.PeerProbe,
+    'load': messages.GatewayLoad,
+    'ask_news': messages.GatewayAsk,
+    'news': messages.GatewayNews,
 }
 
 BYTES = prometheus_client.Counter(
@@ -152,6 +158,19 @@
         await self._connection.aclose()
 
 
+def _bound_delivery(connection: typing.Any) -> None:
+    """Have the kernel break a link whose bytes are not taken in time.
+
+    Behind a cut nothing comes back, and without a bound the kernel would
+    go on for minutes while both ends think that the link stands.
+    """
+    stream = connection.stream
+    if isinstance(stream, trio.SocketStream):
+        stream.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DELIVERY_MS
+        )
+
+
 class WebsocketNetwork(Network):
     """Open and accept websockets on TCP, with mutual TLS if set."""
 
@@ -190,6 +209,7 @@
         ) as error:
             raise LinkClosedError(f'{address}: {error}') from error
         try:
+            _bound_delivery(opened)
             yield WebsocketChannel(opened)
         finally:
             await connection.__aexit__(None, None, None)
--- a/gentianstair/platform/settings.py
+++ b/gentianstair/platform/settings.py
@@ -94,6 +94,13 @@
     return value
 
 
+def _texts(table: _Table, key: str) -> tuple[str, ...]:
+    values = table.listing(key, [])
+    if not all(isinstance(value, str) for value in values):
+        raise errors.SettingsError(f'{key}: must hold texts')
+    return tuple(values)
+
+
 def decode(text: str) -> deployment.Deployment:
     """Return the settings in the file's text; unknown fields are ignored.
 
@@ -118,7 +125,9 @@
         ip=file.text('ip'),
         callers_address=_address(listen, 'front'),
         ready_address=_address(listen, 'ready'),
-        peer_port=ports[0],
+        # The platform calls nothing at this address; peers do.
+        peer_address=_address(listen, 'control'),
+        peer_seeds=_texts(file, 'seeds'),
         metrics_port=ports[-1],
         store_address=_address(store, 'address'),
         store_reads_per_s=store.number('reads_per_s'),
