--- a/gentianstair/gateway/deployment.py
+++ b/gentianstair/gateway/deployment.py
@@ -44,3 +44,10 @@
     replica_heartbeat_s: float
     whole_system_starts: bool
     bounds: Bounds
+
+
+class Live:
+    """The settings in force; a reload replaces them whole."""
+
+    def __init__(self, value: Deployment) -> None:
+        self.value = value
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -1,6 +1,7 @@
 """Run the program gentianstair-gateway: one process on each entry VM."""
 
 import functools
+import pathlib
 import random
 import sys
 import time
@@ -25,6 +26,7 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefix_cache
 from gentianstair.gateway import ready
+from gentianstair.gateway import reload
 from gentianstair.gateway import repeats
 from gentianstair.gateway import replicas
 from gentianstair.gateway import speeds
@@ -61,10 +63,9 @@
     touch: following.Touch
 
 
-def make_process(
-    found: deployment.Deployment, nursery: trio.Nursery
-) -> Process:
+def make_process(live: deployment.Live, nursery: trio.Nursery) -> Process:
     """Return the parts of a process for a deployment."""
+    found = live.value
     now = clock.boottime_s
     store = objects.connect(found.store_address)
     bounds = found.bounds
@@ -80,7 +81,7 @@
     members = memberships.Members(
         store, name, record, counts, now, found.store_writes_per_s
     )
-    node = _make_node(found, store, counts, members, nursery)
+    node = _make_node(live, store, counts, members, nursery)
     leases = lease.make_leases(
         store, name, now, duties.lease_terms(bounds.lease_s)
     )
@@ -95,20 +96,29 @@
     return Process(node, members, leases, reporter, following.Touch(now))
 
 
+def _repeat_terms(live: deployment.Live) -> repeats.Terms:
+    bounds = live.value.bounds
+    return repeats.Terms(
+        bounds.repeat_ratio,
+        bounds.repeat_allowance,
+        bounds.repeat_window_s,
+    )
+
+
 def _make_node(
-    found: deployment.Deployment,
+    live: deployment.Live,
     store: objects.ObjectStore,
     counts: usage.Counts,
     members: memberships.Members,
     nursery: trio.Nursery,
 ) -> nodes.Node:
     now = clock.boottime_s
-    bounds = found.bounds
+    found = live.value
     work = loads.Loads(now)
     cache = prefix_cache.PrefixCache()
     read_speeds = speeds.ReadSpeeds()
     return nodes.Node(
-        deployment=found,
+        live=live,
         clock=now,
         force=nodes.Force(),
         registry=replicas.Registry(now),
@@ -123,11 +133,7 @@
             random.Random(found.vm),
         ),
         repeats=repeats.Repeats(
-            repeats.Terms(
-                bounds.repeat_ratio,
-                bounds.repeat_allowance,
-                bounds.repeat_window_s,
-            ),
+            functools.partial(_repeat_terms, live),
             now,
             members.count,
         ),
@@ -188,13 +194,16 @@
     await trio.sleep(LEAVE_S)
 
 
-async def run(found: deployment.Deployment) -> None:
+async def run(file: pathlib.Path, found: deployment.Deployment) -> None:
     """Serve until stopped, then let running requests end."""
+    live = deployment.Live(found)
     callers = serving.listen(found.callers_address)
     ready_sock = serving.listen(found.ready_address)
     async with trio.open_nursery() as nursery:
-        process = make_process(found, nursery)
+        process = make_process(live, nursery)
         node = process.node
+        reloader = reload.Reloader(file, live, settings.read)
+        nursery.start_soon(reloader.run)
         nursery.start_soon(
             functools.partial(
                 serving.serve,
@@ -235,13 +244,10 @@
 def main() -> None:
     """Read settings and run; a bad setting is told in one line."""
     try:
-        found = settings.read(settings.path())
+        file = settings.path()
+        found = settings.read(file)
         logs.setup('INFO', found.vm, found.failure_domain, sys.stdout)
-        trio.run(run, found)
+        trio.run(run, file, found)
     except errors.UserError as error:
         print(error, file=sys.stderr)
         sys.exit(1)
-
-
-if __name__ == '__main__':
-    main()
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -36,7 +36,7 @@
 class Node(typing.NamedTuple):
     """What the tasks of a process work with."""
 
-    deployment: deployment.Deployment
+    live: deployment.Live
     clock: clocks.Clock
     force: Force
     registry: replicas.Registry
@@ -53,3 +53,8 @@
     leaving: trio.Event
     # Runs what must outlive a request, such as freeing a KV cache.
     nursery: trio.Nursery
+
+    @property
+    def deployment(self) -> deployment.Deployment:
+        """Return the settings in force."""
+        return self.live.value
--- /dev/null
+++ b/gentianstair/gateway/reload.py
@@ -0,0 +1,60 @@
+"""Read the settings again when they change, with or without a signal."""
+
+import collections.abc
+import pathlib
+import signal
+
+import loguru
+import trio
+
+from gentianstair import errors
+from gentianstair.gateway import deployment
+
+# The file may change without a signal; it is read this often.
+LOOK_S = 2.0
+
+Read = collections.abc.Callable[[pathlib.Path], deployment.Deployment]
+
+
+class Reloader:
+    """Puts changed settings in force; a bad file changes nothing."""
+
+    def __init__(
+        self, file: pathlib.Path, live: deployment.Live, read: Read
+    ) -> None:
+        self._file = file
+        self._live = live
+        self._read = read
+        # The last complaint, so that a file that stays bad is told once.
+        self._complaint = ''
+
+    def look(self) -> None:
+        """Read the file once."""
+        try:
+            found = self._read(self._file)
+        except errors.SettingsError as error:
+            if str(error) != self._complaint:
+                loguru.logger.bind(event='settings-bad').error('{}', error)
+            self._complaint = str(error)
+            return
+        self._complaint = ''
+        if found == self._live.value:
+            return
+        changed = [
+            name
+            for name in found._fields
+            if getattr(found, name) != getattr(self._live.value, name)
+        ]
+        loguru.logger.bind(event='settings', changed=changed).info(
+            'changed settings are in force: {}', ', '.join(changed)
+        )
+        self._live.value = found
+
+    async def run(self) -> None:
+        """Look at each SIGHUP and every LOOK_S, until cancelled."""
+        with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            while True:
+                with trio.move_on_after(LOOK_S):
+                    await anext(signals)
+                    loguru.logger.bind(event='reload').info('reloading')
+                self.look()
--- a/gentianstair/gateway/repeats.py
+++ b/gentianstair/gateway/repeats.py
@@ -42,11 +42,11 @@
 
     def __init__(
         self,
-        terms: Terms,
+        terms_of: typing.Callable[[], Terms],
         clock: clocks.Clock,
         vms: typing.Callable[[], int],
     ) -> None:
-        self._terms = terms
+        self._terms_of = terms_of
         self._clock = clock
         self._vms = vms
         self._counts: dict[str, _Counts] = {}
@@ -56,7 +56,7 @@
 
     def _of(self, service: str) -> _Counts:
         counts = self._counts.setdefault(service, _Counts())
-        counts.forget(self._clock() - self._terms.window_s)
+        counts.forget(self._clock() - self._terms_of().window_s)
         return counts
 
     def request(self, service: str) -> None:
@@ -65,7 +65,7 @@
 
     def left(self, service: str) -> float:
         """Return how many repeats this VM may send now."""
-        terms = self._terms
+        terms = self._terms_of()
         counts = self._of(service)
         allowance = terms.allowance / max(1, self._vms())
         if self._clock() - self._started_s < terms.window_s:
--- /dev/null
+++ b/test/gateway/test_reload.py
@@ -0,0 +1,83 @@
+"""Test that changed settings come into force, and bad ones do not."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+import trio
+import trio.testing
+
+from gentianstair import errors
+from gentianstair.gateway import deployment
+from gentianstair.gateway import reload
+from gentianstair.platform import settings
+from test.gateway import samples
+
+
+def read(file):
+    return settings.decode(file.read_text())
+
+
+@pytest.mark.parametrize(
+    ('text', 'ratio'),
+    [
+        (samples.settings(budget_ratio=0.5), 0.5),
+        (samples.settings(budget_ratio='"much"'), 0.2),
+        ('no toml at all = =', 0.2),
+    ],
+)
+def test_a_changed_file(tmp_path, text, ratio):
+    file = tmp_path / 'settings.toml'
+    file.write_text(samples.settings())
+    live = deployment.Live(read(file))
+    reloader = reload.Reloader(file, live, read)
+    file.write_text(text)
+    reloader.look()
+    assert live.value.bounds.repeat_ratio == ratio
+
+
+async def test_a_signal_reads_at_once(tmp_path):
+    """A planned reload must not end the process.
+
+    The operator sends SIGHUP after a change; without a handler the signal
+    ends the process, and all requests that it serves are cut.
+    """
+    file = tmp_path / 'settings.toml'
+    file.write_text(samples.settings())
+    live = deployment.Live(read(file))
+    reloader = reload.Reloader(file, live, read)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(reloader.run)
+        await trio.testing.wait_all_tasks_blocked()
+        file.write_text(samples.settings(budget_ratio=0.4))
+        os.kill(os.getpid(), signal.SIGHUP)
+        with trio.fail_after(1):
+            while live.value.bounds.repeat_ratio != 0.4:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+def test_a_signal_at_the_start_does_not_end_it():
+    """A SIGHUP may come while the program is still being imported."""
+    code = (
+        'import os, signal, runpy, sys\n'
+        "sys.modules['gentianstair.gateway.main'] = type(sys)('main')\n"
+        'import gentianstair.gateway as package\n'
+        "package.main = sys.modules['gentianstair.gateway.main']\n"
+        'package.main.main = lambda: os.kill(os.getpid(), signal.SIGHUP)\n'
+        "runpy.run_module('gentianstair.gateway', run_name='__main__')\n"
+    )
+    root = pathlib.Path(__file__).parents[2]
+    done = subprocess.run(
+        [sys.executable, '-c', code], cwd=root, timeout=30, check=False
+    )
+    assert done.returncode == 0
+
+
+def test_a_missing_file_is_one_line(tmp_path):
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.read(tmp_path / 'none.toml')
+    assert '\n' not in str(caught.value)
