Order reclaimable engines, weigh reads beside streams, bound the logs

Change: engines that may be reclaimed are ordered while they cost less, dear ones fill what is missing; a read beside streams counts against the choice for each of them. Logs go through a bounded buffer that never waits, at a stated rate; the time of day is carried past jumps.

--- /dev/null
+++ b/gentianstair/gateway/capacity.py
@@ -0,0 +1,169 @@
+"""Decide how many replicas of which kind to order in each failure domain.
+
+Replicas that may be reclaimed cost a fraction of the others, and the
+platform takes back those of a whole failure domain at a few seconds' notice.
+So the work is carried by more of them than are needed, spread evenly, and
+the dear ones fill only what is missing while too few cheap ones are there.
+The load this answers is a mix of reading and drafting that shifts within
+seconds, while a replica takes seconds to start: what is not there when a
+shift comes does not come in time.
+"""
+
+import typing
+
+from gentianstair.gateway import catalog
+from gentianstair.gateway import replicas
+
+# Cheap replicas are ordered until they cost this share of what the fleet
+# that the operator started with costs. Half leaves the other half of the
+# spend saved, and with prices of a fifth it buys more than twice the fleet.
+SPEND_SHARE = 0.5
+# An order is repeated when its replicas are not there this long after they
+# could have started.
+PATIENCE_S = 4.0
+# Pause before asking again where there were none to be had.
+NONE_LEFT_PAUSE_S = 1.5
+
+
+class Order(typing.NamedTuple):
+    """How many replicas of a kind a failure domain is to have."""
+
+    service: str
+    failure_domain: str
+    reclaimable: bool
+    count: int
+
+
+class Wanted(typing.NamedTuple):
+    """Counts by failure domain for each kind."""
+
+    reclaimable: dict[str, int]
+    steady: dict[str, int]
+
+
+def spread(
+    total: int, domains: typing.Sequence[str], most: int
+) -> dict[str, int]:
+    """Return an even spread over domains, the first ones first.
+
+    >>> spread(5, ['a', 'b', 'c'], 2)
+    {'a': 2, 'b': 2, 'c': 1}
+    >>> spread(9, ['a', 'b'], 3)
+    {'a': 3, 'b': 3}
+    """
+    counts = dict.fromkeys(domains, 0)
+    left = min(total, most * len(domains))
+    while left > 0:
+        for domain in domains:
+            if left > 0 and counts[domain] < most:
+                counts[domain] += 1
+                left -= 1
+    return counts
+
+
+def reclaimable_total(baseline: int, scaling: catalog.Scaling) -> int:
+    """Return how many cheap replicas to have in all.
+
+    >>> prices = {'a': 1.0, 'b': 1.0}
+    >>> reclaimable_total(4, catalog.Scaling(1, 9, 4.0, 0.25, prices))
+    8
+    >>> reclaimable_total(4, catalog.Scaling(1, 9, 4.0, 0.8, prices))
+    4
+    """
+    price = scaling.reclaimable_price
+    if price >= 1.0 or price <= 0.0:
+        return 0
+    return max(baseline, int(SPEND_SHARE * baseline / price))
+
+
+def count(
+    found: typing.Iterable[replicas.Replica], reclaimable: bool
+) -> dict[str, int]:
+    """Return the replicas of a kind by failure domain."""
+    counts: dict[str, int] = {}
+    for replica in found:
+        if replica.reclaimable == reclaimable and not replica.draining:
+            domain = replica.failure_domain
+            counts[domain] = counts.get(domain, 0) + 1
+    return counts
+
+
+def decide(
+    scaling: catalog.Scaling,
+    baseline: int,
+    found: typing.Sequence[replicas.Replica],
+) -> Wanted:
+    """Return what a service is to have, given what it has.
+
+    baseline is how many replicas the operator started with. The dear ones
+    make up for cheap ones that are not there (yet); they are spread over
+    the cheapest domains.
+    """
+    domains = sorted(scaling.prices, key=lambda d: (scaling.prices[d], d))
+    total = reclaimable_total(baseline, scaling)
+    cheap = spread(total, domains, scaling.most)
+    there = count(found, True)
+    missing = max(0, baseline - sum(there.values()))
+    steady = dict.fromkeys(domains, 0)
+    have = count(found, False)
+    # Those that run already are kept before others are started.
+    for domain in sorted(domains, key=lambda d: -have.get(d, 0)):
+        room = scaling.most - there.get(domain, 0)
+        steady[domain] = max(0, min(missing, have.get(domain, 0), room))
+        missing -= steady[domain]
+    for domain in domains * scaling.most:
+        room = scaling.most - there.get(domain, 0) - steady[domain]
+        if missing > 0 and room > 0:
+            steady[domain] += 1
+            missing -= 1
+    return Wanted(cheap, steady)
+
+
+class Planner:
+    """Turns what is wanted into orders, each repeated only when due."""
+
+    def __init__(self) -> None:
+        # Until when an order is left to take effect, by its subject.
+        self._until_s: dict[tuple[str, str, bool], float] = {}
+        self._last: dict[tuple[str, str, bool], int] = {}
+
+    def due(
+        self,
+        service: str,
+        scaling: catalog.Scaling,
+        wanted: Wanted,
+        found: typing.Sequence[replicas.Replica],
+        now_s: float,
+    ) -> list[Order]:
+        """Return the orders to give now, cheap replicas first."""
+        orders = []
+        dear = count(found, False)
+        kinds = ((True, wanted.reclaimable), (False, wanted.steady))
+        for reclaimable, counts in kinds:
+            have = count(found, reclaimable)
+            for domain, number in counts.items():
+                key = (service, domain, reclaimable)
+                if reclaimable:
+                    # The most that a domain may have holds for both kinds.
+                    number = min(number, scaling.most - dear.get(domain, 0))
+                waits = now_s < self._until_s.get(key, 0.0)
+                repeated = self._last.get(key) == number
+                if have.get(domain, 0) == number or (waits and repeated):
+                    continue
+                orders.append(Order(service, domain, reclaimable, number))
+        return orders
+
+    def ordered(
+        self, order: Order, scaling: catalog.Scaling, now_s: float
+    ) -> None:
+        """Note an order that was accepted."""
+        self._note(order, now_s + scaling.boot_s + PATIENCE_S)
+
+    def none_left(self, order: Order, now_s: float) -> None:
+        """Note that there were none to be had."""
+        self._note(order, now_s + NONE_LEFT_PAUSE_S)
+
+    def _note(self, order: Order, until_s: float) -> None:
+        key = (order.service, order.failure_domain, order.reclaimable)
+        self._until_s[key] = until_s
+        self._last[key] = order.count
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -17,6 +17,7 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import duties
+from gentianstair.gateway import fleet as fleets
 from gentianstair.gateway import following
 from gentianstair.gateway import handler
 from gentianstair.gateway import links
@@ -39,8 +40,10 @@
 from gentianstair.store import settled
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
+from gentianstair.util import line_writer
 from gentianstair.util import logs
 from gentianstair.util import serving
+from gentianstair.util import steady_wall
 
 # The balancer asks each second and needs two refusals; until then it sends
 # new connections here.
@@ -60,6 +63,7 @@
     members: memberships.Members
     leases: lease.Leases
     reporter: duties.UsageReporter
+    fleet: fleets.Fleet
     touch: following.Touch
 
 
@@ -69,7 +73,8 @@
     now = clock.boottime_s
     store = objects.connect(found.store_address, found.vm)
     bounds = found.bounds
-    counts = usage.Counts(time.time, bounds.usage_window_s)
+    wall = steady_wall.SteadyWall(time.time, now)
+    counts = usage.Counts(wall, bounds.usage_window_s)
     name = f'{found.vm}.{settled.new_nonce()}'
     record = memberships.Record(
         vm=found.vm,
@@ -85,15 +90,18 @@
     leases = lease.make_leases(
         store, name, now, duties.lease_terms(bounds.lease_s)
     )
+    platform = cloud.Cloud(found.duties_address, found.vm)
+    touch = following.Touch(now)
     reporter = duties.UsageReporter(
         store,
         members,
-        cloud.Cloud(found.duties_address, found.vm),
+        platform,
         counts,
         duties.Terms(bounds.usage_window_s, bounds.usage_late_s),
-        time.time,
+        wall,
     )
-    return Process(node, members, leases, reporter, following.Touch(now))
+    fleet = fleets.Fleet(node, platform, touch)
+    return Process(node, members, leases, reporter, fleet, touch)
 
 
 def _repeat_terms(live: deployment.Live) -> repeats.Terms:
@@ -120,6 +128,7 @@
     return nodes.Node(
         live=live,
         clock=now,
+        started_s=now(),
         force=nodes.Force(),
         registry=replicas.Registry(now),
         work=work,
@@ -168,6 +177,12 @@
     ]
 
 
+async def _do_duties(process: Process, authority: lease.Authority) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(process.reporter.run, authority)
+        nursery.start_soon(process.fleet.run, authority)
+
+
 async def _hold_duties(process: Process) -> None:
     """Compete for the lease, and do the duties while it is held."""
     found = process.node.deployment
@@ -175,7 +190,7 @@
         # The process before this one may have held the lease a moment ago;
         # to take it right after another would be taking turns.
         await trio.sleep(duties.lease_terms(found.bounds.lease_s).rest_s)
-    scopes = {duties.SCOPE: process.reporter.run}
+    scopes = {duties.SCOPE: functools.partial(_do_duties, process)}
     async with trio.open_nursery() as nursery:
         nursery.start_soon(process.leases.run, lambda: scopes)
         while True:
@@ -246,7 +261,8 @@
     try:
         file = settings.path()
         found = settings.read(file)
-        logs.setup('INFO', found.vm, found.failure_domain, sys.stdout)
+        writer = line_writer.LineWriter(sys.stdout.fileno(), time.monotonic)
+        logs.setup('INFO', found.vm, found.failure_domain, writer)
         trio.run(run, file, found)
     except errors.UserError as error:
         print(error, file=sys.stderr)
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -38,6 +38,7 @@
 
     live: deployment.Live
     clock: clocks.Clock
+    started_s: float
     force: Force
     registry: replicas.Registry
     work: loads.Loads
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -28,8 +28,9 @@
 # are, by some hundredth of a second until its slots are full.
 RUNNING_S = 0.01
 FULL_S = 0.25
-# Prompts that are read beside running streams hold those up.
-INTERFERENCE = 0.5
+# A prompt that is read beside running streams holds each of them up for as
+# long as the read takes; this share of it counts against the choice.
+INTERFERENCE = 0.3
 # Differences below this are decided by chance, so that VMs which know the
 # same do not all choose the same replica.
 TIE_S = 0.004
@@ -164,8 +165,7 @@
         speed = self._speeds.get(
             candidate.replica.service, candidate.replica.stage
         )
-        busy = min(1.0, running / 8)
-        return INTERFERENCE * busy * candidate.unread_tokens / speed
+        return INTERFERENCE * running * candidate.unread_tokens / speed
 
 
 def move_s(tokens: int, engine: catalog.Engine) -> float:
--- a/gentianstair/platform/cloud.py
+++ b/gentianstair/platform/cloud.py
@@ -75,5 +75,6 @@
             raise errors.TurnedAwayError(f'{path}: none to be had now')
         if answer.status != 200:
             raise errors.UpstreamError(
-                f'{path}: {answer.status}', verdicts.Verdict.NOT_RUN
+                f'{path}: {answer.status} {answer.body} to {body}',
+                verdicts.Verdict.NOT_RUN,
             )
--- a/gentianstair/util/logs.py
+++ b/gentianstair/util/logs.py
@@ -94,10 +94,20 @@
     return json.dumps(line, default=str) + '\n'
 
 
+class Stream(typing.Protocol):
+    """What lines are written to."""
+
+    def write(self, line: str, /) -> typing.Any:
+        """Take one line."""
+
+    def flush(self) -> None:
+        """Hand on what was taken."""
+
+
 class _Sink:
     """Write each record as a line to a stream."""
 
-    def __init__(self, stream: typing.TextIO) -> None:
+    def __init__(self, stream: Stream) -> None:
         self._stream = stream
 
     def __call__(self, message: typing.Any) -> None:
@@ -130,7 +140,7 @@
     level: str,
     vm_name: str,
     failure_domain: str,
-    stream: typing.TextIO | None = None,
+    stream: Stream | None = None,
 ) -> None:
     """Send the process's logs to a stream, standard error by default.
 
--- /dev/null
+++ b/test/gateway/test_capacity.py
@@ -0,0 +1,101 @@
+"""Test how many replicas are ordered, and how often."""
+
+import pytest
+
+from gentianstair.gateway import capacity
+from gentianstair.gateway import catalog
+from gentianstair.gateway import replicas
+
+PRICES = {'a': 1.0, 'b': 0.8, 'c': 1.25}
+SCALING = catalog.Scaling(1, 3, 4.0, 0.22, PRICES)
+
+
+def fleet(cheap='', dear='', draining=''):
+    """Return replicas, one for each letter of the domains named."""
+    kinds = ((cheap, True, False), (dear, False, False), (draining, 0, True))
+    return [
+        replicas.Replica(
+            f'i-{domain}{number}{kind}',
+            'models',
+            '10.0.0.1:80',
+            domain,
+            64,
+            leaves,
+            'decode',
+            1,
+            0,
+            kind,
+            (),
+        )
+        for domains, kind, leaves in kinds
+        for number, domain in enumerate(domains)
+    ]
+
+
+@pytest.mark.parametrize(
+    ('cheap', 'dear', 'wanted_cheap', 'wanted_dear'),
+    [
+        # At the start: cheap ones are wanted, and the dear ones are kept.
+        ('', 'aabcc', 9, 'aabcc'),
+        # Enough cheap ones are there.
+        ('aabbcc', 'aabcc', 9, ''),
+        # One is missing; a dear one that runs is kept for it.
+        ('aabb', 'cc', 9, 'c'),
+        # A whole domain was reclaimed: still enough.
+        ('aaabbb', '', 9, ''),
+        # Two were: dear ones make up, first in the cheapest domain.
+        ('aaa', '', 9, 'bc'),
+        ('', '', 9, 'aabbc'),
+    ],
+)
+def test_what_is_wanted(cheap, dear, wanted_cheap, wanted_dear):
+    found = fleet(cheap, dear)
+    wanted = capacity.decide(SCALING, 5, found)
+    assert sum(wanted.reclaimable.values()) == wanted_cheap
+    steady = {d: wanted_dear.count(d) for d in PRICES}
+    assert wanted.steady == steady
+
+
+@pytest.mark.parametrize(
+    ('price', 'total'), [(0.22, 9), (0.4, 6), (0.9, 5), (1.0, 0), (0.0, 0)]
+)
+def test_cheap_ones_by_their_price(price, total):
+    scaling = SCALING._replace(reclaimable_price=price)
+    wanted = capacity.decide(scaling, 5, [])
+    assert sum(wanted.reclaimable.values()) == total
+
+
+def test_both_kinds_share_the_most_of_a_domain():
+    """The platform refuses an order past the most of both kinds together."""
+    planner = capacity.Planner()
+    found = fleet('', 'aabcc')
+    wanted = capacity.decide(SCALING, 5, found)
+    orders = planner.due('models', SCALING, wanted, found, 0.0)
+    counts = {o.failure_domain: o.count for o in orders if o.reclaimable}
+    assert counts == {'a': 1, 'b': 2, 'c': 1}
+
+
+def test_an_order_is_not_repeated_while_it_takes_effect():
+    planner = capacity.Planner()
+    found = fleet('', 'aabcc')
+    wanted = capacity.decide(SCALING, 5, found)
+    for order in planner.due('models', SCALING, wanted, found, 0.0):
+        planner.ordered(order, SCALING, 0.0)
+    assert planner.due('models', SCALING, wanted, found, 3.0) == []
+    later_s = SCALING.boot_s + capacity.PATIENCE_S + 0.1
+    assert planner.due('models', SCALING, wanted, found, later_s)
+
+
+def test_none_to_be_had_is_asked_again_soon():
+    planner = capacity.Planner()
+    wanted = capacity.decide(SCALING, 5, [])
+    orders = planner.due('models', SCALING, wanted, [], 0.0)
+    for order in orders:
+        planner.none_left(order, 0.0)
+    assert planner.due('models', SCALING, wanted, [], 1.0) == []
+    assert planner.due('models', SCALING, wanted, [], 2.0) == orders
+
+
+def test_a_draining_replica_does_not_count():
+    wanted = capacity.decide(SCALING, 5, fleet('aabb', '', 'cc'))
+    assert sum(wanted.steady.values()) == 1
--- /dev/null
+++ b/test/util/test_line_writer.py
@@ -0,0 +1,73 @@
+"""Test that a reader that stops reading never stops the program."""
+
+import json
+import os
+
+import pytest
+
+from gentianstair.util import line_writer
+
+
+@pytest.fixture
+def pipe():
+    read_fd, write_fd = os.pipe()
+    os.set_blocking(read_fd, False)
+    yield read_fd, write_fd
+    os.close(read_fd)
+    os.close(write_fd)
+
+
+def drain(fd):
+    parts = []
+    while True:
+        try:
+            parts.append(os.read(fd, 65536))
+        except BlockingIOError:
+            return b''.join(parts)
+
+
+def test_a_reader_that_stops(pipe):
+    """The reader stops; later it goes on.
+
+    The program writes on without waiting, keeps a bounded part, and says
+    how many lines are missing. No line is cut in two.
+    """
+    read_fd, write_fd = pipe
+    now_s = 0.0
+    writer = line_writer.LineWriter(write_fd, lambda: now_s)
+    for number in range(1000):
+        now_s += 0.1
+        writer.write(json.dumps({'n': number, 'x': 'y' * 1000}) + '\n')
+    found = b''
+    for _ in range(10):
+        found += drain(read_fd)
+        writer.flush()
+    now_s += 10
+    writer.write('{"n": -1}\n')
+    found += drain(read_fd)
+    lines = [json.loads(line) for line in found.splitlines()]
+    assert lines[-1] == {'n': -1}
+    assert lines[-2]['event'] == 'log-dropped'
+    assert lines[-2]['lines'] + len(lines) - 2 == 1000
+
+
+def test_the_rate_is_bounded(pipe):
+    read_fd, write_fd = pipe
+    now_s = 0.0
+    writer = line_writer.LineWriter(write_fd, lambda: now_s)
+    written = 0
+    for _ in range(100):
+        now_s += 0.1
+        for _ in range(400):
+            writer.write('{}\n')
+        written += drain(read_fd).count(b'{}')
+    most = line_writer.BURST_LINES + 10 * line_writer.LINES_PER_S
+    assert 0.9 * most < written <= most + 1
+
+
+def test_no_reader_at_all():
+    read_fd, write_fd = os.pipe()
+    os.close(read_fd)
+    writer = line_writer.LineWriter(write_fd, lambda: 0.0)
+    writer.write('{}\n')
+    os.close(write_fd)
