--- a/gentianstair/gateway/fleet.py
+++ b/gentianstair/gateway/fleet.py
@@ -19,7 +19,7 @@
 # With an older view of the replicas nothing is ordered.
 FRESH_S = 2.0
 # After this many heartbeats from the start all replicas have registered.
-REGISTERED_HEARTBEATS = 4.0
+REGISTERED_HEARTBEATS = 3.0
 
 
 class Fleet:
--- /dev/null
+++ b/test/gateway/test_following.py
@@ -0,0 +1,166 @@
+"""Test what a VM believes while the store misbehaves."""
+
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair.gateway import following
+from gentianstair.gateway import replicas
+from gentianstair.platform import configuration
+from gentianstair.platform import registry as decoding
+from gentianstair.util import clock
+from standins import memory_store
+from standins.site import site
+
+
+def entry(name, **changed):
+    replica = site.replicas.Replica(name, 'desk', 'a')
+    replica.address = '10.0.0.1:80'
+    return {**replica.entry(), **changed}
+
+
+class Watched:
+    """A registry and catalogs that follow a store in memory."""
+
+    def __init__(self):
+        self.store = memory_store.MemoryStore()
+        self.registry = replicas.Registry(clock.trio_time_s)
+        self.versions = []
+        self.touch = following.Touch(clock.trio_time_s)
+
+    def write(self, name, value):
+        table = self.store.table
+        current = table.get('servers', name)
+        version = current.version if current.value is not None else 0
+        table.write('servers', name, value, version)
+
+    def names(self):
+        return sorted(r.name for r in self.registry.usable('desk'))
+
+    async def run(self):
+        sources = [
+            following.replica_source(
+                decoding.decode, decoding.KIND, self.registry
+            ),
+            following.config_source(
+                configuration.decode,
+                configuration.NAME,
+                configuration.KIND,
+                lambda found: self.versions.append(found.version),
+            ),
+        ]
+        async with trio.open_nursery() as nursery:
+            for source in sources:
+                nursery.start_soon(
+                    following.follow, self.store, source, self.touch
+                )
+
+
+@pytest.fixture
+async def watched(autojump_clock, nursery):
+    found = Watched()
+    found.write('i-1', entry('i-1'))
+    found.write('i-2', entry('i-2'))
+    nursery.start_soon(found.run)
+    await trio.sleep(1)
+    return found
+
+
+async def test_entries_come_drain_and_go(watched):
+    assert watched.names() == ['i-1', 'i-2']
+    watched.write('i-1', entry('i-1', state='draining'))
+    watched.write('i-3', entry('i-3'))
+    await trio.sleep(1)
+    assert watched.names() == ['i-2', 'i-3']
+    watched.write('i-2', None)
+    watched.write('i-3', {'garbage': True})
+    await trio.sleep(1)
+    assert watched.names() == []
+
+
+async def test_entries_that_lapse_in_an_outage_are_kept_for_a_while(watched):
+    """The store is down for long, and all entries lapse meanwhile.
+
+    Right after its return nothing is listed; a VM that believed it would
+    refuse everybody although all replicas live. Those that come back stay,
+    the others count as gone after two seconds.
+    """
+    watched.store.faults.down = True
+    watched.write('i-1', None)
+    watched.write('i-2', None)
+    await trio.sleep(8)
+    assert watched.names() == ['i-1', 'i-2']
+    watched.store.faults.down = False
+    await trio.sleep(1)
+    assert watched.names() == ['i-1', 'i-2']
+    watched.write('i-1', entry('i-1'))
+    await trio.sleep(2)
+    assert watched.names() == ['i-1']
+
+
+async def test_a_draining_replica_is_not_kept(watched):
+    watched.write('i-1', entry('i-1', state='draining'))
+    await trio.sleep(1)
+    watched.store.faults.down = True
+    watched.write('i-1', None)
+    await trio.sleep(3)
+    watched.store.faults.down = False
+    await trio.sleep(1)
+    assert watched.names() == ['i-2']
+    assert watched.registry.get('i-1') is None
+
+
+async def test_dropped_history_is_read_anew(watched):
+    """The store drops its history while a replica leaves unseen."""
+    real = watched.store.watch
+
+    async def gone(*args, **kwargs):
+        raise errors.WatchTooOldError('gone')
+
+    watched.store.watch = gone
+    watched.write('i-1', entry('i-1', state='draining'))
+    await trio.sleep(2)
+    watched.store.watch = real
+    assert watched.names() == ['i-2']
+
+
+async def test_a_listing_from_the_past_is_not_taken(watched):
+    """After a failed call a listing comes from before what was seen."""
+    watched.write('i-1', entry('i-1', state='draining'))
+    await trio.sleep(1)
+    real = watched.store.list
+    stale = [True]
+
+    async def list_(kind, **kwargs):
+        listing = await real(kind, **kwargs)
+        if stale[0]:
+            return listing._replace(revision=1, objects=[])
+        return listing
+
+    watched.store.list = list_
+    watched.store.faults.down = True
+    await trio.sleep(2)
+    watched.store.faults.down = False
+    await trio.sleep(2)
+    assert watched.names() == ['i-2']
+    stale[0] = False
+    await trio.sleep(2)
+    assert watched.names() == ['i-2']
+
+
+async def test_an_unreadable_configuration_changes_nothing(watched):
+    table = watched.store.table
+    version = table.write('config', 'main', site.CONFIG, 0)
+    await trio.sleep(1)
+    version = table.write('config', 'main', {'version': 'x'}, version)
+    await trio.sleep(1)
+    table.write('config', 'main', {**site.CONFIG, 'version': 8}, version)
+    await trio.sleep(1)
+    assert watched.versions == [7, 8]
+
+
+async def test_the_age_of_the_last_answer(watched):
+    assert watched.touch.age_s < 2
+    watched.store.faults.down = True
+    await trio.sleep(5)
+    assert watched.touch.age_s > 3
