Let dear engines go one by one, once cheap ones are warm

Change: those that run stay until as many cheap ones have been there 6 s, then go one each 2.5 s. Metrics are served at a port of their own; the runtime no longer loads the command line's library. Red once in a parallel run: test_a_planned_stop_of_an_entry_vm_cuts_no_ request, connection refused; being traced.

--- a/gentianstair/gateway/capacity.py
+++ b/gentianstair/gateway/capacity.py
@@ -25,6 +25,13 @@
 NONE_LEFT_PAUSE_S = 1.5
 
 
+# A replica that has been there for so long keeps the prompts most asked for.
+WARM_S = 6.0
+# Dear replicas are let go one by one: each takes along what it keeps of
+# prompts, and those who need that wait until it is read again.
+LET_GO_PAUSE_S = 2.5
+
+
 class Order(typing.NamedTuple):
     """How many replicas of a kind a failure domain is to have."""
 
@@ -92,41 +99,63 @@
     scaling: catalog.Scaling,
     baseline: int,
     found: typing.Sequence[replicas.Replica],
+    warm: typing.Collection[str],
 ) -> Wanted:
     """Return what a service is to have, given what it has.
 
     baseline is how many replicas the operator started with. The dear ones
-    make up for cheap ones that are not there (yet); they are spread over
-    the cheapest domains.
+    make up for cheap ones that are not there; those that run stay until as
+    many cheap ones are warm, by name in warm. New ones start in the
+    cheapest domains.
     """
     domains = sorted(scaling.prices, key=lambda d: (scaling.prices[d], d))
     total = reclaimable_total(baseline, scaling)
-    cheap = spread(total, domains, scaling.most)
     there = count(found, True)
-    missing = max(0, baseline - sum(there.values()))
-    steady = dict.fromkeys(domains, 0)
     have = count(found, False)
-    # Those that run already are kept before others are started.
+    cold = baseline - count_warm(found, warm)
+    steady = dict.fromkeys(domains, 0)
     for domain in sorted(domains, key=lambda d: -have.get(d, 0)):
         room = scaling.most - there.get(domain, 0)
-        steady[domain] = max(0, min(missing, have.get(domain, 0), room))
-        missing -= steady[domain]
+        steady[domain] = max(0, min(cold, have.get(domain, 0), room))
+        cold -= steady[domain]
+    missing = baseline - sum(there.values()) - sum(steady.values())
     for domain in domains * scaling.most:
         room = scaling.most - there.get(domain, 0) - steady[domain]
         if missing > 0 and room > 0:
             steady[domain] += 1
             missing -= 1
-    return Wanted(cheap, steady)
+    return Wanted(spread(total, domains, scaling.most), steady)
+
+
+def count_warm(
+    found: typing.Iterable[replicas.Replica], warm: typing.Collection[str]
+) -> int:
+    """Return how many cheap replicas have been there for a while."""
+    return sum(
+        replica.reclaimable and not replica.draining and replica.name in warm
+        for replica in found
+    )
 
 
 class Planner:
     """Turns what is wanted into orders, each repeated only when due."""
 
     def __init__(self) -> None:
+        # When each replica was first seen.
+        self._seen_s: dict[str, float] = {}
+        self._let_go_s = 0.0
         # Until when an order is left to take effect, by its subject.
         self._until_s: dict[tuple[str, str, bool], float] = {}
         self._last: dict[tuple[str, str, bool], int] = {}
 
+    def warm(
+        self, found: typing.Sequence[replicas.Replica], now_s: float
+    ) -> set[str]:
+        """Return the names of replicas that have been seen for WARM_S."""
+        names = {replica.name for replica in found}
+        self._seen_s = {name: self._seen_s.get(name, now_s) for name in names}
+        return {n for n, at_s in self._seen_s.items() if now_s - at_s > WARM_S}
+
     def due(
         self,
         service: str,
@@ -146,6 +175,11 @@
                 if reclaimable:
                     # The most that a domain may have holds for both kinds.
                     number = min(number, scaling.most - dear.get(domain, 0))
+                elif number < have.get(domain, 0):
+                    if now_s < self._let_go_s:
+                        continue
+                    number = have[domain] - 1
+                    self._let_go_s = now_s + LET_GO_PAUSE_S
                 waits = now_s < self._until_s.get(key, 0.0)
                 repeated = self._last.get(key) == number
                 if have.get(domain, 0) == number or (waits and repeated):
--- a/gentianstair/gateway/deployment.py
+++ b/gentianstair/gateway/deployment.py
@@ -33,7 +33,6 @@
     # latter may be out of date.
     peer_address: str
     peer_seeds: tuple[str, ...]
-    metrics_port: int
     store_address: str
     store_reads_per_s: float
     store_writes_per_s: float
--- a/gentianstair/gateway/fleet.py
+++ b/gentianstair/gateway/fleet.py
@@ -66,7 +66,8 @@
         baseline = await self._baseline(service.name, len(there))
         if not baseline:
             return
-        wanted = capacity.decide(scaling, baseline, there)
+        warm = self._planner.warm(there, now_s)
+        wanted = capacity.decide(scaling, baseline, there, warm)
         due = self._planner.due(service.name, scaling, wanted, there, now_s)
         for order in due:
             try:
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -1,6 +1,7 @@
 """Run the program gentianstair-gateway: one process on each entry VM."""
 
 import functools
+import os
 import pathlib
 import random
 import sys
@@ -54,6 +55,7 @@
 # one that it says nothing about.
 REPLICA_IDLE_S = 1.0
 READY_GRACE_S = 0.1
+METRICS_VARIABLE = 'GENTIANSTAIR_METRICS_PORT'
 
 
 class Process(typing.NamedTuple):
@@ -209,7 +211,11 @@
     await trio.sleep(LEAVE_S)
 
 
-async def run(file: pathlib.Path, found: deployment.Deployment) -> None:
+async def run(
+    file: pathlib.Path,
+    found: deployment.Deployment,
+    metrics_address: str | None = None,
+) -> None:
     """Serve until stopped, then let running requests end."""
     live = deployment.Live(found)
     callers = serving.listen(found.callers_address)
@@ -219,15 +225,16 @@
         node = process.node
         reloader = reload.Reloader(file, live, settings.read)
         nursery.start_soon(reloader.run)
-        nursery.start_soon(
-            functools.partial(
-                serving.serve,
-                ready.make_app(node),
-                ready_sock,
-                ready.never,
-                READY_GRACE_S,
+        apps = [(ready.make_app(node), ready_sock)]
+        if metrics_address is not None:
+            sock = serving.listen(metrics_address)
+            apps.append((ready.make_metrics_app(), sock))
+        for app, sock in apps:
+            nursery.start_soon(
+                functools.partial(
+                    serving.serve, app, sock, ready.never, READY_GRACE_S
+                )
             )
-        )
         for source in _sources(process):
             nursery.start_soon(
                 following.follow, node.store, source, process.touch
@@ -256,6 +263,19 @@
         nursery.cancel_scope.cancel()
 
 
+def metrics_address(ip: str) -> str | None:
+    """Return where metrics are served, None if they are not.
+
+    The port is a setting of ours, as the platform's file has none.
+    """
+    port = os.environ.get(METRICS_VARIABLE)
+    if port is None:
+        return None
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise errors.SettingsError(f'{METRICS_VARIABLE}: {port!r} is no port')
+    return f'{ip}:{port}'
+
+
 def main() -> None:
     """Read settings and run; a bad setting is told in one line."""
     try:
@@ -263,7 +283,7 @@
         found = settings.read(file)
         writer = line_writer.LineWriter(sys.stdout.fileno(), time.monotonic)
         logs.setup('INFO', found.vm, found.failure_domain, writer)
-        trio.run(run, file, found)
+        trio.run(run, file, found, metrics_address(found.ip))
     except errors.UserError as error:
         print(error, file=sys.stderr)
         sys.exit(1)
--- a/gentianstair/gateway/ready.py
+++ b/gentianstair/gateway/ready.py
@@ -30,6 +30,13 @@
             return {'ready': True}
         return {'ready': False, 'why': why}, 503
 
+    return app
+
+
+def make_metrics_app() -> quart_trio.QuartTrio:
+    """Return the application of the metrics address."""
+    app = quart_trio.QuartTrio('gentianstair.metrics')
+
     @app.get('/metrics')
     async def metrics():
         return quart.Response(
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -14,8 +14,8 @@
 import websockets.trio.server
 
 from gentianstair import errors
-from gentianstair import settings as settings_module
 from gentianstair.generated import messages
+from gentianstair.util import addresses
 from gentianstair.util import tls
 
 VERSION = 1
@@ -220,7 +220,7 @@
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """See Network.serve."""
-        host, port = settings_module.parse_address(self._listen)
+        host, port = addresses.parse(self._listen)
         listeners = await trio.open_tcp_listeners(port, host=host)
         bound = listeners[0].socket.getsockname()
         task_status.started(f'{bound[0]}:{bound[1]}')
--- a/gentianstair/platform/settings.py
+++ b/gentianstair/platform/settings.py
@@ -115,9 +115,6 @@
     store = file.table('platform')
     cloud = file.table('cloud')
     limits = file.table('limits')
-    ports = file.listing('internal_ports')
-    if not ports or not all(isinstance(port, int) for port in ports):
-        raise errors.SettingsError('internal_ports: must hold port numbers')
     return deployment.Deployment(
         vm=file.text('node'),
         failure_domain=file.text('zone'),
@@ -128,7 +125,6 @@
         # The platform calls nothing at this address; peers do.
         peer_address=_address(listen, 'control'),
         peer_seeds=_texts(file, 'seeds'),
-        metrics_port=ports[-1],
         store_address=_address(store, 'address'),
         store_reads_per_s=store.number('reads_per_s'),
         store_writes_per_s=store.number('writes_per_s'),
--- a/gentianstair/settings.py
+++ b/gentianstair/settings.py
@@ -9,6 +9,7 @@
 import cappa
 
 from gentianstair import errors
+from gentianstair.util import addresses
 
 ENVIRONMENT_PREFIX = 'GENTIANSTAIR_'
 # Variables with our prefix that are not settings of a daemon: the command
@@ -44,18 +45,6 @@
         return ENVIRONMENT_PREFIX + self.name.upper()
 
 
-def parse_address(text: str) -> tuple[str, int]:
-    """Return host and port of ``host:port``.
-
-    >>> parse_address('127.0.0.1:80')
-    ('127.0.0.1', 80)
-    """
-    host, colon, port = text.rpartition(':')
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError('an address as host:port')
-    return host.strip('[]'), int(port)
-
-
 def _parse_bool(text: str) -> bool:
     if text.lower() in _TRUE:
         return True
@@ -78,14 +67,14 @@
 
 
 def _parse_address_text(text: str) -> str:
-    parse_address(text)
+    addresses.parse(text)
     return text
 
 
 def _parse_addresses(text: str) -> tuple[str, ...]:
     parts = tuple(part.strip() for part in text.split(',') if part.strip())
     for part in parts:
-        parse_address(part)
+        addresses.parse(part)
     return parts
 
 
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -17,7 +17,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair import settings
+from gentianstair.util import addresses
 
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
@@ -35,7 +35,7 @@
 
     With reuse_port several processes of a VM share the address.
     """
-    host, port = settings.parse_address(address)
+    host, port = addresses.parse(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/gentianstair/util/tls.py
+++ b/gentianstair/util/tls.py
@@ -9,7 +9,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair import settings
+from gentianstair.util import addresses
 
 RELOAD_INTERVAL_S = 5.0
 
@@ -39,7 +39,7 @@
     Without TLS a caller's key could be read on the way, so only loopback is
     served plain, or any address by the explicit ``--insecure-plain``.
     """
-    host, _ = settings.parse_address(address)
+    host, _ = addresses.parse(address)
     if allowed or host == 'localhost':
         return
     try:
--- a/standins/wire.py
+++ b/standins/wire.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from gentianstair import settings
+from gentianstair.util import addresses
 from standins import serving
 
 READ_BYTES = 65536
@@ -81,7 +81,7 @@
 async def _run(listen: str, to: str) -> None:
     sock = serving.listen(listen)
     host, port = sock.getsockname()[:2]
-    wire = Wire(settings.parse_address(to))
+    wire = Wire(addresses.parse(to))
     listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
     async with trio.open_nursery() as nursery:
         nursery.start_soon(wire.obey)
