Choose the maker again after a prompt was read; contain faults of duties

The maker had been chosen before a read of 1.7 s and was not looked at again. Ruled out: a late view of the registry; the notice was known after 0.6 s. Change: the maker is chosen when the prompt has been read; the clean-up looks whether the socket is open; a fault in a duty is logged and the duty begun anew instead of ending the process and its callers' requests. Tests: both failed first.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -55,6 +55,8 @@
 # one that it says nothing about.
 REPLICA_IDLE_S = 1.0
 READY_GRACE_S = 0.1
+# Pause before a duty that failed is begun anew.
+DUTY_PAUSE_S = 1.0
 METRICS_VARIABLE = 'GENTIANSTAIR_METRICS_PORT'
 
 
@@ -179,10 +181,25 @@
     ]
 
 
+async def _contain(duty: lease.Role, authority: lease.Authority) -> None:
+    """Run a duty; a fault in it ends neither the process nor the others.
+
+    Callers' requests run in the same process and would all be cut.
+    """
+    while True:
+        try:
+            await duty(authority)
+        except errors.LeaseLostError:
+            raise
+        except Exception:
+            loguru.logger.bind(event='fault').exception('a duty failed')
+        await trio.sleep(DUTY_PAUSE_S)
+
+
 async def _do_duties(process: Process, authority: lease.Authority) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(process.reporter.run, authority)
-        nursery.start_soon(process.fleet.run, authority)
+        for duty in (process.reporter.run, process.fleet.run):
+            nursery.start_soon(_contain, duty, authority)
 
 
 async def _hold_duties(process: Process) -> None:
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -134,18 +134,37 @@
         ranked = [cost + tie for cost, tie in zip(costs, ties, strict=True)]
         return options[ranked.index(min(ranked))]
 
+    def maker(
+        self, found: list[replicas.Replica], body_bytes: int
+    ) -> replicas.Replica | None:
+        """Return where to make the output of a prompt that has been read."""
+        makers = [r for r in found if r.stage != speeds.READS]
+        return min(
+            makers,
+            key=lambda r: (
+                self._pressure_s(r)
+                + self._far_s(r, body_bytes)
+                + self._random.uniform(0, TIE_S)
+            ),
+            default=None,
+        )
+
+    def _far_s(self, replica: replicas.Replica, body_bytes: int) -> float:
+        if replica.failure_domain == self._failure_domain:
+            return 0.0
+        return FAR_S_PER_BYTE * body_bytes
+
     def _reading(
         self, replica: replicas.Replica, prompt: calls.Prompt, body_bytes: int
     ) -> _Candidate:
         unread = self._cache.unread_tokens(replica.name, prompt)
         speed = self._speeds.get(replica.service, replica.stage)
         before = self._work.at(replica.name).unread_tokens
-        far = replica.failure_domain != self._failure_domain
         return _Candidate(
             replica,
             unread,
             (before + unread) / speed,
-            FAR_S_PER_BYTE * body_bytes if far else 0.0,
+            self._far_s(replica, body_bytes),
         )
 
     def _least(self, found: list[_Candidate]) -> _Candidate:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -43,6 +43,8 @@
         self._engine = engine or ENGINE
         self._prompt = task.call.prompt or calls.Prompt('', 0, 0, ())
         self._events = events.Events()
+        # Where the output was made, or was to be made, last.
+        self._maker: replicas.Replica | None = None
         # Passed through when a replica itself refuses or fails.
         self.answer: forward.Answer | None = None
 
@@ -64,7 +66,7 @@
                 task.tell(
                     'try-failed',
                     f'a try failed: {error}',
-                    replica=plan.maker.name,
+                    replica=self._maker.name if self._maker else None,
                     reader=plan.reader.name if plan.reader else None,
                     verdict=error.verdict.name,
                     events=self._events.delivered,
@@ -100,7 +102,7 @@
             return
         source = await self._read(plan.reader, plan.unread_tokens)
         try:
-            await self._make(plan.maker, source, 0)
+            await self._make(self._maker_now(), source, 0)
             source = None
         finally:
             if source is not None:
@@ -108,6 +110,20 @@
                     forward.release_kv, self._node, plan.reader.name, source
                 )
 
+    def _maker_now(self) -> replicas.Replica:
+        """Return the maker for a prompt that has just been read.
+
+        A read may take seconds. The maker that was in mind may be leaving
+        by now and must get no more work, and others may have less to do.
+        """
+        task = self._task
+        maker = self._node.placement.maker(task.candidates(), len(task.body))
+        if maker is None:
+            raise errors.UpstreamError(
+                'nobody makes output now', verdicts.Verdict.NOT_RUN
+            )
+        return maker
+
     async def _read(
         self, reader: replicas.Replica, unread_tokens: int
     ) -> calls.KvSource:
@@ -157,6 +173,7 @@
     ) -> None:
         """Have the output made and pass it on."""
         task, node = self._task, self._node
+        self._maker = maker
         started_s = task.begin(maker)
         node.work.begin(maker.name, unread_tokens)
         if self._prompt.parts:
--- a/gentianstair/util/checked_call.py
+++ b/gentianstair/util/checked_call.py
@@ -155,5 +155,9 @@
     ) as error:
         raise errors.UpstreamError(f'{url}: {error!r}', known) from error
     finally:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        # A connect that was given up has closed the socket already.
+        if sock.fileno() >= 0:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
         wrapped.close()
--- /dev/null
+++ b/test/gateway/test_duty_protocol.py
@@ -0,0 +1,231 @@
+"""Explore the duties' lease and the reports under seeded failures.
+
+The real code of lease, counting, sealing and reporting runs in four
+processes that are paused, killed and restarted, on a store that refuses,
+delays and loses calls and does some of them late.
+"""
+
+import collections
+
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.control import lease
+from gentianstair.gateway import duties
+from gentianstair.gateway import members as memberships
+from gentianstair.gateway import usage
+from standins import chaos
+
+LEASE_S = 3.0
+WINDOW_S = 5.0
+LIFETIME_S = 0.6
+RUN_S = 240.0
+PROCESSES = 4
+CHANCES = chaos.Chances(pause=0.004, pause_s=8.0, late_s=6.0)
+
+
+class Cloud:
+    """A process's calls to the platform, with the steps of the real ones."""
+
+    def __init__(self, process, vm, guarded):
+        self.process = process
+        self.vm = vm
+        self.guarded = guarded
+
+    async def report_usage(self, authority, window, counts):
+        process = self.process
+        await process.step()
+        left_s = authority.check(LIFETIME_S)
+        checked_s = trio.current_time()
+        await process.step()
+        if self.guarded and trio.current_time() - checked_s > left_s:
+            raise chaos.KilledError(process.name)
+        arrived = trio.Event()
+        process.world.nursery.start_soon(
+            self.deliver, authority.epoch, window, dict(counts), arrived
+        )
+        with trio.move_on_after(0.8):
+            await arrived.wait()
+            await process.step()
+            if not process.chance(CHANCES.lose_answer):
+                return
+        raise errors.UpstreamError('no answer', verdicts.Verdict.MAY_HAVE_RUN)
+
+    async def deliver(self, epoch, window, counts, arrived):
+        world = self.process.world
+        if self.process.chance(CHANCES.lose_request):
+            return
+        await trio.sleep(world.random.uniform(0, LIFETIME_S))
+        world.add(
+            'platform',
+            'report',
+            vm=self.vm,
+            epoch=epoch,
+            window=window,
+            counts=counts,
+        )
+        arrived.set()
+
+
+class Vm:
+    """A VM whose process is killed and starts again."""
+
+    def __init__(self, world, number, terms, guarded, chances):
+        self.world = world
+        self.chances = chances
+        self.name = f'vm-{number}'
+        self.terms = terms
+        self.guarded = guarded
+
+    async def run(self):
+        starts = 0
+        while True:
+            starts += 1
+            try:
+                await self.live(f'{self.name}.{starts}', starts == 1)
+            except* chaos.KilledError:
+                self.world.add(self.name, 'killed')
+            await trio.sleep(1.0)
+
+    async def live(self, name, at_first):
+        process = chaos.Process(self.world, name, self.chances)
+        store = chaos.ChaosStore(process)
+        counts = usage.Counts(trio.current_time, WINDOW_S)
+        record = memberships.Record(self.name, 'a', '', 0, {})
+        members = memberships.Members(
+            store, name, record, counts, process.clock, 400
+        )
+        leases = lease.make_leases(store, name, process.clock, self.terms)
+        cloud = Cloud(process, self.name, self.guarded)
+        reporter = duties.UsageReporter(
+            store,
+            members,
+            cloud,
+            counts,
+            duties.Terms(WINDOW_S, 10.0),
+            trio.current_time,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(members.run)
+            nursery.start_soon(self.count, counts)
+            nursery.start_soon(self.candidates, members, leases)
+            if not at_first:
+                await trio.sleep(self.terms.rest_s)
+            nursery.start_soon(
+                leases.run, lambda: {duties.SCOPE: reporter.run}
+            )
+            await trio.sleep(self.world.random.uniform(20, 120))
+            raise chaos.KilledError(name)
+
+    async def count(self, counts):
+        while True:
+            await trio.sleep(self.world.random.uniform(0, 0.5))
+            counts.began(self.world.random.choice(('club', 'guild')))
+
+    async def candidates(self, members, leases):
+        while True:
+            alive = sorted(member.name for member in members.alive())
+            leases.candidates = tuple(alive) or (members.name,)
+            await trio.sleep(0.5)
+
+
+async def explore(seed, terms=None, guarded=True, chances=CHANCES):
+    """Return the reports of one run, in the order of their arrival."""
+    terms = terms or duties.lease_terms(LEASE_S)
+    async with trio.open_nursery() as nursery:
+        world = chaos.World(seed, nursery)
+        for number in range(PROCESSES):
+            nursery.start_soon(Vm(world, number, terms, guarded, chances).run)
+        await trio.sleep(RUN_S)
+        nursery.cancel_scope.cancel()
+    return [event for event in world.events if event.type == 'report']
+
+
+def check(reports):
+    """Return what breaks a promise, by kind."""
+    broken = collections.Counter()
+    figures = {}
+    holders = {}
+    highest = 0
+    for event in reports:
+        data = event.data
+        first = figures.setdefault(data['window'], data['counts'])
+        broken['figures'] += first != data['counts']
+        holder = holders.setdefault(data['epoch'], data['vm'])
+        broken['one epoch, two holders'] += holder != data['vm']
+        broken['lower epoch'] += data['epoch'] < highest
+        highest = max(highest, data['epoch'])
+    turns = [(event.at_s, event.data['vm']) for event in reports]
+    for number, (at_s, vm) in enumerate(turns):
+        between = False
+        for later_s, other in turns[number + 1 :]:
+            if later_s - at_s > LEASE_S:
+                break
+            broken['turns'] += other == vm and between
+            between = between or other != vm
+    return +broken
+
+
+@pytest.mark.promise
+@pytest.mark.parametrize('seed', range(12))
+async def test_reports_are_one_holders_at_a_time(seed, autojump_clock):
+    reports = await explore(seed)
+    assert check(reports) == {}
+    windows = {event.data['window'] for event in reports}
+    # Most windows are reported in spite of all that.
+    assert len(windows) > 0.6 * RUN_S / WINDOW_S
+
+
+@pytest.mark.parametrize(
+    ('history', 'kind'),
+    [
+        ([('a', 1, 7, 1), ('b', 2, 7, 2)], 'figures'),
+        ([('a', 1, 7, 1), ('b', 1, 8, 1)], 'one epoch, two holders'),
+        ([('a', 2, 7, 1), ('b', 1, 8, 1)], 'lower epoch'),
+        ([('a', 1, 7, 1), ('b', 2, 8, 1), ('a', 3, 9, 1)], 'turns'),
+    ],
+)
+def test_the_checker_sees_a_planted_breach(history, kind):
+    reports = [
+        chaos.history.Event(
+            float(number),
+            'platform',
+            'report',
+            {'vm': vm, 'epoch': e, 'window': w, 'counts': {'club': count}},
+        )
+        for number, (vm, e, w, count) in enumerate(history)
+    ]
+    assert check(reports)[kind] == 1
+
+
+PAUSED = CHANCES._replace(pause=0.03)
+
+
+async def count_anew(self, window):
+    """Return what is counted now, as if there were no seals."""
+    records = await self._members.records()
+    parts = [memberships.counts_of(record) for record in records]
+    return usage.total(parts, window)
+
+
+@pytest.mark.parametrize(
+    ('guarded', 'sealed', 'kind'),
+    [
+        # A holder that was stopped before its send sends when it goes on.
+        (False, True, 'lower epoch'),
+        # Figures that are not written down before they are sent.
+        (True, False, 'figures'),
+    ],
+)
+async def test_what_holds_it(
+    guarded, sealed, kind, autojump_clock, monkeypatch
+):
+    """Broken on purpose, the exploration finds the breach."""
+    if not sealed:
+        monkeypatch.setattr(duties.UsageReporter, '_sealed', count_anew)
+    broken = collections.Counter()
+    for seed in range(10):
+        broken += check(await explore(seed, guarded=guarded, chances=PAUSED))
+    assert broken[kind]
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -197,6 +197,44 @@
             assert len(site.replica('i-desk-2').runs) >= 5
 
 
+async def test_a_maker_that_leaves_during_the_read_gets_no_more(tmp_path):
+    """A prompt is read for over two seconds; its maker says it is leaving.
+
+    The caller saw nothing, but the leaving replica got new work later than
+    the bound: the maker was chosen before the read and not looked at again.
+    """
+    reader, leaving = (
+        replicas.Replica('i-reader', 'models', 'a', 'prefill'),
+        replicas.Replica('i-leaving', 'models', 'a', 'decode'),
+    )
+    staying = replicas.Replica('i-staying', 'models', 'a', 'decode')
+    reader.tokens_per_s = 1460 / 2.2
+    # Reading beside the output would take far longer still.
+    leaving.tokens_per_s = 1.0
+    async with sites.running([reader, leaving, staying]) as site:
+        staying.draining = True
+        async with gateways.running(site, tmp_path) as (gateway,):
+            task = []
+
+            async def call():
+                task.append(
+                    await gateway.call(
+                        'POST', '/ask/rule', 'm1', **gateways.PROMPT
+                    )
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                with trio.fail_after(2):
+                    while not reader.reads:
+                        await trio.sleep(0.01)
+                leaving.draining = True
+                staying.draining = False
+        assert task[0].status_code == 200
+        assert [run.request_id for run in staying.runs] == ['m1']
+        assert leaving.runs == []
+
+
 async def test_a_changed_configuration_comes_into_force(tmp_path):
     async with sites.running() as site:
         async with gateways.running(site, tmp_path) as (gateway,):
--- a/test/util/test_checked_call.py
+++ b/test/util/test_checked_call.py
@@ -124,3 +124,33 @@
     with pytest.raises(errors.UpstreamError) as caught:
         await checked_call.call(url, 'POST', {}, check=lambda: 9.0, **terms)
     assert caught.value.verdict is verdict.Verdict.NOT_RUN
+
+
+async def test_a_peer_that_does_not_accept_is_reported_as_such():
+    """The platform is silent while a report is due.
+
+    Connecting ran out of time, which closed the socket; the clean-up then
+    failed on the closed socket, and the whole process ended.
+    """
+    with socket.create_server(('127.0.0.1', 0), backlog=0) as server:
+        address = server.getsockname()
+        waiting = []
+        for _ in range(4):
+            # What is not accepted fills the queue of new connections.
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(address)
+            waiting.append(sock)
+        url = f'http://127.0.0.1:{address[1]}/usage'
+        with pytest.raises(errors.UpstreamError) as caught:
+            await checked_call.call(
+                url,
+                'POST',
+                {},
+                check=lambda: 9.0,
+                lifetime_s=0.3,
+                timeout_s=0.3,
+            )
+        for sock in waiting:
+            sock.close()
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
