Leave processes that just started out of the candidates for the lease

Cause: a killed holder's VM starts again under a new name within a second; where the lease prefers that name, the others waited while it rested and watched: no report from 14.0 s to 22.9 s of turned-away-while-keys-go. Change: candidates have lived as long as a newcomer rests and watches.

--- a/gentianstair/gateway/duties.py
+++ b/gentianstair/gateway/duties.py
@@ -137,3 +137,9 @@
         margin_s=0.1 * lease_s,
         rest_s=lease_s + REST_MARGIN_S,
     )
+
+
+def watch_s(lease_s: float) -> float:
+    """Return how long a new process rests and then watches a lease."""
+    terms = lease_terms(lease_s)
+    return terms.rest_s + terms.duration_s + terms.margin_s
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -213,9 +213,8 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(process.leases.run, lambda: scopes)
         while True:
-            alive = [member.name for member in process.members.alive()]
-            process.leases.candidates = tuple(sorted(alive)) or (
-                process.members.name,
+            process.leases.candidates = process.members.candidates(
+                duties.watch_s(found.bounds.lease_s)
             )
             await trio.sleep(duties.LOOK_S)
 
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -112,6 +112,18 @@
             return UNKNOWN_MEMBERS
         return max(1, len(self.alive()))
 
+    def candidates(self, least_s: float) -> tuple[str, ...]:
+        """Return who may take a lease at once: those that lived for least_s.
+
+        One that has just started has not watched the lease for long enough
+        to know that it lapsed. The others would wait for it in vain. When
+        all have just started, all are returned.
+        """
+        alive = self.alive()
+        known = [m for m in alive if m.record.beat * self.beat_s >= least_s]
+        names = sorted(member.name for member in known or alive)
+        return tuple(names) or (self._name,)
+
     async def run(self) -> None:
         """Beat and look until cancelled."""
         while True:
--- a/test/gateway/test_duties.py
+++ b/test/gateway/test_duties.py
@@ -112,6 +112,31 @@
     assert cloud.reports[0] == cloud.reports[1] == (0, {'club': 1})
 
 
+async def test_a_process_that_just_started_is_no_candidate(pair, nursery):
+    """The holder is killed and starts again; the lease prefers its new name.
+
+    It must rest and watch before it takes a lease; the others waited for
+    it, and windows went unreported for eight seconds.
+    """
+    _, one, two = pair
+    nursery.start_soon(one.members.run)
+    await trio.sleep(20)
+    nursery.start_soon(two.members.run)
+    await trio.sleep(2)
+    least_s = duties.watch_s(3.0)
+    assert one.members.candidates(least_s) == ('p1',)
+    await trio.sleep(10)
+    assert one.members.candidates(least_s) == ('p1', 'p2')
+
+
+async def test_after_a_start_of_all_everybody_is_a_candidate(pair, nursery):
+    _, one, two = pair
+    nursery.start_soon(one.members.run)
+    nursery.start_soon(two.members.run)
+    await trio.sleep(2)
+    assert one.members.candidates(duties.watch_s(3.0)) == ('p1', 'p2')
+
+
 async def test_an_unreadable_seal_is_not_reported(pair):
     cloud, one, _ = pair
     one.store.table.write('usage-seal', '0', {'counts': 'many'}, 0)
