--- a/gentianstair/ui/commands/explain.py
+++ b/gentianstair/ui/commands/explain.py
@@ -1,6 +1,10 @@
 """Explain why a request went as it did."""
 
+import contextlib
+import dataclasses
 import datetime
+import pathlib
+import sys
 import typing
 import urllib.parse
 
@@ -11,21 +15,33 @@
 from gentianstair.ui import entries
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
+from gentianstair.ui import stories
+from gentianstair.util import log_lines
 
 
 @cappa.command(
     name='explain',
-    epilog='Example: `gentianstair explain 5f0c6e1b9d0e4d1f8a`',
+    epilog='Example: `gentianstair explain 5f0c6e1b9d0e --logs vm1.jsonl`',
 )
 class Explain:
     """Show why a request got its engine, its refusal or its verdict.
 
-    Entries keep this for recent requests only.
+    Without --logs the entries are asked, which keep this for recent requests
+    only. With --logs the story is told from log files, across VMs in time
+    order; --since tells of lost and regained dependencies instead.
     """
 
     request_id: typing.Annotated[
-        str, cappa.Arg(help='As in the answer header x-request-id.')
-    ]
+        str | None, cappa.Arg(help='As in the header x-request-id.')
+    ] = None
+    logs: typing.Annotated[
+        list[str],
+        cappa.Arg(long=True, help='A log file, or - for standard input.'),
+    ] = dataclasses.field(default_factory=list)
+    since: typing.Annotated[
+        str | None,
+        cappa.Arg(long=True, help='A time as logs have it.'),
+    ] = None
 
 
 def step_row(step: store.Value) -> dict[str, typing.Any]:
@@ -40,8 +56,52 @@
     }
 
 
+def _tell_from_logs(command: Explain, session: sessions.Session) -> None:
+    """Print a story from log files; raise UserError if there is none."""
+    with contextlib.ExitStack() as files:
+        streams = []
+        for name in command.logs:
+            if name == '-':
+                streams.append(sys.stdin.buffer)
+                continue
+            try:
+                streams.append(
+                    files.enter_context(pathlib.Path(name).open('rb'))
+                )
+            except OSError as error:
+                raise errors.UserError(f'{name}: {error.strerror}')
+        reader = log_lines.Reader(streams)
+        if command.request_id is not None:
+            rows = stories.of_request(reader, command.request_id)
+        else:
+            rows = stories.of_dependencies(reader, command.since or '')
+    if not rows:
+        raise errors.UserError(
+            f'nothing found in {reader.read} lines, '
+            f'{reader.unreadable} of them unreadable'
+        )
+    if session.out.as_json:
+        session.out.value(
+            {
+                'rows': [row._asdict() for row in rows],
+                'lines': reader.read,
+                'unreadable': reader.unreadable,
+            }
+        )
+        return
+    session.out.rows(stories.Row._fields, [row._asdict() for row in rows])
+    session.out.line(f'{reader.read} lines, {reader.unreadable} unreadable')
+
+
 @sessions.run.register
 async def _explain(command: Explain, session: sessions.Session) -> None:
+    if command.logs:
+        if (command.request_id is None) == (command.since is None):
+            raise errors.UserError('name a request, or a time with --since')
+        _tell_from_logs(command, session)
+        return
+    if command.request_id is None:
+        raise errors.UserError('name a request')
     if not session.entry_urls:
         raise errors.UserError(
             'name the entries with --entry-urls or GENTIANSTAIR_ENTRY_URLS'
