--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -59,8 +59,11 @@
             await self._serve()
         except errors.RequestError as error:
             await self._fail(error)
-        except exchanges.CallerGoneError:
+        except exchanges.CallerGoneError as error:
             self._status = HTTP_CALLER_GONE
+            loguru.logger.bind(event='caller-gone', **self._named()).info(
+                '{}', error
+            )
             if self._exchange.started:
                 # The server closes a connection whose answer is not ended.
                 raise
@@ -104,6 +107,12 @@
         if exchange.ended:
             return
         if exchange.started:
+            loguru.logger.bind(
+                event='cut',
+                kind=error.kind,
+                verdict=error.verdict.name,
+                **self._named(),
+            ).info('cut in the answer: {}', error.detail)
             # An answer that is cut must not look complete.
             raise exchanges.CallerGoneError(f'cut: {error.detail}')
         call = self._call
