--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -16,6 +16,7 @@
 from gentianstair.entry import request as requests
 from gentianstair.entry import streams
 from gentianstair.entry import tries
+from gentianstair.upstreams import transport
 
 NOT_STARTED = 'x-not-started'
 EVENT_STREAM = b'text/event-stream'
@@ -111,16 +112,7 @@
 
 async def read_all(response: httpx.Response) -> bytes:
     """Return a whole body; raise UpstreamError for one that is too long."""
-    parts = []
-    size = 0
-    async for part in response.stream:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise errors.UpstreamError(
-                'the answer is too long', verdicts.Verdict.RAN
-            )
-    return b''.join(parts)
+    return await transport.read_all(response, MAX_ANSWER_BYTES)
 
 
 def bill(
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -12,6 +12,7 @@
 from gentianstair.gateway import calls
 from gentianstair.gateway import node as nodes
 from gentianstair.platform import wire
+from gentianstair.upstreams import transport
 
 # A replica accepts within milliseconds; one that has lost power or lies
 # behind a cut does not answer at all, and the request can go elsewhere.
@@ -52,16 +53,7 @@
 
 async def read_body(response: httpx.Response) -> bytes:
     """Return a whole body; raise UpstreamError if it does not come whole."""
-    parts = []
-    size = 0
-    async for part in response.stream:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise errors.UpstreamError(
-                'the answer is too long', verdicts.Verdict.RAN
-            )
-    return b''.join(parts)
+    return await transport.read_all(response, MAX_ANSWER_BYTES)
 
 
 async def read_answer(response: httpx.Response) -> Answer:
--- a/gentianstair/platform/objects.py
+++ b/gentianstair/platform/objects.py
@@ -91,7 +91,10 @@
             with trio.fail_after(timeout_s or self._timeout_s):
                 response = await self._transport.handle_async_request(request)
                 try:
-                    return response.status_code, await _read(response)
+                    content = await transports.read_all(
+                        response, MAX_ANSWER_BYTES
+                    )
+                    return response.status_code, content
                 finally:
                     await response.stream.aclose()
         except trio.TooSlowError as error:
@@ -213,19 +216,6 @@
         return store.Listing(events.store_revision, found)
 
 
-async def _read(response: httpx.Response) -> bytes:
-    parts = []
-    size = 0
-    async for part in response.stream:
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise errors.UpstreamError(
-                'the answer is too long', verdicts.Verdict.RAN
-            )
-    return b''.join(parts)
-
-
 def _path(kind: str, name: str | None = None) -> str:
     if name is None:
         return kind
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -363,6 +363,20 @@
                 await trio.aclose_forcefully(idle.pop().stream)
 
 
+async def read_all(response: httpx.Response, limit_bytes: int) -> bytes:
+    """Return a whole body; raise UpstreamError for one that is too long."""
+    parts = []
+    size = 0
+    async for part in response.stream:
+        parts.append(part)
+        size += len(part)
+        if size > limit_bytes:
+            raise errors.UpstreamError(
+                'the answer is too long', verdicts.Verdict.RAN
+            )
+    return b''.join(parts)
+
+
 def make_transport(
     ssl_context: ssl.SSLContext | None = None, idle_s: float = math.inf
 ) -> Transport:
