Notice a silent connection to the store within the drain bound

Its watch went out on a connection of before the cut and ran out of its 2.3 s; each kept connection would have. Ruled out: the choice of the maker (made again after the read; the registry itself was late); the listing after the cut (taken, and right, at its time). Change: a watch waits 0.8 s and 0.5 s more; a call that runs out of time drops all kept connections to the store.

--- a/gentianstair/gateway/following.py
+++ b/gentianstair/gateway/following.py
@@ -12,9 +12,11 @@
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
-# A watch waits at the store for this long when nothing changes; its
-# connection may go silent for good, so this bounds how late that shows.
-WATCH_S = 1.5
+# A watch waits at the store for this long when nothing changes. Its
+# connection may go silent for good: then the change that it should have told
+# is seen after this, the call's grace and a new listing. Together they must
+# stay below the two seconds in which a leaving replica may get new work.
+WATCH_S = 0.8
 # Pause after a failed call. The store may be down for seconds, and all VMs
 # come back at once.
 RETRY_S = 0.25
--- a/gentianstair/platform/objects.py
+++ b/gentianstair/platform/objects.py
@@ -20,7 +20,7 @@
 # store that is silent must be given up well within a lease.
 CALL_TIMEOUT_S = 1.0
 # Added to a watch's own time limit before its connection counts as dead.
-WATCH_GRACE_S = 0.8
+WATCH_GRACE_S = 0.5
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
@@ -98,6 +98,9 @@
                 finally:
                     await response.stream.aclose()
         except trio.TooSlowError as error:
+            # A cut that has healed leaves connections of before it silent;
+            # each would cost a call its whole time before it shows.
+            self._transport.forget(self._address)
             raise self._lost(method, 'no answer in time') from error
         except errors.UpstreamError as error:
             if error.verdict is verdicts.Verdict.NOT_RUN:
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -7,6 +7,7 @@
 from gentianstair.gateway import following
 from gentianstair.gateway import replicas
 from gentianstair.platform import configuration
+from gentianstair.platform import objects
 from gentianstair.platform import registry as decoding
 from gentianstair.util import clock
 from standins import memory_store
@@ -164,3 +165,29 @@
     watched.store.faults.down = True
     await trio.sleep(5)
     assert watched.touch.age_s > 3
+
+
+async def test_a_silent_watch_is_noticed_within_the_drain_bound(watched):
+    """A cut heals, but the watch goes out on a connection of before it.
+
+    Nothing comes back on it. A replica says at that moment that it leaves;
+    two seconds later it must get no more work, so the change must be seen
+    by then although the watch is silent.
+    """
+    real = watched.store.watch
+
+    async def silent(kinds, after_revision, timeout_s, *, purpose):
+        if kinds != [decoding.KIND]:
+            return await real(
+                kinds, after_revision, timeout_s, purpose=purpose
+            )
+        watched.store.watch = real
+        watched.write('i-1', entry('i-1', state='draining'))
+        await trio.sleep(timeout_s + objects.WATCH_GRACE_S)
+        raise errors.StoreUnavailableError('no answer in time')
+
+    watched.store.watch = silent
+    while watched.store.watch is silent:
+        await trio.sleep(0.01)
+    await trio.sleep(1.9)
+    assert watched.names() == ['i-2']
