--- a/test/platform/test_objects.py
+++ b/test/platform/test_objects.py
@@ -7,7 +7,8 @@
 
 ANSWER = (
     b'HTTP/1.1 200 OK\r\nContent-Length: 73\r\n\r\n'
-    b'{"metadata":{"name":"main","revision":5},"spec":{"version":7},"status":0}'
+    b'{"metadata":{"name":"main","revision":5},'
+    b'"spec":{"version":7},"status":0}'
 )
 
 
