Put what both interfaces do with a request into core/

Cause: the platform's interface took the exchange with a caller and the judging of upstreams out of entry/, and wrote the wait for a caller that hangs up a second time.

Ruled out: serving both interfaces by one handler. They differ in what they know of a request (bundles and hashed prompts, or a catalog and named parts) and in how a failure is told.

--- /dev/null
+++ b/gentianstair/core/__init__.py
@@ -0,0 +1,1 @@
+"""What serving a request takes, whichever interface it came by."""
--- /dev/null
+++ b/gentianstair/core/patience.py
@@ -0,0 +1,55 @@
+"""Work on a request for as long as its caller waits for the answer."""
+
+import collections.abc
+import enum
+
+import trio
+
+from gentianstair import errors
+from gentianstair.core import exchange as exchanges
+
+
+class End(enum.Enum):
+    """Why the work on a request ended."""
+
+    DONE = 'done'
+    # The caller hung up before the answer was whole.
+    GONE = 'gone'
+    LATE = 'late'
+
+
+async def run(
+    exchange: exchanges.Exchange,
+    work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    left_s: float,
+) -> End:
+    """Do the work until it is done, its caller hangs up or left_s pass.
+
+    Raise what the work raises of RequestError and CallerGoneError.
+    """
+    gone = False
+    failure: Exception | None = None
+
+    async def watch(scope: trio.CancelScope) -> None:
+        nonlocal gone
+        await exchange.wait_gone()
+        if exchange.ended:
+            # The server reports the end of a whole answer so, too.
+            return
+        gone = True
+        scope.cancel()
+
+    with trio.move_on_after(left_s) as late:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, nursery.cancel_scope)
+            try:
+                await work()
+            except (errors.RequestError, exchanges.CallerGoneError) as error:
+                # Raised out of the nursery it would come in a group.
+                failure = error
+            nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if gone and not exchange.ended:
+        return End.GONE
+    return End.LATE if late.cancelled_caught else End.DONE
--- a/gentianstair/entry/app.py
+++ b/gentianstair/entry/app.py
@@ -10,9 +10,9 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.core import exchange as exchanges
 from gentianstair.entry import callers
 from gentianstair.entry import completions
-from gentianstair.entry import exchange as exchanges
 from gentianstair.entry import handler
 from gentianstair.entry import node as nodes
 from gentianstair.entry import services
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -7,13 +7,13 @@
 
 import loguru
 import prometheus_client
-import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import exchange as exchanges
+from gentianstair.core import patience
 from gentianstair.entry import callers
 from gentianstair.entry import completions
-from gentianstair.entry import exchange as exchanges
 from gentianstair.entry import node as nodes
 from gentianstair.entry import relay
 from gentianstair.entry import request as requests
@@ -197,31 +197,9 @@
         deadline_s: float,
     ) -> None:
         """Run until done, the caller hangs up or its deadline passes."""
-        gone = False
-        failure: Exception | None = None
-
-        async def watch(scope: trio.CancelScope) -> None:
-            nonlocal gone
-            await self._exchange.wait_gone()
-            if self._exchange.ended:
-                # The server reports the end of a whole answer so, too.
-                return
-            gone = True
-            scope.cancel()
-
         left_s = deadline_s - self._node.clock()
-        with trio.move_on_after(left_s) as late:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(watch, nursery.cancel_scope)
-                try:
-                    await run()
-                except (errors.RequestError, exchanges.CallerGoneError) as e:
-                    # Raised out of the nursery it would come in a group.
-                    failure = e
-                nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if late.cancelled_caught:
+        end = await patience.run(self._exchange, run, left_s)
+        if end is patience.End.LATE:
             raise errors.RequestError(
                 504,
                 'deadline-passed',
@@ -229,7 +207,7 @@
                 verdicts.Verdict.MAY_HAVE_RUN,
                 retry_after_s=1.0,
             )
-        if gone and not self._exchange.ended:
+        if end is patience.End.GONE:
             raise exchanges.CallerGoneError('the caller hung up')
 
     async def _generate(
--- a/gentianstair/entry/node.py
+++ b/gentianstair/entry/node.py
@@ -3,9 +3,9 @@
 import typing
 
 from gentianstair.config import view as views
+from gentianstair.core import ejection
 from gentianstair.entry import admission
 from gentianstair.entry import claims as claimses
-from gentianstair.entry import ejection
 from gentianstair.entry import explain
 from gentianstair.entry import limits
 from gentianstair.entry import retries
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -9,9 +9,9 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import exchange as exchanges
 from gentianstair.entry import callers
 from gentianstair.entry import completions
-from gentianstair.entry import exchange as exchanges
 from gentianstair.entry import node as nodes
 from gentianstair.entry import request as requests
 from gentianstair.entry import streams
--- a/gentianstair/entry/retries.py
+++ b/gentianstair/entry/retries.py
@@ -7,7 +7,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.entry import ejection
+from gentianstair.core import ejection
 
 # Retries and hedges together are at most this share of fresh requests.
 RETRY_SHARE = 0.08
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -10,9 +10,9 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import exchange as exchanges
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims as claimses
-from gentianstair.entry import exchange as exchanges
 from gentianstair.entry import node as nodes
 from gentianstair.entry import relay
 from gentianstair.entry import request as requests
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -1,14 +1,15 @@
 """Serve one caller's request: from its headers to the end of the answer."""
 
 import collections.abc
+import functools
 
 import loguru
 import prometheus_client
-import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.entry import exchange as exchanges
+from gentianstair.core import exchange as exchanges
+from gentianstair.core import patience
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
@@ -207,30 +208,14 @@
         if task.left_s() < tasks.LEAST_LEFT_S:
             # Sent now it could only be cut, and might have run by then.
             raise task.give_up()
-        gone = False
-        failure: Exception | None = None
-
-        async def watch(scope: trio.CancelScope) -> None:
-            nonlocal gone
-            await self._exchange.wait_gone()
-            if not self._exchange.ended:
-                gone = True
-                scope.cancel()
-
-        with trio.move_on_after(task.left_s()) as late:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(watch, nursery.cancel_scope)
-                try:
-                    await self._run(task, service)
-                except (errors.RequestError, exchanges.CallerGoneError) as e:
-                    # Raised out of the nursery it would come in a group.
-                    failure = e
-                nursery.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if gone and not self._exchange.ended:
+        end = await patience.run(
+            self._exchange,
+            functools.partial(self._run, task, service),
+            task.left_s(),
+        )
+        if end is patience.End.GONE:
             raise exchanges.CallerGoneError('the caller hung up')
-        if late.cancelled_caught:
+        if end is patience.End.LATE:
             raise self._late(task)
 
     def _late(self, task: tasks.Task) -> errors.RequestError:
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -13,7 +13,7 @@
 
 from gentianstair import errors
 from gentianstair.control import lease
-from gentianstair.entry import ejection
+from gentianstair.core import ejection
 from gentianstair.gateway import cache_watch
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from gentianstair.entry import ejection
+from gentianstair.core import ejection
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import loads
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -6,7 +6,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.entry import exchange as exchanges
+from gentianstair.core import exchange as exchanges
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
--- /dev/null
+++ b/test/core/__init__.py
@@ -0,0 +1,1 @@
+"""Test what both interfaces build on."""
--- a/test/entry/test_bad_input.py
+++ b/test/entry/test_bad_input.py
@@ -13,10 +13,10 @@
 
 from gentianstair import errors
 from gentianstair import settings
+from gentianstair.core import exchange as exchanges
 from gentianstair.entry import app as apps
 from gentianstair.entry import callers
 from gentianstair.entry import completions
-from gentianstair.entry import exchange as exchanges
 from gentianstair.entry import main
 from gentianstair.entry import services
 from gentianstair.entry import upkeep
--- a/test/entry/test_hedging.py
+++ b/test/entry/test_hedging.py
@@ -8,8 +8,8 @@
 
 from gentianstair import errors
 from gentianstair import verdict
+from gentianstair.core import ejection
 from gentianstair.entry import callers
-from gentianstair.entry import ejection
 from gentianstair.entry import explain
 from gentianstair.entry import request as requests
 from gentianstair.entry import retries
--- a/test/entry/test_retries.py
+++ b/test/entry/test_retries.py
@@ -4,7 +4,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict
-from gentianstair.entry import ejection
+from gentianstair.core import ejection
 from gentianstair.entry import retries
 
 NOT_RUN = verdict.Verdict.NOT_RUN
