Keep a closed link and odd faults from ending the process

A peer accepted a link and was gone before the socket's delivery was bounded; the error left the link's task and with it the process.

Ruled out: the transport's connections (their errors are caught as UpstreamError).

Change: such a link counts as closed. What runs beside the requests (following, members, links, cache events) is begun anew after an unforeseen fault, as duties are already.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -1,5 +1,6 @@
 """Run the program gentianstair-gateway: one process on each entry VM."""
 
+import collections.abc
 import functools
 import os
 import pathlib
@@ -55,8 +56,8 @@
 # one that it says nothing about.
 REPLICA_IDLE_S = 1.0
 READY_GRACE_S = 0.1
-# Pause before a duty that failed is begun anew.
-DUTY_PAUSE_S = 1.0
+# Pause before background work that failed is begun anew.
+FAULT_PAUSE_S = 1.0
 METRICS_VARIABLE = 'GENTIANSTAIR_METRICS_PORT'
 
 
@@ -181,25 +182,52 @@
     ]
 
 
-async def _contain(duty: lease.Role, authority: lease.Authority) -> None:
-    """Run a duty; a fault in it ends neither the process nor the others.
+def _background(
+    process: Process,
+) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
+    """Return what a process does beside the requests and the duties."""
+    node = process.node
+    knowledge = links.Knowledge(
+        configuration.decode,
+        functools.partial(_take_catalog, node),
+        process.touch,
+    )
+    follow = [
+        functools.partial(following.follow, node.store, source, process.touch)
+        for source in _sources(process)
+    ]
+    return [
+        *follow,
+        process.members.run,
+        links.connect(node, process.members, knowledge).run,
+        functools.partial(cache_watch.run, node),
+    ]
+
+
+async def contain(
+    work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+) -> None:
+    """Do work beside the requests; a fault in it ends nothing else.
 
     Callers' requests run in the same process and would all be cut.
     """
     while True:
         try:
-            await duty(authority)
+            await work()
+            return
         except errors.LeaseLostError:
             raise
         except Exception:
-            loguru.logger.bind(event='fault').exception('a duty failed')
-        await trio.sleep(DUTY_PAUSE_S)
+            loguru.logger.bind(event='fault').exception(
+                'background work failed'
+            )
+        await trio.sleep(FAULT_PAUSE_S)
 
 
 async def _do_duties(process: Process, authority: lease.Authority) -> None:
     async with trio.open_nursery() as nursery:
         for duty in (process.reporter.run, process.fleet.run):
-            nursery.start_soon(_contain, duty, authority)
+            nursery.start_soon(contain, functools.partial(duty, authority))
 
 
 async def _hold_duties(process: Process) -> None:
@@ -251,18 +279,8 @@
                     serving.serve, app, sock, ready.never, READY_GRACE_S
                 )
             )
-        for source in _sources(process):
-            nursery.start_soon(
-                following.follow, node.store, source, process.touch
-            )
-        nursery.start_soon(process.members.run)
-        knowledge = links.Knowledge(
-            configuration.decode,
-            functools.partial(_take_catalog, node),
-            process.touch,
-        )
-        nursery.start_soon(links.connect(node, process.members, knowledge).run)
-        nursery.start_soon(cache_watch.run, node)
+        for work in _background(process):
+            nursery.start_soon(contain, work)
         async with trio.open_nursery() as duty_nursery:
             duty_nursery.start_soon(_hold_duties, process)
             loguru.logger.bind(event='started').info('serving')
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -162,13 +162,19 @@
     """Have the kernel break a link whose bytes are not taken in time.
 
     Behind a cut nothing comes back, and without a bound the kernel would
-    go on for minutes while both ends think that the link stands.
+    go on for minutes while both ends think that the link stands. Raise
+    LinkClosedError: a peer may close as soon as it has accepted, and the
+    socket is then gone before it is bounded.
     """
     stream = connection.stream
-    if isinstance(stream, trio.SocketStream):
+    if not isinstance(stream, trio.SocketStream):
+        return
+    try:
         stream.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DELIVERY_MS
         )
+    except OSError as error:
+        raise LinkClosedError(f'closed at once: {error}') from error
 
 
 class WebsocketNetwork(Network):
--- a/test/peers/test_link.py
+++ b/test/peers/test_link.py
@@ -1,5 +1,7 @@
 """Test what a link lets through, and links on real sockets."""
 
+import errno
+
 import cbor2
 import hypothesis
 from hypothesis import strategies
@@ -193,3 +195,27 @@
         with trio.fail_after(10.0):
             async with network.open(address):
                 pass
+
+
+async def test_a_link_that_is_closed_at_once_is_a_closed_link(monkeypatch):
+    """A peer accepts a link and is killed at that moment.
+
+    The socket is gone before its delivery is bounded. The error of the
+    system call ended the whole process and cut all its callers' requests.
+    """
+
+    def gone(*_):
+        raise OSError(errno.EBADF, 'Bad file descriptor')
+
+    network = link.WebsocketNetwork('127.0.0.1:0', None)
+
+    async def handler(channel):
+        await trio.sleep_forever()
+
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(network.serve, handler)
+        monkeypatch.setattr(trio.SocketStream, 'setsockopt', gone)
+        with pytest.raises(errors.GentianstairError, match='closed at once'):
+            async with network.open(address):
+                pass
+        nursery.cancel_scope.cancel()
