Read a prompt once, pay for what arrives, pass over the unreachable

Its trace shows requests that were read three times: the KV cache was thrown away when a maker had changed (421) or could not be reached, the prompt read again for the next one, and only the next one paid for.

Ruled out: the first reads (one each, and free); the share of the VMs.

Change: the KV cache is kept for the next maker unless it may be gone; each arrival beyond the first is paid, and one that found no connection is not; a replica without a connection is out for a second at once, also a reader; a read that failed takes back only what it made us believe.

--- a/gentianstair/core/ejection.py
+++ b/gentianstair/core/ejection.py
@@ -31,6 +31,11 @@
 BEST_QUANTILE = 0.25
 # Figures over all upstreams are worked out at most this often.
 COMMON_AGE_S = 0.25
+# How long an upstream is passed over to which no connection could be opened.
+# Its process is gone or starting; a start takes about a second. Without it
+# each VM finds out by three failed requests, of half a second each where
+# nothing answers at all, and by one more every two seconds.
+UNREACHABLE_S = 1.0
 # A probe without a report after this long is taken for lost.
 PROBE_TIMEOUT_S = 10.0
 
@@ -117,6 +122,18 @@
             return
         self._failed(upstream, state, now_s)
 
+    def unreachable(self, upstream: str, now_s: float) -> None:
+        """Take out an upstream that accepts no connection, at once.
+
+        This is no matter of chance or of load, as a failed answer may be,
+        and each further try would cost its caller the time to connect.
+        """
+        state = self._states.setdefault(upstream, _State())
+        until_s = now_s + UNREACHABLE_S * self._random.uniform(0.75, 1.25)
+        state.until_s = max(until_s, state.until_s or until_s)
+        state.probe_since_s = None
+        self._bad.add(upstream)
+
     def _refresh(self, now_s: float) -> None:
         """Work the common figures out anew if they are old."""
         last_s = self._common_s
--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -63,14 +63,23 @@
         self.verdict = verdict
 
 
+class UnreachableError(UpstreamError):
+    """Report an upstream to which no connection could be opened."""
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdicts.Verdict.NOT_RUN)
+
+
 class TurnedAwayError(UpstreamError):
     """Report an upstream that answered that it did not run the request.
 
-    A full one does so; it is no sign of a fault.
+    A full one does so; it is no sign of a fault. ``status`` is what it
+    answered with.
     """
 
-    def __init__(self, message: str) -> None:
+    def __init__(self, message: str, status: int) -> None:
         super().__init__(message, verdicts.Verdict.NOT_RUN)
+        self.status = status
 
 
 class RequestError(GentianstairError):
--- a/gentianstair/gateway/plain.py
+++ b/gentianstair/gateway/plain.py
@@ -17,13 +17,18 @@
     """Return a replica's answer; raise RequestError if there is none."""
     while True:
         replica = task.node.placement.plain(task.candidates())
-        if replica is None:
-            break
-        last = await _try(task, replica)
-        if isinstance(last, forward.Answer):
-            return last
-        if not task.may_repeat(last):
+        if replica is None or not task.pay():
             break
+        started_s = task.begin(replica)
+        try:
+            answer = await _try(task, replica)
+            task.note(answer.verdict)
+            task.succeeded(replica, started_s)
+            return answer
+        except errors.UpstreamError as error:
+            task.failed(replica, error, started_s)
+            if not task.may_repeat(error.verdict):
+                break
     if task.failure is not None:
         return task.failure
     raise task.give_up()
@@ -39,43 +44,32 @@
     return silence_s
 
 
-async def _try(
-    task: tasks.Task, replica: replicas.Replica
-) -> forward.Answer | verdicts.Verdict:
-    """Return the answer of one replica, or what a failed try means."""
+async def _try(task: tasks.Task, replica: replicas.Replica) -> forward.Answer:
+    """Return the answer of one replica; raise UpstreamError without one."""
     node = task.node
-    started_s = task.begin(replica)
     node.work.begin(replica.name, 0)
-    verdict = verdicts.Verdict.MAY_HAVE_RUN
-    why = 'no answer in time'
-    turned_away = False
     try:
         with trio.move_on_after(_limit_s(task)):
             answer = await forward.ask(node, task.call, task.sending(replica))
             if answer.verdict is verdicts.Verdict.RAN:
                 node.usage.began(task.customer_name)
-            verdict = answer.verdict
-            turned_away = verdict is verdicts.Verdict.NOT_RUN
-            why = f'it answered {answer.status}'
-            if answer.status < 500 and verdict is verdicts.Verdict.RAN:
-                task.judge(replica, True, started_s)
-                task.note(verdict)
-                return answer
-            if verdict is verdicts.Verdict.RAN:
-                task.failure = answer
-    except errors.UpstreamError as error:
-        verdict = error.verdict
-        why = str(error)
+            return _checked(task, answer)
     finally:
         node.work.end(replica.name)
-    if not turned_away:
-        task.judge(replica, False, started_s)
-    task.note(verdict)
-    task.tell(
-        'try-failed',
-        f'a try failed: {why}',
-        replica=replica.name,
-        verdict=verdict.name,
-        took_s=round(node.clock() - started_s, 3),
+    raise errors.UpstreamError(
+        'no answer in time', verdicts.Verdict.MAY_HAVE_RUN
     )
-    return verdict
+
+
+def _checked(task: tasks.Task, answer: forward.Answer) -> forward.Answer:
+    """Return an answer that may go on to the caller at once."""
+    if answer.verdict is verdicts.Verdict.NOT_RUN:
+        raise errors.TurnedAwayError(
+            f'it answered {answer.status}', answer.status
+        )
+    if answer.status >= 500:
+        task.failure = answer
+        raise errors.UpstreamError(
+            f'it answered {answer.status}', answer.verdict
+        )
+    return answer
--- a/gentianstair/gateway/prefix_cache.py
+++ b/gentianstair/gateway/prefix_cache.py
@@ -41,19 +41,29 @@
 
     def expect(
         self, replica: str, prompt: calls.Prompt, capacity_tokens: int
-    ) -> None:
+    ) -> list[str]:
         """Note that a prompt is being read; its parts will be kept.
 
         Requests that share a part and arrive before the replica's event
         says so would each be read elsewhere. Parts past the replica's
-        memory, the least recently used, are believed gone.
+        memory, the least recently used, are believed gone. Return the names
+        of those that are new.
         """
         kept = self._kept.setdefault(replica, _Kept())
+        new = [p.name for p in prompt.parts if p.name not in kept.parts]
         for part in prompt.parts:
             kept.set(part.name, part.tokens)
         while kept.tokens > capacity_tokens and len(kept.parts) > 1:
             _, tokens = kept.parts.popitem(last=False)
             kept.tokens -= tokens
+        return new
+
+    def retract(self, replica: str, parts: typing.Iterable[str]) -> None:
+        """Take back what was expected of a read that failed."""
+        kept = self._kept.get(replica)
+        if kept is not None:
+            for part in parts:
+                kept.set(part, 0)
 
     def unread_tokens(self, replica: str, prompt: calls.Prompt) -> int:
         """Return how many tokens of a prompt the replica must read.
--- a/gentianstair/gateway/repeats.py
+++ b/gentianstair/gateway/repeats.py
@@ -73,9 +73,13 @@
         earned = terms.ratio * len(counts.first)
         return SAFETY * (earned + allowance) - len(counts.repeats)
 
+    def spend(self, service: str) -> None:
+        """Count a repeat that has already been made, whatever is left."""
+        self._of(service).repeats.append(self._clock())
+
     def take(self, service: str) -> bool:
         """Spend one repeat; say whether there was one."""
         if self.left(service) < 1:
             return False
-        self._of(service).repeats.append(self._clock())
+        self.spend(service)
         return True
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import typing
 
 import httpx
 import trio
@@ -34,6 +35,13 @@
 ENGINE = catalog.Engine(64, 100000, 16384, 100000.0, 5.0, 3.0, ())
 
 
+class _KeptRead(typing.NamedTuple):
+    """A prompt that was read and whose KV cache nobody has taken yet."""
+
+    source: calls.KvSource
+    reader: str
+
+
 class Streaming:
     """One streamed answer."""
 
@@ -43,8 +51,9 @@
         self._engine = engine or ENGINE
         self._prompt = task.call.prompt or calls.Prompt('', 0, 0, ())
         self._events = events.Events()
-        # Where the output was made, or was to be made, last.
-        self._maker: replicas.Replica | None = None
+        self._kept: _KeptRead | None = None
+        # Reads that reached a reader; the users count all but the first.
+        self._reads = 0
         # Passed through when a replica itself refuses or fails.
         self.answer: forward.Answer | None = None
 
@@ -54,26 +63,20 @@
         Raise RequestError when there is nothing to pass on.
         """
         task = self._task
-        while True:
-            plan = self._plan()
-            if plan is None:
-                break
-            try:
-                await self._run(plan)
-                return self.answer
-            except errors.UpstreamError as error:
-                task.note(error.verdict)
-                task.tell(
-                    'try-failed',
-                    f'a try failed: {error}',
-                    replica=self._maker.name if self._maker else None,
-                    reader=plan.reader.name if plan.reader else None,
-                    verdict=error.verdict.name,
-                    events=self._events.delivered,
-                )
-                if not task.may_repeat(error.verdict):
+        try:
+            while True:
+                plan = self._plan()
+                if plan is None or not task.pay():
                     break
-            self._events.restart()
+                try:
+                    await self._run(plan)
+                    return self.answer
+                except errors.UpstreamError as error:
+                    if not task.may_repeat(error.verdict):
+                        break
+                self._events.restart()
+        finally:
+            self._release()
         if task.failure is not None and not task.exchange.started:
             return task.failure
         raise task.give_up()
@@ -97,18 +100,64 @@
         return plan
 
     async def _run(self, plan: placement.Plan) -> None:
-        if plan.reader is None:
+        if self._kept is None and plan.reader is not None:
+            if not self._may_read():
+                # The maker reads it: one more arrival in place of two.
+                unread = self._node.cache.unread_tokens(
+                    plan.maker.name, self._prompt
+                )
+                await self._make(plan.maker, None, unread)
+                return
+            await self._read(plan.reader, plan.unread_tokens)
+        if self._kept is None:
             await self._make(plan.maker, None, plan.unread_tokens)
             return
-        source = await self._read(plan.reader, plan.unread_tokens)
+        await self._make_of_kept(self._maker_now(), self._kept)
+
+    def _may_read(self) -> bool:
+        """Say whether to have the prompt read apart.
+
+        The first read is no repeat if a replica accepts it; as it may be
+        refused, the budget must have room for that. All others are repeats.
+        """
+        repeats, service = self._node.repeats, self._task.service
+        if self._reads:
+            return repeats.take(service)
+        return repeats.left(service) >= 1
+
+    async def _make_of_kept(
+        self, maker: replicas.Replica, kept: _KeptRead
+    ) -> None:
+        """Have the output made of a prompt that has been read.
+
+        A maker that could not be reached, or is another replica by now, has
+        not touched the KV cache, and the next one takes it. Reading the
+        prompt anew would be one more arrival at the service and its time.
+        """
         try:
-            await self._make(self._maker_now(), source, 0)
-            source = None
-        finally:
-            if source is not None:
-                self._node.nursery.start_soon(
-                    forward.release_kv, self._node, plan.reader.name, source
-                )
+            await self._make(maker, kept.source, 0)
+            self._kept = None
+        except errors.UnreachableError:
+            raise
+        except errors.TurnedAwayError as error:
+            if error.status != wire.HTTP_MISDIRECTED:
+                # It may have been the KV cache that could not be had.
+                self._release()
+            raise
+        except errors.UpstreamError:
+            self._release()
+            raise
+
+    def _release(self) -> None:
+        """Free a KV cache that nobody will take."""
+        if self._kept is not None:
+            self._node.nursery.start_soon(
+                forward.release_kv,
+                self._node,
+                self._kept.reader,
+                self._kept.source,
+            )
+            self._kept = None
 
     def _maker_now(self) -> replicas.Replica:
         """Return the maker for a prompt that has just been read.
@@ -126,8 +175,8 @@
 
     async def _read(
         self, reader: replicas.Replica, unread_tokens: int
-    ) -> calls.KvSource:
-        """Have a prompt read; return where its KV cache lies.
+    ) -> None:
+        """Have a prompt read and note where its KV cache lies.
 
         A read does not run the request, so its failure never means that
         the request may have run.
@@ -135,30 +184,55 @@
         task, node = self._task, self._node
         started_s = node.clock()
         node.work.begin(reader.name, unread_tokens)
-        node.cache.expect(reader.name, self._prompt, self._engine.kv_tokens)
+        expected = node.cache.expect(
+            reader.name, self._prompt, self._engine.kv_tokens
+        )
         sending = task.sending(
             reader, reads_only=True, urgency=self._urgency()
         )
+        answer = None
         try:
             answer = await forward.ask(node, task.call, sending)
-            took_s = node.clock() - started_s
             source = wire.decode_handle(
                 reader.address, answer.status, answer.body
             )
         except errors.UpstreamError as error:
-            task.tried.add(reader.name)
-            task.sent += 1
-            node.cache.forget(reader.name)
-            raise errors.UpstreamError(
-                f'{reader.name}: {error}', verdicts.Verdict.NOT_RUN
-            ) from error
+            node.cache.retract(reader.name, expected)
+            failure = _read_failure(error, answer)
+            self._read_failed(reader, failure, started_s)
+            raise failure from error
         finally:
             node.work.read(reader.name, unread_tokens)
             node.work.end(reader.name)
+        self._reads += 1
+        self._kept = _KeptRead(source, reader.name)
         node.read_speeds.note(
-            reader.service, reader.stage, unread_tokens, took_s
+            reader.service,
+            reader.stage,
+            unread_tokens,
+            node.clock() - started_s,
         )
-        return source
+
+    def _read_failed(
+        self,
+        reader: replicas.Replica,
+        error: errors.UpstreamError,
+        started_s: float,
+    ) -> None:
+        """Note a read that failed, and spend what its arrival costs.
+
+        The users let the first read pass that a replica accepts. One that
+        is refused is an arrival like others.
+        """
+        task = self._task
+        if not isinstance(error, errors.UnreachableError):
+            task.failed_reads += 1
+            if not self._reads:
+                task.node.repeats.spend(task.service)
+            self._reads += 1
+        task.tried.add(reader.name)
+        task.sent += 1
+        task.failed(reader, error, started_s, reads=True)
 
     def _urgency(self) -> int:
         if self._events.delivered:
@@ -185,20 +259,16 @@
             urgency=self._urgency(),
         )
         reading = _Reading(self, maker, unread_tokens, started_s)
-        ok = False
         try:
             async with forward.open_answer(node, task.call, sending) as found:
                 await self._pass_on(found, reading)
-            ok = True
         except errors.UpstreamError as error:
-            if not isinstance(error, errors.TurnedAwayError):
-                task.judge(maker, False, started_s)
+            task.failed(maker, error, started_s, events=self._events.delivered)
             raise
         finally:
             reading.done()
             node.work.end(maker.name)
-        if ok:
-            task.judge(maker, True, reading.first_s or started_s)
+        task.succeeded(maker, reading.first_s or started_s)
 
     def _resume_after(self) -> str | None:
         return self._events.last_id or self._task.call.resume_after
@@ -259,7 +329,9 @@
             self.answer = answer
             return
         if verdict is verdicts.Verdict.NOT_RUN:
-            raise errors.TurnedAwayError(f'it answered {answer.status}')
+            raise errors.TurnedAwayError(
+                f'it answered {answer.status}', answer.status
+            )
         task.failure = answer
         raise errors.UpstreamError(f'it answered {answer.status}', verdict)
 
@@ -300,3 +372,14 @@
         """Count the prompt as read or given up."""
         if self.first_s is None:
             self._task.node.work.read(self._maker.name, self._unread_tokens)
+
+
+def _read_failure(
+    error: errors.UpstreamError, answer: forward.Answer | None
+) -> errors.UpstreamError:
+    """Return what the failure of a read means: it never ran the request."""
+    if isinstance(error, errors.UnreachableError):
+        return error
+    if answer is not None and answer.verdict is verdicts.Verdict.NOT_RUN:
+        return errors.TurnedAwayError(str(error), answer.status)
+    return errors.UpstreamError(str(error), verdicts.Verdict.NOT_RUN)
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -16,6 +16,9 @@
 # A request may be sent once more than it may run: a replica that is full or
 # has left says that it did not run it, and another may have room.
 EXTRA_SENDINGS = 1
+# Replicas without a connection that one request is tried at; it may take half
+# a second to find out, and callers wait some seconds.
+MOST_UNREACHED = 4
 # Told to callers when a replica was full or has just left: some answers end
 # in that time, and the next look at the store shows who is there.
 SOON_S = 0.4
@@ -46,7 +49,11 @@
         self.customer = customer
         self.deadline_s = deadline_s
         self.verdict = verdicts.Verdict.NOT_RUN
+        # Sendings that reached a replica, or may have.
         self.sent = 0
+        self.unreached = 0
+        # Of those sent, the reads of the prompt that failed.
+        self.failed_reads = 0
         self.ran = 0
         self.tried: set[str] = set()
         # The newest failure that a replica itself answered with.
@@ -101,13 +108,40 @@
         self.node.ejector.started(self._key(replica), now_s)
         return now_s
 
-    def judge(
-        self, replica: replicas.Replica, ok: bool, started_s: float
-    ) -> None:
-        """Tell the ejector how a sending went."""
+    def succeeded(self, replica: replicas.Replica, started_s: float) -> None:
+        """Tell the ejector that a sending went well."""
         now_s = self.node.clock()
         self.node.ejector.report(
-            self._key(replica), ok, now_s - started_s, now_s
+            self._key(replica), True, now_s - started_s, now_s
+        )
+
+    def failed(
+        self,
+        replica: replicas.Replica,
+        error: errors.UpstreamError,
+        started_s: float,
+        **told: typing.Any,
+    ) -> None:
+        """Take the failure of a sending to a replica; told goes to the log.
+
+        A replica that turned it away is full or has changed, not faulty.
+        """
+        now_s = self.node.clock()
+        key = self._key(replica)
+        if isinstance(error, errors.UnreachableError):
+            self.sent -= 1
+            self.unreached += 1
+            self.node.ejector.unreachable(key, now_s)
+        elif not isinstance(error, errors.TurnedAwayError):
+            self.node.ejector.report(key, False, now_s - started_s, now_s)
+        self.note(error.verdict)
+        self.tell(
+            'try-failed',
+            f'a try failed: {error}',
+            replica=replica.name,
+            verdict=error.verdict.name,
+            took_s=round(now_s - started_s, 3),
+            **told,
         )
 
     def note(self, verdict: verdicts.Verdict) -> None:
@@ -117,7 +151,7 @@
             self.ran += 1
 
     def may_repeat(self, last: verdicts.Verdict) -> bool:
-        """Say whether to send once more, and spend a repeat if so."""
+        """Say whether a request may be sent once more after a failure."""
         if self.left_s() < LEAST_LEFT_S:
             return False
         if last is not verdicts.Verdict.NOT_RUN and not self.route.repeatable:
@@ -125,6 +159,16 @@
         most = self.route.max_attempts
         if self.ran >= most or self.sent >= most + EXTRA_SENDINGS:
             return False
+        return self.unreached < MOST_UNREACHED
+
+    def pay(self) -> bool:
+        """Spend a repeat if the next sending is one; say whether it may go.
+
+        The users count what arrives at a service beyond the first of each
+        request, so the first arrival is none.
+        """
+        if self.sent == self.failed_reads:
+            return True
         return self.node.repeats.take(self.service)
 
     def tell(self, event: str, message: str, **fields: typing.Any) -> None:
--- a/gentianstair/platform/cloud.py
+++ b/gentianstair/platform/cloud.py
@@ -72,7 +72,9 @@
             },
         )
         if answer.status == 409:
-            raise errors.TurnedAwayError(f'{path}: none to be had now')
+            raise errors.TurnedAwayError(
+                f'{path}: none to be had now', answer.status
+            )
         if answer.status != 200:
             raise errors.UpstreamError(
                 f'{path}: {answer.status} {answer.body} to {body}',
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -237,7 +237,7 @@
     unrepeatable request needs: a kept one may die after the first byte, for
     reasons that have nothing to do with the request. The extension
     ``before_send`` is called with no await between it and the first byte.
-    ``connect_s`` bounds the time to connect; running over it raises NOT_RUN.
+    ``connect_s`` bounds the time to connect.
     ``answer_id`` is the id that the answer must bear if it bears one, and
     ``target`` the request's target as it is sent.
     """
@@ -261,18 +261,16 @@
                 return stream
             return await trio.open_tcp_stream(url.host, port)
         except (OSError, trio.BrokenResourceError) as error:
-            message = f'cannot connect: {error}'
-            verdict = verdicts.Verdict.NOT_RUN
-            raise errors.UpstreamError(message, verdict) from error
+            raise errors.UnreachableError(
+                f'cannot connect: {error}'
+            ) from error
 
     async def _connect_in_time(
         self, url: httpx.URL, limit_s: float | None
     ) -> trio.abc.Stream:
         with trio.move_on_after(math.inf if limit_s is None else limit_s):
             return await self._connect(url)
-        raise errors.UpstreamError(
-            f'no connection within {limit_s:g} s', verdicts.Verdict.NOT_RUN
-        )
+        raise errors.UnreachableError(f'no connection within {limit_s:g} s')
 
     def _take(self, url: httpx.URL) -> trio.abc.Stream | None:
         idle = self._idle.get((url.host, url.port or 0))
@@ -315,8 +313,9 @@
     ) -> httpx.Response:
         """Send a request whose body is in memory; return at the headers.
 
-        Raise UpstreamError: NOT_RUN until the first byte was handed to the
-        kernel, MAY_HAVE_RUN from then on.
+        Raise UpstreamError: UnreachableError while there is no connection,
+        NOT_RUN until the first byte was handed to the kernel, MAY_HAVE_RUN
+        from then on.
         """
         stream = None
         if not request.extensions.get('fresh'):
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -33,6 +33,8 @@
         self.fails_with = 0
         # Says that it is full.
         self.full = False
+        # Says that it is another one, as after a start under a new name.
+        self.changed = False
         # Runs the request and never answers.
         self.silent = False
         # Breaks a stream off in the middle of the event after this many,
@@ -70,6 +72,8 @@
         self.changes: list[list[typing.Any]] = []
         self.cancelled = 0
         self.headers: list[dict[str, str]] = []
+        # Requests that came, also those that it refused.
+        self.arrivals = 0
 
     def entry(self) -> dict[str, typing.Any]:
         """Return what the replica registers of itself."""
@@ -183,9 +187,10 @@
 async def _serve(replica: Replica, replicas: list[Replica]) -> typing.Any:
     headers = quart.request.headers
     await quart.request.get_data()
-    if headers.get('x-expect-instance') != replica.name:
-        return quart.Response('', 421, {'x-instance-id': replica.name})
     faults = replica.faults
+    replica.arrivals += 1
+    if faults.changed or headers.get('x-expect-instance') != replica.name:
+        return quart.Response('', 421, {'x-instance-id': replica.name})
     if faults.full:
         return _not_run(503)
     if headers.get('x-stage') == 'prefill':
--- a/test/entry/test_retries.py
+++ b/test/entry/test_retries.py
@@ -106,6 +106,22 @@
     assert usable(ejector, names, 1.0) == left
 
 
+def test_an_upstream_without_connections_is_out_at_once():
+    """A process is gone, and its entry stays for some seconds."""
+    ejector = ejection.Ejector()
+    for name in ('u1', 'u2', 'u3'):
+        ejector.report(name, True, 0.1, 10.0)
+    ejector.unreachable('u1', 10.0)
+    assert not ejector.usable('u1', 10.5)
+    later_s = 10.0 + 1.25 * ejection.UNREACHABLE_S
+    assert ejector.usable('u1', later_s)
+    # One probe at a time, and its success brings it back.
+    ejector.started('u1', later_s)
+    assert not ejector.usable('u1', later_s)
+    ejector.report('u1', True, 0.1, later_s + 0.1)
+    assert ejector.usable('u1', later_s + 0.1)
+
+
 def test_half_open_return_takes_one_probe():
     # An ejected engine is back. Let in at once, all waiting work would fall
     # on it while it is cold; one probe decides.
