Count the VMs by the last look, and let a new process earn its part

A VM that the store turns away sees nobody beat, believed to be alone after three beats and would spend all that the fleet may repeat; two of six such VMs and the rest exceed it.

Change: members count by the last look that the store answered; the part of a process that started anew grows from nothing over a window to a half.

Before: the two tests fail. After: they pass.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -150,6 +150,7 @@
             functools.partial(_repeat_terms, live),
             now,
             members.count,
+            restarted=not found.whole_system_starts,
         ),
         ejector=ejection.Ejector(),
         transport=transport.make_transport(idle_s=REPLICA_IDLE_S),
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -89,6 +89,8 @@
         self._writes_per_s = writes_per_s
         self._version = 0
         self._seen: dict[str, Member] = {}
+        # When the store last said who is there.
+        self._looked_s = clock()
 
     @property
     def name(self) -> str:
@@ -102,8 +104,13 @@
         return max(BEAT_S, found / (BEATS_SHARE * self._writes_per_s))
 
     def alive(self) -> list[Member]:
-        """Return the processes seen lately, this one among them."""
-        oldest_s = self._clock() - MISSED_BEATS * self.beat_s
+        """Return the processes seen lately, this one among them.
+
+        That is by the last look that the store answered. A VM that it turns
+        away sees nobody beat; if it then believed to be alone it would take
+        all that the fleet may repeat, as would each VM in its place.
+        """
+        oldest_s = self._looked_s - MISSED_BEATS * self.beat_s
         return [m for m in self._seen.values() if m.since_s >= oldest_s]
 
     def count(self) -> int:
@@ -199,6 +206,7 @@
                 event='members', new=sorted(new), gone=sorted(gone)
             ).info('{} processes are known', len(found))
         self._seen = {member.name: member for member in found}
+        self._looked_s = self._clock()
 
     async def forget_old(self) -> None:
         """Delete objects of processes gone for long; raise StoreError."""
--- a/gentianstair/gateway/repeats.py
+++ b/gentianstair/gateway/repeats.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import math
 import typing
 
 from gentianstair.util import clock as clocks
@@ -45,14 +46,13 @@
         terms_of: typing.Callable[[], Terms],
         clock: clocks.Clock,
         vms: typing.Callable[[], int],
+        restarted: bool = True,
     ) -> None:
         self._terms_of = terms_of
         self._clock = clock
         self._vms = vms
         self._counts: dict[str, _Counts] = {}
-        # A process that was restarted does not know what its predecessor
-        # spent in this window, so it begins as if half of it were gone.
-        self._started_s = clock()
+        self._restarted_s = clock() if restarted else -math.inf
 
     def _of(self, service: str) -> _Counts:
         counts = self._counts.setdefault(service, _Counts())
@@ -68,11 +68,19 @@
         terms = self._terms_of()
         counts = self._of(service)
         allowance = terms.allowance / max(1, self._vms())
-        if self._clock() - self._started_s < terms.window_s:
-            allowance /= 2
+        # A process that was restarted does not know what the one before it
+        # spent in this window. Its part grows as that leaves the window, and
+        # by half only, so that all VMs killed at once stay within it.
+        age = (self._clock() - self._restarted_s) / terms.window_s
+        if age < 1:
+            allowance *= age / 2
         earned = terms.ratio * len(counts.first)
         return SAFETY * (earned + allowance) - len(counts.repeats)
 
+    def spent(self, service: str) -> int:
+        """Return how many repeats this VM sent in the last window."""
+        return len(self._of(service).repeats)
+
     def spend(self, service: str) -> None:
         """Count a repeat that has already been made, whatever is left."""
         self._of(service).repeats.append(self._clock())
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -117,13 +117,14 @@
     def _may_read(self) -> bool:
         """Say whether to have the prompt read apart.
 
-        The first read is no repeat if a replica accepts it; as it may be
-        refused, the budget must have room for that. All others are repeats.
+        The first read is no repeat if a replica accepts it. It may be
+        refused, so while replicas refuse or fail the budget must have room
+        for one more. All other reads are repeats.
         """
         repeats, service = self._node.repeats, self._task.service
         if self._reads:
             return repeats.take(service)
-        return repeats.left(service) >= 1
+        return not repeats.spent(service) or repeats.left(service) >= 1
 
     async def _make_of_kept(
         self, maker: replicas.Replica, kept: _KeptRead
--- a/test/gateway/test_duties.py
+++ b/test/gateway/test_duties.py
@@ -177,3 +177,26 @@
     await one.members.beat()
     (record,) = await one.members.records()
     assert sum(sum(c.values()) for c in record.windows.values()) == 20
+
+
+async def test_a_vm_that_the_store_turns_away_is_not_alone(
+    pair, autojump_clock, nursery
+):
+    """The store turns one VM away for long.
+
+    It sees nobody beat. Were the others gone, all that the fleet may
+    repeat would be its own; they are there, and each spends its part.
+    """
+    _, one, other = pair
+    for process in (one, other):
+        nursery.start_soon(process.members.run)
+    await trio.sleep(5)
+    assert one.members.count() == 2
+    one.store.faults.down = True
+    await trio.sleep(30)
+    assert one.members.count() == 2
+    # Those that the store shows to be gone do not count.
+    one.store.faults.down = False
+    other.store.faults.down = True
+    await trio.sleep(10)
+    assert one.members.count() == 1
--- a/test/gateway/test_repeated_reads.py
+++ b/test/gateway/test_repeated_reads.py
@@ -96,8 +96,7 @@
                 await ask(gateway, number)
         arrivals = sum(replica.arrivals for replica in models(site))
         read = set(site.replica('i-reader').reads)
-        # A process that has just started spends half of the allowance.
-        part = RATIO * requests + ALLOWANCE / 2
+        part = RATIO * requests + ALLOWANCE
         assert arrivals - len(read) - requests <= repeats.SAFETY * part
 
 
--- a/test/gateway/test_repeats.py
+++ b/test/gateway/test_repeats.py
@@ -47,17 +47,44 @@
         assert repeated <= TERMS.ratio * asked + TERMS.allowance
 
 
-def test_a_restarted_process_begins_with_half():
+@pytest.mark.parametrize('kills_s', [(0.0,), (3.0,), (2.0, 4.0), (9.0,)])
+def test_killed_processes_do_not_spend_their_part_again(kills_s):
+    """All replicas fail, and all VMs are killed while they repeat.
+
+    A process that has just started knows nothing of what was spent. Any
+    window that holds both lives must still be within the fleet's budget.
+    """
+    vms = 6
     clock = Clock()
-    one = repeats.Repeats(lambda: TERMS, clock, lambda: 1)
-    at_first = one.left('desk')
-    clock.now_s += TERMS.window_s
-    assert one.left('desk') == pytest.approx(2 * at_first)
+
+    def start():
+        return [
+            repeats.Repeats(lambda: TERMS, clock, lambda: vms)
+            for _ in range(vms)
+        ]
+
+    fleet = start()
+    clock.now_s += 2 * TERMS.window_s
+    begin_s = clock.now_s
+    again = []
+    kills = list(kills_s)
+    while clock.now_s < begin_s + 2 * TERMS.window_s:
+        if kills and clock.now_s >= begin_s + kills[0]:
+            kills.pop(0)
+            fleet = start()
+        for vm in fleet:
+            while vm.take('desk'):
+                again.append(clock.now_s)
+        clock.now_s += 0.1
+    for end_s in again:
+        spent = sum(end_s - TERMS.window_s < at_s <= end_s for at_s in again)
+        assert spent <= TERMS.allowance
 
 
 def test_services_do_not_share():
     clock = Clock()
     one = repeats.Repeats(lambda: TERMS, clock, lambda: 60)
+    clock.now_s += TERMS.window_s
     assert not one.take('desk')
     for _ in range(20):
         one.request('desk')
