Start without a web framework, and wait for the first configuration

Then eight callers were told to come back 0.7 s later because the configuration came 10 to 30 ms after them.

Ruled out: python -S (0.05 s on one machine, within the scatter); leaving out hypercorn's HTTP/2 (it imports it itself).

--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -1,13 +1,14 @@
 """Serve one caller's request: from its headers to the end of the answer."""
 
-import collections.abc
 import functools
 
 import loguru
 import prometheus_client
+import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import asgi
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import patience
 from gentianstair.gateway import calls
@@ -22,6 +23,10 @@
 # Told by a process that has no configuration yet: it reads one as soon as
 # the store or a peer answers.
 NO_CATALOG_RETRY_S = 0.7
+# How long a request waits in a process that has just started for the first
+# answers of the store. They take 20 ms where the store is well; when it is
+# away, callers should soon be told so.
+FIRST_NEWS_S = 0.5
 # An answer that the deadline ends must still reach its caller in time.
 ANSWER_S = 0.05
 HTTP_CALLER_GONE = 499
@@ -156,7 +161,7 @@
         body = await exchange.read_body(
             limits.body_bytes, call.patience_s or limits.idle_s
         )
-        found = node.force.catalog
+        found = await self._catalog(call)
         if found is None:
             raise errors.RequestError(
                 503,
@@ -172,6 +177,20 @@
         node.repeats.request(task.service)
         await self._until_gone(task, found.services.get(task.service))
 
+    async def _catalog(self, call: calls.Call) -> catalog.Catalog | None:
+        """Return the configuration in force, None if there is none yet.
+
+        A process that has just started is asked at once by callers whose
+        connections broke; refused, they come back a second later, while
+        the first answers of the store take some hundredths.
+        """
+        node = self._node
+        if not node.is_informed():
+            patience_s = call.patience_s or FIRST_NEWS_S
+            with trio.move_on_after(min(FIRST_NEWS_S, patience_s / 3)):
+                await node.wait_informed()
+        return node.force.catalog
+
     def _customer(
         self, found: catalog.Catalog, route: catalog.Route, call: calls.Call
     ) -> catalog.Customer | None:
@@ -243,28 +262,10 @@
         await self._answer(answer.status, answer.headers, answer.body)
 
 
-def make_app(
-    node: nodes.Node,
-) -> collections.abc.Callable[..., collections.abc.Awaitable[None]]:
+def make_app(node: nodes.Node) -> asgi.App:
     """Return the application that callers meet."""
 
-    async def app(scope, receive, send) -> None:
-        if scope['type'] != 'http':
-            # The server's own start and stop; a websocket is not served.
-            await _pass_lifespan(scope, receive, send)
-            return
-        exchange = exchanges.Exchange(scope, receive, send)
+    async def serve(exchange: exchanges.Exchange) -> None:
         await Handler(node, exchange).serve()
 
-    return app
-
-
-async def _pass_lifespan(scope, receive, send) -> None:
-    if scope['type'] != 'lifespan':
-        await send({'type': 'websocket.close'})
-        return
-    while True:
-        message = await receive()
-        await send({'type': f'{message["type"]}.complete'})
-        if message['type'] == 'lifespan.shutdown':
-            return
+    return asgi.make_app(serve)
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -24,12 +24,15 @@
 
     def __init__(self) -> None:
         self.catalog: catalog.Catalog | None = None
+        # Set when there is one.
+        self.known = trio.Event()
 
     def take(self, found: catalog.Catalog) -> bool:
         """Put a catalog in force; say whether it is newer."""
         if self.catalog and found.version <= self.catalog.version:
             return False
         self.catalog = found
+        self.known.set()
         return True
 
 
@@ -55,6 +58,15 @@
     # Runs what must outlive a request, such as freeing a KV cache.
     nursery: trio.Nursery
 
+    def is_informed(self) -> bool:
+        """Return whether configuration and replicas have been read."""
+        return self.force.known.is_set() and self.registry.known.is_set()
+
+    async def wait_informed(self) -> None:
+        """Return when configuration and replicas have been read."""
+        await self.force.known.wait()
+        await self.registry.known.wait()
+
     @property
     def deployment(self) -> deployment.Deployment:
         """Return the settings in force."""
--- a/gentianstair/gateway/ready.py
+++ b/gentianstair/gateway/ready.py
@@ -1,50 +1,63 @@
 """Answer the platform's balancer, and show metrics."""
 
+import msgspec
 import prometheus_client
-import quart
-import quart_trio
 import trio
 
+from gentianstair.core import asgi
+from gentianstair.core import exchange as exchanges
 from gentianstair.gateway import node as nodes
 
 READY_PATH = '/api/ready'
+METRICS_PATH = '/metrics'
+JSON = 'application/json'
+TEXT = 'text/plain'
 
 
 def not_ready_reason(node: nodes.Node) -> str | None:
     """Return why callers should not be sent here, or None."""
     if node.leaving.is_set():
         return 'leaving'
-    if node.force.catalog is None:
-        return 'no configuration yet'
+    if not node.is_informed():
+        return 'configuration and replicas are not known yet'
     return None
 
 
-def make_app(node: nodes.Node) -> quart_trio.QuartTrio:
-    """Return the application of the ready and metrics addresses."""
-    app = quart_trio.QuartTrio('gentianstair.ready')
+async def _not_found(exchange: exchanges.Exchange) -> None:
+    await exchange.answer(404, TEXT, b'no such path\n')
 
-    @app.get(READY_PATH)
-    async def ready():
+
+def make_app(node: nodes.Node) -> asgi.App:
+    """Return the application of the address that the balancer asks."""
+
+    async def serve(exchange: exchanges.Exchange) -> None:
+        if exchange.path != READY_PATH:
+            await _not_found(exchange)
+            return
         why = not_ready_reason(node)
-        if why is None:
-            return {'ready': True}
-        return {'ready': False, 'why': why}, 503
+        found = (
+            {'ready': True} if why is None else {'ready': False, 'why': why}
+        )
+        status = 200 if why is None else 503
+        await exchange.answer(status, JSON, msgspec.json.encode(found))
 
-    return app
+    return asgi.make_app(serve)
 
 
-def make_metrics_app() -> quart_trio.QuartTrio:
+def make_metrics_app() -> asgi.App:
     """Return the application of the metrics address."""
-    app = quart_trio.QuartTrio('gentianstair.metrics')
 
-    @app.get('/metrics')
-    async def metrics():
-        return quart.Response(
+    async def serve(exchange: exchanges.Exchange) -> None:
+        if exchange.path != METRICS_PATH:
+            await _not_found(exchange)
+            return
+        await exchange.answer(
+            200,
+            prometheus_client.CONTENT_TYPE_LATEST,
             prometheus_client.generate_latest(),
-            content_type=prometheus_client.CONTENT_TYPE_LATEST,
         )
 
-    return app
+    return asgi.make_app(serve)
 
 
 async def never() -> None:
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -3,6 +3,7 @@
 import typing
 
 import loguru
+import trio
 
 from gentianstair.util import clock as clocks
 
@@ -42,7 +43,8 @@
         # time until which they are held to be alive.
         self._missing: dict[str, float] = {}
         self._by_service: dict[str, list[Replica]] = {}
-        self.revision = 0
+        # Set once a whole listing has been taken.
+        self.known = trio.Event()
 
     def get(self, name: str) -> Replica | None:
         """Return a replica by its name."""
@@ -79,6 +81,7 @@
             if name not in self._replicas or name not in found:
                 del self._missing[name]
         self._replicas = found
+        self.known.set()
         self._index()
 
     def put(self, replica: Replica) -> None:
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -1,5 +1,8 @@
 """Test the whole path: callers, gateway, replicas, store and duties."""
 
+import subprocess
+import sys
+
 import httpx
 import pytest
 import trio
@@ -300,6 +303,52 @@
             nursery.cancel_scope.cancel()
 
 
+async def test_a_call_during_the_start_waits_for_the_store(tmp_path):
+    """All VMs were killed, and callers are back before the store answered.
+
+    Refused, each came back a second later; the configuration was there a
+    few hundredths after the refusal.
+    """
+    async with sites.running() as site:
+        site.faults.delay_s = 0.2
+        values = gateways.values_for(site)
+        async with trio.open_nursery() as nursery:
+            file = tmp_path / 'settings.toml'
+            file.write_text(gateways.samples.settings(**values))
+            nursery.start_soon(
+                gateways.main.run, file, gateways.settings.read(file)
+            )
+            gateway = gateways.Gateway(values, None)
+            with trio.fail_after(5):
+                while True:
+                    try:
+                        answer = await gateway.call('GET', '/lookup/entry')
+                        break
+                    except httpx.ConnectError:
+                        await trio.sleep(0.01)
+            assert answer.status_code == 200
+            nursery.cancel_scope.cancel()
+
+
+def test_a_start_imports_no_framework():
+    """A killed process serves nobody until its imports are done.
+
+    Quart and what it brings took a third of them, for two small paths.
+    """
+    code = (
+        'import sys; import gentianstair.gateway.main;'
+        "print({'quart', 'flask', 'jinja2', 'cappa'} & set(sys.modules))"
+    )
+    found = subprocess.run(
+        [sys.executable, '-c', code],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=True,
+    )
+    assert found.stdout.strip() == 'set()'
+
+
 def test_replicas_sample_matches_the_registry():
     names = {replica.name for replica in sites.default_replicas()}
     assert len(names) == 5
