Log how long a stream's caller waited for its first event

Cause: the log tells when an answer ended, and an objective is about its first event; why a stream was late could not be told from logs.

Change: first_s in the line of each answer. No decision changes.

--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -104,9 +104,16 @@
             status=self._status,
             verdict=verdict,
             sent=task.sent if task else 0,
+            first_s=self._first_s(),
             took_s=round(took_s, 3),
         ).info('answered {}', self._status)
 
+    def _first_s(self) -> float | None:
+        """Return how long a stream's caller waited for its first event."""
+        if self._task is None or self._task.first_s is None:
+            return None
+        return round(self._task.first_s - self._arrived_s, 3)
+
     async def _fail(self, error: errors.RequestError) -> None:
         self._status = error.status
         exchange = self._exchange
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -311,9 +311,10 @@
         await task.exchange.end()
 
     async def _start(self, found: httpx.Response) -> None:
-        if not self._task.exchange.started:
-            headers = wire.answer_headers(found)
-            await self._task.exchange.start(200, headers)
+        task = self._task
+        if not task.exchange.started:
+            task.first_s = task.node.clock()
+            await task.exchange.start(200, wire.answer_headers(found))
 
     async def _refused(
         self, found: httpx.Response, verdict: verdicts.Verdict
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -52,6 +52,8 @@
         # Sendings that reached a replica, or may have.
         self.sent = 0
         self.unreached = 0
+        # When a stream's first event was passed on.
+        self.first_s: float | None = None
         # Of those sent, the reads of the prompt that failed.
         self.failed_reads = 0
         self.ran = 0
