Name the logged events in one schema, and log what was silent

Cause: event names were texts in thirteen modules; a page told of some. A duty won or lost, an object that can't be read, a replica that can't be reached, a KV cache that could not be freed and a gap in cache events had no line at all.

The parser of event streams is gateway/event_stream.py now.

No decision changes.

--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -10,6 +10,7 @@
 
 from gentianstair import errors
 from gentianstair.control import preference
+from gentianstair.generated import events
 from gentianstair.generated import messages
 from gentianstair.store import settled
 from gentianstair.store import store as stores
@@ -270,17 +271,24 @@
         """Run a role under renewals; stop it when authority lapses."""
         self.held[authority.scope] = authority
         HELD.set(len(self.held))
+        self._log(events.DUTY_WON, authority, 'the lease was taken')
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_role, authority, role)
             await self._renew(authority)
             LOST.inc()
+            self._log(events.DUTY_LOST, authority, 'the lease lapsed')
             nursery.cancel_scope.cancel()
 
+    def _log(self, event: str, authority: Authority, message: str) -> None:
+        loguru.logger.bind(
+            event=event, scope=authority.scope, epoch=authority.epoch
+        ).info(message)
+
     async def _run_role(self, authority: Authority, role: Role) -> None:
         try:
             await role(authority)
         except* errors.LeaseLostError as group:
-            loguru.logger.info('role stopped: {}', group.exceptions[0])
+            self._log(events.DUTY_LOST, authority, str(group.exceptions[0]))
         authority.end()
 
     async def _renew(self, authority: Authority) -> None:
--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -7,6 +7,7 @@
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
+from gentianstair.generated import events
 from gentianstair.platform import wire
 
 # A call waits at the replica until something changes; shorter waits are
@@ -50,12 +51,16 @@
                 changes = await _ask(node, replica, since)
             except (errors.UpstreamError, errors.DecodeError) as error:
                 loguru.logger.bind(
-                    event='cache-watch-failed', replica=replica.name
+                    event=events.CACHE_WATCH_FAILED, replica=replica.name
                 ).debug('{}', error)
                 await trio.sleep(RETRY_S)
                 continue
             if epoch is not None and changes.epoch != epoch:
                 node.cache.forget(replica.name)
+            if changes.lost:
+                loguru.logger.bind(
+                    event=events.CACHE_GAP, replica=replica.name
+                ).info('changes of a replica cache are missing')
             epoch, since = changes.epoch, changes.next
             for change in changes.changes:
                 node.cache.set(replica.name, change.part, change.tokens)
--- a/gentianstair/gateway/duties.py
+++ b/gentianstair/gateway/duties.py
@@ -14,6 +14,7 @@
 from gentianstair.control import lease
 from gentianstair.gateway import members as memberships
 from gentianstair.gateway import usage
+from gentianstair.generated import events
 from gentianstair.platform import cloud as clouds
 from gentianstair.store import settled
 from gentianstair.store import store as stores
@@ -69,7 +70,7 @@
                 await self._report_due(authority)
             except (errors.StoreError, errors.UpstreamError) as error:
                 loguru.logger.bind(
-                    event='report-failed', window=self._next
+                    event=events.REPORT_FAILED, window=self._next
                 ).warning('a usage report failed: {}', error)
             await trio.sleep(LOOK_S)
 
@@ -83,7 +84,9 @@
             counts = await self._sealed(window)
             await self._cloud.report_usage(authority, window, counts)
             loguru.logger.bind(
-                event='usage-reported', window=window, epoch=authority.epoch
+                event=events.USAGE_REPORTED,
+                window=window,
+                epoch=authority.epoch,
             ).info('reported {} requests', sum(counts.values()))
             self._next = window + 1
             await self._drop_old(window - KEPT_SEALS)
--- a/gentianstair/gateway/fleet.py
+++ b/gentianstair/gateway/fleet.py
@@ -10,6 +10,7 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import following
 from gentianstair.gateway import node as nodes
+from gentianstair.generated import events
 from gentianstair.platform import cloud as clouds
 from gentianstair.store import settled
 
@@ -44,7 +45,9 @@
             try:
                 await self._look(authority)
             except (errors.StoreError, errors.UpstreamError) as error:
-                loguru.logger.bind(event='fleet-failed').warning('{}', error)
+                loguru.logger.bind(event=events.FLEET_FAILED).warning(
+                    '{}', error
+                )
             await trio.sleep(LOOK_S)
 
     async def _look(self, authority: lease.Authority) -> None:
@@ -80,10 +83,10 @@
                 )
             except errors.TurnedAwayError as error:
                 self._planner.none_left(order, now_s)
-                _tell('none-to-be-had', order, str(error))
+                _tell(events.NONE_TO_BE_HAD, order, str(error))
                 continue
             self._planner.ordered(order, scaling, now_s)
-            _tell('replicas-ordered', order, 'accepted')
+            _tell(events.REPLICAS_ORDERED, order, 'accepted')
 
     async def _baseline(self, service: str, there: int) -> int:
         """Return how many replicas the operator started with.
--- a/gentianstair/gateway/following.py
+++ b/gentianstair/gateway/following.py
@@ -9,6 +9,7 @@
 from gentianstair import errors
 from gentianstair.gateway import catalog
 from gentianstair.gateway import replicas
+from gentianstair.generated import events
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
@@ -59,7 +60,7 @@
         now_s = self._clock()
         if self._lost_s is not None:
             loguru.logger.bind(
-                event='store-back', away_s=round(now_s - self._lost_s, 2)
+                event=events.STORE_BACK, away_s=round(now_s - self._lost_s, 2)
             ).info('the store answers again')
             self._lost_s = None
         self._at_s = now_s
@@ -68,9 +69,9 @@
         """Note a failed call; tell if it is the first."""
         if self._lost_s is None:
             self._lost_s = self._at_s
-            loguru.logger.bind(event='store-lost', why=str(error)[:200]).info(
-                'the store does not answer'
-            )
+            loguru.logger.bind(
+                event=events.STORE_LOST, why=str(error)[:200]
+            ).info('the store does not answer')
 
 
 async def follow(store: stores.Store, source: Source, touch: Touch) -> None:
@@ -136,7 +137,9 @@
             take(decode(item.value))
         except errors.DecodeError as error:
             # The version before stays in force.
-            loguru.logger.bind(event='config-unreadable').error('{}', error)
+            loguru.logger.bind(event=events.CONFIG_UNREADABLE).error(
+                '{}', error
+            )
 
     def replace(items: list[stores.StoredObject], _: bool) -> None:
         for item in items:
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -5,12 +5,14 @@
 import typing
 
 import httpx
+import loguru
 import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.gateway import calls
 from gentianstair.gateway import node as nodes
+from gentianstair.generated import events
 from gentianstair.platform import wire
 from gentianstair.upstreams import transport
 
@@ -80,10 +82,18 @@
 ) -> None:
     """Free a KV cache that nobody will take; it frees itself in the end."""
     request = wire.release_kv_request(replica, source, CONNECT_S)
+    why = 'no answer in time'
     with trio.move_on_after(CONNECT_S * 2):
-        with contextlib.suppress(errors.UpstreamError):
+        try:
             response = await node.transport.handle_async_request(request)
             try:
                 await read_body(response)
+                return
             finally:
                 await response.stream.aclose()
+        except errors.UpstreamError as error:
+            why = str(error)
+    # Nothing depends on it: the replica drops the cache when it lapses.
+    loguru.logger.bind(event=events.KV_NOT_FREED, replica=replica).info(
+        'a KV cache was not freed: {}', why
+    )
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -18,6 +18,7 @@
 from gentianstair.gateway import plain
 from gentianstair.gateway import streaming
 from gentianstair.gateway import task as tasks
+from gentianstair.generated import events
 from gentianstair.platform import wire
 
 # Told by a process that has no configuration yet: it reads one as soon as
@@ -67,7 +68,7 @@
             await self._fail(error)
         except exchanges.CallerGoneError as error:
             self._status = HTTP_CALLER_GONE
-            loguru.logger.bind(event='caller-gone', **self._named()).info(
+            loguru.logger.bind(event=events.CALLER_GONE, **self._named()).info(
                 '{}', error
             )
             if self._exchange.started:
@@ -77,7 +78,7 @@
             # A fault of this program: the caller is told at once, and the
             # log has the place.
             self._status = 500
-            loguru.logger.bind(event='fault', **self._named()).exception(
+            loguru.logger.bind(event=events.FAULT, **self._named()).exception(
                 'a request failed inside this process'
             )
             if self._exchange.started:
@@ -97,7 +98,7 @@
         verdict = task.verdict.name if task else 'NOT_RUN'
         REQUESTS.labels(str(self._status), verdict).inc()
         loguru.logger.bind(
-            event='answer',
+            event=events.ANSWER,
             request_id=self._call.request_id if self._call else '',
             customer=task.customer_name if task else None,
             route=task.route.name if task else None,
@@ -121,7 +122,7 @@
             return
         if exchange.started:
             loguru.logger.bind(
-                event='cut',
+                event=events.CUT,
                 kind=error.kind,
                 verdict=error.verdict.name,
                 **self._named(),
@@ -133,7 +134,7 @@
             call.request_id if call else '', error.retry_after_s
         )
         loguru.logger.bind(
-            event='refusal',
+            event=events.REFUSAL,
             request_id=call.request_id if call else '',
             status=error.status,
             kind=error.kind,
--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -20,6 +20,7 @@
 from gentianstair.gateway import members as memberships
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
+from gentianstair.generated import events
 from gentianstair.generated import messages
 from gentianstair.peers import link
 
@@ -110,9 +111,9 @@
                     async with self._network.open(address) as channel:
                         await self._speak(address, channel)
                 except link.LinkClosedError as error:
-                    loguru.logger.bind(event='link-lost', peer=address).debug(
-                        '{}', error
-                    )
+                    loguru.logger.bind(
+                        event=events.LINK_LOST, peer=address
+                    ).debug('{}', error)
                 await trio.sleep(RECONNECT_S * self._random.uniform(0.7, 1.3))
 
     async def _speak(self, address: str, channel: link.Channel) -> None:
@@ -154,7 +155,7 @@
         try:
             await self._hear(channel, SILENT_S)
         except link.LinkClosedError as error:
-            loguru.logger.bind(event='link-lost').debug('{}', error)
+            loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
             await channel.aclose()
 
     async def _hear(self, channel: link.Channel, limit_s: float) -> None:
@@ -167,7 +168,7 @@
             try:
                 message = link.decode(data)
             except errors.DecodeError as error:
-                loguru.logger.bind(event='peer-unreadable').warning(
+                loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
                     '{}', error
                 )
                 continue
@@ -217,7 +218,7 @@
                 found = self._knowledge.decode_catalog(news['config'])
                 self._knowledge.take_catalog(found)
             except errors.DecodeError as error:
-                loguru.logger.bind(event='peer-unreadable').warning(
+                loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
                     '{}', error
                 )
         age_s = news['age_ms'] / 1000
@@ -226,7 +227,9 @@
         try:
             known = msgspec.convert(news['replicas'], list[replicas.Replica])
         except msgspec.ValidationError as error:
-            loguru.logger.bind(event='peer-unreadable').warning('{}', error)
+            loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
+                '{}', error
+            )
             return
         self._node.registry.replace(known, after_outage=False)
 
@@ -253,7 +256,7 @@
             try:
                 await _send(self._open[address], ask)
             except link.LinkClosedError as error:
-                loguru.logger.bind(event='link-lost', peer=address).debug(
+                loguru.logger.bind(event=events.LINK_LOST, peer=address).debug(
                     '{}', error
                 )
 
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -34,6 +34,7 @@
 from gentianstair.gateway import replicas
 from gentianstair.gateway import speeds
 from gentianstair.gateway import usage
+from gentianstair.generated import events
 from gentianstair.platform import cloud
 from gentianstair.platform import configuration
 from gentianstair.platform import objects
@@ -163,7 +164,7 @@
 
 def _take_catalog(node: nodes.Node, found: catalog.Catalog) -> None:
     if node.force.take(found):
-        loguru.logger.bind(event='config', version=found.version).info(
+        loguru.logger.bind(event=events.CONFIG, version=found.version).info(
             'configuration {} is in force', found.version
         )
 
@@ -219,7 +220,7 @@
         except errors.LeaseLostError:
             raise
         except Exception:
-            loguru.logger.bind(event='fault').exception(
+            loguru.logger.bind(event=events.FAULT).exception(
                 'background work failed'
             )
         await trio.sleep(FAULT_PAUSE_S)
@@ -251,7 +252,7 @@
 async def _leave(node: nodes.Node) -> None:
     """Return when callers have been told to go elsewhere."""
     await serving.wait_for_stop()
-    loguru.logger.bind(event='stopping').info('stopping')
+    loguru.logger.bind(event=events.STOPPING).info('stopping')
     node.leaving.set()
     await trio.sleep(LEAVE_S)
 
@@ -284,7 +285,7 @@
             nursery.start_soon(contain, work)
         async with trio.open_nursery() as duty_nursery:
             duty_nursery.start_soon(_hold_duties, process)
-            loguru.logger.bind(event='started').info('serving')
+            loguru.logger.bind(event=events.STARTED).info('serving')
             await serving.serve(
                 handler.make_app(node),
                 callers,
@@ -294,7 +295,7 @@
             duty_nursery.cancel_scope.cancel()
         with trio.move_on_after(LAST_WRITES_S / 2):
             await process.members.beat()
-        loguru.logger.bind(event='stopped').info('stopped')
+        loguru.logger.bind(event=events.STOPPED).info('stopped')
         nursery.cancel_scope.cancel()
 
 
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -13,6 +13,7 @@
 
 from gentianstair import errors
 from gentianstair.gateway import usage
+from gentianstair.generated import events
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
@@ -65,7 +66,7 @@
     try:
         return msgspec.convert(value, Record)
     except (msgspec.ValidationError, TypeError) as error:
-        loguru.logger.bind(event='member-unreadable').warning('{}', error)
+        loguru.logger.bind(event=events.MEMBER_UNREADABLE).warning('{}', error)
         return None
 
 
@@ -163,14 +164,14 @@
         except errors.StoreUnknownError:
             await self._read_back()
         except errors.StoreError as error:
-            loguru.logger.bind(event='beat-failed').debug('{}', error)
+            loguru.logger.bind(event=events.BEAT_FAILED).debug('{}', error)
         return False
 
     async def _read_back(self) -> None:
         try:
             item = await self._store.get(KIND, self._name, purpose=PURPOSE)
         except errors.StoreError as error:
-            loguru.logger.bind(event='beat-failed').debug('{}', error)
+            loguru.logger.bind(event=events.BEAT_FAILED).debug('{}', error)
             return
         self._version = item.version
 
@@ -197,13 +198,13 @@
         try:
             found = await self._list()
         except errors.StoreError as error:
-            loguru.logger.bind(event='look-failed').debug('{}', error)
+            loguru.logger.bind(event=events.LOOK_FAILED).debug('{}', error)
             return
         gone = set(self._seen) - {member.name for member in found}
         new = {member.name for member in found} - set(self._seen)
         if gone or new:
             loguru.logger.bind(
-                event='members', new=sorted(new), gone=sorted(gone)
+                event=events.MEMBERS, new=sorted(new), gone=sorted(gone)
             ).info('{} processes are known', len(found))
         self._seen = {member.name: member for member in found}
         self._looked_s = self._clock()
--- a/gentianstair/gateway/reload.py
+++ b/gentianstair/gateway/reload.py
@@ -9,6 +9,7 @@
 
 from gentianstair import errors
 from gentianstair.gateway import deployment
+from gentianstair.generated import events
 
 # The file may change without a signal; it is read this often.
 LOOK_S = 2.0
@@ -34,7 +35,9 @@
             found = self._read(self._file)
         except errors.SettingsError as error:
             if str(error) != self._complaint:
-                loguru.logger.bind(event='settings-bad').error('{}', error)
+                loguru.logger.bind(event=events.SETTINGS_BAD).error(
+                    '{}', error
+                )
             self._complaint = str(error)
             return
         self._complaint = ''
@@ -45,7 +48,7 @@
             for name in found._fields
             if getattr(found, name) != getattr(self._live.value, name)
         ]
-        loguru.logger.bind(event='settings', changed=changed).info(
+        loguru.logger.bind(event=events.SETTINGS, changed=changed).info(
             'changed settings are in force: {}', ', '.join(changed)
         )
         self._live.value = found
@@ -56,5 +59,5 @@
             while True:
                 with trio.move_on_after(LOOK_S):
                     await anext(signals)
-                    loguru.logger.bind(event='reload').info('reloading')
+                    loguru.logger.bind(event=events.RELOAD).info('reloading')
                 self.look()
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -5,6 +5,7 @@
 import loguru
 import trio
 
+from gentianstair.generated import events
 from gentianstair.util import clock as clocks
 
 # An entry that went missing while the store was away comes back within
@@ -96,7 +97,7 @@
         if known is None or known._replace(orders_taken=0) != (
             replica._replace(orders_taken=0)
         ):
-            loguru.logger.bind(event='replica', **_told(replica)).info(
+            loguru.logger.bind(event=events.REPLICA, **_told(replica)).info(
                 'replica {} is {}',
                 replica.name,
                 'draining' if replica.draining else 'ready',
@@ -145,6 +146,6 @@
 
 
 def _log_gone(replica: Replica, why: str) -> None:
-    loguru.logger.bind(event='replica-gone', **_told(replica)).info(
+    loguru.logger.bind(event=events.REPLICA_GONE, **_told(replica)).info(
         'replica {} is gone: {}', replica.name, why
     )
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -16,11 +16,12 @@
 from gentianstair import verdict as verdicts
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
-from gentianstair.gateway import events
+from gentianstair.gateway import event_stream
 from gentianstair.gateway import forward
 from gentianstair.gateway import placement
 from gentianstair.gateway import replicas
 from gentianstair.gateway import task as tasks
+from gentianstair.generated import events
 from gentianstair.platform import wire
 
 # A replica whose stream pauses for so many times the longest pause that is
@@ -50,7 +51,7 @@
         self._node = task.node
         self._engine = engine or ENGINE
         self._prompt = task.call.prompt or calls.Prompt('', 0, 0, ())
-        self._events = events.Events()
+        self._events = event_stream.Events()
         self._kept: _KeptRead | None = None
         # Reads that reached a reader; the users count all but the first.
         self._reads = 0
@@ -92,7 +93,7 @@
         )
         if plan is not None:
             task.tell(
-                'route',
+                events.ROUTE,
                 'chose replicas',
                 replica=plan.maker.name,
                 reader=plan.reader.name if plan.reader else None,
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -12,6 +12,7 @@
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
+from gentianstair.generated import events
 
 # A request may be sent once more than it may run: a replica that is full or
 # has left says that it did not run it, and another may have room.
@@ -134,11 +135,14 @@
             self.sent -= 1
             self.unreached += 1
             self.node.ejector.unreachable(key, now_s)
+            loguru.logger.bind(
+                event=events.REPLICA_UNREACHABLE, replica=replica.name
+            ).info('no connection to a replica; it is passed over')
         elif not isinstance(error, errors.TurnedAwayError):
             self.node.ejector.report(key, False, now_s - started_s, now_s)
         self.note(error.verdict)
         self.tell(
-            'try-failed',
+            events.TRY_FAILED,
             f'a try failed: {error}',
             replica=replica.name,
             verdict=error.verdict.name,
--- a/gentianstair/platform/objects.py
+++ b/gentianstair/platform/objects.py
@@ -8,11 +8,13 @@
 import urllib.parse
 
 import httpx
+import loguru
 import msgspec
 import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.generated import events
 from gentianstair.store import store
 from gentianstair.upstreams import transport as transports
 
@@ -251,7 +253,10 @@
     """
     try:
         found = msgspec.json.decode(raw, type=_Object)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        loguru.logger.bind(event=events.OBJECT_UNREADABLE, kind=kind).warning(
+            'an object was passed over: {}', error
+        )
         return None
     meta = found.metadata
     return store.StoredObject(kind, meta.name, meta.revision, found.spec)
--- a/gentianstair/platform/registry.py
+++ b/gentianstair/platform/registry.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gentianstair.gateway import replicas
+from gentianstair.generated import events
 from gentianstair.store import store as stores
 
 KIND = 'servers'
@@ -64,6 +65,6 @@
 
 
 def _passed_over(name: typing.Any, why: str) -> None:
-    loguru.logger.bind(event='entry-passed-over', replica=str(name)).warning(
-        'a registry entry was passed over: {}', why
-    )
+    loguru.logger.bind(
+        event=events.ENTRY_PASSED_OVER, replica=str(name)
+    ).warning('a registry entry was passed over: {}', why)
--- a/gentianstair/ui/stories.py
+++ b/gentianstair/ui/stories.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from gentianstair.generated import events
 from gentianstair.util import log_lines
 
 # More lines than any request has; a reader of a forged log stays bounded.
@@ -10,18 +11,20 @@
 # What a process says when what it depends on is lost or comes back.
 DEPENDENCY_EVENTS = frozenset(
     {
-        'store-lost',
-        'store-back',
-        'replica',
-        'replica-gone',
-        'members',
-        'none-to-be-had',
-        'report-failed',
-        'settings-bad',
-        'config-unreadable',
-        'fault',
-        'started',
-        'stopping',
+        events.STORE_LOST,
+        events.STORE_BACK,
+        events.REPLICA,
+        events.REPLICA_GONE,
+        events.MEMBERS,
+        events.NONE_TO_BE_HAD,
+        events.REPORT_FAILED,
+        events.SETTINGS_BAD,
+        events.CONFIG_UNREADABLE,
+        events.DUTY_WON,
+        events.DUTY_LOST,
+        events.FAULT,
+        events.STARTED,
+        events.STOPPING,
     }
 )
 # Shown in columns of their own, or the same in every line.
--- a/gentianstair/util/line_writer.py
+++ b/gentianstair/util/line_writer.py
@@ -4,6 +4,8 @@
 import json
 import os
 
+from gentianstair.generated import events
+
 # Held for a reader that is slow; a second of full-rate lines.
 MOST_BUFFERED_BYTES = 262144
 # Lines a second, and how many may come at once. A request takes two to four
@@ -38,7 +40,7 @@
             return
         data = line.encode('utf-8', 'replace')
         if self._dropped:
-            told = {'event': 'log-dropped', 'lines': self._dropped}
+            told = {'event': events.LOG_DROPPED, 'lines': self._dropped}
             data = json.dumps(told).encode() + b'\n' + data
         if len(self._buffer) + len(data) > MOST_BUFFERED_BYTES:
             self.flush()
--- a/scripts/generate.py
+++ b/scripts/generate.py
@@ -92,6 +92,36 @@
     return ''.join(lines)
 
 
+def _events() -> dict[str, str]:
+    """Return what each logged event means, by its name."""
+    text = (ROOT / 'schema' / 'events.toml').read_text()
+    return {name: table['help'] for name, table in tomllib.loads(text).items()}
+
+
+def events_code() -> str:
+    """Return the module with a constant for each logged event."""
+    lines = [HEADER.format(doc='Name the events in the logs.')]
+    lines.append('import typing\n\n')
+    found = _events()
+    for name in found:
+        constant = name.replace('-', '_').upper()
+        lines.append(f'{constant}: typing.Final = {name!r}\n')
+    lines.append(f'\nALL: typing.Final = frozenset({tuple(found)!r})\n')
+    return ''.join(lines)
+
+
+def events_page() -> str:
+    """Return the operators' page on logged events."""
+    lines = [
+        '# Events in the logs\n\n',
+        'Generated from `schema/events.toml`. Each line of a gateway is one\n',
+        'JSON object; `event` is one of these.\n\n',
+        '| event | meaning |\n|---|---|\n',
+    ]
+    lines += [f'| `{name}` | {text} |\n' for name, text in _events().items()]
+    return ''.join(lines)
+
+
 def settings_page() -> str:
     """Return the operators' page on settings."""
     lines = [
@@ -140,7 +170,9 @@
     wanted = {
         generated / 'settings.py': _format(settings_code()),
         generated / 'messages.py': _format(messages_code()),
+        generated / 'events.py': _format(events_code()),
         ROOT / 'docs' / 'operators' / 'settings.md': settings_page(),
+        ROOT / 'docs' / 'operators' / 'events.md': events_page(),
     }
     stale = []
     for path, text in wanted.items():
