--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -12,9 +12,12 @@
 from gentianstair import errors
 from gentianstair.config import view as view_module
 from gentianstair.generated import messages
+from gentianstair.peers import avoidance
 from gentianstair.peers import freshness as freshness_module
 from gentianstair.peers import link
 from gentianstair.peers import membership
+from gentianstair.peers import outgoing
+from gentianstair.peers import questions
 from gentianstair.peers import session as session_module
 from gentianstair.peers import spread
 from gentianstair.peers import summaries as summaries_module
@@ -26,15 +29,9 @@
 
 MAX_LINKS = 64
 HELLO_TIMEOUT_S = 3.0
-# Heartbeats for which a peer is passed over, at most, after failed tries.
-AVOID_BEATS = 10
-# Heartbeats of silence up to which a peer counts as heard.
-HEARD_BEATS = 2.5
 # Share of watch_s by which news must be newer than what a peer has, to be
 # passed on before the next heartbeat.
 PASS_ON_SHARE = 0.5
-# Other nodes that are asked whether they reach a silent VM.
-PROBES = 3
 CONFIRM_TRIES = 2
 MAX_MEMBERS_MESSAGE = 500
 # Nodes that count when the first watchers' count does not come.
@@ -104,9 +101,16 @@
         )
         self._sessions: list[session_module.Session] = []
         self._dialing: set[str] = set()
-        self._questioned: set[str] = set()
-        self._avoid_until_s: dict[str, float] = {}
-        self._failed_dials: dict[str, int] = {}
+        self._questions = questions.Questions(
+            self._members,
+            network,
+            lambda: self._sessions,
+            self._suspect,
+            questions.Terms(settings.heartbeat_s, settings.suspect_s),
+            clock,
+            rng,
+        )
+        self._avoidance = avoidance.Avoidance(clock, settings.heartbeat_s)
         self._place: topology.Place | None = None
         self._place_key: typing.Any = None
         self._known = 1
@@ -207,25 +211,18 @@
         finally:
             self._dialing.discard(name)
             if not reached:
-                self._avoid(name)
+                self._avoidance.failed(name)
         if not reached and name in self._members.by_name:
-            self._nursery.start_soon(self._question, name)
-
-    def _avoid(self, name: str) -> None:
-        """Pass a peer over for a while, longer with each failed try."""
-        # A first try may fail only since the peer is just starting.
-        tries = self._failed_dials.get(name, 0)
-        self._failed_dials[name] = tries + 1
-        beats = min(AVOID_BEATS, 0.5 * 2**tries)
-        pause_s = beats * self._settings.heartbeat_s
-        self._avoid_until_s[name] = self._clock() + pause_s
+            self._nursery.start_soon(self._questions.ask, name)
 
     async def _run_session(
         self, channel: link.Channel, dialed: bool, wanted: str = ''
     ) -> None:
         """Exchange hellos, then read and write until the link breaks."""
         try:
-            await channel.send(link.encode(self._make_hello()))
+            await channel.send(
+                link.encode(outgoing.hello(self._view, self._members))
+            )
             with trio.fail_after(HELLO_TIMEOUT_S):
                 data = await channel.receive()
             hello = link.decode(data)
@@ -236,14 +233,13 @@
         peer = membership.from_message(hello['member'])
         if peer.name == self.name:
             if wanted:
-                self._avoid_until_s[wanted] = float('inf')
+                self._avoidance.never(wanted)
             return
         now_s = self._clock()
         one = session_module.Session(channel, peer, dialed, now_s)
         self._sessions.append(one)
         self._close_double(peer.name)
-        self._avoid_until_s.pop(peer.name, None)
-        self._failed_dials.pop(peer.name, None)
+        self._avoidance.reached(peer.name)
         self._greet(one, typing.cast(messages.PeerHello, hello))
         try:
             with one.scope:
@@ -258,7 +254,7 @@
             survey_module.lost_link(one)
             LINKS.set(len(self._sessions))
         if not self._linked(peer.name):
-            self._nursery.start_soon(self._question, peer.name)
+            self._nursery.start_soon(self._questions.ask, peer.name)
 
     def _close_double(self, name: str) -> None:
         """Keep one link when two nodes dialed each other at once.
@@ -359,7 +355,7 @@
     def _dial_if_due(self, name: str, address: str, now_s: float) -> None:
         if not address or address == self.address or name in self._dialing:
             return
-        if self._linked(name) or self._avoid_until_s.get(name, 0.0) > now_s:
+        if self._linked(name) or self._avoidance.avoids(name, now_s):
             return
         self._nursery.start_soon(self._dial, name, address)
 
@@ -455,37 +451,9 @@
         changes = self._members.poll_changes(states, now_ms)
         self._spread_listed(changes, None)
 
-    async def _question(self, name: str) -> None:
-        """Find out whether a VM that is silent here is silent to all.
-
-        A cut between two VMs, one way or both, shows here as silence. Were
-        that enough to suspect, the VM would refute it by way of others, and
-        its status would flap for as long as the cut lasts. So a few others
-        are asked first, and one that reaches the VM ends the matter.
-        """
-        member = self._members.by_name.get(name)
-        if member is None or name in self._questioned:
-            return
-        if member.status in (membership.GONE, membership.LEAVING):
-            return
-        self._questioned.add(name)
-        try:
-            deadline_s = self._clock() + self._settings.suspect_s
-            while self._clock() < deadline_s:
-                for one in self._some_sessions(PROBES):
-                    one.add({'type': 'probe', 'name': name})
-                await trio.sleep(self._settings.heartbeat_s)
-                if self._linked(name) or name not in self._questioned:
-                    return
-            now_s = self._clock()
-            changes = self._members.mark(name, membership.SUSPECT, now_s)
-            self._spread_members(changes)
-        finally:
-            self._questioned.discard(name)
-
-    def _some_sessions(self, number: int) -> list[session_module.Session]:
-        count = min(number, len(self._sessions))
-        return self._rng.sample(self._sessions, count)
+    def _suspect(self, name: str) -> None:
+        changes = self._members.mark(name, membership.SUSPECT, self._clock())
+        self._spread_members(changes)
 
     def _quiet_s(self) -> float:
         """Return the store's silence after which this node counts VMs.
@@ -541,35 +509,15 @@
 
     # What is sent.
 
-    def _make_hello(self) -> link.Message:
-        return {
-            'type': 'hello',
-            'member': membership.to_message(self._members.own),
-            'digest': self._view.digest,
-            'members_digest': self._members.digest(),
-            'buckets': self._view.buckets if self._view.objects else [],
-        }
-
     def _make_beat(self) -> link.Message:
-        beat: link.Message = {
-            'type': 'beat',
-            'sent_ms': int(self._clock() * 1000),
-            'revision': self._view.revision,
-            'digest': self._view.digest,
-        }
-        age_s = self._freshness.age_s()
-        if age_s is not None and age_s <= self._settings.freshness_s:
-            beat['age_ms'] = int(age_s * 1000) + 1
-        outage_s = self._freshness.outage_age_s()
-        if outage_s is not None and 'age_ms' not in beat:
-            beat['outage_age_ms'] = int(outage_s * 1000) + 1
-        reached_s = self._freshness.reached_age_s()
-        if reached_s is not None and reached_s <= self._settings.freshness_s:
-            beat['reached'] = self._freshness.reached
-            beat['reached_age_ms'] = int(reached_s * 1000) + 1
-        if self._members_digest and self._beats % MEMBERS_BEATS == 0:
-            beat['members_digest'] = self._members_digest
-        return beat
+        with_members = self._beats % MEMBERS_BEATS == 0
+        return outgoing.beat(
+            self._clock(),
+            self._view,
+            self._freshness,
+            self._settings.freshness_s,
+            self._members_digest if with_members else None,
+        )
 
     def _greet(
         self, one: session_module.Session, hello: messages.PeerHello
@@ -589,8 +537,8 @@
         everyone = list(self._members.by_name.values())
         for start in range(0, len(everyone), MAX_MEMBERS_MESSAGE):
             part = everyone[start : start + MAX_MEMBERS_MESSAGE]
-            one.add(_members_message(part))
-        one.add(_listed_message(self._members.listed))
+            one.add(outgoing.members(part))
+        one.add(outgoing.listed(self._members.listed))
 
     def _send_all(
         self,
@@ -616,7 +564,7 @@
             known.info('a VM changed its status')
             if member.status == membership.GONE:
                 self._summaries.forget({member.name})
-        self._send_all(_members_message(changes), but)
+        self._send_all(outgoing.members(changes), but)
 
     def _spread_listed(
         self,
@@ -626,7 +574,7 @@
         now_s = self._clock()
         taken, changed = self._members.apply_listed(found, now_s)
         if taken:
-            self._send_all(_listed_message(taken), but)
+            self._send_all(outgoing.listed(taken), but)
         self._spread_members(changed)
 
     def _spread_objects(
@@ -781,37 +729,12 @@
     def _take_probe(
         self, one: session_module.Session, message: messages.PeerProbe
     ) -> None:
-        if 'heard' not in message:
-            self._nursery.start_soon(self._probe, one, message['name'])
-        elif message['heard']:
-            self._questioned.discard(message['name'])
-
-    async def _probe(self, asker: session_module.Session, name: str) -> None:
-        """Tell a peer whether this node reaches a VM, trying it if need be."""
-        heard_s = HEARD_BEATS * self._settings.heartbeat_s
-        heard = any(
-            one.peer.name == name and self._clock() - one.heard_s <= heard_s
-            for one in self._sessions
-        )
-        member = self._members.by_name.get(name)
-        if not heard and member is not None and member.address:
-            heard = await self._reaches(member)
-        asker.add({'type': 'probe', 'name': name, 'heard': heard})
-
-    async def _reaches(self, member: membership.Member) -> bool:
-        """Try whether a VM answers with a hello as the same incarnation."""
-        with trio.move_on_after(self._settings.suspect_s / 2):
-            try:
-                async with self._network.open(member.address) as channel:
-                    hello = link.decode(await channel.receive())
-            except (link.LinkClosedError, errors.DecodeError):
-                return False
-            return (
-                hello is not None
-                and hello['type'] == 'hello'
-                and hello['member']['name'] == member.name
+        if 'heard' in message:
+            self._questions.take_answer(message)
+        else:
+            self._nursery.start_soon(
+                self._questions.answer, one, message['name']
             )
-        return False
 
     _handlers: typing.ClassVar[dict[str, typing.Any]] = {
         'members': _take_members,
@@ -834,8 +757,8 @@
     def _find_place(self, now_s: float) -> topology.Place:
         avoid = frozenset(
             name
-            for name, until_s in self._avoid_until_s.items()
-            if until_s > now_s and not self._linked(name)
+            for name in self._avoidance.names(now_s)
+            if not self._linked(name)
         )
         key = (self._members.generation, avoid)
         if key != self._place_key or self._place is None:
@@ -850,20 +773,6 @@
         return self._place
 
 
-def _members_message(found: list[membership.Member]) -> link.Message:
-    return {
-        'type': 'members',
-        'members': [membership.to_message(member) for member in found],
-    }
-
-
-def _listed_message(
-    found: dict[str, membership.ListedState],
-) -> link.Message:
-    states = {name: entry._asdict() for name, entry in found.items()}
-    return {'type': 'listed', 'states': states}
-
-
 def make_node(
     settings: typing.Any,
     view: view_module.View,
--- /dev/null
+++ b/gentianstair/peers/outgoing.py
@@ -0,0 +1,65 @@
+"""Make the messages that a node sends to its peers."""
+
+import typing
+
+from gentianstair.config import view as views
+from gentianstair.peers import freshness as freshness_module
+from gentianstair.peers import link
+from gentianstair.peers import membership
+
+
+def hello(view: views.View, members: membership.Members) -> link.Message:
+    """Return the first message on a link: who this is, and what it has."""
+    return {
+        'type': 'hello',
+        'member': membership.to_message(members.own),
+        'digest': view.digest,
+        'members_digest': members.digest(),
+        'buckets': view.buckets if view.objects else [],
+    }
+
+
+def beat(
+    now_s: float,
+    view: views.View,
+    freshness: freshness_module.Freshness,
+    freshness_s: float,
+    members_digest: int | None,
+) -> link.Message:
+    """Return a heartbeat; news older than freshness_s are left out.
+
+    members_digest is None in most beats, as members seldom change.
+    """
+    found: link.Message = {
+        'type': 'beat',
+        'sent_ms': int(now_s * 1000),
+        'revision': view.revision,
+        'digest': view.digest,
+    }
+    age_s = freshness.age_s()
+    if age_s is not None and age_s <= freshness_s:
+        found['age_ms'] = int(age_s * 1000) + 1
+    outage_s = freshness.outage_age_s()
+    if outage_s is not None and 'age_ms' not in found:
+        found['outage_age_ms'] = int(outage_s * 1000) + 1
+    reached_s = freshness.reached_age_s()
+    if reached_s is not None and reached_s <= freshness_s:
+        found['reached'] = freshness.reached
+        found['reached_age_ms'] = int(reached_s * 1000) + 1
+    if members_digest:
+        found['members_digest'] = members_digest
+    return found
+
+
+def members(found: typing.Iterable[membership.Member]) -> link.Message:
+    """Return what is known of some members."""
+    return {
+        'type': 'members',
+        'members': [membership.to_message(member) for member in found],
+    }
+
+
+def listed(found: dict[str, membership.ListedState]) -> link.Message:
+    """Return what the platform's list says of VMs."""
+    states = {name: entry._asdict() for name, entry in found.items()}
+    return {'type': 'listed', 'states': states}
