--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -3,7 +3,8 @@
 Plain calls go to the replica with the least work. A prompt is read where its
 shared parts lie in memory, unless the wait there is longer than reading them
 anew elsewhere; it is read either by a replica that only reads, and its KV
-cache then moved, or by the replica that makes the output.
+cache then moved, or by the replica that makes the output. Whoever reads it
+first copies what another replica keeps of it, where that is sooner.
 """
 
 import random
@@ -33,8 +34,6 @@
 # Differences below this are decided by chance, so that VMs which know the
 # same do not all choose the same replica.
 TIE_S = 0.004
-
-
 # Parts that another replica keeps are copied from its memory if that saves so
 # much time. A copy is priced, and what is believed of memories is not sure.
 LEAST_COPY_GAIN_S = 0.03
@@ -80,7 +79,6 @@
 class _Need(typing.NamedTuple):
     """What one choice is about."""
 
-    prompt: calls.Prompt
     engine: catalog.Engine
     body_bytes: int
     # By replica.
@@ -140,7 +138,7 @@
             for replica in (*found, *keepers)
         }
         sources = _sources(keepers, unread)
-        need = _Need(prompt, engine, body_bytes, unread, sources)
+        need = _Need(engine, body_bytes, unread, sources)
         direct = [self._reading(r, need) for r in makers]
         pressed = {c.replica.name: self._pressure_s(c.replica) for c in direct}
         options = [
@@ -200,7 +198,7 @@
             return 0.0
         return FAR_S_PER_BYTE * body_bytes
 
-    def _reading(self, replica: replicas.Replica, need: '_Need') -> _Candidate:
+    def _reading(self, replica: replicas.Replica, need: _Need) -> _Candidate:
         speed = self._speeds.get(replica.service, replica.stage)
         copy = self._copy(replica, need, speed)
         unread = need.unread_tokens[replica.name] - copy.tokens
@@ -214,7 +212,7 @@
         )
 
     def _copy(
-        self, replica: replicas.Replica, need: '_Need', speed: float
+        self, replica: replicas.Replica, need: _Need, speed: float
     ) -> Copy:
         """Return what to copy to a replica from another one's memory.
 
--- /dev/null
+++ b/gentianstair/gateway/prompt_read.py
@@ -0,0 +1,164 @@
+"""Have one request's prompt read apart from the replica that makes output.
+
+A read runs nothing: its failure never means that the request may have run.
+The KV cache that it leaves belongs to this request and is taken once, or
+freed.
+"""
+
+import typing
+
+from gentianstair import errors
+from gentianstair import verdict as verdicts
+from gentianstair.gateway import calls
+from gentianstair.gateway import catalog
+from gentianstair.gateway import forward
+from gentianstair.gateway import placement
+from gentianstair.gateway import replicas
+from gentianstair.gateway import task as tasks
+from gentianstair.platform import wire
+
+
+class _Kept(typing.NamedTuple):
+    """A KV cache that nobody has taken yet."""
+
+    source: calls.KvSource
+    reader: str
+
+
+class PromptRead:
+    """The reads of one request's prompt, and the KV cache of the last."""
+
+    def __init__(
+        self,
+        task: tasks.Task,
+        prompt: calls.Prompt,
+        engine: catalog.Engine,
+    ) -> None:
+        self._task = task
+        self._node = task.node
+        self._prompt = prompt
+        self._engine = engine
+        self._kept: _Kept | None = None
+        # Reads that reached a reader; the users count all but the first.
+        self._reads = 0
+
+    @property
+    def source(self) -> calls.KvSource | None:
+        """Return where the KV cache lies, None if there is none."""
+        return self._kept.source if self._kept else None
+
+    def may_read(self) -> bool:
+        """Say whether to have the prompt read.
+
+        The first read is no repeat if a replica accepts it. It may be
+        refused, so while replicas refuse or fail the budget must have room
+        for one more. All other reads are repeats.
+        """
+        repeats, service = self._node.repeats, self._task.service
+        if self._reads:
+            return repeats.take(service)
+        return not repeats.spent(service) or repeats.left(service) >= 1
+
+    async def read(self, plan: placement.Plan, urgency: int) -> None:
+        """Have the prompt read as planned; raise UpstreamError."""
+        reader = plan.reader
+        assert reader is not None
+        task, node = self._task, self._node
+        started_s = node.clock()
+        node.work.begin(reader.name, plan.unread_tokens)
+        expected = node.cache.expect(
+            reader.name, self._prompt, self._engine.kv_tokens
+        )
+        sending = task.sending(
+            reader,
+            reads_only=True,
+            copy_from=plan.copy.address,
+            urgency=urgency,
+        )
+        answer = None
+        try:
+            answer = await forward.ask(node, task.call, sending)
+            source = wire.decode_handle(
+                reader.address, answer.status, answer.body
+            )
+        except errors.UpstreamError as error:
+            node.cache.retract(reader.name, expected)
+            failure = _failure(error, answer)
+            self._failed(reader, failure, started_s)
+            raise failure from error
+        finally:
+            node.work.read(reader.name, plan.unread_tokens)
+            node.work.end(reader.name)
+        self._reads += 1
+        self._kept = _Kept(source, reader.name)
+        node.read_speeds.note(
+            reader.service,
+            reader.stage,
+            plan.unread_tokens,
+            node.clock() - started_s - plan.copy.takes_s,
+        )
+
+    def _failed(
+        self,
+        reader: replicas.Replica,
+        error: errors.UpstreamError,
+        started_s: float,
+    ) -> None:
+        """Note a read that failed, and spend what its arrival costs.
+
+        The users let the first read pass that a replica accepts. One that
+        is refused is an arrival like others.
+        """
+        task = self._task
+        if not isinstance(error, errors.UnreachableError):
+            task.failed_reads += 1
+            if not self._reads:
+                task.node.repeats.spend(task.service)
+            self._reads += 1
+        task.tried.add(reader.name)
+        task.sent += 1
+        task.failed(reader, error, started_s, reads=True)
+
+    def taken(self) -> None:
+        """Note that a replica took the KV cache."""
+        self._kept = None
+
+    def not_taken(self, error: errors.UpstreamError) -> None:
+        """Keep the KV cache for the next maker, or free it.
+
+        A maker that could not be reached, or is another replica by now, has
+        not touched it. Reading the prompt anew would be one more arrival at
+        the service, and its time.
+        """
+        if isinstance(error, errors.UnreachableError):
+            return
+        changed = (
+            isinstance(error, errors.TurnedAwayError)
+            and error.status == wire.HTTP_MISDIRECTED
+        )
+        if not changed:
+            # It may have been the KV cache that could not be had.
+            self.free()
+
+    def free(self) -> None:
+        """Free a KV cache that nobody will take."""
+        if self._kept is None:
+            return
+        self._node.nursery.start_soon(
+            forward.release_kv,
+            self._node,
+            self._kept.reader,
+            self._kept.source,
+        )
+        self._kept = None
+
+
+def _failure(
+    error: errors.UpstreamError, answer: forward.Answer | None
+) -> errors.UpstreamError:
+    """Return what the failure of a read means for its request."""
+    if isinstance(error, errors.UnreachableError):
+        return error
+    if answer is not None and answer.verdict is verdicts.Verdict.NOT_RUN:
+        return errors.TurnedAwayError(str(error), answer.status)
+    return errors.UpstreamError(str(error), verdicts.Verdict.NOT_RUN)
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -7,7 +7,6 @@
 """
 
 import math
-import typing
 
 import httpx
 import trio
@@ -19,6 +18,7 @@
 from gentianstair.gateway import event_stream
 from gentianstair.gateway import forward
 from gentianstair.gateway import placement
+from gentianstair.gateway import prompt_read
 from gentianstair.gateway import replicas
 from gentianstair.gateway import task as tasks
 from gentianstair.generated import events
@@ -36,13 +36,6 @@
 ENGINE = catalog.Engine(64, 100000, 16384, 100000.0, 5.0, 3.0, ())
 
 
-class _KeptRead(typing.NamedTuple):
-    """A prompt that was read and whose KV cache nobody has taken yet."""
-
-    source: calls.KvSource
-    reader: str
-
-
 class Streaming:
     """One streamed answer."""
 
@@ -52,9 +45,7 @@
         self._engine = engine or ENGINE
         self._prompt = task.call.prompt or calls.Prompt('', 0, 0, ())
         self._events = event_stream.Events()
-        self._kept: _KeptRead | None = None
-        # Reads that reached a reader; the users count all but the first.
-        self._reads = 0
+        self._read = prompt_read.PromptRead(task, self._prompt, self._engine)
         # Passed through when a replica itself refuses or fails.
         self.answer: forward.Answer | None = None
 
@@ -77,7 +68,7 @@
                         break
                 self._events.restart()
         finally:
-            self._release()
+            self._read.free()
         if task.failure is not None and not task.exchange.started:
             return task.failure
         raise task.give_up()
@@ -106,67 +97,28 @@
         return plan
 
     async def _run(self, plan: placement.Plan) -> None:
-        if self._kept is None and plan.reader is not None:
-            if not self._may_read():
-                # The maker reads it: one more arrival in place of two.
-                unread = self._node.cache.unread_tokens(
-                    plan.maker.name, self._prompt
-                )
-                plan = plan._replace(
-                    reader=None, unread_tokens=unread, copy=placement.NO_COPY
-                )
+        if plan.reader is not None and self._read.source is None:
+            if self._read.may_read():
+                await self._read.read(plan, self._urgency())
             else:
-                await self._read(plan.reader, plan)
-        if self._kept is None:
+                plan = self._without_reader(plan)
+        source = self._read.source
+        if source is None:
             await self._make(plan.maker, None, plan)
             return
-        await self._make_of_kept(self._maker_now(), self._kept)
-
-    def _may_read(self) -> bool:
-        """Say whether to have the prompt read apart.
-
-        The first read is no repeat if a replica accepts it. It may be
-        refused, so while replicas refuse or fail the budget must have room
-        for one more. All other reads are repeats.
-        """
-        repeats, service = self._node.repeats, self._task.service
-        if self._reads:
-            return repeats.take(service)
-        return not repeats.spent(service) or repeats.left(service) >= 1
-
-    async def _make_of_kept(
-        self, maker: replicas.Replica, kept: _KeptRead
-    ) -> None:
-        """Have the output made of a prompt that has been read.
-
-        A maker that could not be reached, or is another replica by now, has
-        not touched the KV cache, and the next one takes it. Reading the
-        prompt anew would be one more arrival at the service and its time.
-        """
         try:
-            await self._make(maker, kept.source, None)
-            self._kept = None
-        except errors.UnreachableError:
-            raise
-        except errors.TurnedAwayError as error:
-            if error.status != wire.HTTP_MISDIRECTED:
-                # It may have been the KV cache that could not be had.
-                self._release()
-            raise
-        except errors.UpstreamError:
-            self._release()
+            await self._make(self._maker_now(), source, None)
+            self._read.taken()
+        except errors.UpstreamError as error:
+            self._read.not_taken(error)
             raise
 
-    def _release(self) -> None:
-        """Free a KV cache that nobody will take."""
-        if self._kept is not None:
-            self._node.nursery.start_soon(
-                forward.release_kv,
-                self._node,
-                self._kept.reader,
-                self._kept.source,
-            )
-            self._kept = None
+    def _without_reader(self, plan: placement.Plan) -> placement.Plan:
+        """Have the maker read the prompt: one arrival in place of two."""
+        unread = self._node.cache.unread_tokens(plan.maker.name, self._prompt)
+        return plan._replace(
+            reader=None, unread_tokens=unread, copy=placement.NO_COPY
+        )
 
     def _maker_now(self) -> replicas.Replica:
         """Return the maker for a prompt that has just been read.
@@ -182,71 +134,6 @@
             )
         return maker
 
-    async def _read(
-        self, reader: replicas.Replica, plan: placement.Plan
-    ) -> None:
-        """Have a prompt read and note where its KV cache lies.
-
-        A read does not run the request, so its failure never means that
-        the request may have run.
-        """
-        task, node = self._task, self._node
-        unread_tokens = plan.unread_tokens
-        started_s = node.clock()
-        node.work.begin(reader.name, unread_tokens)
-        expected = node.cache.expect(
-            reader.name, self._prompt, self._engine.kv_tokens
-        )
-        sending = task.sending(
-            reader,
-            reads_only=True,
-            copy_from=plan.copy.address,
-            urgency=self._urgency(),
-        )
-        answer = None
-        try:
-            answer = await forward.ask(node, task.call, sending)
-            source = wire.decode_handle(
-                reader.address, answer.status, answer.body
-            )
-        except errors.UpstreamError as error:
-            node.cache.retract(reader.name, expected)
-            failure = _read_failure(error, answer)
-            self._read_failed(reader, failure, started_s)
-            raise failure from error
-        finally:
-            node.work.read(reader.name, unread_tokens)
-            node.work.end(reader.name)
-        self._reads += 1
-        self._kept = _KeptRead(source, reader.name)
-        node.read_speeds.note(
-            reader.service,
-            reader.stage,
-            unread_tokens,
-            node.clock() - started_s - plan.copy.takes_s,
-        )
-
-    def _read_failed(
-        self,
-        reader: replicas.Replica,
-        error: errors.UpstreamError,
-        started_s: float,
-    ) -> None:
-        """Note a read that failed, and spend what its arrival costs.
-
-        The users let the first read pass that a replica accepts. One that
-        is refused is an arrival like others.
-        """
-        task = self._task
-        if not isinstance(error, errors.UnreachableError):
-            task.failed_reads += 1
-            if not self._reads:
-                task.node.repeats.spend(task.service)
-            self._reads += 1
-        task.tried.add(reader.name)
-        task.sent += 1
-        task.failed(reader, error, started_s, reads=True)
-
     def _urgency(self) -> int:
         if self._events.delivered:
             return 0
@@ -265,7 +152,6 @@
         task, node = self._task, self._node
         copy = plan.copy if plan else placement.NO_COPY
         unread_tokens = plan.unread_tokens if plan else 0
-        self._maker = maker
         started_s = task.begin(maker)
         node.work.begin(maker.name, unread_tokens)
         if self._prompt.parts:
@@ -394,14 +280,3 @@
         """Count the prompt as read or given up."""
         if self.first_s is None:
             self._task.node.work.read(self._maker.name, self._unread_tokens)
-
-
-def _read_failure(
-    error: errors.UpstreamError, answer: forward.Answer | None
-) -> errors.UpstreamError:
-    """Return what the failure of a read means: it never ran the request."""
-    if isinstance(error, errors.UnreachableError):
-        return error
-    if answer is not None and answer.verdict is verdicts.Verdict.NOT_RUN:
-        return errors.TurnedAwayError(str(error), answer.status)
-    return errors.UpstreamError(str(error), verdicts.Verdict.NOT_RUN)
