--- a/test/gateway/gateways.py
+++ b/test/gateway/gateways.py
@@ -50,6 +50,15 @@
             method, path, headers=self.headers(request_id, **more)
         )
 
+    async def first_answer(self):
+        """Return the first answer that a starting process gives."""
+        with trio.fail_after(START_S):
+            while True:
+                try:
+                    return await self.call('GET', '/lookup/entry')
+                except httpx.ConnectError:
+                    await trio.sleep(0.01)
+
     async def ready(self):
         url = f'http://127.0.0.1:{self.values["ready"]}/api/ready'
         async with httpx.AsyncClient(trust_env=False) as client:
@@ -96,3 +105,15 @@
             await trio.sleep(0.3)
         yield gateways
         nursery.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def starting(site, tmp_path):
+    """Yield a gateway from the moment of its start."""
+    values = values_for(site)
+    file = tmp_path / 'settings.toml'
+    file.write_text(samples.settings(**values))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(main.run, file, settings.read(file))
+        yield Gateway(values, None)
+        nursery.cancel_scope.cancel()
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -308,25 +308,11 @@
     """A VM that knows no configuration must not deny what is allowed."""
     async with sites.running() as site:
         site.faults.down = True
-        values = gateways.values_for(site)
-        async with trio.open_nursery() as nursery:
-            file = tmp_path / 'settings.toml'
-            file.write_text(gateways.samples.settings(**values))
-            nursery.start_soon(
-                gateways.main.run, file, gateways.settings.read(file)
-            )
-            gateway = gateways.Gateway(values, None)
-            with trio.fail_after(5):
-                while True:
-                    try:
-                        answer = await gateway.call('GET', '/lookup/entry')
-                        break
-                    except httpx.ConnectError:
-                        await trio.sleep(0.02)
+        async with gateways.starting(site, tmp_path) as gateway:
+            answer = await gateway.first_answer()
             assert answer.status_code == 503
             assert float(answer.headers['retry-after']) > 0
             assert not await gateway.ready()
-            nursery.cancel_scope.cancel()
 
 
 async def test_a_call_during_the_start_waits_for_the_store(tmp_path):
@@ -337,23 +323,9 @@
     """
     async with sites.running() as site:
         site.faults.delay_s = 0.2
-        values = gateways.values_for(site)
-        async with trio.open_nursery() as nursery:
-            file = tmp_path / 'settings.toml'
-            file.write_text(gateways.samples.settings(**values))
-            nursery.start_soon(
-                gateways.main.run, file, gateways.settings.read(file)
-            )
-            gateway = gateways.Gateway(values, None)
-            with trio.fail_after(5):
-                while True:
-                    try:
-                        answer = await gateway.call('GET', '/lookup/entry')
-                        break
-                    except httpx.ConnectError:
-                        await trio.sleep(0.01)
+        async with gateways.starting(site, tmp_path) as gateway:
+            answer = await gateway.first_answer()
             assert answer.status_code == 200
-            nursery.cancel_scope.cancel()
 
 
 def test_a_start_imports_no_framework():
