--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -12,6 +12,9 @@
 from standins import ports
 
 START_S = 15.0
+# Fields of /proc/PID/stat behind the program's name.
+USER_TICKS = 11
+SYSTEM_TICKS = 12
 SETTINGS = """
 node = "{vm}"
 zone = "{failure_domain}"
@@ -49,6 +52,10 @@
 LEASE_MS = 2400
 
 
+class NotReadyError(Exception):
+    """Report a process that does not come up, and what it did so far."""
+
+
 class Gateway:
     """One VM: its settings, its process and how callers reach it."""
 
@@ -128,9 +135,24 @@
 
     async def ready(self) -> None:
         """Return when the balancer would send callers here."""
-        with trio.fail_after(START_S):
+        with trio.move_on_after(START_S):
             while not await self.is_ready():
                 await trio.sleep(0.05)
+            return
+        raise NotReadyError(
+            f'{self.vm} is not ready after {START_S:g} s: exit code '
+            f'{self.process.poll() if self.process else None}, '
+            f'{self._spent_s():.2f} s of processor time'
+        )
+
+    def _spent_s(self) -> float:
+        """Return the processor time of the process so far."""
+        if not self.is_running():
+            return 0.0
+        stat = pathlib.Path(f'/proc/{self.process.pid}/stat').read_text()
+        fields = stat.rpartition(')')[2].split()
+        ticks = int(fields[USER_TICKS]) + int(fields[SYSTEM_TICKS])
+        return ticks / os.sysconf('SC_CLK_TCK')
 
     async def wait(self) -> int:
         """Return the exit code of the process at its end."""
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -17,6 +17,9 @@
     # machine's interpreter had come to the program: the soak now sends SIGHUP
     # to processes that serve, and takes an end by SIGTERM before that.
     25,
+    # Once, beside eight jobs, no process was ready after 15 s and none had
+    # written a line; alone it passes. Open; see docs/design/platform.md.
+    35,
 ]
 LENGTH_S = 8.0
 
