Let a few VMs speak for a large fleet: hubs and leaves

Cause: the larger size of the new customer does not play. Each of 75 VMs asked each of 70 replicas for its cache events; a replica keeps 12 such calls waiting and refuses the others at once, so each was asked again 0.5 s later. Each VM watched the store, listed the members and the lease each second, and linked to all 74 others.

Ruled out: questions that fail for another reason (those that waited were answered); a shorter retry only (VMs times replicas stays).

Change: above 12 VMs a few of them, the hubs (the root of half the fleet, six at least, those with most cores, spread over the domains), link to each other, watch the store, compete for the lease and share out whose leaf follows which replica's cache. Each other VM keeps one link to a hub of its domain, tells its load four times a second and gets sums of all loads, changed replicas, cache changes, newer configurations and its assignment. A leaf whose hub is silent, or is itself not answered by the store, forgets it at once, reads the store itself and goes to another. Beats of the fleet are held to 15 a second, and usage is sealed after the last of them. Up to 12 VMs nothing changes but that a replicas' watch waits 0.5 s, gathers 0.5 s.

--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -134,7 +134,8 @@
         async with trio.open_nursery() as nursery:
             while True:
                 self._scopes = scopes()
-                await self._look(nursery)
+                if self._scopes or self._running:
+                    await self._look(nursery)
                 await trio.sleep(self._terms.duration_s / RENEWALS)
 
     async def _look(self, nursery: trio.Nursery) -> None:
--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -1,9 +1,12 @@
 """Hear from each model replica which parts of prompts it keeps."""
 
+import typing
+
 import loguru
 import trio
 
 from gentianstair import errors
+from gentianstair.gateway import cache_news
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
@@ -20,23 +23,36 @@
 LOOK_S = 0.5
 
 
+class _Start(typing.NamedTuple):
+    """One start of a replica."""
+
+    name: str
+    born_ms: int
+
+
 async def run(node: nodes.Node) -> None:
-    """Follow the caches of all model replicas, until cancelled."""
-    following: dict[str, trio.CancelScope] = {}
+    """Follow the caches that this VM is to follow, until cancelled."""
+    following: dict[_Start, trio.CancelScope] = {}
     async with trio.open_nursery() as nursery:
+        known: set[_Start] = set()
         while True:
-            wanted = {
-                (replica.name, replica.born_ms): replica
+            there = {
+                _Start(replica.name, replica.born_ms): replica
                 for replica in node.registry.all()
                 if replica.stage
             }
-            names = {f'{name}/{born}': r for (name, born), r in wanted.items()}
-            for key in set(following) - set(names):
-                following.pop(key).cancel()
-                node.cache.forget(key.partition('/')[0])
-            for key in set(names) - set(following):
-                following[key] = trio.CancelScope()
-                nursery.start_soon(_follow, node, names[key], following[key])
+            for start in known - set(there):
+                node.cache_news.forget(start.name)
+            known = set(there)
+            mine = node.roster.follows()
+            wanted = {start for start in there if start.name in mine}
+            for start in set(following) - wanted:
+                following.pop(start).cancel()
+            for start in wanted - set(following):
+                following[start] = trio.CancelScope()
+                nursery.start_soon(
+                    _follow, node, there[start], following[start]
+                )
             await trio.sleep(LOOK_S)
 
 
@@ -56,14 +72,19 @@
                 await trio.sleep(RETRY_S)
                 continue
             if epoch is not None and changes.epoch != epoch:
-                node.cache.forget(replica.name)
+                node.cache_news.forget(replica.name)
             if changes.lost:
                 loguru.logger.bind(
                     event=events.CACHE_GAP, replica=replica.name
                 ).info('changes of a replica cache are missing')
             epoch, since = changes.epoch, changes.next
             for change in changes.changes:
-                node.cache.set(replica.name, change.part, change.tokens)
+                node.cache_news.heard(
+                    cache_news.Change(
+                        replica.name, change.part, change.number, change.tokens
+                    ),
+                    passed_on=True,
+                )
             await trio.sleep(GATHER_S)
 
 
--- a/gentianstair/gateway/catalog.py
+++ b/gentianstair/gateway/catalog.py
@@ -56,6 +56,8 @@
     handle_s: float
     stage_change_s: float
     models: tuple[str, ...]
+    # Calls for changes of its cache that a replica keeps waiting.
+    cache_calls: int = 12
 
 
 class Scaling(typing.NamedTuple):
--- a/gentianstair/gateway/deployment.py
+++ b/gentianstair/gateway/deployment.py
@@ -40,6 +40,8 @@
     duty_calls_per_s: float
     memory_mb: float
     max_fds: int
+    # Its share of a core times the core's speed.
+    cores: float
     replica_heartbeat_s: float
     whole_system_starts: bool
     bounds: Bounds
--- a/gentianstair/gateway/duties.py
+++ b/gentianstair/gateway/duties.py
@@ -27,6 +27,10 @@
 # Before it, processes that could not reach the store for some seconds still
 # add their counts; after it, a new holder still has time to report.
 SEAL_AT = 0.5
+# How long after a beat was due its counts are there, with a margin.
+WRITTEN_S = 1.0
+# Left of the time allowed for sealing and reporting.
+REPORT_S = 2.5
 KEPT_SEALS = 8
 REST_MARGIN_S = 0.5
 
@@ -75,8 +79,17 @@
             await trio.sleep(LOOK_S)
 
     def _due_s(self, window: int) -> float:
+        """Return when a window is sealed.
+
+        In a large fleet processes write their counts less often, and the
+        last ones of the window must be there.
+        """
         end_s = (window + 1) * self._terms.window_s
-        return end_s + SEAL_AT * self._terms.late_s
+        written_s = self._members.beat_s + WRITTEN_S
+        latest_s = self._terms.late_s - REPORT_S
+        return end_s + max(
+            SEAL_AT * self._terms.late_s, min(written_s, latest_s)
+        )
 
     async def _report_due(self, authority: lease.Authority) -> None:
         while self._wall() >= self._due_s(self._next):
--- a/gentianstair/gateway/following.py
+++ b/gentianstair/gateway/following.py
@@ -18,13 +18,20 @@
 # is seen after this, the call's grace and a new listing. Together they must
 # stay below the two seconds in which a leaving replica may get new work.
 WATCH_S = 0.8
+# A watch of the replicas, which beat all the time, hardly ever waits longer;
+# what a hub learns on the way to its leaves adds to its time.
+BEATS_WATCH_S = 0.5
 # Pause after a failed call. The store may be down for seconds, and all VMs
 # come back at once.
 RETRY_S = 0.25
+# With more VMs than this each of them pauses longer.
+RETRY_VMS = 15
+# How soon a process notices that it is no longer told of changes.
+TOLD_LOOK_S = 0.2
 # Replicas beat every second or so and each beat is an event; the changes of
 # this long are fetched with one call. It is far below the time within which
 # a leaving replica must get no more work.
-GATHER_S = 0.6
+GATHER_S = 0.5
 # Pause after a watch that came too late for the history kept. A store that
 # keeps none answers each watch so at once; listing and watching without a
 # pause would spend what the whole fleet may read. Changes still show well
@@ -40,6 +47,8 @@
     replace: collections.abc.Callable[[list[stores.StoredObject], bool], None]
     change: collections.abc.Callable[[stores.StoredObject], None]
     gather_s: float
+    # How long a watch waits when nothing changes.
+    watch_s: float = WATCH_S
 
 
 class Touch:
@@ -65,6 +74,10 @@
             self._lost_s = None
         self._at_s = now_s
 
+    def heard(self, age_s: float) -> None:
+        """Take from another VM that the store answered it age_s ago."""
+        self._at_s = max(self._at_s, self._clock() - age_s)
+
     def failed(self, error: errors.StoreError) -> None:
         """Note a failed call; tell if it is the first."""
         if self._lost_s is None:
@@ -74,9 +87,36 @@
             ).info('the store does not answer')
 
 
-async def follow(store: stores.Store, source: Source, touch: Touch) -> None:
+class Turn(typing.NamedTuple):
+    """Whether this process has to read the store, and how soon again."""
+
+    # Whether another VM keeps this one up to date.
+    is_told: collections.abc.Callable[[], bool]
+    # How many VMs may come back to the store at once.
+    vms: collections.abc.Callable[[], int]
+
+    def retry_s(self) -> float:
+        """Return the pause after a failed call.
+
+        The whole fleet may ask at once while the store is away, and each
+        call is priced.
+        """
+        return RETRY_S * max(1.0, self.vms() / RETRY_VMS)
+
+
+ALWAYS = Turn(lambda: False, lambda: 1)
+
+
+async def follow(
+    store: stores.Store,
+    source: Source,
+    touch: Touch,
+    turn: Turn = ALWAYS,
+) -> None:
     """Keep what source describes up to date, until cancelled.
 
+    A process that is told of changes by another does not read the store.
+
     Changes are taken by watches. When the store has dropped the history
     asked for, or a watch failed, a whole listing is read again, and no
     answer older than the newest seen is taken.
@@ -90,6 +130,10 @@
     highest = 0
     away = False
     while True:
+        if turn.is_told():
+            revision, away = None, False
+            await trio.sleep(TOLD_LOOK_S)
+            continue
         listed = revision is None
         try:
             if revision is None:
@@ -102,7 +146,7 @@
                 away = False
             else:
                 listing = await store.watch(
-                    [source.kind], revision, WATCH_S, purpose='follow'
+                    [source.kind], revision, source.watch_s, purpose='follow'
                 )
                 for item in listing.objects:
                     source.change(item)
@@ -119,7 +163,7 @@
             # lapsed because of the outage only a listing shows.
             revision = None
             away = away or listed
-            await trio.sleep(RETRY_S)
+            await trio.sleep(turn.retry_s())
 
 
 def config_source(
@@ -171,4 +215,4 @@
         found = [decode(item) for item in items if item.value is not None]
         registry.replace([r for r in found if r is not None], away)
 
-    return Source(kind, replace, change, GATHER_S)
+    return Source(kind, replace, change, GATHER_S, BEATS_WATCH_S)
--- /dev/null
+++ b/gentianstair/gateway/knowledge.py
@@ -0,0 +1,27 @@
+"""Take what peers know of the configuration and of the store."""
+
+import typing
+
+import loguru
+
+from gentianstair import errors
+from gentianstair.gateway import catalog
+from gentianstair.gateway import following
+from gentianstair.generated import events
+
+
+class Knowledge(typing.NamedTuple):
+    """What a process does with news; the adapter decodes configurations."""
+
+    decode_catalog: typing.Callable[[typing.Any], catalog.Catalog]
+    take_catalog: typing.Callable[[catalog.Catalog], None]
+    touch: following.Touch
+
+    def take_config(self, raw: typing.Any) -> None:
+        """Put a peer's configuration in force if it can be read."""
+        try:
+            self.take_catalog(self.decode_catalog(raw))
+        except errors.DecodeError as error:
+            loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
+                '{}', error
+            )
--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -1,4 +1,4 @@
-"""Tell peers this VM's load, and learn from them when the store is away.
+"""Link the hubs: tell loads, and learn from them when the store is away.
 
 The store may refuse some VMs while it serves the others and the operator. A
 VM that it refuses would go on with old keys and routes, so it asks its peers
@@ -14,10 +14,10 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.gateway import catalog
-from gentianstair.gateway import following
+from gentianstair.gateway import feed as feeds
+from gentianstair.gateway import feeding as feedings
+from gentianstair.gateway import knowledge as knowledges
 from gentianstair.gateway import loads
-from gentianstair.gateway import members as memberships
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
@@ -46,27 +46,17 @@
 SILENT_S = 5.0
 
 
-class Knowledge(typing.NamedTuple):
-    """What a process does with news; the adapter decodes configurations."""
-
-    decode_catalog: typing.Callable[[typing.Any], catalog.Catalog]
-    take_catalog: typing.Callable[[catalog.Catalog], None]
-    touch: following.Touch
-
-
 class Links:
-    """Links to all peers: one opened to each, one accepted from each."""
+    """Links of a hub: one to and one from each other, one from each leaf."""
 
     def __init__(
         self,
         node: nodes.Node,
-        members: memberships.Members,
         network: link.Network,
-        knowledge: Knowledge,
+        knowledge: knowledges.Knowledge,
         chance: random.Random,
     ) -> None:
         self._node = node
-        self._members = members
         self._network = network
         self._knowledge = knowledge
         self._random = chance
@@ -92,13 +82,16 @@
                 await trio.sleep(LOOK_S)
 
     def _wanted(self) -> set[str]:
-        members = {m.record.peer_address for m in self._members.alive()}
-        if len(members) <= 1 or self._away():
+        roster = self._node.roster
+        if not roster.is_hub():
+            return set()
+        found = {hub.peer_address for hub in roster.hubs()}
+        if len(found) <= 1 or self._away():
             # The store does not show who is there.
-            members |= self._heard
+            found |= self._heard
         else:
-            self._heard = set(members)
-        return members - {self._node.deployment.peer_address}
+            self._heard = set(found)
+        return found - {self._node.deployment.peer_address}
 
     def _away(self) -> bool:
         return self._knowledge.touch.age_s > STORE_AWAY_S
@@ -134,31 +127,36 @@
 
     async def _tell(self, channel: link.Channel) -> None:
         node = self._node
+        told_at = 0
         while True:
-            force = node.force.catalog
-            message: messages.GatewayLoad = {
-                'version': link.VERSION,
-                'type': 'load',
-                'process': self._members.name,
-                'address': node.deployment.peer_address,
-                'config_version': force.version if force else 0,
-                'loads': {
-                    name: list(load) for name, load in node.work.own().items()
-                },
-            }
+            news = node.cache_news.mine
+            if not node.roster.shares_cache_news():
+                told_at = news.position
+            message = feeds.load_message(
+                node, node.work.part(), told_at, leaf=False
+            )
+            told_at = news.position
             await _send(channel, message)
             crowd = len(self._open) / FULL_RATE_PEERS
             await trio.sleep(TELL_S * max(1.0, crowd))
 
     async def _accept(self, channel: link.Channel) -> None:
         """Serve a link that a peer opened."""
+        feeding = feedings.Feeding(self._node, self._knowledge.touch)
         try:
-            await self._hear(channel, SILENT_S)
+            await self._hear(channel, SILENT_S, feeding)
         except link.LinkClosedError as error:
             loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
             await channel.aclose()
+        finally:
+            feeding.end()
 
-    async def _hear(self, channel: link.Channel, limit_s: float) -> None:
+    async def _hear(
+        self,
+        channel: link.Channel,
+        limit_s: float,
+        feeding: feedings.Feeding | None = None,
+    ) -> None:
         while True:
             data = None
             with trio.move_on_after(limit_s):
@@ -173,12 +171,18 @@
                 )
                 continue
             if message is not None:
-                await self._take(channel, message)
+                await self._take(channel, message, feeding)
 
     async def _take(
-        self, channel: link.Channel, message: link.Message
+        self,
+        channel: link.Channel,
+        message: link.Message,
+        feeding: feedings.Feeding | None,
     ) -> None:
-        if message['type'] == 'load':
+        if message['type'] == 'load' and message.get('leaf') and feeding:
+            told = typing.cast(messages.GatewayLoad, message)
+            await _send(channel, feeding.answer(told))
+        elif message['type'] == 'load':
             self._take_load(typing.cast(messages.GatewayLoad, message))
         elif message['type'] == 'ask_news':
             await _send(channel, self._news(message['config_version']))
@@ -186,12 +190,9 @@
             self._take_news(typing.cast(messages.GatewayNews, message))
 
     def _take_load(self, message: messages.GatewayLoad) -> None:
-        found = {
-            name: loads.Load(*pair)
-            for name, pair in message['loads'].items()
-            if len(pair) == len(loads.NOTHING)
-        }
+        found = loads.decode(message['loads'])
         self._node.work.tell(message['process'], found)
+        self._node.cache_news.take(message.get('cache', ()), passed_on=False)
         self._heard.add(message['address'])
         self._newest_version = max(
             self._newest_version, message['config_version']
@@ -214,13 +215,7 @@
     def _take_news(self, news: messages.GatewayNews) -> None:
         self._heard.update(news['addresses'])
         if 'config' in news:
-            try:
-                found = self._knowledge.decode_catalog(news['config'])
-                self._knowledge.take_catalog(found)
-            except errors.DecodeError as error:
-                loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
-                    '{}', error
-                )
+            self._knowledge.take_config(news['config'])
         age_s = news['age_ms'] / 1000
         if not self._away() or age_s > self._knowledge.touch.age_s:
             return
@@ -274,13 +269,15 @@
         raise link.LinkClosedError('the peer takes nothing')
 
 
-def connect(
-    node: nodes.Node, members: memberships.Members, knowledge: Knowledge
-) -> Links:
-    """Return the links of a process, none of them open yet."""
+async def run(node: nodes.Node, knowledge: knowledges.Knowledge) -> None:
+    """Keep the links of a process, as a hub or a leaf, until cancelled."""
     found = node.deployment
     network = link.WebsocketNetwork(found.peer_address, None)
-    return Links(node, members, network, knowledge, random.Random(found.vm))
+    links = Links(node, network, knowledge, random.Random(found.vm))
+    feed = feeds.Feed(node, network, knowledge)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(links.run)
+        nursery.start_soon(feed.run)
 
 
-__all__ = ['Knowledge', 'Links', 'connect']
+__all__ = ['Links', 'run']
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -15,6 +15,7 @@
 from gentianstair import errors
 from gentianstair.control import lease
 from gentianstair.core import ejection
+from gentianstair.gateway import cache_news
 from gentianstair.gateway import cache_watch
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
@@ -22,6 +23,8 @@
 from gentianstair.gateway import fleet as fleets
 from gentianstair.gateway import following
 from gentianstair.gateway import handler
+from gentianstair.gateway import hubs
+from gentianstair.gateway import knowledge as knowledges
 from gentianstair.gateway import links
 from gentianstair.gateway import loads
 from gentianstair.gateway import members as memberships
@@ -32,6 +35,7 @@
 from gentianstair.gateway import reload
 from gentianstair.gateway import repeats
 from gentianstair.gateway import replicas
+from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import speeds
 from gentianstair.gateway import usage
 from gentianstair.generated import events
@@ -88,6 +92,7 @@
         peer_address=found.peer_address,
         beat=0,
         windows={},
+        cores=found.cores,
     )
     members = memberships.Members(
         store, name, record, counts, now, found.store_writes_per_s
@@ -130,15 +135,22 @@
     found = live.value
     work = loads.Loads(now)
     cache = prefix_cache.PrefixCache()
+    registry = replicas.Registry(now)
+    own = hubs.Vm(
+        found.vm, found.failure_domain, found.peer_address, found.cores
+    )
+    roster = rosters.Roster(own, members, registry, now)
     read_speeds = speeds.ReadSpeeds()
     return nodes.Node(
         live=live,
         clock=now,
         started_s=now(),
         force=nodes.Force(),
-        registry=replicas.Registry(now),
+        registry=registry,
         work=work,
         cache=cache,
+        cache_news=cache_news.CacheNews(cache),
+        roster=roster,
         read_speeds=read_speeds,
         placement=placement.Placement(
             found.failure_domain,
@@ -150,7 +162,7 @@
         repeats=repeats.Repeats(
             functools.partial(_repeat_terms, live),
             now,
-            members.count,
+            roster.count,
             restarted=not found.whole_system_starts,
         ),
         ejector=ejection.Ejector(),
@@ -164,6 +176,14 @@
 
 def _take_catalog(node: nodes.Node, found: catalog.Catalog) -> None:
     if node.force.take(found):
+        node.registry.cache_calls = min(
+            (
+                s.engine.cache_calls
+                for s in found.services.values()
+                if s.engine
+            ),
+            default=replicas.CACHE_CALLS,
+        )
         loguru.logger.bind(event=events.CONFIG, version=found.version).info(
             'configuration {} is in force', found.version
         )
@@ -189,19 +209,22 @@
 ) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
     """Return what a process does beside the requests and the duties."""
     node = process.node
-    knowledge = links.Knowledge(
+    knowledge = knowledges.Knowledge(
         configuration.decode,
         functools.partial(_take_catalog, node),
         process.touch,
     )
+    turn = following.Turn(node.roster.is_told, node.roster.count)
     follow = [
-        functools.partial(following.follow, node.store, source, process.touch)
+        functools.partial(
+            following.follow, node.store, source, process.touch, turn
+        )
         for source in _sources(process)
     ]
     return [
         *follow,
-        process.members.run,
-        links.connect(node, process.members, knowledge).run,
+        functools.partial(process.members.run, node.roster.is_told),
+        functools.partial(links.run, node, knowledge),
         functools.partial(cache_watch.run, node),
     ]
 
@@ -240,11 +263,19 @@
         # to take it right after another would be taking turns.
         await trio.sleep(duties.lease_terms(found.bounds.lease_s).rest_s)
     scopes = {duties.SCOPE: functools.partial(_do_duties, process)}
+    roster = process.node.roster
+
+    def scopes_here() -> dict[str, lease.Role]:
+        # Each look at the lease is a call to the store; a few VMs that look
+        # are enough to have it taken.
+        return scopes if roster.is_hub() else {}
+
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(process.leases.run, lambda: scopes)
+        nursery.start_soon(process.leases.run, scopes_here)
         while True:
             process.leases.candidates = process.members.candidates(
-                duties.watch_s(found.bounds.lease_s)
+                duties.watch_s(found.bounds.lease_s),
+                {hub.name for hub in roster.hubs()},
             )
             await trio.sleep(duties.LOOK_S)
 
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -5,6 +5,7 @@
 what the process counted is still reported.
 """
 
+import math
 import typing
 
 import loguru
@@ -20,11 +21,16 @@
 KIND = 'gateway-process'
 PURPOSE = 'members'
 # How often a process writes its object: what it counted since is lost when
-# it is killed, and one call a second each is a small part of the store's
-# rate for tens of VMs.
+# it is killed.
 BEAT_S = 1.0
+# Beats of the whole fleet a second. Each call to the store is priced, and in
+# a large fleet each VM counts a small part of the usage.
+BEATS_PER_S = 15.0
 # Share of the store's write rate that all beats together may take.
 BEATS_SHARE = 0.25
+LEAST_PAUSE_S = 0.1
+# The longest pause between two looks at the others' objects.
+LOOK_S = 2.0
 # Beats missed after which a process counts as gone.
 MISSED_BEATS = 3.0
 # A process that was never seen again is forgotten after this long; its
@@ -45,6 +51,8 @@
     beat: int
     # Requests that began to run, by window and customer.
     windows: dict[str, dict[str, int]]
+    # The VM's share of a core times the core's speed.
+    cores: float = 0.0
 
 
 class Member(typing.NamedTuple):
@@ -102,7 +110,8 @@
     def beat_s(self) -> float:
         """Return the pause between beats, longer in a large fleet."""
         found = len(self._seen)
-        return max(BEAT_S, found / (BEATS_SHARE * self._writes_per_s))
+        most_per_s = min(BEATS_PER_S, BEATS_SHARE * self._writes_per_s)
+        return max(BEAT_S, found / most_per_s)
 
     def alive(self) -> list[Member]:
         """Return the processes seen lately, this one among them.
@@ -120,26 +129,42 @@
             return UNKNOWN_MEMBERS
         return max(1, len(self.alive()))
 
-    def candidates(self, least_s: float) -> tuple[str, ...]:
+    def candidates(
+        self,
+        least_s: float,
+        vms: typing.Collection[str] | None = None,
+    ) -> tuple[str, ...]:
         """Return who may take a lease at once: those that lived for least_s.
 
         One that has just started has not watched the lease for long enough
         to know that it lapsed. The others would wait for it in vain. When
-        all have just started, all are returned.
+        all have just started, all are returned. Where vms are named, only
+        processes on these are.
         """
-        alive = self.alive()
+        alive = [m for m in self.alive() if vms is None or m.record.vm in vms]
         known = [m for m in alive if m.record.beat * self.beat_s >= least_s]
         names = sorted(member.name for member in known or alive)
         return tuple(names) or (self._name,)
 
-    async def run(self) -> None:
-        """Beat and look until cancelled."""
+    async def run(
+        self, is_told: typing.Callable[[], bool] = lambda: False
+    ) -> None:
+        """Beat, and look at the others unless told of them, until cancelled.
+
+        The first beat goes before the first look, so that processes which
+        start together see each other.
+        """
+        beaten_s = -math.inf
         while True:
             started_s = self._clock()
-            await self.beat()
-            await self._look()
+            if started_s - beaten_s > self.beat_s - LEAST_PAUSE_S:
+                beaten_s = started_s
+                await self.beat()
+            if not is_told():
+                await self._look()
             spent_s = self._clock() - started_s
-            await trio.sleep(max(0.1, self.beat_s - spent_s))
+            pause_s = min(self.beat_s, LOOK_S) - spent_s
+            await trio.sleep(max(LEAST_PAUSE_S, pause_s))
 
     async def beat(self) -> bool:
         """Write this process's object; say whether it is there now."""
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -5,6 +5,7 @@
 import trio
 
 from gentianstair.core import ejection
+from gentianstair.gateway import cache_news
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import loads
@@ -12,6 +13,7 @@
 from gentianstair.gateway import prefix_cache
 from gentianstair.gateway import repeats
 from gentianstair.gateway import replicas
+from gentianstair.gateway import roster
 from gentianstair.gateway import speeds
 from gentianstair.gateway import usage
 from gentianstair.store import store as stores
@@ -46,6 +48,8 @@
     registry: replicas.Registry
     work: loads.Loads
     cache: prefix_cache.PrefixCache
+    cache_news: cache_news.CacheNews
+    roster: roster.Roster
     read_speeds: speeds.ReadSpeeds
     placement: placement.Placement
     repeats: repeats.Repeats
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -5,6 +5,7 @@
 import loguru
 import trio
 
+from gentianstair.gateway import change_log
 from gentianstair.generated import events
 from gentianstair.util import clock as clocks
 
@@ -12,6 +13,10 @@
 # about two seconds of the store's return if its replica lives; the rest is
 # for the answer that shows it.
 RETURN_S = 2.3
+# Assumed until a configuration says it.
+CACHE_CALLS = 12
+# Names whose last change is kept for VMs that learn of replicas from here.
+MOST_CHANGES = 20000
 
 
 class Replica(typing.NamedTuple):
@@ -44,6 +49,12 @@
         # time until which they are held to be alive.
         self._missing: dict[str, float] = {}
         self._by_service: dict[str, list[Replica]] = {}
+        # New, changed and gone (None) replicas, for VMs that learn from here.
+        self.changes: change_log.ChangeLog[str, Replica | None] = (
+            change_log.ChangeLog(MOST_CHANGES)
+        )
+        # Calls for changes of its cache that a replica keeps waiting.
+        self.cache_calls = CACHE_CALLS
         # Set once a whole listing has been taken.
         self.known = trio.Event()
 
@@ -81,10 +92,14 @@
                 found[name] = replica
                 self._missing.setdefault(name, until_s)
             else:
+                self.changes.put(name, None)
                 _log_gone(replica, 'not listed')
         for name in list(self._missing):
             if name not in self._replicas or name not in found:
                 del self._missing[name]
+        for name, replica in found.items():
+            if not _same(self._replicas.get(name), replica):
+                self.changes.put(name, replica)
         self._replicas = found
         self.known.set()
         self._index()
@@ -94,9 +109,8 @@
         known = self._replicas.get(replica.name)
         self._missing.pop(replica.name, None)
         self._replicas[replica.name] = replica
-        if known is None or known._replace(orders_taken=0) != (
-            replica._replace(orders_taken=0)
-        ):
+        if not _same(known, replica):
+            self.changes.put(replica.name, replica)
             loguru.logger.bind(event=events.REPLICA, **_told(replica)).info(
                 'replica {} is {}',
                 replica.name,
@@ -109,6 +123,7 @@
         self._missing.pop(name, None)
         replica = self._replicas.pop(name, None)
         if replica is not None:
+            self.changes.put(name, None)
             _log_gone(replica, 'entry removed')
             self._index()
 
@@ -135,6 +150,13 @@
         self._by_service = by_service
 
 
+def _same(known: Replica | None, replica: Replica) -> bool:
+    """Return whether an entry is as known but for its count of orders."""
+    if known is None:
+        return False
+    return known._replace(orders_taken=0) == replica._replace(orders_taken=0)
+
+
 def _told(replica: Replica) -> dict[str, typing.Any]:
     return {
         'replica': replica.name,
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -42,6 +42,7 @@
     'load': messages.GatewayLoad,
     'ask_news': messages.GatewayAsk,
     'news': messages.GatewayNews,
+    'feed': messages.GatewayFeed,
 }
 
 BYTES = prometheus_client.Counter(
--- a/gentianstair/platform/configuration.py
+++ b/gentianstair/platform/configuration.py
@@ -54,6 +54,8 @@
     kv_hold_s: float = 5.0
     stage_switch_s: float = 3.0
     models: list[_Model] = []
+    # Of calls for cache events that wait at a replica.
+    most: int = 12
 
 
 class _Scaling(msgspec.Struct):
@@ -123,6 +125,7 @@
         handle_s=raw.kv_hold_s,
         stage_change_s=raw.stage_switch_s,
         models=tuple(model.name for model in raw.models),
+        cache_calls=raw.most,
     )
 
 
--- a/gentianstair/platform/settings.py
+++ b/gentianstair/platform/settings.py
@@ -132,6 +132,7 @@
         duty_calls_per_s=cloud.number('duty_per_s'),
         memory_mb=limits.number('memory_mb'),
         max_fds=int(limits.number('max_fds')),
+        cores=limits.number('cpu_share', 1.0) * limits.number('cores', 1.0),
         replica_heartbeat_s=file.number('heartbeat_ms') / 1000,
         # False when a VM starts into a system that runs already.
         whole_system_starts=file.flag('bootstrap', False),
--- a/gentianstair/platform/wire.py
+++ b/gentianstair/platform/wire.py
@@ -266,6 +266,8 @@
     """A part of a prompt that a replica began or ceased to keep."""
 
     part: str
+    # The replica's count of its changes.
+    number: int
     # Tokens kept now; 0 when it is gone.
     tokens: int
 
@@ -297,9 +299,9 @@
         found = msgspec.json.decode(body, type=_CacheEvents)
         changes = []
         for row in found.events:
-            _, sign, _, part, tokens = row[:5]
+            number, sign, _, part, tokens = row[:5]
             kept = int(tokens) if sign == '+' else 0
-            changes.append(CacheChange(str(part), kept))
+            changes.append(CacheChange(str(part), int(number), kept))
     except (msgspec.DecodeError, ValueError, TypeError) as error:
         raise errors.DecodeError(f'cache events: {error}') from error
     return CacheChanges(
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -71,6 +71,9 @@
         self.kept: dict[str, int] = {}
         self.changes: list[list[typing.Any]] = []
         self.cancelled = 0
+        # Callers that wait for changes of the cache now, and the most so far.
+        self.cache_calls = 0
+        self.most_cache_calls = 0
         self.headers: list[dict[str, str]] = []
         # Requests that came, also those that it refused.
         self.arrivals = 0
@@ -240,9 +243,16 @@
     async def kv_events():
         since = int(quart.request.args['since'])
         wait_s = int(quart.request.headers.get('wait-ms', 0)) / 1000
-        with trio.move_on_after(min(wait_s, WAIT_LIMIT_S)):
-            while len(replica.changes) <= since:
-                await trio.sleep(0.02)
+        replica.cache_calls += 1
+        replica.most_cache_calls = max(
+            replica.most_cache_calls, replica.cache_calls
+        )
+        try:
+            with trio.move_on_after(min(wait_s, WAIT_LIMIT_S)):
+                while len(replica.changes) <= since:
+                    await trio.sleep(0.02)
+        finally:
+            replica.cache_calls -= 1
         return {
             'epoch': replica.name,
             'next': len(replica.changes),
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -1,5 +1,6 @@
 """Serve the platform's object interface from a table, with faults."""
 
+import collections
 import json
 import typing
 
@@ -27,6 +28,10 @@
         self.compacted_revision = 0
         # Seconds after which a write takes effect though its answer is lost.
         self.late_s = 0.0
+        # Calls by the VM that made them and the kind that they were about.
+        self.calls: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
 
 def _shown(item: store.StoredObject) -> dict[str, typing.Any]:
@@ -106,6 +111,8 @@
             await trio.sleep_forever()
         await trio.sleep(faults.delay_s)
         vm = quart.request.headers.get('user-agent', '')
+        kind = quart.request.path.split('/')[3]
+        faults.calls[vm, kind] += 1
         if faults.refused_status and vm in faults.refused_vms:
             return _error(faults.refused_status)
         return None
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -152,7 +152,7 @@
         (
             b'{"epoch":1,"next":3,"lost":0,"events":'
             b'[[1,"+","","ab",100,"m"],[2,"-","","cd",0,"m"]]}',
-            [('ab', 100), ('cd', 0)],
+            [('ab', 1, 100), ('cd', 2, 0)],
         ),
         (b'{"epoch":"x","next":0,"events":[]}', []),
         (b'{"next":0}', None),
