Take entries for gone that went while only this VM was cut off

Ruled out: a silent watch, a listing from the past, the new hubs (9 VMs are a whole mesh).

Change: peers tell a VM that lost the store how long ago it answered them. If it did so since the VM lost it, and as long ago as entries take to come back, the store was well, and what a listing lacks is gone at once.

Test: failed first; a store that peers saw only a moment sooner still counts as having been away.

--- a/gentianstair/gateway/following.py
+++ b/gentianstair/gateway/following.py
@@ -1,5 +1,6 @@
 """Follow the store: the configuration and the replicas' entries."""
 
+import collections
 import collections.abc
 import typing
 
@@ -24,6 +25,11 @@
 # Pause after a failed call. The store may be down for seconds, and all VMs
 # come back at once.
 RETRY_S = 0.25
+# Answers to other VMs that are remembered: peers tell one or two a second.
+OTHERS_KEPT = 64
+# What another VM says of the store counts if it was answered so much after
+# this one lost it: the last answers before an outage may come as late.
+OTHERS_MARGIN_S = 0.5
 # With more VMs than this each of them pauses longer.
 RETRY_VMS = 15
 # How soon a process notices that it is no longer told of changes.
@@ -58,6 +64,14 @@
         self._clock = clock
         self._at_s = clock()
         self._lost_s: float | None = None
+        # When it answered other VMs, as these told lately.
+        self._others_s: collections.deque[float] = collections.deque(
+            maxlen=OTHERS_KEPT
+        )
+
+    def now_s(self) -> float:
+        """Return the time by the same clock."""
+        return self._clock()
 
     @property
     def age_s(self) -> float:
@@ -75,8 +89,23 @@
         self._at_s = now_s
 
     def heard(self, age_s: float) -> None:
-        """Take from another VM that the store answered it age_s ago."""
+        """Take from the hub of this VM that the store answered it."""
         self._at_s = max(self._at_s, self._clock() - age_s)
+        self.served_other(age_s)
+
+    def served_other(self, age_s: float) -> None:
+        """Note that the store answered another VM age_s ago."""
+        self._others_s.append(self._clock() - age_s)
+
+    def was_down(self, since_s: float) -> bool:
+        """Return whether the store itself may have been away since then.
+
+        One that has served other VMs for as long as entries take to come
+        back has let none of the living lapse; only this VM was cut off.
+        """
+        from_s = since_s + OTHERS_MARGIN_S
+        until_s = self._clock() - replicas.RETURN_S
+        return not any(from_s <= at_s <= until_s for at_s in self._others_s)
 
     def failed(self, error: errors.StoreError) -> None:
         """Note a failed call; tell if it is the first."""
@@ -124,14 +153,16 @@
     The store counts as having been away only if a listing failed. A watch
     that fails may have been on a connection that a cut left silent: what
     the listing after it lacks was removed by a store that was well, and
-    taking it for lapsed would send work to replicas that have left.
+    taking it for lapsed would send work to replicas that have left. The same
+    holds where the store served other VMs all the while.
     """
     revision: int | None = None
     highest = 0
-    away = False
+    # When the store was last well before a listing failed.
+    away_s: float | None = None
     while True:
         if turn.is_told():
-            revision, away = None, False
+            revision, away_s = None, None
             await trio.sleep(TOLD_LOOK_S)
             continue
         listed = revision is None
@@ -142,8 +173,9 @@
                     # A read from the past would undo what is known.
                     await trio.sleep(RETRY_S)
                     continue
+                away = away_s is not None and touch.was_down(away_s)
                 source.replace(listing.objects, away)
-                away = False
+                away_s = None
             else:
                 listing = await store.watch(
                     [source.kind], revision, source.watch_s, purpose='follow'
@@ -162,7 +194,8 @@
             # What lapsed meanwhile is told by events, but whether an entry
             # lapsed because of the outage only a listing shows.
             revision = None
-            away = away or listed
+            if away_s is None and listed:
+                away_s = touch.now_s() - touch.age_s
             await trio.sleep(turn.retry_s())
 
 
--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -217,6 +217,7 @@
         if 'config' in news:
             self._knowledge.take_config(news['config'])
         age_s = news['age_ms'] / 1000
+        self._knowledge.touch.served_other(age_s)
         if not self._away() or age_s > self._knowledge.touch.age_s:
             return
         try:
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -101,6 +101,35 @@
     assert watched.names() == ['i-1']
 
 
+async def test_what_went_while_only_this_vm_was_cut_off_is_gone(
+    watched, autojump_clock
+):
+    """A VM is cut off from the store for long; its peers are not.
+
+    A replica leaves meanwhile. The VM took its missing entry for one that
+    had lapsed with the store, and sent it work three seconds after it left.
+    """
+    watched.store.faults.down = True
+    await trio.sleep(4)
+    watched.touch.served_other(0.1)
+    await trio.sleep(4)
+    watched.write('i-1', None)
+    watched.store.faults.down = False
+    await trio.sleep(1.3)
+    assert watched.names() == ['i-2']
+
+
+async def test_what_a_peer_saw_just_now_says_little(watched, autojump_clock):
+    """The store is back and a peer has seen it a moment sooner."""
+    watched.store.faults.down = True
+    watched.write('i-1', None)
+    await trio.sleep(8)
+    watched.touch.served_other(0.0)
+    watched.store.faults.down = False
+    await trio.sleep(1)
+    assert watched.names() == ['i-1', 'i-2']
+
+
 async def test_a_draining_replica_is_not_kept(watched, autojump_clock):
     watched.write('i-1', entry('i-1', state='draining'))
     await trio.sleep(1)
