Plan reads by a fitted cost, and copy only what has been read

Cause: a read was planned by one speed, tokens over time, that followed fast reads at 0.3 and slow ones at 0.02. Copies of up to 39,900 tokens were planned from replicas that were only reading those parts by then: the whole was read anew, 2 s in place of 0.1. Short prompts waited behind long ones at readers: 217 tokens in 0.94 s.

Change: read_costs.py fits the three figures by weighted least squares, with reads that went unlike the estimate counting little; VMs tell each other for how long replicas are busy, each read counting for what is left of it; a part is copied only once it has been read; a read beside streams counts against the choice by a hundredth in place of a third, as the pauses it makes stay below what routes allow; among many replicas a choice compares those that keep the prompt's beginning and 12 drawn of each stage. Each read is logged as planned and as it came.

--- a/gentianstair/gateway/loads.py
+++ b/gentianstair/gateway/loads.py
@@ -7,6 +7,8 @@
 # Peers tell their load several times a second; one that was silent for
 # longer may be gone, and what it had sent with it.
 PEER_MEMORY_S = 1.5
+# Part of its work for which a read counts that should have ended by now.
+OVERDUE_SHARE = 0.3
 # A sum over peers holds for so long unless one of them tells more.
 SUM_S = 0.1
 
@@ -15,8 +17,8 @@
     """Work at one replica."""
 
     running: int = 0
-    # Tokens of prompts that are still to be read.
-    unread_tokens: int = 0
+    # For how long the replica is busy with the prompts it has yet to read.
+    unread_ms: int = 0
 
 
 NOTHING = Load()
@@ -43,12 +45,41 @@
     passed_on: bool
 
 
+class Sent:
+    """One request at a replica, and the read of its prompt."""
+
+    def __init__(self, replica: str, work_s: float, ends_s: float) -> None:
+        self.replica = replica
+        self._work_s = work_s
+        self._ends_s = ends_s
+
+    def read(self) -> None:
+        """Note that the prompt has been read."""
+        self._work_s = 0.0
+
+    def left_s(self, now_s: float) -> float:
+        """Return how much of the read is still to be done.
+
+        A read that waits for others counts whole; from when it is expected
+        to begin it counts less and less. One that is overdue still counts
+        for some part, as it was taken for shorter than it is.
+        """
+        due_s = max(self._ends_s - now_s, OVERDUE_SHARE * self._work_s)
+        return min(self._work_s, due_s)
+
+
+def _sum(sent: typing.Iterable[Sent], now_s: float) -> Load:
+    found = list(sent)
+    left_s = sum(one.left_s(now_s) for one in found)
+    return Load(len(found), round(left_s * 1000))
+
+
 def _add(found: dict[str, Load], more: dict[str, Load]) -> None:
     for replica, load in more.items():
         known = found.get(replica, NOTHING)
         found[replica] = Load(
             known.running + load.running,
-            known.unread_tokens + load.unread_tokens,
+            known.unread_ms + load.unread_ms,
         )
 
 
@@ -57,40 +88,39 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._own: dict[str, Load] = {}
+        self._own: dict[str, set[Sent]] = {}
         self._peers: dict[str, _PeerLoad] = {}
         # The sum over peers, and until when it holds.
         self._others: dict[str, Load] = {}
         self._others_until_s = 0.0
 
-    def begin(self, replica: str, unread_tokens: int) -> None:
-        """Count a request that is being sent."""
-        load = self._own.get(replica, NOTHING)
-        self._own[replica] = Load(
-            load.running + 1, load.unread_tokens + unread_tokens
-        )
-
-    def read(self, replica: str, unread_tokens: int) -> None:
-        """Note that a prompt has been read."""
-        load = self._own.get(replica, NOTHING)
-        left = max(0, load.unread_tokens - unread_tokens)
-        self._own[replica] = load._replace(unread_tokens=left)
-
-    def end(self, replica: str) -> None:
-        """Count a request as over; its prompt must count as read."""
-        load = self._own.get(replica, NOTHING)
-        if load.running <= 1:
-            self._own.pop(replica, None)
-        else:
-            self._own[replica] = load._replace(running=load.running - 1)
+    def begin(
+        self, replica: str, work_s: float = 0.0, ends_s: float = 0.0
+    ) -> Sent:
+        """Count a request that is being sent; the caller ends it.
+
+        work_s is for how long the replica is busy reading its prompt, and
+        ends_s when that is expected to be over.
+        """
+        sent = Sent(replica, work_s, ends_s)
+        self._own.setdefault(replica, set()).add(sent)
+        return sent
+
+    def end(self, sent: Sent) -> None:
+        """Count a request as over."""
+        running = self._own.get(sent.replica, set())
+        running.discard(sent)
+        if not running:
+            self._own.pop(sent.replica, None)
 
     def own(self) -> dict[str, Load]:
         """Return this VM's own work."""
-        return self._own
+        now_s = self._clock()
+        return {name: _sum(sent, now_s) for name, sent in self._own.items()}
 
     def part(self) -> dict[str, Load]:
         """Return what this VM answers for: its own work and its leaves'."""
-        found = dict(self._own)
+        found = self.own()
         for peer in self._fresh():
             if peer.passed_on:
                 _add(found, peer.loads)
@@ -98,7 +128,7 @@
 
     def without(self, process: str) -> dict[str, Load]:
         """Return all work that is known but for one peer's own."""
-        found = dict(self._own)
+        found = self.own()
         for name, peer in self._peers.items():
             if name != process and self._is_fresh(peer):
                 _add(found, peer.loads)
@@ -121,13 +151,14 @@
         now_s = self._clock()
         if now_s >= self._others_until_s:
             self._sum_others(now_s)
-        own = self._own.get(replica, NOTHING)
+        sent = self._own.get(replica)
+        own = _sum(sent, now_s) if sent else NOTHING
         others = self._others.get(replica)
         if others is None:
             return own
         return Load(
             own.running + others.running,
-            own.unread_tokens + others.unread_tokens,
+            own.unread_ms + others.unread_ms,
         )
 
     def _sum_others(self, now_s: float) -> None:
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -31,12 +31,12 @@
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import read_costs
 from gentianstair.gateway import ready
 from gentianstair.gateway import reload
 from gentianstair.gateway import repeats
 from gentianstair.gateway import replicas
 from gentianstair.gateway import roster as rosters
-from gentianstair.gateway import speeds
 from gentianstair.gateway import usage
 from gentianstair.generated import events
 from gentianstair.platform import cloud
@@ -140,7 +140,7 @@
         found.vm, found.failure_domain, found.peer_address, found.cores
     )
     roster = rosters.Roster(own, members, registry, now)
-    read_speeds = speeds.ReadSpeeds()
+    costs = read_costs.ReadCosts()
     return nodes.Node(
         live=live,
         clock=now,
@@ -151,12 +151,12 @@
         cache=cache,
         cache_news=cache_news.CacheNews(cache),
         roster=roster,
-        read_speeds=read_speeds,
+        read_costs=costs,
         placement=placement.Placement(
             found.failure_domain,
             work,
             cache,
-            read_speeds,
+            costs,
             random.Random(found.vm),
         ),
         repeats=repeats.Repeats(
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -11,10 +11,10 @@
 from gentianstair.gateway import loads
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import read_costs
 from gentianstair.gateway import repeats
 from gentianstair.gateway import replicas
 from gentianstair.gateway import roster
-from gentianstair.gateway import speeds
 from gentianstair.gateway import usage
 from gentianstair.store import store as stores
 from gentianstair.upstreams import transport as transports
@@ -50,7 +50,7 @@
     cache: prefix_cache.PrefixCache
     cache_news: cache_news.CacheNews
     roster: roster.Roster
-    read_speeds: speeds.ReadSpeeds
+    read_costs: read_costs.ReadCosts
     placement: placement.Placement
     repeats: repeats.Repeats
     ejector: ejection.Ejector
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -14,8 +14,8 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import loads
 from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import read_costs
 from gentianstair.gateway import replicas
-from gentianstair.gateway import speeds
 
 # What a move of KV costs besides its bytes, in seconds: setting it up and
 # one more exchange with a replica.
@@ -28,9 +28,13 @@
 # are, by some hundredth of a second until its slots are full.
 RUNNING_S = 0.01
 FULL_S = 0.25
-# A prompt that is read beside running streams holds each of them up for as
-# long as the read takes; this share of it counts against the choice.
-INTERFERENCE = 0.3
+# A prompt that is read beside running streams slows each of them for as long
+# as the read takes; this share of it counts against the choice.
+INTERFERENCE = 0.01
+# Where there are many replicas a choice compares those that keep parts of
+# the prompt and so many others of each stage, drawn by chance: about as good
+# as all of them, and VMs that know the same do not all choose the same.
+DRAWN = 12
 # Differences below this are decided by chance, so that VMs which know the
 # same do not all choose the same replica.
 TIE_S = 0.004
@@ -63,7 +67,12 @@
     unread_tokens: int
     # To whoever reads.
     copy: Copy
-    # Time to the first event that is to be expected.
+    # What is queued before the read, and for how long the read itself keeps
+    # its replica busy.
+    queued_s: float
+    work_s: float
+    # Time to the end of the read, and to the first event.
+    read_s: float
     expected_s: float
 
 
@@ -71,6 +80,8 @@
     replica: replicas.Replica
     unread_tokens: int
     copy: Copy
+    queued_s: float
+    work_s: float
     # Time to the end of the read, and what it costs besides.
     read_s: float
     cost_s: float
@@ -80,11 +91,11 @@
     """What one choice is about."""
 
     engine: catalog.Engine
+    prompt: calls.Prompt
     body_bytes: int
-    # By replica.
-    unread_tokens: dict[str, int]
-    # The replica of each failure domain that keeps the most of the prompt.
-    sources: list[replicas.Replica]
+    # The replica of each failure domain that keeps the most of the prompt,
+    # with the tokens that it lacks.
+    sources: list[tuple[replicas.Replica, int]]
 
 
 class Placement:
@@ -95,13 +106,13 @@
         failure_domain: str,
         work: loads.Loads,
         cache: prefix_cache.PrefixCache,
-        read_speeds: speeds.ReadSpeeds,
+        costs: read_costs.ReadCosts,
         chance: random.Random,
     ) -> None:
         self._failure_domain = failure_domain
         self._work = work
         self._cache = cache
-        self._speeds = read_speeds
+        self._costs = costs
         self._random = chance
 
     def plain(self, found: list[replicas.Replica]) -> replicas.Replica | None:
@@ -129,22 +140,16 @@
         keepers are the replicas from whose memory parts may be copied; one
         that is leaving is among them, for what it keeps goes with it.
         """
-        makers = [r for r in found if r.stage != speeds.READS]
-        readers = [r for r in found if r.stage == speeds.READS]
+        sources = self._sources(keepers, prompt)
+        need = _Need(engine, prompt, body_bytes, sources)
+        found = self._draw(found, prompt)
+        makers = [r for r in found if r.stage != read_costs.READS]
+        readers = [r for r in found if r.stage == read_costs.READS]
         if not makers:
             return None
-        unread = {
-            replica.name: self._cache.unread_tokens(replica.name, prompt)
-            for replica in (*found, *keepers)
-        }
-        sources = _sources(keepers, unread)
-        need = _Need(engine, body_bytes, unread, sources)
         direct = [self._reading(r, need) for r in makers]
         pressed = {c.replica.name: self._pressure_s(c.replica) for c in direct}
-        options = [
-            Plan(c.replica, None, c.unread_tokens, c.copy, c.read_s)
-            for c in direct
-        ]
+        options = [_plan(c, c, 0.0) for c in direct]
         costs = [
             c.read_s
             + c.cost_s
@@ -158,15 +163,7 @@
             maker = min(
                 direct, key=lambda c: pressed[c.replica.name] + c.cost_s
             )
-            options.append(
-                Plan(
-                    maker.replica,
-                    read.replica,
-                    read.unread_tokens,
-                    read.copy,
-                    read.read_s + moved_s,
-                )
-            )
+            options.append(_plan(maker, read, moved_s))
             costs.append(
                 read.read_s
                 + read.cost_s
@@ -178,11 +175,46 @@
         ranked = [cost + tie for cost, tie in zip(costs, ties, strict=True)]
         return options[ranked.index(min(ranked))]
 
+    def _draw(
+        self, found: list[replicas.Replica], prompt: calls.Prompt
+    ) -> list[replicas.Replica]:
+        """Return the replicas to compare."""
+        if len(found) <= 2 * DRAWN:
+            return found
+        holders = self._cache.holders(prompt)
+        drawn = [replica for replica in found if replica.name in holders]
+        rest = [replica for replica in found if replica.name not in holders]
+        self._random.shuffle(rest)
+        readers = [r for r in rest if r.stage == read_costs.READS]
+        makers = [r for r in rest if r.stage != read_costs.READS]
+        return drawn + readers[:DRAWN] + makers[:DRAWN]
+
+    def _sources(
+        self,
+        keepers: typing.Iterable[replicas.Replica],
+        prompt: calls.Prompt,
+    ) -> list[tuple[replicas.Replica, int]]:
+        """Return the replica of each failure domain with the least to read.
+
+        What is only being read by now can't be copied: a replica that was
+        sent there would read it all itself.
+        """
+        holders = self._cache.holders(prompt)
+        best: dict[str, tuple[replicas.Replica, int]] = {}
+        for replica in keepers:
+            if replica.name not in holders:
+                continue
+            unread = self._cache.unread_tokens(replica.name, prompt, sure=True)
+            known = best.get(replica.failure_domain)
+            if known is None or unread < known[1]:
+                best[replica.failure_domain] = (replica, unread)
+        return list(best.values())
+
     def maker(
         self, found: list[replicas.Replica], body_bytes: int
     ) -> replicas.Replica | None:
         """Return where to make the output of a prompt that has been read."""
-        makers = [r for r in found if r.stage != speeds.READS]
+        makers = [r for r in found if r.stage != read_costs.READS]
         return min(
             makers,
             key=lambda r: (
@@ -199,20 +231,30 @@
         return FAR_S_PER_BYTE * body_bytes
 
     def _reading(self, replica: replicas.Replica, need: _Need) -> _Candidate:
-        speed = self._speeds.get(replica.service, replica.stage)
-        copy = self._copy(replica, need, speed)
-        unread = need.unread_tokens[replica.name] - copy.tokens
-        before = self._work.at(replica.name).unread_tokens
+        lacks = self._cache.unread_tokens(replica.name, need.prompt)
+        copy = self._copy(replica, lacks, need)
+        unread = lacks - copy.tokens
+        cost = self._cost(replica, unread, need)
+        queued_s = self._work.at(replica.name).unread_ms / 1000
         return _Candidate(
             replica,
             unread,
             copy,
-            copy.takes_s + (before + unread) / speed,
+            queued_s,
+            cost.work_s,
+            copy.takes_s + queued_s + cost.latency_s + cost.work_s,
             self._far_s(replica, need.body_bytes),
         )
 
+    def _cost(
+        self, replica: replicas.Replica, unread: int, need: _Need
+    ) -> read_costs.Cost:
+        return self._costs.expect(
+            replica.service, replica.stage, unread, need.prompt.tokens
+        )
+
     def _copy(
-        self, replica: replicas.Replica, need: _Need, speed: float
+        self, replica: replicas.Replica, lacks: int, need: _Need
     ) -> Copy:
         """Return what to copy to a replica from another one's memory.
 
@@ -220,16 +262,19 @@
         prompts asked for would be read anew: some 0.4 s for a long shared
         part that a link carries in 0.01 s.
         """
-        lacks = need.unread_tokens[replica.name]
         best, best_gain_s = NO_COPY, LEAST_COPY_GAIN_S
-        for source in need.sources:
-            tokens = lacks - need.unread_tokens[source.name]
+        whole_s = None
+        for source, source_lacks in need.sources:
+            tokens = lacks - source_lacks
             if tokens <= 0:
                 continue
             takes_s = MOVE_SETUP_S + move_s(tokens, need.engine)
             if source.failure_domain != replica.failure_domain:
                 takes_s *= FAR_MOVE_TIMES
-            gain_s = tokens / speed - takes_s
+            if whole_s is None:
+                whole_s = self._cost(replica, lacks, need).work_s
+            rest_s = self._cost(replica, source_lacks, need).work_s
+            gain_s = whole_s - rest_s - takes_s
             if gain_s > best_gain_s:
                 best = Copy(source.address, tokens, takes_s)
                 best_gain_s = gain_s
@@ -248,24 +293,21 @@
 
     def _interference_s(self, candidate: _Candidate) -> float:
         running = self._work.at(candidate.replica.name).running
-        speed = self._speeds.get(
-            candidate.replica.service, candidate.replica.stage
-        )
-        return INTERFERENCE * running * candidate.unread_tokens / speed
-
-
-def _sources(
-    keepers: typing.Iterable[replicas.Replica],
-    unread_tokens: dict[str, int],
-) -> list[replicas.Replica]:
-    """Return the replica of each failure domain with the least to read."""
-    best: dict[str, replicas.Replica] = {}
-    for replica in keepers:
-        known = best.get(replica.failure_domain)
-        unread = unread_tokens[replica.name]
-        if known is None or unread < unread_tokens[known.name]:
-            best[replica.failure_domain] = replica
-    return list(best.values())
+        return INTERFERENCE * running * candidate.work_s
+
+
+def _plan(maker: _Candidate, read: _Candidate, moved_s: float) -> Plan:
+    """Return the plan by which one replica reads and one makes output."""
+    return Plan(
+        maker.replica,
+        None if maker is read else read.replica,
+        read.unread_tokens,
+        read.copy,
+        read.queued_s,
+        read.work_s,
+        read.read_s,
+        read.read_s + moved_s,
+    )
 
 
 def move_s(tokens: int, engine: catalog.Engine) -> float:
--- a/gentianstair/gateway/plain.py
+++ b/gentianstair/gateway/plain.py
@@ -47,7 +47,7 @@
 async def _try(task: tasks.Task, replica: replicas.Replica) -> forward.Answer:
     """Return the answer of one replica; raise UpstreamError without one."""
     node = task.node
-    node.work.begin(replica.name, 0)
+    sent = node.work.begin(replica.name)
     try:
         with trio.move_on_after(_limit_s(task)):
             answer = await forward.ask(node, task.call, task.sending(replica))
@@ -55,7 +55,7 @@
                 node.usage.began(task.customer_name)
             return _checked(task, answer)
     finally:
-        node.work.end(replica.name)
+        node.work.end(sent)
     raise errors.UpstreamError(
         'no answer in time', verdicts.Verdict.MAY_HAVE_RUN
     )
--- a/gentianstair/gateway/prefix_cache.py
+++ b/gentianstair/gateway/prefix_cache.py
@@ -6,19 +6,37 @@
 from gentianstair.gateway import calls
 
 
+class _Part(typing.NamedTuple):
+    tokens: int
+    # Whether the replica has said so, or a read of it has ended. One that is
+    # only being read can't be copied to another replica yet.
+    sure: bool
+
+
 class _Kept:
     """One replica's parts, the least recently used first."""
 
     def __init__(self) -> None:
-        self.parts: collections.OrderedDict[str, int] = (
+        self.parts: collections.OrderedDict[str, _Part] = (
             collections.OrderedDict()
         )
         self.tokens = 0
 
-    def set(self, part: str, tokens: int) -> None:
-        self.tokens += tokens - self.parts.pop(part, 0)
+    def set(self, name: str, tokens: int, sure: bool) -> None:
+        known = self.parts.pop(name, None)
+        if known is not None:
+            self.tokens -= known.tokens
+            sure = sure or (known.sure and known.tokens >= tokens)
         if tokens:
-            self.parts[part] = tokens
+            self.tokens += tokens
+            self.parts[name] = _Part(tokens, sure)
+
+    def kept(self, part: calls.PromptPart, sure: bool) -> int:
+        """Return how many tokens of a part are kept."""
+        known = self.parts.get(part.name)
+        if known is None or (sure and not known.sure):
+            return 0
+        return min(known.tokens, part.tokens)
 
 
 class PrefixCache:
@@ -26,18 +44,43 @@
 
     def __init__(self) -> None:
         self._kept: dict[str, _Kept] = {}
+        # The replicas that keep a part, by its name.
+        self._holders: dict[str, set[str]] = {}
 
     def forget(self, replica: str) -> None:
         """Forget a replica that left, or started again with nothing."""
-        self._kept.pop(replica, None)
+        kept = self._kept.pop(replica, None)
+        for name in kept.parts if kept else ():
+            self._drop_holder(replica, name)
+
+    def _drop_holder(self, replica: str, name: str) -> None:
+        holders = self._holders.get(name)
+        if holders is not None:
+            holders.discard(replica)
+            if not holders:
+                del self._holders[name]
 
     def replicas(self) -> typing.Iterable[str]:
         """Return the replicas that something is believed of."""
         return list(self._kept)
 
+    def holders(self, prompt: calls.Prompt) -> typing.Collection[str]:
+        """Return the replicas that keep the beginning of a prompt."""
+        if not prompt.parts:
+            return ()
+        return self._holders.get(prompt.parts[0].name, ())
+
     def set(self, replica: str, part: str, tokens: int) -> None:
         """Take what a replica says it keeps of a part."""
-        self._kept.setdefault(replica, _Kept()).set(part, tokens)
+        self._set(replica, part, tokens, sure=True)
+
+    def _set(self, replica: str, part: str, tokens: int, sure: bool) -> None:
+        kept = self._kept.setdefault(replica, _Kept())
+        kept.set(part, tokens, sure)
+        if tokens:
+            self._holders.setdefault(part, set()).add(replica)
+        else:
+            self._drop_holder(replica, part)
 
     def expect(
         self, replica: str, prompt: calls.Prompt, capacity_tokens: int
@@ -52,30 +95,38 @@
         kept = self._kept.setdefault(replica, _Kept())
         new = [p.name for p in prompt.parts if p.name not in kept.parts]
         for part in prompt.parts:
-            kept.set(part.name, part.tokens)
+            self._set(replica, part.name, part.tokens, sure=False)
         while kept.tokens > capacity_tokens and len(kept.parts) > 1:
-            _, tokens = kept.parts.popitem(last=False)
-            kept.tokens -= tokens
+            self._set(replica, next(iter(kept.parts)), 0, sure=False)
         return new
 
+    def confirm(self, replica: str, prompt: calls.Prompt) -> None:
+        """Note that a prompt has been read."""
+        kept = self._kept.get(replica)
+        for part in prompt.parts if kept else ():
+            if part.name in kept.parts:
+                self._set(replica, part.name, part.tokens, sure=True)
+
     def retract(self, replica: str, parts: typing.Iterable[str]) -> None:
         """Take back what was expected of a read that failed."""
-        kept = self._kept.get(replica)
-        if kept is not None:
+        if replica in self._kept:
             for part in parts:
-                kept.set(part, 0)
+                self._set(replica, part, 0, sure=False)
 
-    def unread_tokens(self, replica: str, prompt: calls.Prompt) -> int:
+    def unread_tokens(
+        self, replica: str, prompt: calls.Prompt, sure: bool = False
+    ) -> int:
         """Return how many tokens of a prompt the replica must read.
 
-        A part counts only if all parts before it are kept whole.
+        A part counts only if all parts before it are kept whole; with sure,
+        only if it has been read by now.
         """
         kept = self._kept.get(replica)
         total = max(prompt.tokens, sum(part.tokens for part in prompt.parts))
         if kept is None:
             return total
         for part in prompt.parts:
-            found = min(kept.parts.get(part.name, 0), part.tokens)
+            found = kept.kept(part, sure)
             total -= found
             if found < part.tokens:
                 break
--- a/gentianstair/gateway/prompt_read.py
+++ b/gentianstair/gateway/prompt_read.py
@@ -15,6 +15,7 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import replicas
 from gentianstair.gateway import task as tasks
+from gentianstair.generated import events
 from gentianstair.platform import wire
 
 
@@ -65,7 +66,9 @@
         assert reader is not None
         task, node = self._task, self._node
         started_s = node.clock()
-        node.work.begin(reader.name, plan.unread_tokens)
+        sent = node.work.begin(
+            reader.name, plan.work_s, started_s + plan.read_s
+        )
         expected = node.cache.expect(
             reader.name, self._prompt, self._engine.kv_tokens
         )
@@ -87,15 +90,30 @@
             self._failed(reader, failure, started_s)
             raise failure from error
         finally:
-            node.work.read(reader.name, plan.unread_tokens)
-            node.work.end(reader.name)
+            node.work.end(sent)
         self._reads += 1
         self._kept = _Kept(source, reader.name)
-        node.read_speeds.note(
+        took_s = node.clock() - started_s
+        task.tell(
+            events.READ,
+            'a prompt was read',
+            replica=reader.name,
+            stage=reader.stage,
+            unread_tokens=plan.unread_tokens,
+            prompt_tokens=self._prompt.tokens,
+            queued_s=round(plan.queued_s, 3),
+            work_s=round(plan.work_s, 3),
+            copied_tokens=plan.copy.tokens,
+            expected_s=round(plan.read_s, 3),
+            took_s=round(took_s, 3),
+        )
+        node.cache.confirm(reader.name, self._prompt)
+        node.read_costs.note(
             reader.service,
             reader.stage,
             plan.unread_tokens,
-            node.clock() - started_s - plan.copy.takes_s,
+            self._prompt.tokens,
+            took_s - plan.copy.takes_s - plan.queued_s,
         )
 
     def _failed(
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -115,10 +115,11 @@
 
     def _without_reader(self, plan: placement.Plan) -> placement.Plan:
         """Have the maker read the prompt: one arrival in place of two."""
-        unread = self._node.cache.unread_tokens(plan.maker.name, self._prompt)
-        return plan._replace(
-            reader=None, unread_tokens=unread, copy=placement.NO_COPY
+        direct = self._node.placement.stream(
+            [plan.maker], self._prompt, self._engine, len(self._task.body)
         )
+        assert direct is not None
+        return direct
 
     def _maker_now(self) -> replicas.Replica:
         """Return the maker for a prompt that has just been read.
@@ -151,9 +152,7 @@
         """
         task, node = self._task, self._node
         copy = plan.copy if plan else placement.NO_COPY
-        unread_tokens = plan.unread_tokens if plan else 0
         started_s = task.begin(maker)
-        node.work.begin(maker.name, unread_tokens)
         if self._prompt.parts:
             node.cache.expect(maker.name, self._prompt, self._engine.kv_tokens)
         sending = task.sending(
@@ -163,9 +162,7 @@
             resume_after=self._resume_after(),
             urgency=self._urgency(),
         )
-        reading = _Reading(
-            self, maker, unread_tokens, started_s + copy.takes_s
-        )
+        reading = _Reading(self, maker, plan)
         try:
             async with forward.open_answer(node, task.call, sending) as found:
                 await self._pass_on(found, reading)
@@ -174,7 +171,6 @@
             raise
         finally:
             reading.done()
-            node.work.end(maker.name)
         task.succeeded(maker, reading.first_s or started_s)
 
     def _resume_after(self) -> str | None:
@@ -245,19 +241,24 @@
 
 
 class _Reading:
-    """Tell loads, speeds and usage when a replica begins its output."""
+    """Tell loads, costs and usage when a replica begins its output."""
 
     def __init__(
         self,
         streaming: Streaming,
         maker: replicas.Replica,
-        unread_tokens: int,
-        started_s: float,
+        plan: placement.Plan | None,
     ) -> None:
         self._task = streaming._task
+        self._prompt = streaming._prompt
         self._maker = maker
-        self._unread_tokens = unread_tokens
-        self._started_s = started_s
+        # None if the prompt has been read elsewhere.
+        self._plan = plan
+        node = self._task.node
+        self._started_s = node.clock()
+        work_s = plan.work_s if plan else 0.0
+        ends_s = self._started_s + (plan.read_s if plan else 0.0)
+        self._sent = node.work.begin(maker.name, work_s, ends_s)
         self.first_s: float | None = None
 
     def first(self) -> bool:
@@ -267,16 +268,45 @@
         node = self._task.node
         self.first_s = node.clock()
         node.usage.began(self._task.customer_name)
-        node.read_speeds.note(
+        self._sent.read()
+        node.cache.confirm(self._maker.name, self._prompt)
+        took_s = self.first_s - self._started_s
+        if self._plan is None:
+            self._tell_moved(took_s)
+        else:
+            self._tell_read(self._plan, took_s)
+        return True
+
+    def _tell_moved(self, took_s: float) -> None:
+        self._task.tell(
+            events.MOVED,
+            'the first event came',
+            replica=self._maker.name,
+            took_s=round(took_s, 3),
+        )
+
+    def _tell_read(self, plan: placement.Plan, took_s: float) -> None:
+        self._task.tell(
+            events.READ,
+            'the first event came',
+            replica=self._maker.name,
+            stage=self._maker.stage,
+            unread_tokens=plan.unread_tokens,
+            prompt_tokens=self._prompt.tokens,
+            queued_s=round(plan.queued_s, 3),
+            work_s=round(plan.work_s, 3),
+            copied_tokens=plan.copy.tokens,
+            expected_s=round(plan.read_s, 3),
+            took_s=round(took_s, 3),
+        )
+        self._task.node.read_costs.note(
             self._maker.service,
             self._maker.stage,
-            self._unread_tokens,
-            self.first_s - self._started_s,
+            plan.unread_tokens,
+            self._prompt.tokens,
+            took_s - plan.copy.takes_s - plan.queued_s,
         )
-        node.work.read(self._maker.name, self._unread_tokens)
-        return True
 
     def done(self) -> None:
-        """Count the prompt as read or given up."""
-        if self.first_s is None:
-            self._task.node.work.read(self._maker.name, self._unread_tokens)
+        """Count the run as over."""
+        self._task.node.work.end(self._sent)
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -10,8 +10,8 @@
 from gentianstair.gateway import loads
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefix_cache
+from gentianstair.gateway import read_costs
 from gentianstair.gateway import replicas
-from gentianstair.gateway import speeds
 
 ENGINE = catalog.Engine(64, 400000, 18432, 180000.0, 5.0, 3.0, ('m',))
 BODY_BYTES = 17000
@@ -42,7 +42,7 @@
             'a',
             self.work,
             self.cache,
-            speeds.ReadSpeeds(),
+            read_costs.ReadCosts(),
             random.Random(7),
         )
 
@@ -78,7 +78,7 @@
     """Waiting longer than the part takes to read anew helps nobody."""
     model = Model()
     model.cache.expect('reader-1', prompt(13300, 3700), ENGINE.kv_tokens)
-    model.work.begin('reader-1', 40000)
+    model.work.begin('reader-1', 1.6, 1.6)
     plan = model.stream(FLEET, prompt(13300, 3800))
     assert plan.reader is None or plan.reader.name == 'reader-2'
 
@@ -93,7 +93,7 @@
     model.cache.expect('maker-1', prompt(13300, 3700), ENGINE.kv_tokens)
     model.cache.expect('reader-1', prompt(13300, 3700), ENGINE.kv_tokens)
     for _ in range(20):
-        model.work.begin('maker-1', 0)
+        model.work.begin('maker-1')
     plan = model.stream(FLEET, prompt(13300, 2000))
     assert plan.reader.name == 'reader-1'
     assert plan.maker.name == 'maker-2'
@@ -119,7 +119,7 @@
     found = [replica('far', '', 'b', 6), replica('near', '', 'a', 6)]
     for name, count in (('near', near), ('far', far)):
         for _ in range(count):
-            model.work.begin(name, 0)
+            model.work.begin(name)
     assert model.placement.plain(found).name == wanted
 
 
@@ -194,9 +194,11 @@
     warm = replica('reader-1', 'prefill', domain)
     cold = replica('reader-2', 'prefill')
     fleet = [warm, cold, replica('maker-1', 'decode')]
-    model.cache.expect('reader-1', prompt(shared, 100), ENGINE.kv_tokens)
+    kept = prompt(shared, 100)
+    model.cache.expect('reader-1', kept, ENGINE.kv_tokens)
+    model.cache.confirm('reader-1', kept)
     # The warm one has much to read already.
-    model.work.begin('reader-1', 60000)
+    model.work.begin('reader-1', 2.4, 2.4)
     plan = model.stream(fleet, prompt(shared, 3700))
     reader = plan.reader or plan.maker
     assert reader.name != 'reader-1'
@@ -205,6 +207,52 @@
     assert plan.copy.address == (warm.address if copied else None)
 
 
+def test_what_is_only_being_read_is_not_copied():
+    """Two requests of one long part come within a tenth of a second.
+
+    The second was sent to a cold reader that was to copy what the first
+    one's reader had not read yet; it read everything anew, in 2 s.
+    """
+    model = Model()
+    fleet = [
+        replica('reader-1', 'prefill'),
+        replica('reader-2', 'prefill'),
+        replica('maker-1', 'decode'),
+    ]
+    model.cache.expect('reader-1', prompt(13300, 100), ENGINE.kv_tokens)
+    model.work.begin('reader-1', 2.4, 2.4)
+    plan = model.stream(fleet, prompt(13300, 3700))
+    assert plan.copy.tokens == 0
+
+
+def test_short_prompts_are_kept_off_long_reads():
+    """A reader has just begun a prompt of a second's work.
+
+    A short prompt that is sent there waits for all of it; a maker reads it
+    between the tokens of its streams at once.
+    """
+    model = Model()
+    model.work.begin('reader-1', 1.0, 1.0)
+    model.work.begin('reader-2', 1.0, 1.0)
+    plan = model.stream(FLEET, prompt(100, 200))
+    assert plan.reader is None
+
+
+@pytest.mark.parametrize(
+    ('now_s', 'left_ms'),
+    [(0.0, 500), (1.0, 500), (1.25, 250), (1.5, 150), (9.0, 150)],
+)
+def test_a_read_counts_for_what_is_left_of_it(now_s, left_ms):
+    """It waits for a second and then takes half a second.
+
+    What is queued is judged by these; one that is overdue is not nothing.
+    """
+    model = Model()
+    model.work.begin('reader-1', 0.5, 1.5)
+    model.now_s = now_s
+    assert model.work.at('reader-1') == loads.Load(1, left_ms)
+
+
 def test_a_choice_among_many_replicas_is_quick():
     """Seventy replicas, each keeping something else of a prompt."""
     model = Model()
