Count overdue reads whole, and copy nothing from what has left

A copy of up to 39,900 tokens was planned from replicas of a reclaimed domain that had gone by then; all of it was read anew in 1 to 3 s, and as an overdue read counted for 0.3 of its small plan, short prompts were sent behind it all the while.

Change: a part is copied only from replicas that no failure ejected and that have drained for less than the drain bound allows, less 0.8 s; a read that is overdue counts for the whole prompt.

The test of a copy from a leaving replica had it leave from the start of the site, longer than it would serve; it now leaves a second before the request, and the check stands.

--- a/gentianstair/gateway/loads.py
+++ b/gentianstair/gateway/loads.py
@@ -48,24 +48,32 @@
 class Sent:
     """One request at a replica, and the read of its prompt."""
 
-    def __init__(self, replica: str, work_s: float, ends_s: float) -> None:
+    def __init__(
+        self, replica: str, work_s: float, ends_s: float, more_s: float
+    ) -> None:
         self.replica = replica
         self._work_s = work_s
         self._ends_s = ends_s
+        self._more_s = more_s
 
     def read(self) -> None:
         """Note that the prompt has been read."""
-        self._work_s = 0.0
+        self._work_s = self._more_s = 0.0
 
     def left_s(self, now_s: float) -> float:
         """Return how much of the read is still to be done.
 
         A read that waits for others counts whole; from when it is expected
-        to begin it counts less and less. One that is overdue still counts
-        for some part, as it was taken for shorter than it is.
+        to begin it counts less and less. When it is overdue, what should
+        have been kept or copied is being read after all: those behind it
+        wait for that, too.
         """
-        due_s = max(self._ends_s - now_s, OVERDUE_SHARE * self._work_s)
-        return min(self._work_s, due_s)
+        if not self._work_s:
+            return 0.0
+        due_s = self._ends_s - now_s
+        if due_s > 0:
+            return min(self._work_s, due_s)
+        return max(OVERDUE_SHARE * self._work_s, due_s + self._more_s)
 
 
 def _sum(sent: typing.Iterable[Sent], now_s: float) -> Load:
@@ -95,14 +103,19 @@
         self._others_until_s = 0.0
 
     def begin(
-        self, replica: str, work_s: float = 0.0, ends_s: float = 0.0
+        self,
+        replica: str,
+        work_s: float = 0.0,
+        ends_s: float = 0.0,
+        more_s: float = 0.0,
     ) -> Sent:
         """Count a request that is being sent; the caller ends it.
 
         work_s is for how long the replica is busy reading its prompt, and
-        ends_s when that is expected to be over.
+        ends_s when that is expected to be over; more_s is how much longer
+        it takes if nothing of the prompt is kept.
         """
-        sent = Sent(replica, work_s, ends_s)
+        sent = Sent(replica, work_s, ends_s, more_s)
         self._own.setdefault(replica, set()).add(sent)
         return sent
 
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -71,6 +71,8 @@
     # its replica busy.
     queued_s: float
     work_s: float
+    # How much longer it takes if nothing of the prompt is kept or copied.
+    more_s: float
     # Time to the end of the read, and to the first event.
     read_s: float
     expected_s: float
@@ -82,6 +84,7 @@
     copy: Copy
     queued_s: float
     work_s: float
+    more_s: float
     # Time to the end of the read, and what it costs besides.
     read_s: float
     cost_s: float
@@ -235,6 +238,7 @@
         copy = self._copy(replica, lacks, need)
         unread = lacks - copy.tokens
         cost = self._cost(replica, unread, need)
+        whole = self._cost(replica, need.prompt.tokens, need)
         queued_s = self._work.at(replica.name).unread_ms / 1000
         return _Candidate(
             replica,
@@ -242,6 +246,7 @@
             copy,
             queued_s,
             cost.work_s,
+            whole.work_s - cost.work_s,
             copy.takes_s + queued_s + cost.latency_s + cost.work_s,
             self._far_s(replica, need.body_bytes),
         )
@@ -305,6 +310,7 @@
         read.copy,
         read.queued_s,
         read.work_s,
+        read.more_s,
         read.read_s,
         read.read_s + moved_s,
     )
--- a/gentianstair/gateway/prompt_read.py
+++ b/gentianstair/gateway/prompt_read.py
@@ -67,7 +67,10 @@
         task, node = self._task, self._node
         started_s = node.clock()
         sent = node.work.begin(
-            reader.name, plan.work_s, started_s + plan.read_s
+            reader.name,
+            plan.work_s,
+            started_s + plan.read_s,
+            plan.more_s,
         )
         expected = node.cache.expect(
             reader.name, self._prompt, self._engine.kv_tokens
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -53,6 +53,8 @@
         self.changes: change_log.ChangeLog[str, Replica | None] = (
             change_log.ChangeLog(MOST_CHANGES)
         )
+        # When a replica was first seen to be draining.
+        self._draining_s: dict[str, float] = {}
         # Calls for changes of its cache that a replica keeps waiting.
         self.cache_calls = CACHE_CALLS
         # Set once a whole listing has been taken.
@@ -70,6 +72,19 @@
         """Return all replicas of a service, also those that leave."""
         return [r for r in self._replicas.values() if r.service == service]
 
+    def keeping(self, service: str, leaving_s: float) -> list[Replica]:
+        """Return the replicas of a service whose memory is there for sure.
+
+        What a leaving one keeps goes with it, so it is wanted most, but
+        only for leaving_s, while it is sure to serve.
+        """
+        oldest_s = self._clock() - leaving_s
+        return [
+            replica
+            for replica in self.of_service(service)
+            if self._draining_s.get(replica.name, oldest_s + 1) > oldest_s
+        ]
+
     def usable(self, service: str) -> list[Replica]:
         """Return the replicas of a service that may take new work."""
         self._forget_missing()
@@ -141,6 +156,12 @@
             self.remove(name)
 
     def _index(self) -> None:
+        now_s = self._clock()
+        self._draining_s = {
+            name: self._draining_s.get(name, now_s)
+            for name, replica in self._replicas.items()
+            if replica.draining
+        }
         by_service: dict[str, list[Replica]] = {}
         for replica in self._replicas.values():
             if not replica.draining:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -80,7 +80,7 @@
             self._prompt,
             self._engine,
             len(task.body),
-            self._node.registry.of_service(task.service),
+            task.keepers(),
         )
         if plan is not None:
             task.tell(
@@ -258,7 +258,8 @@
         self._started_s = node.clock()
         work_s = plan.work_s if plan else 0.0
         ends_s = self._started_s + (plan.read_s if plan else 0.0)
-        self._sent = node.work.begin(maker.name, work_s, ends_s)
+        more_s = plan.more_s if plan else 0.0
+        self._sent = node.work.begin(maker.name, work_s, ends_s, more_s)
         self.first_s: float | None = None
 
     def first(self) -> bool:
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -23,6 +23,9 @@
 # Told to callers when a replica was full or has just left: some answers end
 # in that time, and the next look at the store shows who is there.
 SOON_S = 0.4
+# How long after the store a VM may learn that a replica drains, with what a
+# copy from it takes.
+LEARNED_S = 0.8
 # An attempt with less time left than this is not worth a replica's work.
 LEAST_LEFT_S = 0.03
 
@@ -100,6 +103,20 @@
         fresh = [r for r in good or found if r.name not in self.tried]
         return fresh or [r for r in found if r.name not in self.tried]
 
+    def keepers(self) -> list[replicas.Replica]:
+        """Return the replicas from whose memory parts may be copied.
+
+        A copy from one that has gone has all of it read anew, beside which
+        everything that is queued there waits.
+        """
+        now_s = self.node.clock()
+        leaving_s = self.node.deployment.bounds.drain_s - LEARNED_S
+        return [
+            replica
+            for replica in self.node.registry.keeping(self.service, leaving_s)
+            if self.node.ejector.usable(self._key(replica), now_s)
+        ]
+
     def _key(self, replica: replicas.Replica) -> str:
         return forward.ejector_key(self.service, replica.name)
 
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -43,10 +43,12 @@
         warm = site.replica('i-reader')
         warm.kept = {'c0de': 13300}
         warm.changes = [[1, '+', '', 'c0de', 13300, 'm']]
-        warm.draining = True
         async with gateways.running(site, tmp_path) as (gateway,):
             # Until the gateway has heard what the replica keeps.
             await trio.sleep(1)
+            warm.draining = True
+            # Until it has heard that the replica leaves.
+            await trio.sleep(1)
             headers = {
                 'x-model': 'm',
                 'x-token-count': '13400,80',
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -253,6 +253,21 @@
     assert model.work.at('reader-1') == loads.Load(1, left_ms)
 
 
+@pytest.mark.parametrize(
+    ('now_s', 'left_ms'), [(0.0, 100), (0.15, 50), (0.2, 2000), (1.2, 1000)]
+)
+def test_an_overdue_read_counts_for_all_of_its_prompt(now_s, left_ms):
+    """A read of 0.1 s was to copy most of a long prompt; the source is gone.
+
+    Short prompts were sent behind it for two seconds, as it counted for
+    nothing from when it should have ended.
+    """
+    model = Model()
+    model.work.begin('maker-1', 0.1, 0.2, more_s=2.0)
+    model.now_s = now_s
+    assert model.work.at('maker-1').unread_ms == left_ms
+
+
 def test_a_choice_among_many_replicas_is_quick():
     """Seventy replicas, each keeping something else of a prompt."""
     model = Model()
