Close gaps in cache events, take over learned costs, order anew at once

Change: a process starts to follow caches as soon as it knows the replicas; a gap is closed by reading the replica's list, by two VMs a replica, who tell the others; processes write what they learned of costs into their objects, and a new one goes on with it; an order counts as carried out when the replicas of its kind become fewer.

Tried and reverted: dear replicas in the place of cheap ones that are not to be had.

--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -2,6 +2,7 @@
 
 import typing
 
+import httpx
 import loguru
 import trio
 
@@ -32,6 +33,7 @@
 
 async def run(node: nodes.Node) -> None:
     """Follow the caches that this VM is to follow, until cancelled."""
+    await node.registry.known.wait()
     following: dict[_Start, trio.CancelScope] = {}
     async with trio.open_nursery() as nursery:
         known: set[_Start] = set()
@@ -64,36 +66,60 @@
     with scope:
         while True:
             try:
-                changes = await _ask(node, replica, since)
+                request = wire.cache_events_request(
+                    replica.address, since, WAIT_S, forward.CONNECT_S
+                )
+                changes = wire.decode_cache_events(await _ask(node, request))
+                if epoch is not None and changes.epoch != epoch:
+                    node.cache_news.forget(replica.name)
+                epoch, since = changes.epoch, changes.next
+                _take(node, replica, changes, node.roster.shares_cache_news())
+                if changes.lost:
+                    since = await _close_gap(node, replica, since)
             except (errors.UpstreamError, errors.DecodeError) as error:
                 loguru.logger.bind(
                     event=events.CACHE_WATCH_FAILED, replica=replica.name
                 ).debug('{}', error)
                 await trio.sleep(RETRY_S)
                 continue
-            if epoch is not None and changes.epoch != epoch:
-                node.cache_news.forget(replica.name)
-            if changes.lost:
-                loguru.logger.bind(
-                    event=events.CACHE_GAP, replica=replica.name
-                ).info('changes of a replica cache are missing')
-            epoch, since = changes.epoch, changes.next
-            for change in changes.changes:
-                node.cache_news.heard(
-                    cache_news.Change(
-                        replica.name, change.part, change.number, change.tokens
-                    ),
-                    passed_on=True,
-                )
             await trio.sleep(GATHER_S)
 
 
-async def _ask(
+def _take(
+    node: nodes.Node,
+    replica: replicas.Replica,
+    changes: wire.CacheChanges,
+    passed_on: bool,
+) -> None:
+    for part, number, tokens in changes.changes:
+        node.cache_news.heard(
+            cache_news.Change(replica.name, part, number, tokens), passed_on
+        )
+
+
+async def _close_gap(
     node: nodes.Node, replica: replicas.Replica, since: int
-) -> wire.CacheChanges:
-    request = wire.cache_events_request(
-        replica.address, since, WAIT_S, forward.CONNECT_S
-    )
+) -> int:
+    """Read all that a replica keeps, and return from where to go on.
+
+    After a restart of all VMs nobody would know it, and each shared part
+    would be read again elsewhere. The list costs the replica time, so a few
+    VMs read it and tell the others.
+    """
+    reads = node.roster.reads_cache_list(replica.name)
+    loguru.logger.bind(
+        event=events.CACHE_GAP, replica=replica.name, listed=reads
+    ).info('changes of a replica cache are missing')
+    if not reads:
+        return since
+    request = wire.cache_list_request(replica.address, forward.CONNECT_S)
+    listing = wire.decode_cache_list(await _ask(node, request))
+    _take(node, replica, listing, passed_on=True)
+    return listing.next
+
+
+async def _ask(node: nodes.Node, request: httpx.Request) -> bytes:
+    """Return the body of a replica's answer; raise if there is none."""
     with trio.move_on_after(WAIT_S + GRACE_S):
         response = await node.transport.handle_async_request(request)
         try:
@@ -102,5 +128,5 @@
             await response.stream.aclose()
         if response.status_code != 200:
             raise errors.DecodeError(f'status {response.status_code}')
-        return wire.decode_cache_events(body)
+        return body
     raise errors.DecodeError('no answer in time')
--- a/gentianstair/gateway/capacity.py
+++ b/gentianstair/gateway/capacity.py
@@ -147,6 +147,8 @@
         # Until when an order is left to take effect, by its subject.
         self._until_s: dict[tuple[str, str, bool], float] = {}
         self._last: dict[tuple[str, str, bool], int] = {}
+        # How many were there at the last look.
+        self._had: dict[tuple[str, str, bool], int] = {}
 
     def warm(
         self, found: typing.Sequence[replicas.Replica], now_s: float
@@ -180,6 +182,10 @@
                         continue
                     number = have[domain] - 1
                     self._let_go_s = now_s + LET_GO_PAUSE_S
+                if have.get(domain, 0) < self._had.get(key, 0):
+                    # Reclaimed: what was ordered before them has come.
+                    self._until_s.pop(key, None)
+                self._had[key] = have.get(domain, 0)
                 waits = now_s < self._until_s.get(key, 0.0)
                 repeated = self._last.get(key) == number
                 if have.get(domain, 0) == number or (waits and repeated):
--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -130,8 +130,6 @@
         told_at = 0
         while True:
             news = node.cache_news.mine
-            if not node.roster.shares_cache_news():
-                told_at = news.position
             message = feeds.load_message(
                 node, node.work.part(), told_at, leaf=False
             )
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -94,10 +94,11 @@
         windows={},
         cores=found.cores,
     )
+    costs = read_costs.ReadCosts()
     members = memberships.Members(
-        store, name, record, counts, now, found.store_writes_per_s
+        store, name, record, counts, now, found.store_writes_per_s, costs
     )
-    node = _make_node(live, store, counts, members, nursery)
+    node = _make_node(live, store, counts, members, costs, nursery)
     leases = lease.make_leases(
         store, name, now, duties.lease_terms(bounds.lease_s)
     )
@@ -129,6 +130,7 @@
     store: objects.ObjectStore,
     counts: usage.Counts,
     members: memberships.Members,
+    costs: read_costs.ReadCosts,
     nursery: trio.Nursery,
 ) -> nodes.Node:
     now = clock.boottime_s
@@ -140,7 +142,6 @@
         found.vm, found.failure_domain, found.peer_address, found.cores
     )
     roster = rosters.Roster(own, members, registry, now)
-    costs = read_costs.ReadCosts()
     return nodes.Node(
         live=live,
         clock=now,
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -13,6 +13,7 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.gateway import read_costs
 from gentianstair.gateway import usage
 from gentianstair.generated import events
 from gentianstair.store import store as stores
@@ -53,6 +54,8 @@
     windows: dict[str, dict[str, int]]
     # The VM's share of a core times the core's speed.
     cores: float = 0.0
+    # What it learned of the cost of reads.
+    costs: list[read_costs.Learned] = []
 
 
 class Member(typing.NamedTuple):
@@ -89,6 +92,7 @@
         counts: usage.Counts,
         clock: clocks.Clock,
         writes_per_s: float,
+        costs: read_costs.ReadCosts | None = None,
     ) -> None:
         self._store = store
         self._name = name
@@ -96,6 +100,7 @@
         self._counts = counts
         self._clock = clock
         self._writes_per_s = writes_per_s
+        self._costs = costs or read_costs.ReadCosts()
         self._version = 0
         self._seen: dict[str, Member] = {}
         # When the store last said who is there.
@@ -173,6 +178,7 @@
             str(window): found
             for window, found in self._counts.windows().items()
         }
+        self._record.costs = self._costs.told()
         try:
             self._version = await self._store.put(
                 KIND,
@@ -231,6 +237,10 @@
             loguru.logger.bind(
                 event=events.MEMBERS, new=sorted(new), gone=sorted(gone)
             ).info('{} processes are known', len(found))
+        if not self._seen:
+            # A process that starts anew goes on with what others learned.
+            others = [m for m in found if m.name != self._name]
+            self._costs.take(c for m in others for c in m.record.costs)
         self._seen = {member.name: member for member in found}
         self._looked_s = self._clock()
 
--- a/gentianstair/gateway/read_costs.py
+++ b/gentianstair/gateway/read_costs.py
@@ -41,6 +41,15 @@
     work_s: float
 
 
+class Learned(typing.NamedTuple):
+    """The figures of a service's replicas of a stage, from so many reads."""
+
+    service: str
+    stage: str
+    reads: int
+    figures: Figures
+
+
 def terms(unread_tokens: int, prompt_tokens: int) -> Figures:
     """Return what a read is made of: one, thousands of tokens, M of pairs.
 
@@ -105,6 +114,21 @@
     def __init__(self) -> None:
         self._fits: dict[tuple[str, str], _Fit] = {}
         self._figures: dict[tuple[str, str], Figures] = {}
+        # What others learned, in place of the first guess.
+        self._taken: dict[tuple[str, str], Figures] = {}
+
+    def told(self) -> list[Learned]:
+        """Return what was learned here, for processes that start later."""
+        return [
+            Learned(service, stage, fit.reads, self.figures(service, stage))
+            for (service, stage), fit in self._fits.items()
+        ]
+
+    def take(self, found: typing.Iterable[Learned]) -> None:
+        """Take what others learned; the figures of most reads go first."""
+        for learned in sorted(found, key=lambda one: one.reads):
+            self._taken[learned.service, learned.stage] = learned.figures
+        self._figures.clear()
 
     def figures(self, service: str, stage: str) -> Figures:
         """Return the fitted figures of a service's replicas of a stage."""
@@ -118,6 +142,9 @@
         return known
 
     def _first(self, service: str, stage: str) -> Figures:
+        taken = self._taken.get((service, stage))
+        if taken is not None:
+            return taken
         if stage != MAKES:
             return FIRST
         latency_s, token_s, pair_s = self.figures(service, READS)
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -118,7 +118,19 @@
 
     def is_mesh(self) -> bool:
         """Return whether all VMs are hubs, so that there are no leaves."""
-        return self.count() <= hubs.MESH_VMS
+        if self._fresh() is not None:
+            return False
+        return len(self.hubs()) == len(self.vms())
+
+    def reads_cache_list(self, replica: str) -> bool:
+        """Return whether this VM reads for all others what a replica keeps.
+
+        A leaf that follows a replica was chosen to by its hub.
+        """
+        if not self.is_mesh():
+            return True
+        names = [hub.name for hub in self.hubs()]
+        return self.own.name in hubs.keep(names, replica)
 
     def shares_cache_news(self) -> bool:
         """Return whether VMs tell each other what replicas keep.
@@ -126,7 +138,7 @@
         A small fleet need not, as each of its VMs asks each replica.
         """
         calls = self._registry.cache_calls
-        return not self.is_mesh() or self.count() > calls - SPARE_CALLS
+        return not self.is_mesh() or len(self.hubs()) > calls - SPARE_CALLS
 
     def follows(self) -> set[str]:
         """Return the names of the replicas whose caches to follow here."""
--- a/gentianstair/platform/wire.py
+++ b/gentianstair/platform/wire.py
@@ -307,3 +307,34 @@
     return CacheChanges(
         str(found.epoch), found.next, bool(found.lost), changes
     )
+
+
+class _CacheList(msgspec.Struct):
+    epoch: typing.Any
+    next: int
+    held: list[list[typing.Any]] = []
+
+
+def cache_list_request(address: str, connect_s: float) -> httpx.Request:
+    """Return the request for all that a replica keeps; it costs it time."""
+    return httpx.Request(
+        'GET',
+        f'http://{address}/api/kv-list',
+        extensions={'connect_s': connect_s},
+    )
+
+
+def decode_cache_list(body: bytes) -> CacheChanges:
+    """Return what a replica keeps, as if all had changed now.
+
+    Raise DecodeError.
+    """
+    try:
+        found = msgspec.json.decode(body, type=_CacheList)
+        changes = []
+        for row in found.held:
+            _, part, tokens = row[:3]
+            changes.append(CacheChange(str(part), found.next - 1, int(tokens)))
+    except (msgspec.DecodeError, ValueError, TypeError) as error:
+        raise errors.DecodeError(f'cache list: {error}') from error
+    return CacheChanges(str(found.epoch), found.next, False, changes)
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -74,6 +74,9 @@
         # Callers that wait for changes of the cache now, and the most so far.
         self.cache_calls = 0
         self.most_cache_calls = 0
+        # Changes of the cache that it no longer tells, and reads of its list.
+        self.forgotten = 0
+        self.lists_read = 0
         self.headers: list[dict[str, str]] = []
         # Requests that came, also those that it refused.
         self.arrivals = 0
@@ -256,8 +259,17 @@
         return {
             'epoch': replica.name,
             'next': len(replica.changes),
-            'lost': 0,
-            'events': replica.changes[since:],
+            'lost': int(since < replica.forgotten),
+            'events': replica.changes[max(since, replica.forgotten) :],
+        }
+
+    @app.get('/api/kv-list')
+    async def kv_list():
+        replica.lists_read += 1
+        return {
+            'epoch': replica.name,
+            'next': len(replica.changes),
+            'held': [['', p, t, 'm'] for p, t in replica.kept.items()],
         }
 
     @app.delete('/api/kv-handle/<handle>')
--- a/test/gateway/test_capacity.py
+++ b/test/gateway/test_capacity.py
@@ -134,6 +134,23 @@
     assert planner.due('models', SCALING, wanted, [], 2.0) == orders
 
 
+def test_reclaimed_ones_are_ordered_anew_at_once():
+    """A domain is reclaimed seconds after an order there was accepted.
+
+    The order was taken to be still under way, and for five seconds, under
+    the day's heaviest load, nothing was asked for.
+    """
+    planner = capacity.Planner()
+    found = fleet('aaabbbccc')
+    wanted = capacity.decide(SCALING, 5, found, names(found))
+    for order in planner.due('models', SCALING, wanted, fleet('aaabbb'), 0.0):
+        planner.ordered(order, SCALING, 0.0)
+    assert planner.due('models', SCALING, wanted, found, 1.0) == []
+    left = fleet('aaabbb', '', 'ccc')
+    (order,) = planner.due('models', SCALING, wanted, left, 1.5)
+    assert order == capacity.Order('models', 'c', True, 3)
+
+
 def test_a_draining_replica_does_not_count():
     found = fleet('aabb', '', 'cc')
     wanted = capacity.decide(SCALING, 5, found, names(found))
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -61,6 +61,39 @@
         assert copied == [['c0de']]
 
 
+async def test_a_gap_in_cache_events_is_closed(tmp_path):
+    """All VMs lost power. The replicas still keep the prompts' shared parts.
+
+    They tell only their newest changes, so the new processes took the rest
+    for gone and had long prompts read anew, elsewhere.
+    """
+    async with sites.running() as site:
+        warm = site.replica('i-maker-1')
+        warm.kept = {'c0de': 13300, 'beef': 900}
+        warm.changes = [
+            [1, '+', '', 'c0de', 13300, 'm'],
+            [2, '+', '', 'beef', 900, 'm'],
+        ]
+        warm.forgotten = 1
+        async with gateways.running(site, tmp_path, 2) as found:
+            await trio.sleep(1)
+            for number, gateway in enumerate(found):
+                headers = {
+                    'x-model': 'm',
+                    'x-token-count': '13400,80',
+                    'x-prefix-hash': f'c0de:13300,b0b{number}:100',
+                }
+                answer = await gateway.call(
+                    'POST', '/ask/rule', f'k{number}', **headers
+                )
+                assert answer.status_code == 200
+        assert warm.lists_read == 2
+        kept_or_copied = warm.arrivals + sum(
+            'c0de' in replica.copied for replica in site.replicas
+        )
+        assert kept_or_copied >= 2
+
+
 async def test_a_stream_goes_on_where_its_replica_stopped(tmp_path):
     """A replica is lost in the middle of an event.
 
--- a/test/gateway/test_read_costs.py
+++ b/test/gateway/test_read_costs.py
@@ -69,3 +69,17 @@
         )
     )
     assert cost.latency_s + cost.work_s == pytest.approx(real / 3, rel=0.3)
+
+
+def test_a_new_process_goes_on_with_what_others_learned():
+    """All VMs lost power; their first plans were off by half a second."""
+    old, new = read_costs.ReadCosts(), read_costs.ReadCosts()
+    for unread, total in reads(random.Random(5), 300):
+        found = read_costs.terms(unread, total)
+        took_s = sum(a * b for a, b in zip(ENGINES[0], found, strict=True))
+        old.note('s', 'prefill', unread, total, took_s)
+    few = read_costs.Learned('s', 'prefill', 2, (1.0, 1.0, 1.0))
+    new.take([*old.told(), few])
+    for stage in ('prefill', 'decode'):
+        wanted = old.expect('s', stage, 17000, 17000)
+        assert new.expect('s', stage, 17000, 17000) == pytest.approx(wanted)
