--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -27,6 +27,8 @@
 # Loads are told this often. A choice of a replica goes wrong when it is made
 # on a load older than the time in which a prompt is read, some 0.2 s.
 TELL_S = 0.2
+# Share of that pause which is kept also when there is more to tell.
+LEAST_PAUSE_SHARE = 0.15
 # With more peers than this they are told less often, so that telling costs
 # a VM the same.
 FULL_RATE_PEERS = 16
@@ -136,7 +138,10 @@
             told_at = news.position
             await _send(channel, message)
             crowd = len(self._open) / FULL_RATE_PEERS
-            await trio.sleep(TELL_S * max(1.0, crowd))
+            pause_s = TELL_S * max(1.0, crowd)
+            await trio.sleep(pause_s * LEAST_PAUSE_SHARE)
+            with trio.move_on_after(pause_s * (1 - LEAST_PAUSE_SHARE)):
+                await node.work.wait_long()
 
     async def _accept(self, channel: link.Channel) -> None:
         """Serve a link that a peer opened."""
--- a/gentianstair/gateway/loads.py
+++ b/gentianstair/gateway/loads.py
@@ -2,6 +2,8 @@
 
 import typing
 
+import trio
+
 from gentianstair.util import clock as clocks
 
 # Peers tell their load several times a second; one that was silent for
@@ -9,6 +11,9 @@
 PEER_MEMORY_S = 1.5
 # Part of its work for which a read counts that should have ended by now.
 OVERDUE_SHARE = 0.3
+# Peers are told at once of a read that keeps its replica busy for so long:
+# in the time to the next regular word several prompts would queue behind it.
+LONG_S = 0.08
 # A sum over peers holds for so long unless one of them tells more.
 SUM_S = 0.1
 
@@ -98,6 +103,8 @@
         self._clock = clock
         self._own: dict[str, set[Sent]] = {}
         self._peers: dict[str, _PeerLoad] = {}
+        # Set, and replaced, when a long read begins.
+        self._long = trio.Event()
         # The sum over peers, and until when it holds.
         self._others: dict[str, Load] = {}
         self._others_until_s = 0.0
@@ -116,9 +123,16 @@
         it takes if nothing of the prompt is kept.
         """
         sent = Sent(replica, work_s, ends_s, more_s)
+        if work_s >= LONG_S:
+            self._long.set()
+            self._long = trio.Event()
         self._own.setdefault(replica, set()).add(sent)
         return sent
 
+    async def wait_long(self) -> None:
+        """Return when a long read begins."""
+        await self._long.wait()
+
     def end(self, sent: Sent) -> None:
         """Count a request as over."""
         running = self._own.get(sent.replica, set())
