Refuse at once what cannot be served in time, and log what was to be kept

Change: a stream that has not run and whose plan takes half as long again as the caller waits, or whose prompt is larger than a replica's memory, is refused before it is sent, with the time that what is queued takes. The line of each answer has the objective, the longest pause allowed and found, and the prompt's tokens, so that logs alone tell what was late and why.

Test: both prompts were read until the deadline before.

--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -106,9 +106,23 @@
             verdict=verdict,
             sent=task.sent if task else 0,
             first_s=self._first_s(),
+            **self._asked(),
             took_s=round(took_s, 3),
         ).info('answered {}', self._status)
 
+    def _asked(self) -> dict[str, float]:
+        """Return what was to be kept to, and the longest pause there was."""
+        task = self._task
+        if task is None:
+            return {}
+        prompt = task.call.prompt
+        return {
+            'objective_s': task.route.objective_s,
+            'pause_s': task.route.pause_s,
+            'longest_pause_s': round(task.longest_pause_s, 3),
+            'prompt_tokens': prompt.tokens if prompt else 0,
+        }
+
     def _first_s(self) -> float | None:
         """Return how long a stream's caller waited for its first event."""
         if self._task is None or self._task.first_s is None:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -28,6 +28,8 @@
 # on time is taken for lost. Callers give up after eight of those.
 SILENT_PAUSES = 4.0
 LEAST_SILENCE_S = 1.2
+# A plan may be wrong by half; beyond that there is no hope.
+HOPELESS_TIMES = 1.5
 LEAST_URGENT = 9
 # Replicas rank requests from 0; requests with a rank of their own begin here
 # and leave room above for streams that go on after a loss.
@@ -58,7 +60,11 @@
         try:
             while True:
                 plan = self._plan()
-                if plan is None or not task.pay():
+                if plan is None:
+                    break
+                if self._is_hopeless(plan):
+                    raise task.hopeless(plan.queued_s)
+                if not task.pay():
                     break
                 try:
                     await self._run(plan)
@@ -73,6 +79,19 @@
             return task.failure
         raise task.give_up()
 
+    def _is_hopeless(self, plan: placement.Plan) -> bool:
+        """Return whether a request is sure not to be served in time.
+
+        Sent all the same it would only keep others waiting. What was sent
+        before, or is half answered, goes on for as long as it may.
+        """
+        task = self._task
+        if task.verdict is not verdicts.Verdict.NOT_RUN:
+            return False
+        if self._prompt.tokens > self._engine.kv_tokens:
+            return True
+        return plan.expected_s > HOPELESS_TIMES * task.left_s()
+
     def _plan(self) -> placement.Plan | None:
         task = self._task
         plan = self._node.placement.stream(
@@ -204,6 +223,7 @@
             if reading.first():
                 limit_s = silence_s
                 await self._start(found)
+            task.passed_on()
             await task.exchange.write(whole)
         if not self._events.is_whole() or not self._events.delivered:
             raise errors.UpstreamError(
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -56,8 +56,10 @@
         # Sendings that reached a replica, or may have.
         self.sent = 0
         self.unreached = 0
-        # When a stream's first event was passed on.
+        # When a stream's first event and its newest were passed on.
         self.first_s: float | None = None
+        self.event_s: float | None = None
+        self.longest_pause_s = 0.0
         # Of those sent, the reads of the prompt that failed.
         self.failed_reads = 0
         self.ran = 0
@@ -184,6 +186,14 @@
             return False
         return self.unreached < MOST_UNREACHED
 
+    def passed_on(self) -> None:
+        """Note that an event of a stream goes to the caller now."""
+        now_s = self.node.clock()
+        if self.event_s is not None:
+            pause_s = now_s - self.event_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        self.event_s = now_s
+
     def pay(self) -> bool:
         """Spend a repeat if the next sending is one; say whether it may go.
 
@@ -204,6 +214,20 @@
             **fields,
         ).info(message)
 
+    def hopeless(self, wait_s: float) -> errors.RequestError:
+        """Return the error of a request that can't be served in its time.
+
+        wait_s is how long what is queued before it takes; until then a
+        request like it fares no better.
+        """
+        return errors.RequestError(
+            503,
+            'no-time',
+            'what is queued takes longer than the caller waits',
+            self.verdict,
+            max(SOON_S, wait_s),
+        )
+
     def give_up(self) -> errors.RequestError:
         """Return the final error, true to what is known of the effect."""
         if self.verdict is verdicts.Verdict.NOT_RUN:
--- a/test/gateway/test_path.py
+++ b/test/gateway/test_path.py
@@ -61,6 +61,35 @@
         assert copied == [['c0de']]
 
 
+@pytest.mark.parametrize('tokens', [90000, 5000000])
+async def test_what_cannot_be_served_in_time_is_refused_at_once(
+    tmp_path, tokens
+):
+    """A prompt takes longer to read than its caller waits.
+
+    It was read all the same until the deadline, and others waited behind.
+    """
+    async with sites.running() as site:
+        async with gateways.running(site, tmp_path) as (gateway,):
+            started_s = trio.current_time()
+            answer = await gateway.call(
+                'POST',
+                '/ask/rule',
+                'big',
+                **{
+                    'x-model': 'm',
+                    'x-token-count': f'{tokens},80',
+                    'x-prefix-hash': f'abc:{tokens}',
+                    'x-request-deadline-ms': '2000',
+                },
+            )
+            took_s = trio.current_time() - started_s
+        assert answer.status_code == 503
+        assert float(answer.headers['retry-after']) > 0
+        assert took_s < 0.5
+        assert sum(replica.arrivals for replica in site.replicas) == 0
+
+
 async def test_a_gap_in_cache_events_is_closed(tmp_path):
     """All VMs lost power. The replicas still keep the prompts' shared parts.
 
