Say from logs why requests were not on time: gentianstair losses

Cause: where worth is lost had to be worked out anew from raw logs each time.

Not built: a plot (no plotting library is among the dependencies).

--- a/gentianstair/ui/main.py
+++ b/gentianstair/ui/main.py
@@ -20,6 +20,7 @@
 from gentianstair.ui.commands import explain
 from gentianstair.ui.commands import key
 from gentianstair.ui.commands import lease
+from gentianstair.ui.commands import losses
 from gentianstair.ui.commands import settings
 from gentianstair.ui.commands import snapshot
 from gentianstair.ui.commands import upstream
@@ -45,6 +46,7 @@
     | usage.Usage
     | audit.Audit
     | explain.Explain
+    | losses.Losses
     | settings.Settings
     | snapshot.Snapshot
 )
