--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -22,6 +22,7 @@
 from gentianstair.peers import spread
 from gentianstair.peers import summaries as summaries_module
 from gentianstair.peers import survey as survey_module
+from gentianstair.peers import teller
 from gentianstair.peers import topology
 from gentianstair.store import store as store_module
 from gentianstair.store import vm_list as vm_list_module
@@ -33,7 +34,6 @@
 # passed on before the next heartbeat.
 PASS_ON_SHARE = 0.5
 CONFIRM_TRIES = 2
-MAX_MEMBERS_MESSAGE = 500
 # Nodes that count when the first watchers' count does not come.
 STAND_INS = 16
 # Shortest time between two rounds of summaries, and the bytes a second that
@@ -119,6 +119,14 @@
         self._beats = 0
         self._surveying = False
         self._hurry = trio.Event()
+        self._teller = teller.Teller(
+            self._members,
+            view,
+            self._summaries,
+            lambda: self._sessions,
+            clock,
+            lambda: self._hurry.set(),
+        )
         self._nursery: trio.Nursery
         self.started = trio.Event()
         self.address = ''
@@ -169,7 +177,7 @@
 
     def leave(self) -> None:
         """Tell the peers that this VM is leaving; links stay up."""
-        self._spread_members(self._members.leave(self._clock()))
+        self._teller.spread_members(self._members.leave(self._clock()))
 
     # Tasks.
 
@@ -240,7 +248,7 @@
         self._sessions.append(one)
         self._close_double(peer.name)
         self._avoidance.reached(peer.name)
-        self._greet(one, typing.cast(messages.PeerHello, hello))
+        self._teller.greet(one, typing.cast(messages.PeerHello, hello))
         try:
             with one.scope:
                 async with trio.open_nursery() as nursery:
@@ -306,7 +314,7 @@
                 if now_s - one.heard_s > self._settings.suspect_s:
                     one.scope.cancel()
             gone_s = self._settings.gone_s
-            self._spread_members(self._members.expire(now_s, gone_s))
+            self._teller.spread_members(self._members.expire(now_s, gone_s))
             self._members.forget(now_s)
             self._start_survey_if_due()
             # Jittered, so that nodes started together do not beat together.
@@ -382,7 +390,7 @@
             size_bytes = 0
             for summary in self._summaries.due():
                 size_bytes += len(link.encode(summary))
-                self._send_all(summary)
+                self._teller.send_all(summary)
             copies = self._known * max(1, len(self._sessions))
             pause_s = copies * size_bytes / SUMMARY_BYTES_PER_S
             await trio.sleep(max(SUMMARY_PAUSE_S, pause_s))
@@ -399,7 +407,7 @@
             if any(one.synced for one in self._sessions):
                 self._watcher.start_from_view()
             taken, as_of_s = await self._watcher.step()
-            self._spread_objects(taken, None)
+            self._teller.spread_objects(taken, None)
             if as_of_s is not None and self._freshness.heard_store(as_of_s):
                 self._pass_on_news()
 
@@ -449,11 +457,11 @@
         states = {vm.name: vm.state for vm in found}
         now_ms = int(time.time() * 1000)
         changes = self._members.poll_changes(states, now_ms)
-        self._spread_listed(changes, None)
+        self._teller.spread_listed(changes, None)
 
     def _suspect(self, name: str) -> None:
         changes = self._members.mark(name, membership.SUSPECT, self._clock())
-        self._spread_members(changes)
+        self._teller.spread_members(changes)
 
     def _quiet_s(self) -> float:
         """Return the store's silence after which this node counts VMs.
@@ -519,75 +527,6 @@
             self._members_digest if with_members else None,
         )
 
-    def _greet(
-        self, one: session_module.Session, hello: messages.PeerHello
-    ) -> None:
-        """Send a new link all that its hello shows to be missing."""
-        self._spread_members(
-            self._members.apply([one.peer], self._clock()), one
-        )
-        one.add_objects(self._view.differing(hello['buckets']), final=True)
-        if hello['members_digest'] != self._members.digest():
-            self._send_members(one)
-        for summary in self._summaries.all():
-            one.add(summary)
-        one.ask_beat()
-
-    def _send_members(self, one: session_module.Session) -> None:
-        everyone = list(self._members.by_name.values())
-        for start in range(0, len(everyone), MAX_MEMBERS_MESSAGE):
-            part = everyone[start : start + MAX_MEMBERS_MESSAGE]
-            one.add(outgoing.members(part))
-        one.add(outgoing.listed(self._members.listed))
-
-    def _send_all(
-        self,
-        message: link.Message,
-        but: session_module.Session | None = None,
-    ) -> None:
-        for one in self._sessions:
-            if one is not but:
-                one.add(message)
-
-    def _spread_members(
-        self,
-        changes: list[membership.Member],
-        but: session_module.Session | None = None,
-    ) -> None:
-        if not changes:
-            return
-        self._hurry.set()
-        for member in changes:
-            if member.status == membership.LIVE:
-                continue
-            known = loguru.logger.bind(vm=member.name, status=member.status)
-            known.info('a VM changed its status')
-            if member.status == membership.GONE:
-                self._summaries.forget({member.name})
-        self._send_all(outgoing.members(changes), but)
-
-    def _spread_listed(
-        self,
-        found: dict[str, membership.ListedState],
-        but: session_module.Session | None,
-    ) -> None:
-        now_s = self._clock()
-        taken, changed = self._members.apply_listed(found, now_s)
-        if taken:
-            self._send_all(outgoing.listed(taken), but)
-        self._spread_members(changed)
-
-    def _spread_objects(
-        self,
-        taken: list[store_module.StoredObject],
-        but: session_module.Session | None,
-    ) -> None:
-        if not taken:
-            return
-        for one in self._sessions:
-            if one is not but:
-                one.add_objects(taken)
-
     def _pass_on_news(self) -> None:
         """Beat early to the peers that our news would make much fresher."""
         as_of_s = self._freshness.as_of_s or 0.0
@@ -605,9 +544,9 @@
         changes = self._members.apply(found, self._clock())
         # A refutation of a claim about us must reach the claimant too.
         own = [member for member in changes if member.name == self.name]
-        self._spread_members(own)
+        self._teller.spread_members(own)
         others = [member for member in changes if member.name != self.name]
-        self._spread_members(others, one)
+        self._teller.spread_members(others, one)
 
     def _take_listed(
         self, one: session_module.Session, message: messages.PeerListed
@@ -616,7 +555,7 @@
             name: membership.ListedState(**entry)
             for name, entry in message['states'].items()
         }
-        self._spread_listed(found, one)
+        self._teller.spread_listed(found, one)
 
     def _take_objects(
         self, one: session_module.Session, message: messages.PeerObjects
@@ -624,7 +563,7 @@
         found = spread.as_objects(message['objects'])
         for item in found:
             one.has(item)
-        self._spread_objects(self._view.apply(found), one)
+        self._teller.spread_objects(self._view.apply(found), one)
         if message['final']:
             one.synced = True
             one.differed_s = None
@@ -642,7 +581,7 @@
         known = one.heard_beat(beat, now_s)
         one.heard_news(beat, known)
         self._repair_if_due(one, beat, now_s)
-        self._compare_members(one, beat)
+        self._teller.compare_members(one, beat)
         if known is None or not one.synced:
             return
         self._hear(one, beat, known.sent_after_s)
@@ -694,25 +633,11 @@
         buckets = self._view.buckets if self._view.objects else []
         one.add({'type': 'ask', 'buckets': buckets})
 
-    def _compare_members(
-        self, one: session_module.Session, beat: messages.PeerBeat
-    ) -> None:
-        theirs = beat.get('members_digest')
-        if theirs is None:
-            return
-        if theirs == self._members.digest():
-            one.members_differed = 0
-            return
-        one.members_differed += 1
-        if one.members_differed >= 2:
-            one.members_differed = 0
-            self._send_members(one)
-
     def _take_summary(
         self, one: session_module.Session, message: messages.PeerSummary
     ) -> None:
         if self._summaries.take(message):
-            self._send_all(typing.cast(link.Message, message), one)
+            self._teller.send_all(typing.cast(link.Message, message), one)
 
     def _take_survey(
         self, one: session_module.Session, message: messages.PeerSurvey
