Name both ends of a leaf's link, and mend a comment

feed.py and feeding.py become leaf_link.py and hub_link.py; no change of what they do. The comment above RECONNECT_S spoke of something else.

--- a/gentianstair/gateway/feeding.py
+++ b/gentianstair/gateway/hub_link.py
@@ -10,7 +10,7 @@
 from gentianstair.peers import link
 
 
-class Feeding:
+class HubLink:
     """The hub's end of one leaf's link: what that leaf has been told."""
 
     def __init__(self, node: nodes.Node, touch: following.Touch) -> None:
--- a/gentianstair/gateway/feed.py
+++ b/gentianstair/gateway/leaf_link.py
@@ -5,7 +5,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.gateway import feeding
+from gentianstair.gateway import hub_link
 from gentianstair.gateway import hubs
 from gentianstair.gateway import knowledge as knowledges
 from gentianstair.gateway import loads
@@ -31,7 +31,7 @@
 LOOK_S = 0.5
 
 
-class Feed:
+class LeafLink:
     """The leaf's end of its link; it moves to another hub when it must."""
 
     def __init__(
@@ -83,7 +83,7 @@
         if not why:
             return
         # What this hub said last must not pass for current.
-        self._node.roster.untell()
+        self._node.roster.forget_told()
         self._avoided_s[hub.name] = self._node.clock() + AVOID_S
         loguru.logger.bind(event=events.LINK_LOST, peer=hub.name).info(
             'a hub is left: {}', why
@@ -144,7 +144,7 @@
                 rosters.Told(
                     node.clock(),
                     feed['vms'],
-                    tuple(feeding.decode_hub(row) for row in feed['hubs']),
+                    tuple(hub_link.decode_hub(row) for row in feed['hubs']),
                     frozenset(feed['follow']),
                 )
             )
--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -14,9 +14,9 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.gateway import feed as feeds
-from gentianstair.gateway import feeding as feedings
+from gentianstair.gateway import hub_link
 from gentianstair.gateway import knowledge as knowledges
+from gentianstair.gateway import leaf_link
 from gentianstair.gateway import loads
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
@@ -38,8 +38,7 @@
 # Pause between questions; a configuration must be in force everywhere
 # within seconds although the store refuses this VM.
 ASK_S = 0.8
-# How much longer ago than ours a peer's last answer of the store may be for
-# its list of replicas to be taken.
+# Mean pause before a lost link is opened again.
 RECONNECT_S = 0.7
 LOOK_S = 0.5
 # The longest that one message may take to be sent before the link is dropped.
@@ -132,7 +131,7 @@
         told_at = 0
         while True:
             news = node.cache_news.mine
-            message = feeds.load_message(
+            message = leaf_link.load_message(
                 node, node.work.part(), told_at, leaf=False
             )
             told_at = news.position
@@ -145,20 +144,20 @@
 
     async def _accept(self, channel: link.Channel) -> None:
         """Serve a link that a peer opened."""
-        feeding = feedings.Feeding(self._node, self._knowledge.touch)
+        leaf = hub_link.HubLink(self._node, self._knowledge.touch)
         try:
-            await self._hear(channel, SILENT_S, feeding)
+            await self._hear(channel, SILENT_S, leaf)
         except link.LinkClosedError as error:
             loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
             await channel.aclose()
         finally:
-            feeding.end()
+            leaf.end()
 
     async def _hear(
         self,
         channel: link.Channel,
         limit_s: float,
-        feeding: feedings.Feeding | None = None,
+        leaf: hub_link.HubLink | None = None,
     ) -> None:
         while True:
             data = None
@@ -174,17 +173,17 @@
                 )
                 continue
             if message is not None:
-                await self._take(channel, message, feeding)
+                await self._take(channel, message, leaf)
 
     async def _take(
         self,
         channel: link.Channel,
         message: link.Message,
-        feeding: feedings.Feeding | None,
+        leaf: hub_link.HubLink | None,
     ) -> None:
-        if message['type'] == 'load' and message.get('leaf') and feeding:
+        if message['type'] == 'load' and message.get('leaf') and leaf:
             told = typing.cast(messages.GatewayLoad, message)
-            await _send(channel, feeding.answer(told))
+            await _send(channel, leaf.answer(told))
         elif message['type'] == 'load':
             self._take_load(typing.cast(messages.GatewayLoad, message))
         elif message['type'] == 'ask_news':
@@ -278,10 +277,10 @@
     found = node.deployment
     network = link.WebsocketNetwork(found.peer_address, None)
     links = Links(node, network, knowledge, random.Random(found.vm))
-    feed = feeds.Feed(node, network, knowledge)
+    to_hub = leaf_link.LeafLink(node, network, knowledge)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run)
-        nursery.start_soon(feed.run)
+        nursery.start_soon(to_hub.run)
 
 
 __all__ = ['Links', 'run']
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -67,7 +67,7 @@
         """Take what a hub says."""
         self._told = told
 
-    def untell(self) -> None:
+    def forget_told(self) -> None:
         """Forget what a hub said, as it says no more."""
         self._told = None
 
