Keep links up when a peer tells something that makes no sense

Cause: found by reading. A row of cache changes or of hubs with other fields, as a peer of another version may tell, raised out of the link's task, and all links of the VM were closed and begun anew a second later, each time.

Change: such a message is an unreadable one: it is logged and passed over, and a leaf goes to another hub. Test: rows of seven shapes, failed first.

--- a/gentianstair/gateway/cache_news.py
+++ b/gentianstair/gateway/cache_news.py
@@ -7,6 +7,9 @@
 import collections.abc
 import typing
 
+import msgspec
+
+from gentianstair import errors
 from gentianstair.gateway import change_log
 from gentianstair.gateway import prefix_cache
 
@@ -62,9 +65,13 @@
     def take(
         self, rows: collections.abc.Iterable[list], passed_on: bool
     ) -> None:
-        """Take changes as a peer tells them."""
-        for row in rows:
-            self.heard(Change(*row), passed_on)
+        """Take changes as a peer tells them; raise DecodeError."""
+        try:
+            found = msgspec.convert(list(rows), list[Change])
+        except msgspec.ValidationError as error:
+            raise errors.DecodeError(f'cache changes: {error}') from error
+        for change in found:
+            self.heard(change, passed_on)
 
     def forget(self, replica: str) -> None:
         """Forget a replica that left, or started again with nothing."""
--- a/gentianstair/gateway/hub_link.py
+++ b/gentianstair/gateway/hub_link.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from gentianstair import errors
 from gentianstair.gateway import following
 from gentianstair.gateway import hubs
 from gentianstair.gateway import loads
@@ -81,6 +82,9 @@
 
 
 def decode_hub(row: list[str]) -> hubs.Vm:
-    """Return a hub from what a leaf was told."""
-    name, failure_domain, peer_address = row
+    """Return a hub from what a leaf was told; raise DecodeError."""
+    try:
+        name, failure_domain, peer_address = row
+    except ValueError as error:
+        raise errors.DecodeError(f'a hub: {error}') from error
     return hubs.Vm(name, failure_domain, peer_address, 0.0)
--- a/gentianstair/gateway/leaf_link.py
+++ b/gentianstair/gateway/leaf_link.py
@@ -103,7 +103,12 @@
                 if feed is None:
                     return 'silent'
                 process = feed['process']
-                if self._take(feed) > OLD_S:
+                try:
+                    age_s = self._take(feed)
+                except errors.DecodeError as error:
+                    _unreadable(error)
+                    return 'unreadable'
+                if age_s > OLD_S:
                     return 'the store does not answer it'
                 await trio.sleep(ASK_S)
             return ''
--- a/gentianstair/gateway/links.py
+++ b/gentianstair/gateway/links.py
@@ -167,13 +167,13 @@
                 raise link.LinkClosedError('silent')
             try:
                 message = link.decode(data)
+                if message is not None:
+                    await self._take(channel, message, leaf)
             except errors.DecodeError as error:
+                # One peer's fault must not end the links to all others.
                 loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
                     '{}', error
                 )
-                continue
-            if message is not None:
-                await self._take(channel, message, leaf)
 
     async def _take(
         self,
--- a/test/gateway/test_cache_news.py
+++ b/test/gateway/test_cache_news.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from gentianstair import errors
 from gentianstair.gateway import cache_news
 from gentianstair.gateway import calls
 from gentianstair.gateway import change_log
+from gentianstair.gateway import hub_link
 from gentianstair.gateway import prefix_cache
 
 PART = calls.PromptPart('c0de', 9000)
@@ -60,6 +62,21 @@
     assert len(news.known.since(0)) == 1
 
 
+@pytest.mark.parametrize(
+    'row', [[], ['i-1'], ['i-1', 'c0de', 'first', 9000], ['i-1', 'c', 1, None]]
+)
+def test_rows_that_make_no_sense_are_refused(news, row):
+    """A peer of another version, or with a fault, tells something else."""
+    with pytest.raises(errors.DecodeError):
+        news.take([row], passed_on=True)
+
+
+@pytest.mark.parametrize('row', [[], ['vm'], ['vm', 'a', 'b', 'c']])
+def test_a_hub_that_makes_no_sense_is_refused(row):
+    with pytest.raises(errors.DecodeError):
+        hub_link.decode_hub(row)
+
+
 def test_a_reader_far_behind_gets_the_newest():
     log = change_log.ChangeLog(most=3)
     for number in range(10):
