Take how reads went in one place

reading.py logs a read, fits the costs and confirms the cache for both ways of reading; it stood in streaming.py and prompt_read.py.

--- a/gentianstair/gateway/prompt_read.py
+++ b/gentianstair/gateway/prompt_read.py
@@ -13,9 +13,9 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
 from gentianstair.gateway import placement
+from gentianstair.gateway import reading
 from gentianstair.gateway import replicas
 from gentianstair.gateway import task as tasks
-from gentianstair.generated import events
 from gentianstair.platform import wire
 
 
@@ -97,27 +97,7 @@
         self._reads += 1
         self._kept = _Kept(source, reader.name)
         took_s = node.clock() - started_s
-        task.tell(
-            events.READ,
-            'a prompt was read',
-            replica=reader.name,
-            stage=reader.stage,
-            unread_tokens=plan.unread_tokens,
-            prompt_tokens=self._prompt.tokens,
-            queued_s=round(plan.queued_s, 3),
-            work_s=round(plan.work_s, 3),
-            copied_tokens=plan.copy.tokens,
-            expected_s=round(plan.read_s, 3),
-            took_s=round(took_s, 3),
-        )
-        node.cache.confirm(reader.name, self._prompt)
-        node.read_costs.note(
-            reader.service,
-            reader.stage,
-            plan.unread_tokens,
-            self._prompt.tokens,
-            took_s - plan.copy.takes_s - plan.queued_s,
-        )
+        reading.note(task, self._prompt, reader, plan, took_s)
 
     def _failed(
         self,
--- /dev/null
+++ b/gentianstair/gateway/reading.py
@@ -0,0 +1,91 @@
+"""Take how reads of prompts went: for the log, the costs and the caches."""
+
+from gentianstair.gateway import calls
+from gentianstair.gateway import placement
+from gentianstair.gateway import replicas
+from gentianstair.gateway import task as tasks
+from gentianstair.generated import events
+
+
+def note(
+    task: tasks.Task,
+    prompt: calls.Prompt,
+    replica: replicas.Replica,
+    plan: placement.Plan,
+    took_s: float,
+) -> None:
+    """Take a prompt that was read, took_s after it was sent."""
+    node = task.node
+    task.tell(
+        events.READ,
+        'a prompt was read',
+        replica=replica.name,
+        stage=replica.stage,
+        unread_tokens=plan.unread_tokens,
+        prompt_tokens=prompt.tokens,
+        queued_s=round(plan.queued_s, 3),
+        work_s=round(plan.work_s, 3),
+        copied_tokens=plan.copy.tokens,
+        expected_s=round(plan.read_s, 3),
+        took_s=round(took_s, 3),
+    )
+    node.cache.confirm(replica.name, prompt)
+    node.read_costs.note(
+        replica.service,
+        replica.stage,
+        plan.unread_tokens,
+        prompt.tokens,
+        took_s - plan.copy.takes_s - plan.queued_s,
+    )
+
+
+class Reading:
+    """One run at a maker, from its sending to the first event and its end."""
+
+    def __init__(
+        self,
+        task: tasks.Task,
+        prompt: calls.Prompt,
+        maker: replicas.Replica,
+        plan: placement.Plan | None,
+    ) -> None:
+        self._task = task
+        self._prompt = prompt
+        self._maker = maker
+        # None if the prompt has been read elsewhere.
+        self._plan = plan
+        node = task.node
+        self._started_s = node.clock()
+        work_s = plan.work_s if plan else 0.0
+        more_s = plan.more_s if plan else 0.0
+        ends_s = self._started_s + (plan.read_s if plan else 0.0)
+        self._sent = node.work.begin(maker.name, work_s, ends_s, more_s)
+        self.first_s: float | None = None
+
+    def first(self) -> bool:
+        """Note an event; say whether it is the run's first."""
+        if self.first_s is not None:
+            return False
+        node = self._task.node
+        self.first_s = node.clock()
+        node.usage.began(self._task.customer_name)
+        self._sent.read()
+        took_s = self.first_s - self._started_s
+        if self._plan is None:
+            self._note_moved(took_s)
+        else:
+            note(self._task, self._prompt, self._maker, self._plan, took_s)
+        return True
+
+    def _note_moved(self, took_s: float) -> None:
+        self._task.tell(
+            events.MOVED,
+            'the first event came',
+            replica=self._maker.name,
+            took_s=round(took_s, 3),
+        )
+        self._task.node.cache.confirm(self._maker.name, self._prompt)
+
+    def done(self) -> None:
+        """Count the run as over."""
+        self._task.node.work.end(self._sent)
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -19,6 +19,7 @@
 from gentianstair.gateway import forward
 from gentianstair.gateway import placement
 from gentianstair.gateway import prompt_read
+from gentianstair.gateway import reading as readings
 from gentianstair.gateway import replicas
 from gentianstair.gateway import task as tasks
 from gentianstair.generated import events
@@ -181,7 +182,7 @@
             resume_after=self._resume_after(),
             urgency=self._urgency(),
         )
-        reading = _Reading(self, maker, plan)
+        reading = readings.Reading(task, self._prompt, maker, plan)
         try:
             async with forward.open_answer(node, task.call, sending) as found:
                 await self._pass_on(found, reading)
@@ -196,7 +197,7 @@
         return self._events.last_id or self._task.call.resume_after
 
     async def _pass_on(
-        self, found: httpx.Response, reading: '_Reading'
+        self, found: httpx.Response, reading: readings.Reading
     ) -> None:
         task = self._task
         verdict = wire.verdict_of(found)
@@ -258,76 +259,3 @@
             )
         task.failure = answer
         raise errors.UpstreamError(f'it answered {answer.status}', verdict)
-
-
-class _Reading:
-    """Tell loads, costs and usage when a replica begins its output."""
-
-    def __init__(
-        self,
-        streaming: Streaming,
-        maker: replicas.Replica,
-        plan: placement.Plan | None,
-    ) -> None:
-        self._task = streaming._task
-        self._prompt = streaming._prompt
-        self._maker = maker
-        # None if the prompt has been read elsewhere.
-        self._plan = plan
-        node = self._task.node
-        self._started_s = node.clock()
-        work_s = plan.work_s if plan else 0.0
-        ends_s = self._started_s + (plan.read_s if plan else 0.0)
-        more_s = plan.more_s if plan else 0.0
-        self._sent = node.work.begin(maker.name, work_s, ends_s, more_s)
-        self.first_s: float | None = None
-
-    def first(self) -> bool:
-        """Note an event; say whether it is the run's first."""
-        if self.first_s is not None:
-            return False
-        node = self._task.node
-        self.first_s = node.clock()
-        node.usage.began(self._task.customer_name)
-        self._sent.read()
-        node.cache.confirm(self._maker.name, self._prompt)
-        took_s = self.first_s - self._started_s
-        if self._plan is None:
-            self._tell_moved(took_s)
-        else:
-            self._tell_read(self._plan, took_s)
-        return True
-
-    def _tell_moved(self, took_s: float) -> None:
-        self._task.tell(
-            events.MOVED,
-            'the first event came',
-            replica=self._maker.name,
-            took_s=round(took_s, 3),
-        )
-
-    def _tell_read(self, plan: placement.Plan, took_s: float) -> None:
-        self._task.tell(
-            events.READ,
-            'the first event came',
-            replica=self._maker.name,
-            stage=self._maker.stage,
-            unread_tokens=plan.unread_tokens,
-            prompt_tokens=self._prompt.tokens,
-            queued_s=round(plan.queued_s, 3),
-            work_s=round(plan.work_s, 3),
-            copied_tokens=plan.copy.tokens,
-            expected_s=round(plan.read_s, 3),
-            took_s=round(took_s, 3),
-        )
-        self._task.node.read_costs.note(
-            self._maker.service,
-            self._maker.stage,
-            plan.unread_tokens,
-            self._prompt.tokens,
-            took_s - plan.copy.takes_s - plan.queued_s,
-        )
-
-    def done(self) -> None:
-        """Count the run as over."""
-        self._task.node.work.end(self._sent)
