--- a/gentianstair/gateway/__main__.py
+++ b/gentianstair/gateway/__main__.py
@@ -6,8 +6,8 @@
 # Until the program has read its settings there is nothing to reload, and the
 # signal's default action would end a process that only just starts.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
-# Nothing that imports make is garbage: looking for it takes a tenth of the
-# time in which a restarted VM serves nobody, and more at each later look.
+# Nothing that imports make is garbage. To look for it prolongs the time in
+# which a restarted VM serves nobody, and each later look.
 gc.disable()
 
 from gentianstair.gateway import main  # noqa: E402
--- a/gentianstair/gateway/hubs.py
+++ b/gentianstair/gateway/hubs.py
@@ -12,8 +12,8 @@
 
 import xxhash
 
-# Up to so many VMs all are hubs: a whole mesh of them costs each VM less
-# than one in a hundred of a small core.
+# Up to so many VMs all are hubs: in a mesh each hears the others without a
+# hop between, and there are few enough links.
 MESH_VMS = 12
 # With fewer hubs the loss of a failure domain would leave too few.
 LEAST_HUBS = 6
