Keep the sum of peers' loads up instead of making it anew

Cause: a hub of the larger size hears some 17 peers 70 times a second and answered each leaf from a sum over all of them, each with up to some 140 replicas: the larger size is given up for processor time.

Change: the sum follows each word by what it changes; a silent peer's part is taken off when it is dropped.

--- a/gentianstair/gateway/loads.py
+++ b/gentianstair/gateway/loads.py
@@ -1,5 +1,6 @@
 """Know what each replica has to do: by this VM, and by what peers say."""
 
+import math
 import typing
 
 import trio
@@ -14,8 +15,8 @@
 # Peers are told at once of a read that keeps its replica busy for so long:
 # in the time to the next regular word several prompts would queue behind it.
 LONG_S = 0.08
-# A sum over peers holds for so long unless one of them tells more.
-SUM_S = 0.1
+# How often peers that have been silent are looked for.
+EXPIRE_S = 0.1
 
 
 class Load(typing.NamedTuple):
@@ -87,13 +88,18 @@
     return Load(len(found), round(left_s * 1000))
 
 
-def _add(found: dict[str, Load], more: dict[str, Load]) -> None:
+def _add(found: dict[str, Load], more: dict[str, Load], sign: int = 1) -> None:
+    """Add loads to others, or take them away with sign -1."""
     for replica, load in more.items():
         known = found.get(replica, NOTHING)
-        found[replica] = Load(
-            known.running + load.running,
-            known.unread_ms + load.unread_ms,
+        total = Load(
+            known.running + sign * load.running,
+            known.unread_ms + sign * load.unread_ms,
         )
+        if total == NOTHING:
+            found.pop(replica, None)
+        else:
+            found[replica] = total
 
 
 class Loads:
@@ -105,9 +111,10 @@
         self._peers: dict[str, _PeerLoad] = {}
         # Set, and replaced, when a long read begins.
         self._long = trio.Event()
-        # The sum over peers, and until when it holds.
+        # The sum over peers. A hub hears some tens of them several times a
+        # second, so it is kept up and not made anew.
         self._others: dict[str, Load] = {}
-        self._others_until_s = 0.0
+        self._expired_s = -math.inf
 
     def begin(
         self,
@@ -148,36 +155,40 @@
     def part(self) -> dict[str, Load]:
         """Return what this VM answers for: its own work and its leaves'."""
         found = self.own()
-        for peer in self._fresh():
+        self._expire()
+        for peer in self._peers.values():
             if peer.passed_on:
                 _add(found, peer.loads)
         return found
 
     def without(self, process: str) -> dict[str, Load]:
         """Return all work that is known but for one peer's own."""
-        found = self.own()
-        for name, peer in self._peers.items():
-            if name != process and self._is_fresh(peer):
-                _add(found, peer.loads)
+        self._expire()
+        found = dict(self._others)
+        peer = self._peers.get(process)
+        if peer is not None:
+            _add(found, peer.loads, -1)
+        _add(found, self.own())
         return found
 
     def tell(
         self, process: str, loads: dict[str, Load], passed_on: bool = False
     ) -> None:
         """Take a peer's part."""
+        self.forget(process)
         self._peers[process] = _PeerLoad(self._clock(), loads, passed_on)
-        self._others_until_s = 0.0
+        _add(self._others, loads)
 
     def forget(self, process: str) -> None:
-        """Drop a peer's part, as another one now tells it."""
-        self._peers.pop(process, None)
-        self._others_until_s = 0.0
+        """Drop a peer's part, as it is over or another one now tells it."""
+        peer = self._peers.pop(process, None)
+        if peer is not None:
+            _add(self._others, peer.loads, -1)
 
     def at(self, replica: str) -> Load:
         """Return all work at a replica, as far as it is known."""
         now_s = self._clock()
-        if now_s >= self._others_until_s:
-            self._sum_others(now_s)
+        self._expire()
         sent = self._own.get(replica)
         own = _sum(sent, now_s) if sent else NOTHING
         others = self._others.get(replica)
@@ -188,17 +199,13 @@
             own.unread_ms + others.unread_ms,
         )
 
-    def _sum_others(self, now_s: float) -> None:
-        self._others = {}
-        for peer in self._fresh():
-            _add(self._others, peer.loads)
-        self._others_until_s = now_s + SUM_S
-
-    def _is_fresh(self, peer: _PeerLoad) -> bool:
-        return peer.at_s >= self._clock() - PEER_MEMORY_S
-
-    def _fresh(self) -> list[_PeerLoad]:
-        gone = [n for n, p in self._peers.items() if not self._is_fresh(p)]
+    def _expire(self) -> None:
+        """Drop the parts of peers that have been silent, now and then."""
+        now_s = self._clock()
+        if now_s < self._expired_s + EXPIRE_S:
+            return
+        self._expired_s = now_s
+        oldest_s = now_s - PEER_MEMORY_S
+        gone = [n for n, peer in self._peers.items() if peer.at_s < oldest_s]
         for name in gone:
-            del self._peers[name]
-        return list(self._peers.values())
+            self.forget(name)
