Give each connection one cause of its end, and tell who closed it

What operators saw: requests on kept connections were routed and sent, and then their connections closed; no line and no metric said whether the caller, an idle close, a stop, the end of the grace or a fault had closed them.

Cause: the server library tells its protocol only that a connection is closed; the places that decide so left no note.

Change: each place notes an end on the connection; the first one stands. The number of ended connections is counted by end and by whether a request was under way, and only those under a request take a log line (connection-cut: end, closed_by, request_id, requests, age_s, idle_s before the request, under_way_s). The ASGI state of a request holds its connection. The reading loop stands here now, as the library's own does not tell an end from a reset or from a close of ours. When something is closed is as before: the grace is a scope around the same nursery, with the same deadline. Nothing is added to a write.

A close of our own under a request is planted by calling the idle close, as the race itself is not deterministic.

--- /dev/null
+++ b/gentianstair/util/connections.py
@@ -0,0 +1,151 @@
+"""Know of each caller's connection why it ended, and who ended it."""
+
+import enum
+import typing
+
+import loguru
+import prometheus_client
+import trio
+
+from gentianstair.generated import events
+
+# Under this name a request's ASGI state holds its connection.
+STATE_KEY = 'gentianstair.connection'
+
+ENDED = prometheus_client.Counter(
+    'gentianstair_connections_ended',
+    'Connections of callers by what ended them',
+    ['end', 'under_way'],
+)
+
+
+class Side(enum.Enum):
+    """Who closed a connection."""
+
+    PROCESS = 'this process'
+    CALLER = 'the caller'
+
+
+class End(enum.Enum):
+    """What ended a connection."""
+
+    KEEP_ALIVE_OVER = 'keep-alive-over'
+    # A planned stop; the last answer had not said that it would close.
+    STOP = 'stop'
+    GRACE_OVER = 'grace-over'
+    # Cut with all others: the process ended, with no grace left to wait for.
+    PROCESS_ENDED = 'process-ended'
+    CALLER_ENDED = 'caller-ended'
+    CALLER_RESET = 'caller-reset'
+    # One request of an HTTP/2 connection, which itself goes on.
+    STREAM_RESET = 'stream-reset'
+    SEND_STALL = 'send-stall'
+    NO_HANDSHAKE = 'no-handshake'
+    NO_HTTP = 'no-http'
+    # Either side said so in HTTP/2, or it was broken.
+    HTTP2_OVER = 'http2-over'
+    AS_TOLD = 'as-told'
+    # Answered before the request's body had been read.
+    BODY_UNREAD = 'body-unread'
+    # The application broke its answer off, so that it looks cut.
+    ANSWER_CUT = 'answer-cut'
+    FAULT = 'fault'
+
+    @property
+    def closed_by(self) -> Side:
+        """Return who closed the connection."""
+        return Side.CALLER if self in _BY_CALLER else Side.PROCESS
+
+
+_BY_CALLER = frozenset(
+    {End.CALLER_ENDED, End.CALLER_RESET, End.STREAM_RESET, End.HTTP2_OVER}
+)
+
+
+class Connection:
+    """One connection of a caller, from its first byte to its end."""
+
+    __slots__ = (
+        'end',
+        'request_id',
+        'requests',
+        '_began_s',
+        '_ended_s',
+        '_idle_since_s',
+        '_is_cut',
+        '_opened_s',
+        '_under_way',
+    )
+
+    def __init__(self) -> None:
+        self.end: End | None = None
+        # Of the last request, once it is known.
+        self.request_id = ''
+        self.requests = 0
+        self._opened_s = self._idle_since_s = trio.current_time()
+        self._began_s = self._ended_s = self._opened_s
+        self._under_way = False
+        self._is_cut = False
+
+    @property
+    def is_under_way(self) -> bool:
+        """Return whether a request has no whole answer yet."""
+        return self._under_way
+
+    def begin(self) -> None:
+        """Note that a request has come."""
+        self.requests += 1
+        self.request_id = ''
+        if not self._under_way:
+            self._under_way = True
+            self._began_s = trio.current_time()
+
+    def answered(self) -> None:
+        """Note that all requests so far have their whole answers."""
+        if self._under_way and not self._is_cut:
+            self._under_way = False
+            self._idle_since_s = trio.current_time()
+
+    def note(self, end: End) -> None:
+        """Note what ends the connection; what is noted first stands."""
+        if self.end is None:
+            self.end = end
+            self._ended_s = trio.current_time()
+
+    def cut(self, end: End) -> None:
+        """Note an end after which no answer can become whole."""
+        self.note(end)
+        self._is_cut = True
+
+    def tell(self) -> None:
+        """Count the end, and log it if a request was under way."""
+        end = self.end or End.FAULT
+        ENDED.labels(end.value, 'yes' if self._under_way else 'no').inc()
+        if not self._under_way:
+            return
+        # The time under way is negative where the end was decided before
+        # the request was read.
+        loguru.logger.bind(
+            event=events.CONNECTION_CUT,
+            request_id=self.request_id,
+            end=end.value,
+            closed_by=end.closed_by.value,
+            requests=self.requests,
+            age_s=round(self._ended_s - self._opened_s, 3),
+            idle_s=round(self._began_s - self._idle_since_s, 3),
+            under_way_s=round(self._ended_s - self._began_s, 3),
+        ).info('a connection ended under a request: {}', end.value)
+
+
+def of_scope(scope: typing.Mapping[str, typing.Any]) -> Connection:
+    """Return the connection of a request's ASGI scope."""
+    found = scope.get('state', {}).get(STATE_KEY)
+    return found if found is not None else Connection()
+
+
+def requests_cut(end: End) -> int:
+    """Return how many connections ended so under a request."""
+    labels = {'end': end.value, 'under_way': 'yes'}
+    name = 'gentianstair_connections_ended_total'
+    found = prometheus_client.REGISTRY.get_sample_value(name, labels)
+    return int(found or 0)
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -18,6 +18,8 @@
 
 from gentianstair import errors
 from gentianstair.util import addresses
+from gentianstair.util import connections
+from gentianstair.util import endings
 
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
@@ -70,25 +72,91 @@
     _fd: int | None = None
     _read_ended = False
 
+    def __init__(
+        self,
+        app: typing.Any,
+        config: hypercorn.config.Config,
+        worker: worker_context.WorkerContext,
+        state: dict[str, typing.Any],
+        stream: trio.abc.Stream,
+        grace: trio.CancelScope,
+    ) -> None:
+        self.connection = connections.Connection()
+        state = {**state, connections.STATE_KEY: self.connection}
+        super().__init__(app, config, worker, state, stream)
+        self._grace = grace
+
     async def _read_data(self) -> None:
         """Read until the caller sends no more, then wait for nothing.
 
-        The library goes on to count idle time for a connection that can
-        bring no further request: a caller that closes its sending side
-        would wait for the end of its answer until the keep-alive time is
-        over, and every closed connection would be kept as long.
+        The library does not tell a caller's end from its reset or from a
+        close of our own, and goes on to count idle time for a connection
+        that can bring no further request: a caller that closes its sending
+        side would wait for the end of its answer until the keep-alive time
+        is over, and every closed connection would be kept as long.
         """
-        await super()._read_data()
+        while (data := await self._receive()) is not None:
+            await self.protocol.handle(events.RawData(data))
+            if not data:
+                break
+        await self.protocol.handle(events.Closed())
         self._read_ended = True
         await self.idle_task.stop()
 
+    async def _receive(self) -> bytes | None:
+        """Return what came, nothing at its end, None if it was broken."""
+        try:
+            data = await self.stream.receive_some(tcp_server.MAX_RECV)
+        except trio.BrokenResourceError:
+            self.connection.note(connections.End.CALLER_RESET)
+            return None
+        except trio.ClosedResourceError:
+            # Closed here; noted where that was decided.
+            return None
+        if not data:
+            self.connection.note(connections.End.CALLER_ENDED)
+        return bytes(data)
+
     async def run(self) -> None:
         if isinstance(self.stream, trio.SocketStream):
             self._fd = self.stream.socket.fileno()
-        await super().run()
+        try:
+            await super().run()
+        except BaseException as error:
+            self.connection.note(endings.why_raised(error, self._grace))
+            raise
+        else:
+            # Stands where it was broken before it could be read.
+            self.connection.note(
+                connections.End.NO_HANDSHAKE
+                if self._fd is None
+                else connections.End.CALLER_RESET
+            )
+        finally:
+            self.connection.tell()
+
+    async def _initiate_server_close(self) -> None:
+        self.connection.note(
+            connections.End.STOP
+            if self.context.terminated.is_set()
+            else connections.End.KEEP_ALIVE_OVER
+        )
+        await super()._initiate_server_close()
+
+    def _note_progress(self, event: events.Event) -> None:
+        """Note the end of an answer, or why the protocol closes."""
+        if isinstance(event, events.Updated):
+            if event.idle:
+                self.connection.answered()
+        elif isinstance(event, events.Closed):
+            end = endings.why_closing(self.protocol.protocol)
+            if end in endings.AFTER_ANSWER:
+                self.connection.answered()
+            self.connection.note(end)
 
     async def protocol_send(self, event: events.Event) -> None:
         if not isinstance(event, events.RawData):
+            self._note_progress(event)
             idle = isinstance(event, events.Updated) and event.idle
             if idle and self._read_ended:
                 event = events.Closed()
@@ -118,11 +186,15 @@
 
     async def _write_all(self, data: bytes) -> None:
         async with self.send_lock:
+            end = connections.End.SEND_STALL
             try:
                 taken = await self._write_parts(data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
+                # Where it was closed here, that was noted before.
                 taken = False
+                end = connections.End.CALLER_RESET
         if not taken:
+            self.connection.cut(end)
             # Cut off in the middle, the answer cannot go on. Closing also
             # tells the application that the caller has gone.
             await trio.aclose_forcefully(self.stream)
@@ -174,37 +246,38 @@
     A caller that takes no part of its answer for send_stall_s is cut off.
     """
     config = _make_config(graceful_timeout_s)
-    wrapped = app_wrappers.ASGIWrapper(app)
+    # Of all connections; its deadline is the end of the grace.
+    grace = trio.CancelScope()
+    wrapped = app_wrappers.ASGIWrapper(endings.note_requests(app, grace))
     state: dict[str, typing.Any] = {}
     life = lifespan.Lifespan(wrapped, config, state)
     worker = worker_context.WorkerContext(None)
 
     async def handle(stream: trio.abc.Stream) -> None:
-        server = _Server(wrapped, config, worker, state, stream)
+        server = _Server(wrapped, config, worker, state, stream, grace)
         server.send_stall_s = send_stall_s
         await server.run()
 
     async with trio.open_nursery() as life_nursery:
         await life_nursery.start(life.handle_lifespan)
         await life.wait_for_startup()
-        async with trio.open_nursery() as connections:
-            listener = _make_listener(sock, context)
-            async with trio.open_nursery() as accepting:
-                accepting.start_soon(
-                    functools.partial(
-                        trio.serve_listeners,
-                        handle,
-                        [listener],
-                        handler_nursery=connections,
+        with grace:
+            async with trio.open_nursery() as callers:
+                listener = _make_listener(sock, context)
+                async with trio.open_nursery() as accepting:
+                    accepting.start_soon(
+                        functools.partial(
+                            trio.serve_listeners,
+                            handle,
+                            [listener],
+                            handler_nursery=callers,
+                        )
                     )
-                )
-                await shutdown()
-                accepting.cancel_scope.cancel()
-            # Idle connections close now, busy ones after their answer.
-            await worker.terminated.set()
-            connections.cancel_scope.deadline = (
-                trio.current_time() + graceful_timeout_s
-            )
+                    await shutdown()
+                    accepting.cancel_scope.cancel()
+                # Idle connections close now, busy ones after their answer.
+                await worker.terminated.set()
+                grace.deadline = trio.current_time() + graceful_timeout_s
         await life.wait_for_shutdown()
         life_nursery.cancel_scope.cancel()
 
--- /dev/null
+++ b/test/util/test_connections.py
@@ -0,0 +1,393 @@
+"""Test that each connection is told to have ended by what did end it."""
+
+import contextlib
+import functools
+import socket
+import ssl
+import struct
+
+import loguru
+import prometheus_client
+import pytest
+import trio
+
+from gentianstair import errors
+from gentianstair.generated import events
+from gentianstair.util import connections
+from gentianstair.util import serving
+
+PROMPT_S = 10.0
+KEEP_ALIVE_S = 0.2
+GRACE_S = 0.3
+STALL_S = 0.3
+# Of 100,000 bytes; more than kernels hold.
+FLOOD_PARTS = 300
+GET = b'GET %s HTTP/1.1\r\nhost: x\r\n\r\n'
+POST = b'POST %s HTTP/1.1\r\nhost: x\r\n%s\r\n\r\n'
+# HTTP/2's preface, empty settings, and a frame that says goodbye.
+HTTP2_GOODBYE = (
+    b'PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'
+    b'\x00\x00\x00\x04\x00\x00\x00\x00\x00'
+    b'\x00\x00\x08\x07\x00\x00\x00\x00\x00' + bytes(8)
+)
+End = connections.End
+
+
+class Server:
+    """A server under test, and what it has told."""
+
+    def __init__(self, port):
+        self.port = port
+        self.stop = trio.Event()
+        self.release = trio.Event()
+        self.scope = trio.CancelScope()
+        self.lines = []
+        self._before = self._counts()
+
+    @staticmethod
+    def _counts():
+        return {
+            (end, under_way): prometheus_client.REGISTRY.get_sample_value(
+                'gentianstair_connections_ended_total',
+                {'end': end.value, 'under_way': under_way},
+            )
+            or 0
+            for end in End
+            for under_way in ('yes', 'no')
+        }
+
+    def counted(self):
+        """Return how many connections ended by what since the start."""
+        found = {
+            (end, under_way == 'yes'): count - self._before[end, under_way]
+            for (end, under_way), count in self._counts().items()
+        }
+        return {key: count for key, count in found.items() if count}
+
+    async def serve_one(self, scope, receive, send):
+        """Answer as the path of a request says."""
+        if scope['type'] == 'lifespan':
+            while True:
+                message = await receive()
+                await send({'type': message['type'] + '.complete'})
+        path = scope['path']
+        if path == '/fault':
+            raise RuntimeError('planted')
+        if path == '/held':
+            connections.of_scope(scope).request_id = 'r1'
+            await self._gone(receive)
+        if path == '/slow':
+            await self.release.wait()
+        head = {'type': 'http.response.start', 'status': 200, 'headers': []}
+        body = {'type': 'http.response.body', 'body': b'done'}
+        await send(head)
+        if path in ('/cut', '/fault-midway'):
+            await send({**body, 'more_body': True})
+            kind = RuntimeError if 'fault' in path else errors.StoreError
+            raise kind('planted')
+        for _ in range(FLOOD_PARTS if path == '/flood' else 0):
+            await send({**body, 'body': bytes(100000), 'more_body': True})
+        await send(body)
+
+    @staticmethod
+    async def _gone(receive):
+        while (await receive())['type'] != 'http.disconnect':
+            pass
+        # As an application does that gives its request up.
+        raise errors.GentianstairError('gone')
+
+    async def open(self, data=b''):
+        """Return a connection that has sent data."""
+        stream = await trio.open_tcp_stream('127.0.0.1', self.port)
+        await stream.send_all(data)
+        return stream
+
+    async def ended(self, count=1):
+        """Return when so many connections have been counted."""
+        with trio.fail_after(PROMPT_S):
+            while sum(self.counted().values()) < count:
+                await trio.sleep(0.01)
+
+
+async def drain(stream):
+    with (
+        trio.fail_after(PROMPT_S),
+        contextlib.suppress(trio.BrokenResourceError),
+    ):
+        while await stream.receive_some():
+            pass
+
+
+async def answered(stream):
+    data = b''
+    with trio.fail_after(PROMPT_S):
+        while b'done' not in data:
+            data += await stream.receive_some()
+
+
+async def arrived(stream):
+    """Wait until the server must have read what was sent."""
+    await trio.sleep(0.1)
+
+
+@contextlib.asynccontextmanager
+async def running(context=None):
+    sock = serving.listen('127.0.0.1:0')
+    server = Server(sock.getsockname()[1])
+
+    def keep(message):
+        extra = message.record['extra']
+        if extra.get('event') == events.CONNECTION_CUT:
+            server.lines.append(extra)
+
+    sink = loguru.logger.add(keep, level='INFO')
+    try:
+        async with trio.open_nursery() as nursery:
+
+            async def run():
+                with server.scope:
+                    await serving.serve(
+                        server.serve_one,
+                        sock,
+                        server.stop.wait,
+                        GRACE_S,
+                        context,
+                        send_stall_s=STALL_S,
+                    )
+
+            nursery.start_soon(run)
+            yield server
+            nursery.cancel_scope.cancel()
+    finally:
+        loguru.logger.remove(sink)
+
+
+async def keep_idle(server):
+    stream = await server.open(GET % b'/')
+    await drain(stream)
+
+
+async def never_ask(server):
+    await drain(await server.open())
+
+
+async def be_idle_at_a_stop(server):
+    stream = await server.open(GET % b'/')
+    await answered(stream)
+    server.stop.set()
+    await drain(stream)
+
+
+async def be_answered_after_a_stop(server):
+    stream = await server.open(GET % b'/slow')
+    await arrived(stream)
+    server.stop.set()
+    await trio.sleep(GRACE_S / 3)
+    server.release.set()
+    await answered(stream)
+    await drain(stream)
+
+
+async def outlast_the_grace(server):
+    stream = await server.open(GET % b'/slow')
+    await arrived(stream)
+    server.stop.set()
+    await drain(stream)
+
+
+async def be_under_way_when_all_ends(server):
+    stream = await server.open(GET % b'/slow')
+    await arrived(stream)
+    server.scope.cancel()
+    await drain(stream)
+
+
+async def be_idle_when_all_ends(server):
+    stream = await server.open(GET % b'/')
+    await answered(stream)
+    server.scope.cancel()
+    await drain(stream)
+
+
+async def stop_sending(server, path=b'/'):
+    stream = await server.open(GET % path)
+    if path == b'/':
+        await answered(stream)
+    await stream.send_eof()
+    await drain(stream)
+
+
+async def reset(server, path=b'/'):
+    stream = await server.open(GET % path)
+    if path == b'/':
+        await answered(stream)
+    else:
+        await arrived(stream)
+    off = struct.pack('ii', 1, 0)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, off)
+    await stream.aclose()
+
+
+async def read_nothing(server):
+    stream = await server.open(GET % b'/flood')
+    await server.ended()
+    await stream.aclose()
+
+
+async def send(server, data):
+    await drain(await server.open(data))
+
+
+CASES = {
+    'keep-alive': (keep_idle, End.KEEP_ALIVE_OVER, False),
+    'never-asked': (never_ask, End.KEEP_ALIVE_OVER, False),
+    'stop-idle': (be_idle_at_a_stop, End.STOP, False),
+    'stop-answered': (be_answered_after_a_stop, End.STOP, False),
+    'grace': (outlast_the_grace, End.GRACE_OVER, True),
+    'process-busy': (be_under_way_when_all_ends, End.PROCESS_ENDED, True),
+    'process-idle': (be_idle_when_all_ends, End.PROCESS_ENDED, False),
+    'half-close-idle': (stop_sending, End.CALLER_ENDED, False),
+    'half-close-busy': (
+        functools.partial(stop_sending, path=b'/held'),
+        End.CALLER_ENDED,
+        True,
+    ),
+    'reset-idle': (reset, End.CALLER_RESET, False),
+    'reset-busy': (
+        functools.partial(reset, path=b'/held'),
+        End.CALLER_RESET,
+        True,
+    ),
+    'stall': (read_nothing, End.SEND_STALL, True),
+    'no-http': (b'\x16\x03\x01 what\r\n\r\n', End.NO_HTTP, False),
+    'no-http-in-body': (
+        POST % (b'/held', b'transfer-encoding: chunked') + b'zz\r\nxx\r\n',
+        End.NO_HTTP,
+        True,
+    ),
+    'asked-to-close': (
+        POST % (b'/', b'content-length: 0\r\nconnection: close'),
+        End.AS_TOLD,
+        False,
+    ),
+    'http-1.0': (b'GET / HTTP/1.0\r\n\r\n', End.AS_TOLD, False),
+    'last-request': (GET % b'/last', End.AS_TOLD, False),
+    'body-unread': (
+        POST % (b'/', b'content-length: 9'),
+        End.BODY_UNREAD,
+        False,
+    ),
+    'answer-cut': (GET % b'/cut', End.ANSWER_CUT, True),
+    'fault': (GET % b'/fault', End.FAULT, True),
+    'fault-midway': (GET % b'/fault-midway', End.FAULT, True),
+    'http-2-goodbye': (HTTP2_GOODBYE, End.HTTP2_OVER, False),
+}
+
+
+@pytest.mark.parametrize(
+    ('drive', 'end', 'under_way'), CASES.values(), ids=CASES
+)
+async def test_what_ended_a_connection_is_told(
+    drive, end, under_way, monkeypatch
+):
+    # Guards against a close of our own that is taken for the caller's.
+    make_config = serving._make_config
+
+    def make_short(grace_s):
+        config = make_config(grace_s)
+        if drive is CASES['last-request'][0]:
+            config.keep_alive_max_requests = 1
+        if drive in (keep_idle, never_ask):
+            config.keep_alive_timeout = KEEP_ALIVE_S
+        return config
+
+    monkeypatch.setattr(serving, '_make_config', make_short)
+    async with running() as server:
+        if isinstance(drive, bytes):
+            await send(server, drive)
+        else:
+            await drive(server)
+        await server.ended()
+    assert server.counted() == {(end, under_way): 1}
+    told = [(line['end'], line['closed_by']) for line in server.lines]
+    assert told == [(end.value, end.closed_by.value)] * under_way
+
+
+async def test_a_fault_of_a_connection_is_told_apart_from_the_rest(
+    monkeypatch,
+):
+    # Guards against a fault that ends the process and shows as a hang-up.
+    handle = serving._Server._receive
+
+    async def receive(self):
+        data = await handle(self)
+        if data == b'fault':
+            raise RuntimeError('planted')
+        return data
+
+    monkeypatch.setattr(serving._Server, '_receive', receive)
+    with pytest.raises(ExceptionGroup):
+        async with running() as server:
+            async with await server.open(GET % b'/held') as stream:
+                await arrived(stream)
+                async with await server.open(b'fault'):
+                    await server.ended(2)
+    assert server.counted() == {
+        (End.FAULT, False): 1,
+        (End.PROCESS_ENDED, True): 1,
+    }
+
+
+async def test_a_close_of_our_own_under_a_request_names_it(monkeypatch):
+    # Guards against a request that is lost with nothing to find it by.
+    servers = []
+    made = serving._Server.__init__
+
+    def make(self, *args):
+        made(self, *args)
+        servers.append(self)
+
+    monkeypatch.setattr(serving._Server, '__init__', make)
+    async with running() as server:
+        stream = await server.open(GET % b'/')
+        await answered(stream)
+        await trio.sleep(0.2)
+        await stream.send_all(GET % b'/held')
+        await arrived(stream)
+        await servers[0]._initiate_server_close()
+        await drain(stream)
+        await server.ended()
+    assert server.counted() == {(End.KEEP_ALIVE_OVER, True): 1}
+    (line,) = server.lines
+    assert line['request_id'] == 'r1'
+    assert line['closed_by'] == 'this process'
+    assert line['requests'] == 2
+    assert 0.15 < line['idle_s'] < line['age_s']
+    assert 0.05 < line['under_way_s'] < line['age_s']
+
+
+@pytest.mark.parametrize('data', [b'', GET % b'/'])
+async def test_a_failed_handshake_is_told(data):
+    # Guards against callers without TLS that show as callers' resets.
+    async with running(ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)) as server:
+        async with await server.open(data):
+            pass
+        await server.ended()
+    assert server.counted() == {(End.NO_HANDSHAKE, False): 1}
+
+
+def noted(*ends):
+    found = connections.Connection()
+    for end in ends:
+        found.note(end)
+    return found.end
+
+
+@pytest.mark.parametrize('first', End)
+async def test_the_first_end_stands(first):
+    assert noted(first, *End) is first
+
+
+async def test_a_scope_without_a_connection_has_one_of_its_own():
+    # Guards against a failure under another server, which sets no state.
+    assert connections.of_scope({'type': 'http'}).end is None
