Name a request whose connection this process closed as such

What operators saw: `caller-gone` and status 499 for callers that had left and for callers whose connection this process itself had closed, and `answered 0` for a request cut by the end of the grace, which `gentianstair losses` took for a success, on time or late.

Cause: the gateway learns only that its connection is closed, and took that for the caller's hanging up; a cancelled handler has no status.

Change: `caller-gone` has `end` and `closed_by`; a close of our own is `closed-here` with status 444, and so is the status of a cancelled request. `losses` has a cause for it, and passes over `connection-cut`, which follows a request's last line. The entry's explanations and its request line tell the two apart likewise. The connection is told the request's id, for its own line.

Evidence: four tests over loopback sockets (reset, half-close, a close of ours, the end of the grace) through gateway, log, losses and explain; all four failed with the handler as it was.

--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -14,6 +14,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.util import connections
 
 Headers = list[tuple[bytes, bytes]]
 TIMEOUT_HEADER = 'x-request-timeout-s'
@@ -22,10 +23,18 @@
 HTTP_TOO_LARGE = 413
 HTTP_TIMEOUT = 408
 MAX_ID_LENGTH = 128
+# Status, in logs and metrics alone, of requests that have no whole answer:
+# their callers left, or this process closed their connections.
+HTTP_CALLER_GONE = 499
+HTTP_CLOSED_HERE = 444
 
 
 class CallerGoneError(errors.GentianstairError):
-    """Report that the caller hung up or stopped reading."""
+    """Report that an answer can't reach its caller any more.
+
+    The caller hung up or stopped reading, or this process closed the
+    connection; ``Exchange.connection`` knows which.
+    """
 
 
 class Exchange:
@@ -46,6 +55,7 @@
         self.raw_path: bytes = scope.get('raw_path', self.path.encode())
         self.query: bytes = scope.get('query_string', b'')
         self.raw_headers: Headers = list(scope['headers'])
+        self.connection = connections.of_scope(scope)
         self.started = False
         self.ended = False
         # Asked when the answer starts: whether its connection is to close.
@@ -135,8 +145,14 @@
             )
         return b''.join(parts)
 
+    def gone_status(self) -> int:
+        """Return the status of a request whose connection has ended."""
+        if self.connection.is_closed_here:
+            return HTTP_CLOSED_HERE
+        return HTTP_CALLER_GONE
+
     async def wait_gone(self) -> None:
-        """Return when the caller hangs up; call after read_body."""
+        """Return when the connection has ended; call after read_body."""
         while True:
             message = await self._receive()
             if message['type'] == 'http.disconnect':
@@ -220,7 +236,7 @@
 def gone() -> errors.RequestError:
     """Return the note of a request whose caller went away."""
     return errors.RequestError(
-        499,
+        HTTP_CALLER_GONE,
         'caller-gone',
         'the caller hung up',
         verdicts.Verdict.MAY_HAVE_RUN,
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -80,12 +80,12 @@
         RUNNING.inc()
         try:
             self._request_id = _request_id(self._exchange)
+            self._exchange.connection.request_id = self._request_id
             await self._route()
         except errors.RequestError as error:
             await self._fail(error)
         except exchanges.CallerGoneError as error:
-            self._status = 499
-            self._explain('caller-gone', why=str(error))
+            self._gone(error)
             if self._exchange.started:
                 # The server closes a connection whose answer is not ended.
                 raise
@@ -96,9 +96,20 @@
             await self._fail(_internal())
         finally:
             RUNNING.dec()
+            # Without a status it was cancelled: the grace is over, or the
+            # process ends.
+            self._status = self._status or exchanges.HTTP_CLOSED_HERE
             DURATION_S.observe(self._node.clock() - started_s)
             self._log()
 
+    def _gone(self, error: exchanges.CallerGoneError) -> None:
+        connection = self._exchange.connection
+        self._status = self._exchange.gone_status()
+        if connection.is_closed_here:
+            self._explain('closed-here', why=connection.end.value)
+        else:
+            self._explain('caller-gone', why=str(error))
+
     def _log(self) -> None:
         route = 'services'
         if self._exchange.path in completions.PATHS:
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -20,6 +20,7 @@
 from gentianstair.gateway import task as tasks
 from gentianstair.generated import events
 from gentianstair.platform import wire
+from gentianstair.util import connections
 
 # Told by a process that has no configuration yet: it reads one as soon as
 # the store or a peer answers.
@@ -30,7 +31,6 @@
 FIRST_NEWS_S = 0.5
 # An answer that the deadline ends must still reach its caller in time.
 ANSWER_S = 0.05
-HTTP_CALLER_GONE = 499
 
 REQUESTS = prometheus_client.Counter(
     'gentianstair_gateway_requests',
@@ -67,10 +67,7 @@
         except errors.RequestError as error:
             await self._fail(error)
         except exchanges.CallerGoneError as error:
-            self._status = HTTP_CALLER_GONE
-            loguru.logger.bind(event=events.CALLER_GONE, **self._named()).info(
-                '{}', error
-            )
+            self._gone(error)
             if self._exchange.started:
                 # The server closes a connection whose answer is not ended.
                 raise
@@ -86,8 +83,27 @@
             await self._answer(500, [], b'')
         finally:
             RUNNING.dec()
+            # Without a status it was cancelled: the grace is over, or the
+            # process ends.
+            self._status = self._status or exchanges.HTTP_CLOSED_HERE
             self._account()
 
+    def _gone(self, error: exchanges.CallerGoneError) -> None:
+        """Note that the connection has ended, and who ended it."""
+        connection = self._exchange.connection
+        self._status = self._exchange.gone_status()
+        # An HTTP/2 request may end alone.
+        end = connection.end or connections.End.STREAM_RESET
+        logger = loguru.logger.bind(
+            end=end.value, closed_by=end.closed_by.value, **self._named()
+        )
+        if connection.is_closed_here:
+            logger.bind(event=events.CLOSED_HERE).info(
+                'this process closed the connection: {}', end.value
+            )
+        else:
+            logger.bind(event=events.CALLER_GONE).info('{}', error)
+
     def _named(self) -> dict[str, str]:
         return {'request_id': self._call.request_id if self._call else ''}
 
@@ -173,6 +189,7 @@
             exchange.query,
             exchange.raw_headers,
         )
+        exchange.connection.request_id = call.request_id
         limits = (
             node.force.catalog.limits
             if node.force.catalog
--- a/gentianstair/ui/losses.py
+++ b/gentianstair/ui/losses.py
@@ -20,6 +20,7 @@
 FIXED_WEIGHT = 0.3
 WINDOW_S = 2.0
 HTTP_CALLER_GONE = 499
+HTTP_CLOSED_HERE = 444
 # Events that tell what happened to the fleet beside the requests.
 FLEET_EVENTS = frozenset(
     {
@@ -46,6 +47,7 @@
     REPLICA_FAILED = 'the replica answered with a failure'
     CUT = 'cut in the answer'
     CALLER_GONE = 'the caller left'
+    CLOSED_HERE = 'this process closed the connection'
     LATE_TRIES = 'late: tries that failed before'
     LATE_QUEUED = 'late: queued at the replica, as planned'
     LATE_READING = 'late: reading the prompt, as planned'
@@ -56,6 +58,12 @@
     UNEXPLAINED = 'late: not explained by the logs'
 
 
+_GONE = {
+    HTTP_CALLER_GONE: Cause.CALLER_GONE,
+    HTTP_CLOSED_HERE: Cause.CLOSED_HERE,
+}
+
+
 class Lost(typing.NamedTuple):
     """One answered request."""
 
@@ -104,8 +112,8 @@
 
 def _cause(line: log_lines.Line, story: _Story) -> Cause:
     status = line.get('status')
-    if status == HTTP_CALLER_GONE:
-        return Cause.CUT if story.is_cut else Cause.CALLER_GONE
+    if status in _GONE:
+        return Cause.CUT if story.is_cut else _GONE[status]
     if status in (429, 503):
         return Cause.REFUSED
     if status in (400, 401, 404, 408, 413, 431):
@@ -168,6 +176,9 @@
         request_id = line.get('request_id')
         if not isinstance(request_id, str) or not request_id:
             return None
+        if line.get('event') == events.CONNECTION_CUT:
+            # Comes after the answer's line, which knows the cause.
+            return None
         if line.get('event') != events.ANSWER:
             self._story(request_id).take(line)
             return None
--- a/gentianstair/util/connections.py
+++ b/gentianstair/util/connections.py
@@ -1,11 +1,11 @@
 """Know of each caller's connection why it ended, and who ended it."""
 
 import enum
+import time
 import typing
 
 import loguru
 import prometheus_client
-import trio
 
 from gentianstair.generated import events
 
@@ -82,7 +82,7 @@
         # Of the last request, once it is known.
         self.request_id = ''
         self.requests = 0
-        self._opened_s = self._idle_since_s = trio.current_time()
+        self._opened_s = self._idle_since_s = time.monotonic()
         self._began_s = self._ended_s = self._opened_s
         self._under_way = False
         self._is_cut = False
@@ -92,25 +92,30 @@
         """Return whether a request has no whole answer yet."""
         return self._under_way
 
+    @property
+    def is_closed_here(self) -> bool:
+        """Return whether this process is known to have closed it."""
+        return self.end is not None and self.end.closed_by is Side.PROCESS
+
     def begin(self) -> None:
         """Note that a request has come."""
         self.requests += 1
         self.request_id = ''
         if not self._under_way:
             self._under_way = True
-            self._began_s = trio.current_time()
+            self._began_s = time.monotonic()
 
     def answered(self) -> None:
         """Note that all requests so far have their whole answers."""
         if self._under_way and not self._is_cut:
             self._under_way = False
-            self._idle_since_s = trio.current_time()
+            self._idle_since_s = time.monotonic()
 
     def note(self, end: End) -> None:
         """Note what ends the connection; what is noted first stands."""
         if self.end is None:
             self.end = end
-            self._ended_s = trio.current_time()
+            self._ended_s = time.monotonic()
 
     def cut(self, end: End) -> None:
         """Note an end after which no answer can become whole."""
--- /dev/null
+++ b/test/gateway/test_cut_connections.py
@@ -0,0 +1,172 @@
+"""Test that a cut request's log says who closed its connection, and why."""
+
+import io
+import socket
+import struct
+
+import loguru
+import pytest
+import trio
+
+from gentianstair.gateway import main
+from gentianstair.generated import events
+from gentianstair.ui import losses
+from gentianstair.ui import stories
+from gentianstair.util import log_lines
+from gentianstair.util import logs
+from gentianstair.util import serving
+from standins.site import site as sites
+from test.gateway import gateways
+
+PROMPT_S = 5.0
+GRACE_S = 0.5
+
+
+class Play:
+    """A caller whose request is under way at a replica."""
+
+    def __init__(self, stream, servers, stop):
+        self.stream = stream
+        self.servers = servers
+        self.stop = stop
+
+    async def reset(self):
+        off = struct.pack('ii', 1, 0)
+        self.stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, off)
+        await self.stream.aclose()
+
+    async def half_close(self):
+        await self.stream.send_eof()
+
+    async def close_here(self):
+        (server,) = (s for s in self.servers if s.connection.request_id)
+        await server._initiate_server_close()
+
+    async def outlast_the_grace(self):
+        self.stop.set()
+
+
+@pytest.fixture
+def text():
+    """Hold what is logged, as the process would write it."""
+    lines = []
+
+    def keep(message):
+        lines.append(logs.to_line(message.record))
+
+    sink = loguru.logger.add(keep, level='INFO')
+    yield lines
+    loguru.logger.remove(sink)
+
+
+@pytest.fixture
+def servers(monkeypatch):
+    """Hold each connection's server."""
+    found = []
+    made = serving._Server.__init__
+
+    def make(self, *args):
+        made(self, *args)
+        found.append(self)
+
+    monkeypatch.setattr(serving._Server, '__init__', make)
+    return found
+
+
+def request(gateway):
+    headers = gateway.headers('r1')
+    lines = [f'{name}: {value}' for name, value in headers.items()]
+    lines = ['POST /register/x HTTP/1.1', *lines, 'content-length: 0']
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
+async def seen(text, event):
+    """Return the line of an event of the request."""
+    with trio.fail_after(PROMPT_S):
+        while True:
+            for line in read(text):
+                if (line.get('event'), line.get('request_id')) == (
+                    event,
+                    'r1',
+                ):
+                    return line
+            await trio.sleep(0.01)
+
+
+def read(text):
+    return list(log_lines.Reader([io.BytesIO(''.join(text).encode())]))
+
+
+@pytest.mark.parametrize(
+    ('act', 'event', 'end', 'status', 'cause'),
+    [
+        (
+            Play.reset,
+            events.CALLER_GONE,
+            'caller-reset',
+            499,
+            losses.Cause.CALLER_GONE,
+        ),
+        (
+            Play.half_close,
+            events.CALLER_GONE,
+            'caller-ended',
+            499,
+            losses.Cause.CALLER_GONE,
+        ),
+        (
+            Play.close_here,
+            events.CLOSED_HERE,
+            'keep-alive-over',
+            444,
+            losses.Cause.CLOSED_HERE,
+        ),
+        (
+            Play.outlast_the_grace,
+            None,
+            'grace-over',
+            444,
+            losses.Cause.CLOSED_HERE,
+        ),
+    ],
+)
+async def test_who_closed_under_a_request(
+    act, event, end, status, cause, tmp_path, monkeypatch, text, servers
+):
+    # Guards against a close of our own that is logged as a caller's going.
+    stop = trio.Event()
+    monkeypatch.setattr(serving, 'wait_for_stop', stop.wait)
+    monkeypatch.setattr(main, 'LEAVE_S', 0.0)
+    grace_s = GRACE_S + main.LAST_WRITES_S
+    async with sites.running() as site:
+        desks = [r for r in site.replicas if r.service == 'desk']
+        for desk in desks:
+            desk.faults.silent = True
+        async with gateways.running(site, tmp_path, grace_s=grace_s) as (
+            gateway,
+        ):
+            stream = await trio.open_tcp_stream(
+                '127.0.0.1', gateway.values['front']
+            )
+            await stream.send_all(request(gateway))
+            with trio.fail_after(PROMPT_S):
+                while not sum(len(desk.runs) for desk in desks):
+                    await trio.sleep(0.01)
+            await act(Play(stream, servers, stop))
+            cut = await seen(text, events.CONNECTION_CUT)
+            answer = await seen(text, events.ANSWER)
+            await stream.aclose()
+    assert answer['status'] == status
+    assert cut['end'] == end
+    assert cut['requests'] == 1
+    told = [
+        (line['event'], line['end'], line['closed_by'])
+        for line in read(text)
+        if line.get('event') in (events.CALLER_GONE, events.CLOSED_HERE)
+    ]
+    assert told == ([(event, end, cut['closed_by'])] if event else [])
+    judge = losses.Judge()
+    lost = [found for line in read(text) if (found := judge.take(line))]
+    assert [one.cause for one in lost] == [cause]
+    story = [row.event for row in stories.of_request(read(text), 'r1')]
+    assert events.CONNECTION_CUT in story
--- a/test/ui/test_losses.py
+++ b/test/ui/test_losses.py
@@ -66,6 +66,9 @@
         (answer(500), losses.Cause.REPLICA_FAILED),
         (answer(499), losses.Cause.CALLER_GONE),
         (line('cut') + answer(499), losses.Cause.CUT),
+        (answer(444), losses.Cause.CLOSED_HERE),
+        (line('cut') + answer(444), losses.Cause.CUT),
+        (answer(444) + line('connection-cut'), losses.Cause.CLOSED_HERE),
         (answer(longest_pause_s=0.3), losses.Cause.LATE_PAUSE),
         (answer(first_s=1.2), losses.Cause.UNEXPLAINED),
         (read(0.7, 1.1, 1.2) + answer(first_s=1.2), losses.Cause.LATE_QUEUED),
@@ -160,6 +163,16 @@
     assert found.forgotten == 90
 
 
+def test_connections_cut_after_their_answers_are_not_remembered(monkeypatch):
+    # Guards against stories that nothing ends, and that look forgotten.
+    monkeypatch.setattr(losses, 'MOST_PENDING', 1)
+    found = losses.Judge()
+    for number in range(10):
+        line_after = line('connection-cut', request_id=f'r{number}')
+        found.take(json.loads(line_after))
+    assert found.forgotten == 0
+
+
 @pytest.mark.parametrize(
     ('arguments', 'text', 'status', 'shown'),
     [
