Say in a last line why a gateway ends by itself

Requests that it cut showed as an answer and nothing else.

Cause: only the interpreter's hook told of it; the line writer never waits.

Change: `ended` is the last line: error, trace, and how many connections were cut under a request (`process-ended`). The writer lets this one line through whatever the rate was, and waits for its reader for half a second at most, before and after. A fault in a connection's own task is told as `fault`, though its requests are cancelled first and note `process-ended`.

Two tests of the writer: amid 5,000 lines, and with a reader that is stuck.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -47,6 +47,7 @@
 from gentianstair.store import settled
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
+from gentianstair.util import connections
 from gentianstair.util import line_writer
 from gentianstair.util import logs
 from gentianstair.util import serving
@@ -63,6 +64,8 @@
 READY_GRACE_S = 0.1
 # Pause before background work that failed is begun anew.
 FAULT_PAUSE_S = 1.0
+# Longest wait for the log's reader before the process ends by itself.
+LAST_LINE_S = 0.5
 METRICS_VARIABLE = 'GENTIANSTAIR_METRICS_PORT'
 
 
@@ -344,14 +347,46 @@
     return f'{ip}:{port}'
 
 
+def _leaves(error: BaseException) -> list[BaseException]:
+    if not isinstance(error, BaseExceptionGroup):
+        return [error]
+    return [leaf for part in error.exceptions for leaf in _leaves(part)]
+
+
+def tell_end(error: Exception, writer: line_writer.LineWriter) -> None:
+    """Log why the process ends by itself, and see the line out.
+
+    The lines of the requests that are cut come just before, and may have
+    used up the rate and filled the buffer.
+    """
+    why = '; '.join(f'{type(e).__name__}: {e}' for e in _leaves(error))
+    writer.drain(LAST_LINE_S)
+    writer.admit_last()
+    loguru.logger.opt(exception=error).bind(
+        event=events.ENDED,
+        error=why,
+        requests_cut=connections.requests_cut(connections.End.PROCESS_ENDED),
+    ).critical('the process ends by itself')
+    writer.drain(LAST_LINE_S)
+
+
+def _run(file: pathlib.Path, found: deployment.Deployment) -> None:
+    writer = line_writer.LineWriter(sys.stdout.fileno(), time.monotonic)
+    logs.setup('INFO', found.vm, found.failure_domain, writer)
+    try:
+        trio.run(run, file, found, metrics_address(found.ip))
+    except errors.UserError:
+        raise
+    except Exception as error:
+        tell_end(error, writer)
+        sys.exit(1)
+
+
 def main() -> None:
     """Read settings and run; a bad setting is told in one line."""
     try:
         file = settings.path()
-        found = settings.read(file)
-        writer = line_writer.LineWriter(sys.stdout.fileno(), time.monotonic)
-        logs.setup('INFO', found.vm, found.failure_domain, writer)
-        trio.run(run, file, found, metrics_address(found.ip))
+        _run(file, settings.read(file))
     except errors.UserError as error:
         print(error, file=sys.stderr)
         sys.exit(1)
--- a/gentianstair/ui/losses.py
+++ b/gentianstair/ui/losses.py
@@ -26,6 +26,7 @@
     {
         events.STARTED,
         events.STOPPING,
+        events.ENDED,
         events.STORE_LOST,
         events.REPLICA_GONE,
         events.REPLICA_UNREACHABLE,
--- a/gentianstair/ui/stories.py
+++ b/gentianstair/ui/stories.py
@@ -25,6 +25,7 @@
         events.FAULT,
         events.STARTED,
         events.STOPPING,
+        events.ENDED,
     }
 )
 # Shown in columns of their own, or the same in every line.
--- a/gentianstair/util/connections.py
+++ b/gentianstair/util/connections.py
@@ -122,6 +122,16 @@
         self.note(end)
         self._is_cut = True
 
+    def fail(self, end: End) -> None:
+        """Note what the connection's own task ended with.
+
+        A fault cancels the connection's requests first, and they note that
+        they were cut as if by a fault elsewhere.
+        """
+        if end is End.FAULT and self.end is End.PROCESS_ENDED:
+            self.end = end
+        self.note(end)
+
     def tell(self) -> None:
         """Count the end, and log it if a request was under way."""
         end = self.end or End.FAULT
--- a/gentianstair/util/line_writer.py
+++ b/gentianstair/util/line_writer.py
@@ -3,6 +3,7 @@
 import collections.abc
 import json
 import os
+import select
 
 from gentianstair.generated import events
 
@@ -61,6 +62,23 @@
         self._allowed -= 1
         return True
 
+    def admit_last(self) -> None:
+        """Let one more line through, whatever the rate was."""
+        self._allowed = max(1.0, self._allowed)
+
+    def drain(self, most_s: float) -> None:
+        """Write all that is held; wait for its reader for most_s at most.
+
+        Only for the end of the program: everything else waits too.
+        """
+        until_s = self._clock() + most_s
+        ready = select.poll()
+        ready.register(self._fd, select.POLLOUT)
+        self.flush()
+        while self._buffer and (left_s := until_s - self._clock()) > 0:
+            ready.poll(left_s * 1000)
+            self.flush()
+
     def flush(self) -> None:
         """Write what the reader takes now."""
         try:
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -123,7 +123,7 @@
         try:
             await super().run()
         except BaseException as error:
-            self.connection.note(endings.why_raised(error, self._grace))
+            self.connection.fail(endings.why_raised(error, self._grace))
             raise
         else:
             # Stands where it was broken before it could be read.
--- a/test/util/test_line_writer.py
+++ b/test/util/test_line_writer.py
@@ -2,11 +2,15 @@
 
 import json
 import os
+import threading
+import time
 
 import pytest
 
 from gentianstair.util import line_writer
 
+WAIT_S = 5.0
+
 
 @pytest.fixture
 def pipe():
@@ -65,6 +69,40 @@
     assert 0.9 * most < written <= most + 1
 
 
+def test_the_last_line_is_let_through_and_seen_out(pipe):
+    # Guards against a process that ends without a word amid many lines.
+    read_fd, write_fd = pipe
+    writer = line_writer.LineWriter(write_fd, time.monotonic)
+    for _ in range(5000):
+        writer.write('x' * 200 + '\n')
+    found = bytearray()
+
+    def read():
+        until_s = time.monotonic() + WAIT_S
+        while b'last' not in found and time.monotonic() < until_s:
+            time.sleep(0.01)
+            found.extend(drain(read_fd))
+
+    reader = threading.Thread(target=read)
+    reader.start()
+    writer.drain(WAIT_S)
+    writer.admit_last()
+    writer.write('last\n')
+    writer.drain(WAIT_S)
+    reader.join()
+    assert found.endswith(b'}\nlast\n')
+
+
+def test_a_reader_that_is_stuck_is_waited_for_no_longer_than_said(pipe):
+    # Guards against a process that can't end for want of a reader.
+    writer = line_writer.LineWriter(pipe[1], time.monotonic)
+    for _ in range(1000):
+        writer.write('x' * 200 + '\n')
+    began_s = time.monotonic()
+    writer.drain(0.2)
+    assert 0.15 < time.monotonic() - began_s < WAIT_S
+
+
 def test_no_reader_at_all():
     read_fd, write_fd = os.pipe()
     os.close(read_fd)
