Time a request from its reading, and tell HTTP/2 streams from connections

What operators would have seen: `under_way_s` of a cut request a little below 0, as if the end had been decided before the request came, since its time ran from the application's start, a turn of the event loop after the reading. And an HTTP/2 connection whose caller reset one stream, or one of whose answers was broken off, was told as cut and by a wrong cause when it ended later.

Change: the head of a request sets the time. An HTTP/2 stream that ends takes its connection's request off, and only what ends all connections is noted on it.

--- a/gentianstair/util/connections.py
+++ b/gentianstair/util/connections.py
@@ -74,6 +74,7 @@
         '_idle_since_s',
         '_is_cut',
         '_opened_s',
+        '_running',
         '_under_way',
     )
 
@@ -84,6 +85,7 @@
         self.requests = 0
         self._opened_s = self._idle_since_s = time.monotonic()
         self._began_s = self._ended_s = self._opened_s
+        self._running = 0
         self._under_way = False
         self._is_cut = False
 
@@ -97,13 +99,27 @@
         """Return whether this process is known to have closed it."""
         return self.end is not None and self.end.closed_by is Side.PROCESS
 
+    def read(self) -> None:
+        """Note that the head of a request has been read."""
+        if not self._under_way:
+            self._began_s = time.monotonic()
+
     def begin(self) -> None:
-        """Note that a request has come."""
+        """Note that the application has been given a request."""
         self.requests += 1
         self.request_id = ''
-        if not self._under_way:
-            self._under_way = True
-            self._began_s = time.monotonic()
+        self._running += 1
+        self._under_way = True
+
+    def leave(self, is_stream: bool) -> None:
+        """Note that the application is done with a request.
+
+        The protocol tells of whole answers, but not of a stream of HTTP/2
+        that its caller has reset.
+        """
+        self._running -= 1
+        if is_stream and self.end is None and not self._running:
+            self.answered()
 
     def answered(self) -> None:
         """Note that all requests so far have their whole answers."""
@@ -148,7 +164,7 @@
             requests=self.requests,
             age_s=round(self._ended_s - self._opened_s, 3),
             idle_s=round(self._began_s - self._idle_since_s, 3),
-            under_way_s=round(self._ended_s - self._began_s, 3),
+            under_way_s=round(self._ended_s - self._began_s, 6),
         ).info('a connection ended under a request: {}', end.value)
 
 
--- a/gentianstair/util/endings.py
+++ b/gentianstair/util/endings.py
@@ -18,6 +18,10 @@
         connections.End.STOP,
     }
 )
+# Ends of all connections at once.
+_OF_ALL = frozenset(
+    {connections.End.GRACE_OVER, connections.End.PROCESS_ENDED}
+)
 
 
 def why_closing(protocol: typing.Any) -> connections.End:
@@ -57,6 +61,18 @@
     return connections.End.PROCESS_ENDED
 
 
+def _note_raised(
+    connection: connections.Connection, end: connections.End, is_http2: bool
+) -> None:
+    """Note what ended a request's task before the answer was whole.
+
+    Noted here, as the library answers 500 next and closes. Of HTTP/2 it
+    closes the stream alone.
+    """
+    if connection.is_under_way and (not is_http2 or end in _OF_ALL):
+        connection.cut(end)
+
+
 def note_requests(app: typing.Any, grace: trio.CancelScope) -> typing.Any:
     """Return the application, with its connections told of requests."""
 
@@ -69,13 +85,14 @@
             await app(scope, receive, send)
             return
         connection = connections.of_scope(scope)
+        is_http2 = scope['http_version'] == '2'
         connection.begin()
         try:
             await app(scope, receive, send)
         except BaseException as error:
-            # Noted here, as the library answers 500 next and closes.
-            if connection.is_under_way:
-                connection.cut(why_raised(error, grace))
+            _note_raised(connection, why_raised(error, grace), is_http2)
             raise
+        finally:
+            connection.leave(is_http2)
 
     return serve_one
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -144,10 +144,12 @@
         await super()._initiate_server_close()
 
     def _note_progress(self, event: events.Event) -> None:
-        """Note the end of an answer, or why the protocol closes."""
+        """Note a new request, a whole answer, or why it closes."""
         if isinstance(event, events.Updated):
             if event.idle:
                 self.connection.answered()
+            else:
+                self.connection.read()
         elif isinstance(event, events.Closed):
             end = endings.why_closing(self.protocol.protocol)
             if end in endings.AFTER_ANSWER:
