--- a/gentianstair/util/connections.py
+++ b/gentianstair/util/connections.py
@@ -150,6 +150,7 @@
 
     def tell(self) -> None:
         """Count the end, and log it if a request was under way."""
+        # Each way out of a connection's task notes an end.
         end = self.end or End.FAULT
         ENDED.labels(end.value, 'yes' if self._under_way else 'no').inc()
         if not self._under_way:
