--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -13,7 +13,6 @@
 import trio
 
 from gentianstair import errors
-from gentianstair import verdict as verdicts
 from gentianstair.util import connections
 
 Headers = list[tuple[bytes, bytes]]
@@ -231,13 +230,3 @@
     message = email.message.Message()
     message['content-type'] = content_type or ''
     return message.get_content_type()
-
-
-def gone() -> errors.RequestError:
-    """Return the note of a request whose caller went away."""
-    return errors.RequestError(
-        HTTP_CALLER_GONE,
-        'caller-gone',
-        'the caller hung up',
-        verdicts.Verdict.MAY_HAVE_RUN,
-    )
