Test that closing a kept connection cuts off no request

Callers see a kept connection end with no answer though a replica runs their request, at a planned stop or at the end of the keep-alive time.

Cause: the task that waits for either closes within a shielded scope. A request that is read in the same turn of the event loop, or in the turn before, cancels that task too late: it is handed over and its connection closed. One that lies unread at that moment is closed away.

The tests play each turn from 3 before to 9 after the moment, in four orders of the tasks of a turn, so that nothing is left to chance: unix sockets, where the kernel delivers within the send, with and without TLS, and TCP for the plain case. A request comes whole, in parts, with its body at once or later, or two at a time, on a new connection or a kept one.

--- /dev/null
+++ b/test/util/kept.py
@@ -0,0 +1,232 @@
+"""Play requests on kept connections around the moment of their closing."""
+
+import contextlib
+import itertools
+import re
+import select
+import socket
+import ssl
+import time
+import typing
+
+import trio
+import trio.testing
+
+from gentianstair.util import serving
+
+FIRST = '/first'
+GRACE_S = 10.0
+# Turns of the event loop that an answer takes, to show one that is cut.
+ANSWER_TURNS = 5
+# Loopback may deliver to another socket a little after the sending.
+ARRIVAL_S = 0.005
+RECEIVE_BYTES = 65536
+WHOLE = re.compile(rb'<(/[^<>]*)>')
+# Which tasks a turn of the event loop runs first: those woken first (False)
+# or last, by turns.
+ORDERS = ((False,), (True,), (False, True), (True, False))
+
+
+class App:
+    """Note each request that is handed over and answer it in two parts."""
+
+    def __init__(self):
+        self.given = []
+        self.gate = trio.Event()
+        self.gate.set()
+
+    async def __call__(self, scope, receive, send):
+        if scope['type'] == 'lifespan':
+            while True:
+                message = await receive()
+                await send({'type': message['type'] + '.complete'})
+        self.given.append(scope['path'])
+        while (await receive()).get('more_body'):
+            pass
+        await self.gate.wait()
+        await self._answer(f'<{scope["path"]}>'.encode(), send)
+
+    async def _answer(self, body, send):
+        length = (b'content-length', b'%d' % len(body))
+        head = {'type': 'http.response.start', 'status': 200}
+        await send({**head, 'headers': [length]})
+        part = {'type': 'http.response.body', 'body': body[:1]}
+        await send({**part, 'more_body': True})
+        await pass_turns(ANSWER_TURNS)
+        await send({**part, 'body': body[1:]})
+
+
+class Caller:
+    """One kept connection; it sends without giving up the event loop."""
+
+    def __init__(self, sock):
+        self.data = b''
+        self._sock = sock
+        self._tls: ssl.SSLObject | None = None
+
+    async def shake_hands(self, context):
+        self._incoming, self._outgoing = ssl.MemoryBIO(), ssl.MemoryBIO()
+        self._tls = context.wrap_bio(
+            self._incoming, self._outgoing, server_hostname='127.0.0.1'
+        )
+        while True:
+            try:
+                self._tls.do_handshake()
+                break
+            except ssl.SSLWantReadError:
+                self._send_raw(self._outgoing.read())
+                await trio.lowlevel.wait_readable(self._sock)
+                self._incoming.write(self._sock.recv(RECEIVE_BYTES))
+        self._send_raw(self._outgoing.read())
+
+    def send(self, data):
+        """Send data at once, or nothing where the server has closed."""
+        if self._tls is not None:
+            self._tls.write(data)
+            data = self._outgoing.read()
+        self._send_raw(data)
+
+    def _send_raw(self, data):
+        with contextlib.suppress(ConnectionError):
+            self._sock.sendall(data)
+
+    def sees_end(self):
+        """Return whether the server's close has come."""
+        poll = select.poll()
+        poll.register(self._sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    async def read(self):
+        """Read what has come; return whether more may come."""
+        await trio.lowlevel.wait_readable(self._sock)
+        try:
+            data = self._sock.recv(RECEIVE_BYTES)
+        except ConnectionError:
+            return False
+        if self._tls is not None and data:
+            self._incoming.write(data)
+            data = self._decrypt()
+        self.data += data
+        return bool(data)
+
+    def _decrypt(self):
+        data = b''
+        with contextlib.suppress(ssl.SSLWantReadError):
+            while part := self._tls.read(RECEIVE_BYTES):
+                data += part
+        return data
+
+    async def read_to_end(self):
+        while await self.read():
+            pass
+
+    async def ask(self, path):
+        """Send a request and read its whole answer."""
+        self.send(request(path))
+        while path not in self.answered():
+            assert await self.read()
+
+    def answered(self):
+        return [path.decode() for path in WHOLE.findall(self.data)]
+
+    def close(self):
+        self._sock.close()
+
+
+class Transport(typing.NamedTuple):
+    """How callers reach the server."""
+
+    family: int
+    server: ssl.SSLContext | None = None
+    client: ssl.SSLContext | None = None
+
+    def listen(self):
+        if self.family != socket.AF_UNIX:
+            return serving.listen('127.0.0.1:0')
+        sock = socket.socket(socket.AF_UNIX)
+        # The kernel picks a free name.
+        sock.bind('')
+        sock.listen()
+        return sock
+
+    async def connect(self, address):
+        sock = socket.socket(self.family)
+        sock.connect(address)
+        if self.family != socket.AF_UNIX:
+            # A second part would wait until the first is acknowledged.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, True)
+        sock.setblocking(False)
+        caller = Caller(sock)
+        if self.client is not None:
+            await caller.shake_hands(self.client)
+        return caller
+
+    def wait_arrival(self):
+        """Hold the event loop until what was sent has come."""
+        if self.family != socket.AF_UNIX:
+            time.sleep(ARRIVAL_S)
+
+
+class Server:
+    """A server that runs inside a test."""
+
+    def __init__(self, app, transport):
+        self.app = app
+        self.ended = trio.Event()
+        self.stop = trio.Event()
+        self._transport = transport
+        self._sock = transport.listen()
+        self._address = self._sock.getsockname()
+
+    async def run(self, grace_s):
+        transport = self._transport
+        limits = (self.stop.wait, grace_s, transport.server)
+        await serving.serve(self.app, self._sock, *limits)
+        self.ended.set()
+
+    async def connect(self):
+        return await self._transport.connect(self._address)
+
+    async def connect_kept(self, path=FIRST):
+        """Return a caller that has had one answer, its connection idle."""
+        caller = await self.connect()
+        await caller.ask(path)
+        await trio.testing.wait_all_tasks_blocked()
+        return caller
+
+
+@contextlib.asynccontextmanager
+async def running(transport, app=None, grace_s=GRACE_S):
+    """Yield a server; it is cancelled at the end."""
+    server = Server(app or App(), transport)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.run, grace_s)
+        yield server
+        nursery.cancel_scope.cancel()
+
+
+def request(path, body=b''):
+    head = f'POST {path} HTTP/1.1\r\nhost: x\r\n'
+    return f'{head}content-length: {len(body)}\r\n\r\n'.encode() + body
+
+
+async def pass_turns(count):
+    for _ in range(count):
+        await trio.lowlevel.checkpoint()
+
+
+def set_order(monkeypatch, order):
+    """From now let turns run their tasks in these orders, over and over."""
+    draws = itertools.cycle(1.0 if last_first else 0.0 for last_first in order)
+    loop = trio._core._run
+    monkeypatch.setattr(loop, '_ALLOW_DETERMINISTIC_SCHEDULING', False)
+    monkeypatch.setattr(loop._r, 'random', lambda: next(draws))
+
+
+async def end(server, callers):
+    """Stop the server; read what it still sends to the callers."""
+    server.stop.set()
+    for caller in callers:
+        await caller.read_to_end()
+        caller.close()
+    await trio.testing.wait_all_tasks_blocked()
