Let the task that reads a connection alone end it when idle

What callers saw: a request on a kept connection was taken, sent to a replica, and its connection then closed with no answer, at a planned stop and at the end of the keep-alive time.

Cause: two tasks decided about one connection. The library's idle task waits for the stop or the end of the time and then closes in a shielded scope; the reader that takes a request in the same turn of the event loop, or in the one before, cancels it too late.

Change: the reader waits for bytes until a moment (util/idleness.py, a decision of its own): infinity while a request is under way, now at a stop, else the end of the keep-alive time. What can be read in the same turn is read. When the moment is over the reader looks once more whether something lies unread, which then has a second to become a request, and else ends its sending side with nothing awaited in between. A connection opened just before a stop has a second for its first request. There is no idle task any more, nor its start and cancellation with each request.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -1,8 +1,10 @@
 """Serve an application on listening sockets until it is stopped."""
 
 import collections.abc
+import contextlib
 import functools
 import os
+import select
 import signal
 import socket
 import ssl
@@ -20,6 +22,7 @@
 from gentianstair.util import addresses
 from gentianstair.util import connections
 from gentianstair.util import endings
+from gentianstair.util import idleness
 
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
@@ -60,17 +63,23 @@
     return host.startswith('127.') or host == '::1'
 
 
+def _is_readable(sock: trio.socket.SocketType) -> bool:
+    """Return whether bytes or an end came that nobody has read."""
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class _Server(tcp_server.TCPServer):
-    """A connection whose writes are cheap and never wait for ever.
+    """A connection that its own reader ends, and whose writes are cheap.
 
-    The server's own write takes a lock and a shielded scope each time, a
+    The library's own write takes a lock and a shielded scope each time, a
     third of what a relayed token costs, and waits without limit for a
     caller that has stopped reading, which would hold an engine's slot.
     """
 
     send_stall_s = SEND_STALL_S
     _fd: int | None = None
-    _read_ended = False
 
     def __init__(
         self,
@@ -85,26 +94,41 @@
         state = {**state, connections.STATE_KEY: self.connection}
         super().__init__(app, config, worker, state, stream)
         self._grace = grace
+        self._idleness = idleness.Idleness(
+            config.keep_alive_timeout, trio.current_time()
+        )
+        self._receiving = trio.CancelScope()
 
-    async def _read_data(self) -> None:
-        """Read until the caller sends no more, then wait for nothing.
+    def stop(self) -> None:
+        """End as soon as no request is under way."""
+        self._idleness.stop(trio.current_time())
+        self._receiving.deadline = self._idleness.end_s
 
-        The library does not tell a caller's end from its reset or from a
-        close of our own, and goes on to count idle time for a connection
-        that can bring no further request: a caller that closes its sending
-        side would wait for the end of its answer until the keep-alive time
-        is over, and every closed connection would be kept as long.
+    async def _idle_timeout(self) -> None:
+        """Leave the end of an idle connection to the task that reads.
+
+        A task beside it may come to close in the same turn of the event
+        loop in which a request is read and handed to the application.
         """
+
+    async def _read_data(self) -> None:
+        """Read until the caller sends no more or is idle for too long."""
         while (data := await self._receive()) is not None:
             await self.protocol.handle(events.RawData(data))
             if not data:
                 break
         await self.protocol.handle(events.Closed())
-        self._read_ended = True
-        await self.idle_task.stop()
 
     async def _receive(self) -> bytes | None:
-        """Return what came, nothing at its end, None if it was broken."""
+        """Return what came, nothing at its end, None if none can come."""
+        while True:
+            self._receiving = trio.CancelScope(deadline=self._idleness.end_s)
+            with self._receiving:
+                return await self._receive_some()
+            if self._idleness.is_over(trio.current_time()) and self._leave():
+                return None
+
+    async def _receive_some(self) -> bytes | None:
         try:
             data = await self.stream.receive_some(tcp_server.MAX_RECV)
         except trio.BrokenResourceError:
@@ -117,6 +141,30 @@
             self.connection.note(connections.End.CALLER_ENDED)
         return bytes(data)
 
+    def _leave(self) -> bool:
+        """Read no further if nothing came; return whether that is so.
+
+        Nothing may be awaited here: what comes in between would be lost.
+        """
+        sock = self._socket()
+        if _is_readable(sock):
+            self._idleness.wait_arrival(trio.current_time())
+            return False
+        self.connection.note(
+            connections.End.STOP
+            if self.context.terminated.is_set()
+            else connections.End.KEEP_ALIVE_OVER
+        )
+        with contextlib.suppress(OSError):
+            # The caller learns at once that it has to connect anew.
+            sock.shutdown(socket.SHUT_WR)
+        return True
+
+    def _socket(self) -> trio.socket.SocketType:
+        if isinstance(self.stream, trio.SSLStream):
+            return self.stream.transport_stream.socket
+        return self.stream.socket
+
     async def run(self) -> None:
         if isinstance(self.stream, trio.SocketStream):
             self._fd = self.stream.socket.fileno()
@@ -135,36 +183,32 @@
         finally:
             self.connection.tell()
 
-    async def _initiate_server_close(self) -> None:
-        self.connection.note(
-            connections.End.STOP
-            if self.context.terminated.is_set()
-            else connections.End.KEEP_ALIVE_OVER
-        )
-        await super()._initiate_server_close()
+    def _note_progress(self, event: events.Updated) -> None:
+        """Note a new request or a whole answer."""
+        if event.idle:
+            self.connection.answered()
+            self._idleness.rest(trio.current_time())
+        else:
+            self.connection.read()
+            self._idleness.begin()
+        self._receiving.deadline = self._idleness.end_s
 
-    def _note_progress(self, event: events.Event) -> None:
-        """Note a new request, a whole answer, or why it closes."""
-        if isinstance(event, events.Updated):
-            if event.idle:
-                self.connection.answered()
-            else:
-                self.connection.read()
-        elif isinstance(event, events.Closed):
-            end = endings.why_closing(self.protocol.protocol)
-            if end in endings.AFTER_ANSWER:
-                self.connection.answered()
-            self.connection.note(end)
+    def _note_closing(self) -> None:
+        """Note why the protocol closes."""
+        end = endings.why_closing(self.protocol.protocol)
+        if end in endings.AFTER_ANSWER:
+            self.connection.answered()
+        self.connection.note(end)
 
     async def protocol_send(self, event: events.Event) -> None:
-        if not isinstance(event, events.RawData):
+        if isinstance(event, events.Updated):
             self._note_progress(event)
-            idle = isinstance(event, events.Updated) and event.idle
-            if idle and self._read_ended:
-                event = events.Closed()
+            return
+        if isinstance(event, events.Closed):
+            self._note_closing()
             # Quart cancels its request once the answer has been sent, and
             # with it what follows in the same task: the connection would
-            # neither be closed nor count its idle time, and stay open.
+            # not be closed, and stay open.
             until_s = trio.current_time() + self.send_stall_s
             with trio.CancelScope(deadline=until_s, shield=True):
                 await super().protocol_send(event)
@@ -254,11 +298,18 @@
     state: dict[str, typing.Any] = {}
     life = lifespan.Lifespan(wrapped, config, state)
     worker = worker_context.WorkerContext(None)
+    servers: set[_Server] = set()
 
     async def handle(stream: trio.abc.Stream) -> None:
         server = _Server(wrapped, config, worker, state, stream, grace)
         server.send_stall_s = send_stall_s
-        await server.run()
+        if worker.terminated.is_set():
+            server.stop()
+        servers.add(server)
+        try:
+            await server.run()
+        finally:
+            servers.discard(server)
 
     async with trio.open_nursery() as life_nursery:
         await life_nursery.start(life.handle_lifespan)
@@ -279,6 +330,8 @@
                     accepting.cancel_scope.cancel()
                 # Idle connections close now, busy ones after their answer.
                 await worker.terminated.set()
+                for server in servers:
+                    server.stop()
                 grace.deadline = trio.current_time() + graceful_timeout_s
         await life.wait_for_shutdown()
         life_nursery.cancel_scope.cancel()
