Pass over bytes behind the last request of a connection

What callers saw: with "Connection: close" and anything behind the request, be it an empty line, the answer under way was replaced by a 400 or lost its body.

Cause: the library takes such bytes for a breach of the protocol and closes at once, though the request is being served. RFC 9112, section 9.6, has the server process nothing after it and send the answer.

Change: a connection that expects only its caller's end drops what comes.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -10,9 +10,11 @@
 import ssl
 import typing
 
+import h11
 from hypercorn import app_wrappers
 from hypercorn import events
 import hypercorn.config
+from hypercorn.protocol import h11 as h11_protocol
 from hypercorn.trio import lifespan
 from hypercorn.trio import tcp_server
 from hypercorn.trio import worker_context
@@ -22,6 +24,7 @@
 from gentianstair.util import addresses
 from gentianstair.util import connections
 from gentianstair.util import endings
+from gentianstair.util import http1
 from gentianstair.util import idleness
 
 BACKLOG = 4096
@@ -113,6 +116,11 @@
 
     async def _read_data(self) -> None:
         """Read until the caller sends no more or is idle for too long."""
+        protocol = self.protocol.protocol
+        if isinstance(protocol, h11_protocol.H11Protocol):
+            protocol.connection = http1.ServerConnection(
+                h11.SERVER, self.config.h11_max_incomplete_size
+            )
         while (data := await self._receive()) is not None:
             await self.protocol.handle(events.RawData(data))
             if not data:
