Test when the server ends connections

Callers see no change. What must go on holding while the close of idle connections changes: one that is idle, or has sent only a part of a head, is closed at a stop and at the end of the keep-alive time; one in use is not; a busy one is answered first, and holds a stop no longer than the grace; what is sent after the close is handed to nobody.

--- a/test/util/kept.py
+++ b/test/util/kept.py
@@ -3,7 +3,6 @@
 import contextlib
 import itertools
 import re
-import select
 import socket
 import ssl
 import time
@@ -13,6 +12,7 @@
 import trio.testing
 
 from gentianstair.util import serving
+from test.util import test_tls
 
 FIRST = '/first'
 GRACE_S = 10.0
@@ -22,6 +22,7 @@
 ARRIVAL_S = 0.005
 RECEIVE_BYTES = 65536
 WHOLE = re.compile(rb'<(/[^<>]*)>')
+MOMENTS = ('stop', 'idle time')
 # Which tasks a turn of the event loop runs first: those woken first (False)
 # or last, by turns.
 ORDERS = ((False,), (True,), (False, True), (True, False))
@@ -90,12 +91,6 @@
         with contextlib.suppress(ConnectionError):
             self._sock.sendall(data)
 
-    def sees_end(self):
-        """Return whether the server's close has come."""
-        poll = select.poll()
-        poll.register(self._sock, select.POLLRDHUP)
-        return bool(poll.poll(0))
-
     async def read(self):
         """Read what has come; return whether more may come."""
         await trio.lowlevel.wait_readable(self._sock)
@@ -167,6 +162,19 @@
             time.sleep(ARRIVAL_S)
 
 
+def make_transport(name, folder):
+    """Return a way to the server: unix, tcp, or tls on a unix socket."""
+    if name == 'unix':
+        return Transport(socket.AF_UNIX)
+    if name == 'tcp':
+        return Transport(socket.AF_INET)
+    files = test_tls.Authority(folder).issue(folder, 'server')
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    server.load_cert_chain(files.cert, files.key)
+    client = ssl.create_default_context(cafile=files.ca)
+    return Transport(socket.AF_UNIX, server, client)
+
+
 class Server:
     """A server that runs inside a test."""
 
@@ -223,6 +231,14 @@
     monkeypatch.setattr(loop._r, 'random', lambda: next(draws))
 
 
+def begin(server, moment, clock):
+    """Let the moment come at which idle connections are closed."""
+    if moment == 'stop':
+        server.stop.set()
+    else:
+        clock.jump(serving.KEEP_ALIVE_S)
+
+
 async def end(server, callers):
     """Stop the server; read what it still sends to the callers."""
     server.stop.set()
--- a/test/util/test_idle_close.py
+++ b/test/util/test_idle_close.py
@@ -1,7 +1,5 @@
 """Test that no request is lost when its kept connection is closed."""
 
-import socket
-import ssl
 import typing
 
 from hypercorn.trio import worker_context
@@ -9,9 +7,7 @@
 import trio
 import trio.testing
 
-from gentianstair.util import serving
 from test.util import kept
-from test.util import test_tls
 
 # Turns of the event loop from the moment of closing to a sending.
 FIRST_TURN = -3
@@ -62,21 +58,9 @@
     answered: list[str]
 
 
-def _transport(name, folder):
-    if name == 'unix':
-        return kept.Transport(socket.AF_UNIX)
-    if name == 'tcp':
-        return kept.Transport(socket.AF_INET)
-    files = test_tls.Authority(folder).issue(folder, 'server')
-    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    server.load_cert_chain(files.cert, files.key)
-    client = ssl.create_default_context(cafile=files.ca)
-    return kept.Transport(socket.AF_UNIX, server, client)
-
-
 @pytest.fixture
 def transport(request, tmp_path):
-    return _transport(request.param, tmp_path)
+    return kept.make_transport(request.param, tmp_path)
 
 
 class Player:
@@ -89,13 +73,6 @@
         self._monkeypatch = monkeypatch
         clock.rate = 1.0
 
-    def begin(self, server):
-        """Let the moment begin at which idle connections are closed."""
-        if self._moment == 'stop':
-            server.stop.set()
-        else:
-            self._clock.jump(serving.KEEP_ALIVE_S)
-
     async def play(self, shape, order, at):
         """Send the first part so many turns after the moment."""
         self._monkeypatch.undo()
@@ -118,7 +95,7 @@
                     caller.send(part.data)
                     self._transport.wait_arrival()
             if turn == 0:
-                self.begin(server)
+                kept.begin(server, self._moment, self._clock)
             await trio.lowlevel.checkpoint()
         for part in parts:
             if at + part.turns > LAST_TURN:
@@ -135,7 +112,7 @@
                 caller.send(WHOLE)
                 self._transport.wait_arrival()
             kept.set_order(self._monkeypatch, order)
-            self.begin(server)
+            kept.begin(server, self._moment, self._clock)
             await kept.pass_turns(LAST_TURN)
             with trio.fail_after(WAIT_S):
                 await kept.end(server, [caller])
@@ -196,7 +173,7 @@
     assert ''.join(noted) == seen
 
 
-both_moments = pytest.mark.parametrize('moment', ['stop', 'idle time'])
+both_moments = pytest.mark.parametrize('moment', kept.MOMENTS)
 # Only where the kernel delivers within a send is each turn the same again.
 shapes = pytest.mark.parametrize(
     ('transport', 'shape'),
