Keep a fault in one connection from ending the process

What callers saw: one connection with odd bytes ended the whole process; all requests under way on other connections were cut without an answer.

Cause: the server's connections share a nursery. The library passes on what it did not expect: settings of an h2c upgrade that are none, a websocket protocol or an h2 path beyond ASCII, h2 requests without a path, priorities of 1,200 streams, data for a stream that was answered. What is raised inside a connection's own nursery comes as a group and is no OSError, so it ended all of them and then the program. Plain HTTP/1.1 is enough for it: the upgrades need no TLS.

Change: a fault in a connection is logged (event fault) and closes that connection only.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -18,9 +18,11 @@
 from hypercorn.trio import lifespan
 from hypercorn.trio import tcp_server
 from hypercorn.trio import worker_context
+import loguru
 import trio
 
 from gentianstair import errors
+from gentianstair.generated import events as log_events
 from gentianstair.util import addresses
 from gentianstair.util import connections
 from gentianstair.util import endings
@@ -267,6 +269,20 @@
         return True
 
 
+async def _run_contained(server: _Server) -> None:
+    """Serve a connection; a fault in it ends no other one.
+
+    The library raises on bytes that it did not expect, and all connections
+    share a nursery: raised further it would cut every answer under way.
+    """
+    try:
+        await server.run()
+    except Exception:
+        loguru.logger.bind(event=log_events.FAULT).exception(
+            'a connection failed inside this process'
+        )
+
+
 def _make_listener(
     sock: socket.socket, context: ssl.SSLContext | None
 ) -> trio.abc.Listener:
@@ -315,7 +331,7 @@
             server.stop()
         servers.add(server)
         try:
-            await server.run()
+            await _run_contained(server)
         finally:
             servers.discard(server)
 
