Take a KV handle that no request can carry for a failed read

What callers saw: all requests of a VM cut at once, when one replica had answered a read with an odd handle, or when a replica with a name beyond ASCII was to free a handle.

Cause: a handle that nobody takes is freed by a task beside the requests, in the program's own nursery (gateway/main.py). The request for it could not be made: httpx.InvalidURL, or UnicodeEncodeError for the name. Neither is an UpstreamError, so it ended the program. A handle with a line break would also have gone into a header as it is. Read in the code, not met in a run.

Evidence before: FAILED test_an_odd_handle_is_a_failed_read[] and 4 more E Failed: DID NOT RAISE UpstreamError FAILED test_a_handle_is_freed_at_a_replica_of_any_name[r\xe9plica] E UnicodeEncodeError: 'ascii' codec can't encode character '\xe9'

Change: a handle is visible ASCII of at most 256 bytes, or the read failed; the name goes out as it does with a request.

--- a/gentianstair/platform/wire.py
+++ b/gentianstair/platform/wire.py
@@ -1,5 +1,6 @@
 """Translate callers' requests, and what replicas are sent and answer."""
 
+import re
 import typing
 
 import httpx
@@ -51,6 +52,8 @@
 READS_PROMPTS = 'prefill'
 LEAST_LEFT_MS = 1
 LAST_URGENCY = 9
+# What a header and a URL can carry unchanged.
+_HANDLE = re.compile(r'[!-~]{1,256}')
 
 
 def _fields(headers: calls.Headers) -> dict[bytes, bytes]:
@@ -195,7 +198,7 @@
     return httpx.Request(
         'DELETE',
         f'http://{source.address}/api/kv-handle/{source.handle}',
-        headers={'x-expect-instance': replica_name},
+        headers=[(b'x-expect-instance', replica_name.encode())],
         extensions={'connect_s': connect_s},
     )
 
@@ -231,6 +234,8 @@
         if status != 200:
             raise ValueError(f'status {status}')
         found = msgspec.json.decode(body, type=_PromptRead)
+        if not _HANDLE.fullmatch(found.kv_handle):
+            raise ValueError('its handle is none')
     except (msgspec.DecodeError, ValueError) as error:
         raise errors.UpstreamError(
             f'the prompt was not read: {error}', verdicts.Verdict.RAN
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -2,9 +2,11 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 import pytest
 
 from gentianstair import errors
+from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.platform import configuration
 from gentianstair.platform import registry
@@ -167,3 +169,22 @@
         return
     found = wire.decode_cache_events(body)
     assert [tuple(change) for change in found.changes] == changes
+
+
+@pytest.mark.parametrize(
+    'handle', ['', 'a\nb', 'a\r\nx-tenant: b', '\0', 'x' * 70000]
+)
+def test_an_odd_handle_is_a_failed_read(handle):
+    # It can't be named in a request: freeing it ended the process.
+    body = msgspec.json.encode({'kv_handle': handle})
+    with pytest.raises(errors.UpstreamError):
+        wire.decode_handle('10.0.0.1:80', 200, body)
+
+
+@pytest.mark.parametrize('name', ['i-1', 'réplica'])
+def test_a_handle_is_freed_at_a_replica_of_any_name(name):
+    # A name beyond ASCII in the registry ended the process.
+    source = calls.KvSource('10.0.0.1:80', '3fa0')
+    request = wire.release_kv_request(name, source, 0.5)
+    assert request.url.raw_path == b'/api/kv-handle/3fa0'
+    assert (b'x-expect-instance', name.encode()) in request.headers.raw
