End requests with a final answer before the grace ends

What callers saw: a request that outlasted the grace of a planned stop got a bare 500 with no id, whether a replica had been sent it or not. The log had status 0 for it. A stream that had begun was cut without a line that said why. Requests for which the grace was too short were sent all the same.

Cause: the server cancelled what was still open, in the middle of any step. The 500 is the server library's own, made for an application that ends without an answer. We know the moment from the SIGTERM on.

Change: once the process is leaving, a request's time is also bounded by the end of the grace less 0.25 s: 504 if it may have run, 503 if not; a stream that had begun is cut there with an event=cut line, kind stopping. With 8 s of grace that is 6.75 s after the SIGTERM, still in its last sixth. The time that is left goes to replicas and into the check for requests that can't end in time. The entry does the same, for calls that run once only, too. The control program answers operators at once and passes nothing on: unchanged.

--- a/gentianstair/core/patience.py
+++ b/gentianstair/core/patience.py
@@ -7,6 +7,7 @@
 
 from gentianstair import errors
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import grace as graces
 
 
 class End(enum.Enum):
@@ -16,14 +17,19 @@
     # The caller hung up before the answer was whole.
     GONE = 'gone'
     LATE = 'late'
+    # The process ends before the caller's deadline.
+    STOPPED = 'stopped'
 
 
 async def run(
     exchange: exchanges.Exchange,
     work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     left_s: float,
+    grace: graces.Grace,
 ) -> End:
-    """Do the work until it is done, its caller hangs up or left_s pass.
+    """Do the work until it is done, its caller hangs up or time is over.
+
+    It has left_s, or what is left of the grace where that is less.
 
     Raise what the work raises of RequestError and CallerGoneError.
     """
@@ -39,7 +45,7 @@
         gone = True
         scope.cancel()
 
-    with trio.move_on_after(left_s) as late:
+    with trio.move_on_after(left_s) as late, grace.bound(late):
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch, nursery.cancel_scope)
             try:
@@ -52,4 +58,6 @@
         raise failure
     if gone and not exchange.ended:
         return End.GONE
-    return End.LATE if late.cancelled_caught else End.DONE
+    if not late.cancelled_caught:
+        return End.DONE
+    return End.LATE if grace.left_s() else End.STOPPED
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -7,6 +7,7 @@
 
 import loguru
 import prometheus_client
+import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
@@ -208,16 +209,16 @@
         deadline_s: float,
     ) -> None:
         """Run until done, the caller hangs up or its deadline passes."""
-        left_s = deadline_s - self._node.clock()
-        end = await patience.run(self._exchange, run, left_s)
+        node = self._node
+        left_s = deadline_s - node.clock()
+        end = await patience.run(self._exchange, run, left_s, node.grace)
         if end is patience.End.LATE:
-            raise errors.RequestError(
-                504,
+            raise _unfinished(
                 'deadline-passed',
                 'the answer was not complete at its deadline',
-                verdicts.Verdict.MAY_HAVE_RUN,
-                retry_after_s=1.0,
             )
+        if end is patience.End.STOPPED:
+            raise _stopping()
         if end is patience.End.GONE:
             raise exchanges.CallerGoneError('the caller hung up')
 
@@ -286,7 +287,10 @@
             return
         # A caller that hangs up does not stop an unrepeatable call: its
         # outcome is kept for when the caller asks again.
-        await run()
+        with trio.CancelScope() as scope, node.grace.bound(scope):
+            await run()
+        if scope.cancelled_caught:
+            raise _stopping()
 
     async def _reply(self, reply: services.Reply) -> None:
         self._status = reply.status
@@ -300,6 +304,22 @@
         await self._exchange.end(reply.body)
 
 
+def _unfinished(kind: str, detail: str) -> errors.RequestError:
+    return errors.RequestError(
+        504,
+        kind,
+        detail,
+        verdicts.Verdict.MAY_HAVE_RUN,
+        retry_after_s=1.0,
+    )
+
+
+def _stopping() -> errors.RequestError:
+    return _unfinished(
+        'stopping', 'this VM stopped before the answer was complete'
+    )
+
+
 def _internal() -> errors.RequestError:
     return errors.RequestError(
         500,
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -12,6 +12,7 @@
 from gentianstair import daemon
 from gentianstair import errors
 from gentianstair.config import view as views
+from gentianstair.core import grace
 from gentianstair.entry import admission
 from gentianstair.entry import app as apps
 from gentianstair.entry import claim_links
@@ -111,6 +112,7 @@
         ),
         explanations=explanations,
         transport=transport.make_transport(),
+        grace=grace.Grace(),
     )
     return node, peer
 
@@ -199,6 +201,9 @@
         loguru.logger.info('stopping: no new requests, running ones end')
         leaving.set()
         peer.leave()
+        node.grace.end_in(
+            config.leave_wait_s + config.drain_timeout_s - grace.LAST_ANSWERS_S
+        )
         # The balancer still sends here until it has seen that this VM is
         # not ready; closing at once would refuse those callers.
         await trio.sleep(config.leave_wait_s)
--- a/gentianstair/entry/node.py
+++ b/gentianstair/entry/node.py
@@ -4,6 +4,7 @@
 
 from gentianstair.config import view as views
 from gentianstair.core import ejection
+from gentianstair.core import grace
 from gentianstair.entry import admission
 from gentianstair.entry import claims as claimses
 from gentianstair.entry import explain
@@ -38,6 +39,7 @@
     usage: usages.Usage
     explanations: explain.Explanations
     transport: transport.Transport
+    grace: grace.Grace
 
     @property
     def ejector(self) -> ejection.Ejector:
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -270,18 +270,25 @@
             self._exchange,
             functools.partial(self._run, task, service),
             task.left_s(),
+            self._node.grace,
         )
         if end is patience.End.GONE:
             raise exchanges.CallerGoneError('the caller hung up')
-        if end is patience.End.LATE:
-            raise self._late(task)
+        if end is not patience.End.DONE:
+            raise self._late(task, end)
 
-    def _late(self, task: tasks.Task) -> errors.RequestError:
-        """Return the error at the deadline; what was sent may have run."""
+    def _late(
+        self, task: tasks.Task, end: patience.End
+    ) -> errors.RequestError:
+        """Return the error when time is over; what was sent may have run."""
         if task.sent:
             task.note(verdicts.Verdict.MAY_HAVE_RUN)
         if task.verdict is verdicts.Verdict.NOT_RUN:
             return task.give_up()
+        if end is patience.End.STOPPED:
+            return errors.RequestError(
+                504, 'stopping', 'no answer before this stop', task.verdict
+            )
         return errors.RequestError(
             504, 'deadline-passed', 'no answer in time', task.verdict
         )
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -15,6 +15,7 @@
 from gentianstair import errors
 from gentianstair.control import lease
 from gentianstair.core import ejection
+from gentianstair.core import grace
 from gentianstair.gateway import cache_news
 from gentianstair.gateway import cache_watch
 from gentianstair.gateway import catalog
@@ -174,6 +175,7 @@
         store=store,
         usage=counts,
         leaving=trio.Event(),
+        grace=grace.Grace(),
         nursery=nursery,
     )
 
@@ -284,11 +286,17 @@
             await trio.sleep(duties.LOOK_S)
 
 
+def _serving_s(found: deployment.Deployment) -> float:
+    """Return how long requests are served after a stop is asked for."""
+    return found.bounds.grace_s - LAST_WRITES_S
+
+
 async def _leave(node: nodes.Node) -> None:
     """Return when callers have been told to go elsewhere."""
     await serving.wait_for_stop()
     loguru.logger.bind(event=events.STOPPING).info('stopping')
     node.leaving.set()
+    node.grace.end_in(_serving_s(node.deployment) - grace.LAST_ANSWERS_S)
     await trio.sleep(LEAVE_S)
 
 
@@ -325,7 +333,7 @@
                 handler.make_app(node),
                 callers,
                 functools.partial(_leave, node),
-                found.bounds.grace_s - LEAVE_S - LAST_WRITES_S,
+                _serving_s(found) - LEAVE_S,
             )
             duty_nursery.cancel_scope.cancel()
         with trio.move_on_after(LAST_WRITES_S / 2):
--- a/gentianstair/gateway/task.py
+++ b/gentianstair/gateway/task.py
@@ -73,8 +73,9 @@
         return self.customer.name if self.customer else None
 
     def left_s(self) -> float:
-        """Return how long the caller still waits, 0 when it is too late."""
-        return max(0.0, self.deadline_s - self.node.clock())
+        """Return how long the caller waits and this process serves."""
+        left_s = max(0.0, self.deadline_s - self.node.clock())
+        return min(left_s, self.node.grace.left_s())
 
     def urgency(self) -> int:
         """Return the rank for replicas; a customer's goes first."""
--- a/test/gateway/test_cut_connections.py
+++ b/test/gateway/test_cut_connections.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from gentianstair.core import grace
 from gentianstair.gateway import main
 from gentianstair.generated import events
 from gentianstair.ui import losses
@@ -162,6 +163,8 @@
     stop = trio.Event()
     monkeypatch.setattr(serving, 'wait_for_stop', stop.wait)
     monkeypatch.setattr(main, 'LEAVE_S', 0.0)
+    # A request that is not told of the stop, or its answer would come first.
+    monkeypatch.setattr(grace.Grace, 'end_in', lambda *_: None)
     grace_s = GRACE_S + main.LAST_WRITES_S
     async with sites.running() as site:
         desks = [r for r in site.replicas if r.service == 'desk']
--- /dev/null
+++ b/test/gateway/test_planned_stop.py
@@ -0,0 +1,83 @@
+"""Test what callers get from a process that is being stopped."""
+
+import pytest
+import trio
+
+from gentianstair.gateway import main
+from gentianstair.util import serving
+from standins.site import site as sites
+from test.gateway import gateways
+
+GRACE_S = 2.4
+
+
+@pytest.fixture
+def stop(monkeypatch):
+    found = trio.Event()
+    monkeypatch.setattr(serving, 'wait_for_stop', found.wait)
+    monkeypatch.setattr(main, 'LEAVE_S', 0.2)
+    return found
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'more'),
+    [
+        ('GET', '/lookup/entry', {}),
+        ('POST', '/register/entry', {}),
+        ('POST', '/ask/rule', gateways.PROMPT),
+        ('POST', '/draft/rule', gateways.PROMPT),
+    ],
+)
+async def test_what_outlasts_the_grace_gets_a_final_answer(
+    tmp_path, stop, method, path, more
+):
+    # A bare 500, of which callers and logs could tell nothing.
+    async with sites.running() as site:
+        async with gateways.running(site, tmp_path, grace_s=GRACE_S) as (
+            gateway,
+        ):
+            for replica in site.replicas:
+                replica.faults.silent = True
+            # A kept connection.
+            await gateway.call('GET', '/none/', 'r0')
+            stop.set()
+            await trio.sleep(0.05)
+            answer = await gateway.call(method, path, 'r1', **more)
+    assert answer.status_code == 504
+    assert answer.headers['x-request-id'] == 'r1'
+    assert answer.headers['connection'] == 'close'
+
+
+async def test_what_ends_in_the_grace_is_answered(tmp_path, stop):
+    async with sites.running() as site:
+        async with gateways.running(site, tmp_path, grace_s=GRACE_S) as (
+            gateway,
+        ):
+            stop.set()
+            await trio.sleep(0.05)
+            answer = await gateway.call(
+                'POST', '/ask/rule', 'r1', **gateways.PROMPT
+            )
+    assert answer.status_code == 200
+    assert answer.text.count('data: word') == 5
+
+
+@pytest.mark.parametrize(('stopping', 'status'), [(False, 200), (True, 503)])
+async def test_what_cannot_end_in_the_grace_is_refused_at_once(
+    tmp_path, stop, stopping, status, monkeypatch
+):
+    # It waited for the end of the grace, though another VM had the time.
+    monkeypatch.setattr(main, 'LEAVE_S', 1.0)
+    more = {**gateways.PROMPT, 'x-token-count': '30000,80'}
+    async with sites.running() as site:
+        async with gateways.running(site, tmp_path, grace_s=GRACE_S) as (
+            gateway,
+        ):
+            if stopping:
+                stop.set()
+                await trio.sleep(0.8)
+            started_s = trio.current_time()
+            answer = await gateway.call('POST', '/ask/rule', 'r1', **more)
+            took_s = trio.current_time() - started_s
+    assert answer.status_code == status
+    assert not stopping or took_s < 0.2
