Keep a connection whose answer meets the request's deadline

What callers saw: a whole answer, then none to the next request on that connection, which was neither read nor closed until the process ended. The log said 504 for the answer that had gone out whole.

Cause: after the last part the server forgets the request and makes ready to read the next one, in the request's own task; its first step there can be cancelled. Where an answer and the deadline come in one turn of a loop that was held up, the task runs on with its cancellation pending and meets it just there. Not the idle close: nobody closes here.

Change: the last part's data can be cancelled as before, the steps after it are shielded for a second at most; an answer that ended is done.

--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -26,6 +26,8 @@
 # their callers left, or this process closed their connections.
 HTTP_CALLER_GONE = 499
 HTTP_CLOSED_HERE = 444
+# Longest time for the server's steps after an answer; they wait for nothing.
+END_S = 1.0
 
 
 class CallerGoneError(errors.GentianstairError):
@@ -177,9 +179,17 @@
         )
 
     async def end(self, data: bytes = b'') -> None:
-        """Send the last part of the body."""
+        """Send the last part of the body.
+
+        What the server does after it is not cancelled half way: the
+        connection would neither be read on nor be closed.
+        """
+        if data:
+            await self.write(data)
         self.ended = True
-        await self._send({'type': 'http.response.body', 'body': data})
+        until_s = trio.current_time() + END_S
+        with trio.CancelScope(deadline=until_s, shield=True):
+            await self._send({'type': 'http.response.body', 'body': b''})
 
     async def answer(
         self, status: int, content_type: str, body: bytes, extra: Headers = ()
--- a/gentianstair/core/patience.py
+++ b/gentianstair/core/patience.py
@@ -56,7 +56,9 @@
             nursery.cancel_scope.cancel()
     if failure is not None:
         raise failure
-    if gone and not exchange.ended:
+    if exchange.ended:
+        return End.DONE
+    if gone:
         return End.GONE
     if not late.cancelled_caught:
         return End.DONE
--- /dev/null
+++ b/test/core/test_exchange.py
@@ -0,0 +1,65 @@
+"""Test that a connection is read on, or closed, after each answer."""
+
+import contextlib
+import time
+
+import pytest
+import trio
+
+from gentianstair.core import asgi
+from gentianstair.core import grace
+from gentianstair.core import patience
+from gentianstair.util import serving
+
+REQUEST = b'GET / HTTP/1.1\r\nhost: x\r\n\r\n'
+PROMPT_S = 5.0
+DEADLINE_S = 0.05
+
+
+@contextlib.asynccontextmanager
+async def connection_to(serve):
+    """Yield a connection to an application that is served here."""
+    sock = serving.listen('127.0.0.1:0')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            serving.serve, asgi.make_app(serve), sock, trio.sleep_forever, 1.0
+        )
+        stream = await trio.open_tcp_stream(*sock.getsockname())
+        async with stream:
+            with trio.fail_after(PROMPT_S):
+                yield stream
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('length', [[(b'content-length', b'4')], []])
+async def test_an_answer_at_the_deadline_leaves_its_connection_open(length):
+    # The next request on it was not read, and the channel was not closed.
+    ends = []
+
+    async def answer(exchange):
+        await exchange.start(200, length)
+        await exchange.end(b'done')
+
+    async def answer_late(exchange):
+        async def work():
+            # A replica's answer and the deadline come in one turn of a loop
+            # that was held up.
+            time.sleep(DEADLINE_S)
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            await answer(exchange)
+
+        await exchange.read_body(1000, 1.0)
+        if exchange.path == '/late':
+            ends.append(
+                await patience.run(exchange, work, DEADLINE_S, grace.Grace())
+            )
+        else:
+            await answer(exchange)
+
+    async with connection_to(answer_late) as stream:
+        await stream.send_all(REQUEST.replace(b'/ ', b'/late '))
+        assert b'200' in await stream.receive_some()
+        await trio.sleep(2 * DEADLINE_S)
+        await stream.send_all(REQUEST)
+        assert b'200' in await stream.receive_some()
+    assert ends == [patience.End.DONE]
