Close a connection whose body is refused while it comes in

What callers saw: a caller that still sends a body which was refused waits until its own time limit; the connection and its request stay until the process ends, which a planned stop then waits for.

Cause: the server tells an application the end of a request through the queue in which parts of the body wait, ten at most, and only then closes. An application that answers does not read any more; a full queue holds it.

Evidence before: TooSlowError in FAILED test_a_refused_body_does_not_hold_its_connection with an application that is held up for 0.1 s before it refuses. Without that, 0 of 112 connections with refused bodies hung, before as after: ours refuse as soon as they know, and the queue has one or two parts by then.

Change: what is left of the body is dropped while the last part is sent.

--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -61,6 +61,7 @@
         self.ended = False
         # Asked when the answer starts: whether its connection is to close.
         self.closes: collections.abc.Callable[[], bool] | None = None
+        self._body_read = False
         self._receive = receive
         self._send = send
 
@@ -138,6 +139,7 @@
                 if size > limit_bytes:
                     raise too_long
                 more = message.get('more_body', False)
+            self._body_read = True
         if scope.cancelled_caught:
             raise errors.RequestError(
                 HTTP_TIMEOUT,
@@ -153,7 +155,7 @@
         return HTTP_CALLER_GONE
 
     async def wait_gone(self) -> None:
-        """Return when the connection has ended; call after read_body."""
+        """Return when the connection has ended; drop what is left to read."""
         while True:
             message = await self._receive()
             if message['type'] == 'http.disconnect':
@@ -189,7 +191,19 @@
         self.ended = True
         until_s = trio.current_time() + END_S
         with trio.CancelScope(deadline=until_s, shield=True):
-            await self._send({'type': 'http.response.body', 'body': b''})
+            await self._send_last()
+
+    async def _send_last(self) -> None:
+        last = {'type': 'http.response.body', 'body': b''}
+        if self._body_read:
+            await self._send(last)
+            return
+        async with trio.open_nursery() as nursery:
+            # The server tells the end of the request behind the parts of
+            # its body, in a queue that may be full.
+            nursery.start_soon(self.wait_gone)
+            await self._send(last)
+            nursery.cancel_scope.cancel()
 
     async def answer(
         self, status: int, content_type: str, body: bytes, extra: Headers = ()
--- a/test/core/test_exchange.py
+++ b/test/core/test_exchange.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from gentianstair import errors
 from gentianstair.core import asgi
 from gentianstair.core import grace
 from gentianstair.core import patience
@@ -63,3 +64,22 @@
         await stream.send_all(REQUEST)
         assert b'200' in await stream.receive_some()
     assert ends == [patience.End.DONE]
+
+
+async def test_a_refused_body_does_not_hold_its_connection():
+    # Parts of it that waited to be read kept the channel from being closed.
+    async def refuse(exchange):
+        try:
+            await exchange.read_body(1000, 1.0)
+        except errors.RequestError as error:
+            # Held up, so that the server's queue of parts is full.
+            await trio.sleep(0.1)
+            await exchange.refuse(error, 'r1')
+
+    head = b'POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 100000000\r\n\r\n'
+    async with connection_to(refuse) as stream:
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.send_all(head + b'x' * 100000000)
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                pass
