Give a connection to an upstream back once

What callers would see: a failed request, or another one's answer, where a response is closed twice: its connection was kept twice and went to two requests at a time. No place in the code closes one twice today.

Evidence before: trio.BusyResourceError in FAILED test_a_connection_is_kept_once

Change: the second close does nothing. The other tests beside it passed before, too: a kept connection that ends under a request gives MAY_HAVE_RUN; an answer that was left half way is not read by the next request; requests at the same time share no connection; the idle limit is looked at where a connection is taken, by no task of its own.

--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -145,6 +145,7 @@
         self._stream = stream
         self._message = message
         self._give_back = give_back
+        self._closed = False
 
     async def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
         message = self._message
@@ -161,7 +162,11 @@
         """Keep the connection if the body is whole, else cut it.
 
         Cutting it is how the upstream learns that the work is cancelled.
+        A second call does nothing.
         """
+        if self._closed:
+            return
+        self._closed = True
         if self._message.done and self._message.keep_alive:
             self._give_back(self._stream)
         else:
