Give nothing up before the last sixth of a short grace

What callers would have seen, where a planned stop has less than 7.5 s of grace: a request that a replica was at work on was ended by a 504 earlier than the users' pages allow, since a fixed 1.25 s was left for final answers and last writes.

Change: requests may end until 0.85 of the grace, or until 1.25 s before its end where that is later: 6.8 s of 8 s, 6.75 s before.

Evidence: of the six graces of the new test, 3 to 30 s, the first four gave up before five sixths of the grace. The test of requests that can't end in the grace asks 0.35 s before that moment, as it did; the one of the cut at the end of the grace has a grace of 0.5 s, as it had left for serving.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -59,6 +59,8 @@
 LEAVE_S = 2.6
 # Left of the grace for the last writes.
 LAST_WRITES_S = 1.0
+# Share of a short grace in which requests may end, whatever that leaves.
+ANSWERED_SHARE = 0.85
 # Connections to replicas are kept for less than any of them keeps an idle
 # one that it says nothing about.
 REPLICA_IDLE_S = 1.0
@@ -286,9 +288,18 @@
             await trio.sleep(duties.LOOK_S)
 
 
-def _serving_s(found: deployment.Deployment) -> float:
-    """Return how long requests are served after a stop is asked for."""
-    return found.bounds.grace_s - LAST_WRITES_S
+def answered_s(grace_s: float) -> float:
+    """Return how long after a stop is asked for requests may end.
+
+    Replicas that are at work in the last sixth of the grace are given up.
+    """
+    left_s = grace.LAST_ANSWERS_S + LAST_WRITES_S
+    return max(ANSWERED_SHARE * grace_s, grace_s - left_s)
+
+
+def served_s(grace_s: float) -> float:
+    """Return how long after a stop is asked for connections may last."""
+    return min(answered_s(grace_s) + grace.LAST_ANSWERS_S, grace_s)
 
 
 async def _leave(node: nodes.Node) -> None:
@@ -296,7 +307,7 @@
     await serving.wait_for_stop()
     loguru.logger.bind(event=events.STOPPING).info('stopping')
     node.leaving.set()
-    node.grace.end_in(_serving_s(node.deployment) - grace.LAST_ANSWERS_S)
+    node.grace.end_in(answered_s(node.deployment.bounds.grace_s))
     await trio.sleep(LEAVE_S)
 
 
@@ -333,7 +344,7 @@
                 handler.make_app(node),
                 callers,
                 functools.partial(_leave, node),
-                _serving_s(found) - LEAVE_S,
+                served_s(found.bounds.grace_s) - LEAVE_S,
             )
             duty_nursery.cancel_scope.cancel()
         with trio.move_on_after(LAST_WRITES_S / 2):
--- a/test/gateway/test_cut_connections.py
+++ b/test/gateway/test_cut_connections.py
@@ -165,12 +165,11 @@
     monkeypatch.setattr(main, 'LEAVE_S', 0.0)
     # A request that is not told of the stop, or its answer would come first.
     monkeypatch.setattr(grace.Grace, 'end_in', lambda *_: None)
-    grace_s = GRACE_S + main.LAST_WRITES_S
     async with sites.running() as site:
         desks = [r for r in site.replicas if r.service == 'desk']
         for desk in desks:
             desk.faults.silent = True
-        async with gateways.running(site, tmp_path, grace_s=grace_s) as (
+        async with gateways.running(site, tmp_path, grace_s=GRACE_S) as (
             gateway,
         ):
             stream = await trio.open_tcp_stream(
--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -9,6 +9,8 @@
 from test.gateway import gateways
 
 GRACE_S = 2.4
+# Too short for the prompt to be read.
+SHORT_S = 0.35
 
 
 @pytest.fixture
@@ -19,6 +21,14 @@
     return found
 
 
+@pytest.mark.parametrize('grace_s', [3.0, 4.0, 6.0, 7.4, 8.0, 30.0])
+def test_no_request_is_given_up_before_the_last_sixth_of_the_grace(grace_s):
+    # With a short grace what a replica was at work on was cut too early.
+    answered_s = main.answered_s(grace_s)
+    assert answered_s > grace_s * 5 / 6
+    assert answered_s < main.served_s(grace_s) < grace_s
+
+
 @pytest.mark.parametrize(
     ('method', 'path', 'more'),
     [
@@ -67,7 +77,7 @@
     tmp_path, stop, stopping, status, monkeypatch
 ):
     # It waited for the end of the grace, though another VM had the time.
-    monkeypatch.setattr(main, 'LEAVE_S', 1.0)
+    monkeypatch.setattr(main, 'LEAVE_S', main.answered_s(GRACE_S))
     more = {**gateways.PROMPT, 'x-token-count': '30000,80'}
     async with sites.running() as site:
         async with gateways.running(site, tmp_path, grace_s=GRACE_S) as (
@@ -75,7 +85,7 @@
         ):
             if stopping:
                 stop.set()
-                await trio.sleep(0.8)
+                await trio.sleep(main.answered_s(GRACE_S) - SHORT_S)
             started_s = trio.current_time()
             answer = await gateway.call('POST', '/ask/rule', 'r1', **more)
             took_s = trio.current_time() - started_s
