Tell callers how long an idle connection is kept

What callers saw: their request crossed the close of a connection that had been idle for the keep-alive time, and had to be made again.

Cause: nothing told them when that close comes. It can't be avoided from this side: a request that is on its way when we close is not read any more.

Change: each answer over HTTP/1.1 bears Keep-Alive with 70 s, five less than the connection is kept.

The new test failed before, as no such header was there.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -32,6 +32,8 @@
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
 KEEP_ALIVE_S = 75.0
+# Told to callers; by then a request of theirs has had time to arrive.
+KEEP_ALIVE_TOLD_S = 70
 # Longest wait of one part of an answer for a caller to take it.
 SEND_STALL_S = 10.0
 SEND_PART_BYTES = 65536
@@ -292,8 +294,21 @@
     return trio.SSLListener(listener, context, https_compatible=True)
 
 
+class _Config(hypercorn.config.Config):
+    """The library's settings, and what it says with each answer."""
+
+    def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
+        """Return the headers that each answer bears, by its protocol."""
+        headers = super().response_headers(protocol)
+        if protocol == 'h11':
+            # A caller that comes back in time meets no close of ours.
+            told = b'timeout=%d' % KEEP_ALIVE_TOLD_S
+            headers.append((b'keep-alive', told))
+        return headers
+
+
 def _make_config(graceful_timeout_s: float) -> hypercorn.config.Config:
-    config = hypercorn.config.Config()
+    config = _Config()
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
--- a/test/util/test_serving.py
+++ b/test/util/test_serving.py
@@ -1,5 +1,7 @@
 """Test the server under connections that end in odd ways."""
 
+import re
+
 import pytest
 import quart_trio
 import trio
@@ -72,3 +74,26 @@
                     while await stream.receive_some(65536):
                         pass
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('close', [True, False])
+async def test_callers_are_told_how_long_a_connection_is_kept(close):
+    # A request that crosses the close of its idle connection is not answered.
+    sock = serving.listen('127.0.0.1:0')
+    request = REQUEST
+    if close:
+        request = REQUEST.replace(b'host', b'connection: close\r\nhost')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            serving.serve, answer, sock, trio.sleep_forever, 1.0
+        )
+        stream = await trio.open_tcp_stream(*sock.getsockname())
+        await stream.send_all(request)
+        data = b''
+        with trio.fail_after(PROMPT_S):
+            while b'\r\n\r\n' not in data:
+                data += await stream.receive_some()
+        nursery.cancel_scope.cancel()
+    told_s = int(re.search(rb'keep-alive: timeout=(\d+)', data, re.I)[1])
+    assert 0 < told_s < serving.KEEP_ALIVE_S
+    assert (b'connection: close' in data.lower()) == close
