--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -12,6 +12,8 @@
 from standins import ports
 
 START_S = 15.0
+# Of what a process that does not come up has written.
+TOLD_BYTES = 300
 # Fields of /proc/PID/stat behind the program's name.
 USER_TICKS = 11
 SYSTEM_TICKS = 12
@@ -123,8 +125,11 @@
         Before its interpreter has come to the program's own code, which is
         half a second on a busy machine, any signal ends it.
         """
-        told = self.log.read_bytes()[self._log_bytes :]
-        return b'"event": "started"' in told
+        return b'"event": "started"' in self._told()
+
+    def _told(self) -> bytes:
+        """Return what this start of the process has written so far."""
+        return self.log.read_bytes()[self._log_bytes :]
 
     async def is_ready(self) -> bool:
         """Return whether the balancer would send callers here."""
@@ -144,7 +149,8 @@
         raise NotReadyError(
             f'{self.vm} is not ready after {START_S:g} s: exit code '
             f'{self.process.poll() if self.process else None}, '
-            f'{self._spent_s():.2f} s of processor time'
+            f'{self._spent_s():.2f} s of processor time, '
+            f'last told: {self._told()[-TOLD_BYTES:]!r}'
         )
 
     def _spent_s(self) -> float:
--- a/test/standins/test_ports.py
+++ b/test/standins/test_ports.py
@@ -17,3 +17,9 @@
         sock.bind(('127.0.0.1', 0))
         handed_out = sock.getsockname()[1]
     assert handed_out >= ports.LAST
+
+
+def test_a_port_is_not_given_out_twice():
+    # Guards against a process that ends as its own second port is in use.
+    found = [ports.free_port() for _ in range(2000)]
+    assert len(set(found)) == len(found)
