Test a store connection that ends under a call

A kept connection that the store closes as a call is sent on it: a read is told as not done, a write as unknown, and the next call goes on a new one. Passes as the code is.

--- a/test/platform/test_objects.py
+++ b/test/platform/test_objects.py
@@ -1,5 +1,6 @@
 """Test the store's client on connections that go silent."""
 
+import pytest
 import trio
 
 from gentianstair import errors
@@ -17,12 +18,16 @@
 
     def __init__(self):
         self.silent = False
+        # Closes a connection instead of answering.
+        self.closing = False
         self.connections = 0
 
     async def serve(self, stream):
         self.connections += 1
         dead = False
         while await stream.receive_some(4096):
+            if self.closing:
+                return
             dead = dead or self.silent
             if dead:
                 await trio.sleep_forever()
@@ -58,3 +63,31 @@
         found = await get()
     assert found.version == 5
     assert server.connections == 4
+
+
+@pytest.mark.parametrize(
+    ('version', 'error'),
+    [
+        (None, errors.StoreUnavailableError),
+        (0, errors.StoreUnknownError),
+        (5, errors.StoreUnknownError),
+    ],
+)
+async def test_a_kept_connection_that_ends_under_a_call(
+    nursery, version, error
+):
+    # A write told as not done would be done twice, a usage report counted so.
+    server = Store()
+    listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
+    port = listeners[0].socket.getsockname()[1]
+    store = objects.connect(f'127.0.0.1:{port}', 'vm-1', 1.0)
+    await store.get('config', 'main', purpose='test')
+    server.closing = True
+    with pytest.raises(error):
+        if version is None:
+            await store.get('config', 'main', purpose='test')
+        else:
+            await store.put('config', 'main', {}, version, purpose='test')
+    server.closing = False
+    assert (await store.get('config', 'main', purpose='test')).version == 5
+    assert server.connections == 2
