Keep a leaf's newer link when its older one ends

What operators saw: nothing said so. For up to 0.75 s a hub counted none of a leaf's work and gave the replicas whose caches that leaf follows to others.

Cause: a leaf whose link broke at its own end opens a new one, at once where there is one hub only; the hub takes the old one for silent up to 5 s later, and its end forgot the leaf, which told of itself on the new link by then.

Evidence before: FAILED test_the_end_of_a_replaced_link_forgets_nothing E AssertionError: assert 0 == 3

Change: a link's end forgets its leaf only while it is the newest one. No request goes over these links; what is told is state, and told anew.

--- a/gentianstair/gateway/hub_link.py
+++ b/gentianstair/gateway/hub_link.py
@@ -26,15 +26,16 @@
         """Take a leaf's word and return what is new since the last one."""
         node = self._node
         self._leaf = told['process']
-        node.roster.leaves.add(self._leaf)
+        node.roster.leaves[self._leaf] = self
         node.work.tell(self._leaf, loads.decode(told['loads']), passed_on=True)
         node.cache_news.take(told.get('cache', ()), passed_on=True)
         return self._news(told['config_version'])
 
     def end(self) -> None:
-        """Forget the leaf: another hub counts its work from now on."""
-        if self._leaf:
-            self._node.roster.leaves.discard(self._leaf)
+        """Forget the leaf, unless it has a newer link to this hub."""
+        leaves = self._node.roster.leaves
+        if leaves.get(self._leaf) is self:
+            del leaves[self._leaf]
             self._node.work.forget(self._leaf)
 
     def _news(self, known_version: int) -> messages.GatewayFeed:
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -53,8 +53,8 @@
         # The hubs by what this VM sees itself, and until when that holds.
         self._chosen: list[hubs.Vm] = []
         self._chosen_until_s = -math.inf
-        # Processes of the leaves that this VM tells.
-        self.leaves: set[str] = set()
+        # The newest link of each leaf's process that this VM tells.
+        self.leaves: dict[str, typing.Any] = {}
         self._assigned: dict[str, list[str]] = {}
         self._assigned_s: float | None = None
 
