Test that pipelined requests don't delay a stop

Operators see a process that stops only at the end of its grace, though its last answer has been given.

Cause: the reading task is paused behind the request that is being answered. When the answer ends after the stop, the library wakes that task but starts no new cycle, so it pauses again, and nothing wakes it any more. The caller has its answer and its close; the connection's tasks stay until they are cancelled.

--- a/test/util/test_connection_ends.py
+++ b/test/util/test_connection_ends.py
@@ -160,3 +160,18 @@
         await trio.testing.wait_all_tasks_blocked()
         await _read_ends(server, moment, [caller])
         assert PATH not in server.app.given
+
+
+@transports
+async def test_pipelined_requests_do_not_delay_a_stop(transport):
+    async with kept.running(transport, grace_s=GRACE_S) as server:
+        caller = await server.connect_kept()
+        server.app.gate = trio.Event()
+        caller.send(WHOLE + kept.request('/third'))
+        transport.wait_arrival()
+        await trio.testing.wait_all_tasks_blocked()
+        server.stop.set()
+        await trio.testing.wait_all_tasks_blocked()
+        server.app.gate.set()
+        await _read_ends(server, 'stop', [caller])
+    assert PATH in caller.answered()
