Test closes of many connections and in a held up event loop

Callers lose answers when many connections are closed at once, and when the event loop is held up while the keep-alive time ends: request and end are then due in the same turn.

Cause: as in the tests of single connections; here the orders of the turns come from a seed, and the time from the machine's clock.

--- a/test/util/test_idle_close.py
+++ b/test/util/test_idle_close.py
@@ -1,5 +1,7 @@
 """Test that no request is lost when its kept connection is closed."""
 
+import random
+import time
 import typing
 
 from hypercorn.trio import worker_context
@@ -7,6 +9,7 @@
 import trio
 import trio.testing
 
+from gentianstair.util import serving
 from test.util import kept
 
 # Turns of the event loop from the moment of closing to a sending.
@@ -15,6 +18,8 @@
 WAIT_S = 10.0
 BODY = b'body'
 AT_END = 1000
+CALLERS = 60
+HOLD_S = 0.1
 
 
 class Part(typing.NamedTuple):
@@ -210,3 +215,48 @@
         for order, outcome in found.items()
         if PATH not in outcome.answered
     }
+
+
+@both_moments
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('transport', ['unix', 'tcp'], indirect=True)
+async def test_a_close_of_many_connections_cuts_off_no_request(
+    transport, seed, moment, mock_clock, monkeypatch
+):
+    mock_clock.rate = 1.0
+    order = random.Random(seed).choices([False, True], k=100)
+    turns = range(FIRST_TURN, LAST_TURN + 1)
+    async with kept.running(transport) as server:
+        callers = [await server.connect_kept(f'/{n}') for n in range(CALLERS)]
+        kept.set_order(monkeypatch, order)
+        for turn in turns:
+            for number in range(turn - FIRST_TURN, CALLERS, len(turns)):
+                callers[number].send(kept.request(f'{PATH}/{number}'))
+            transport.wait_arrival()
+            if turn == 0:
+                kept.begin(server, moment, mock_clock)
+            await trio.lowlevel.checkpoint()
+        with trio.fail_after(WAIT_S):
+            await kept.end(server, callers)
+    answered = {path for caller in callers for path in caller.answered()}
+    assert not set(server.app.given) - answered
+
+
+@pytest.mark.parametrize('transport', ['unix', 'tcp', 'tls'], indirect=True)
+async def test_a_held_up_event_loop_cuts_off_no_request(
+    transport, monkeypatch
+):
+    lost = {}
+    for order in kept.ORDERS:
+        monkeypatch.undo()
+        monkeypatch.setattr(serving, 'KEEP_ALIVE_S', HOLD_S)
+        async with kept.running(transport) as server:
+            caller = await server.connect_kept()
+            kept.set_order(monkeypatch, order)
+            caller.send(WHOLE)
+            time.sleep(HOLD_S)
+            await kept.pass_turns(LAST_TURN)
+            with trio.fail_after(WAIT_S):
+                await kept.end(server, [caller])
+        lost[order] = set(server.app.given) - set(caller.answered())
+    assert not {order: paths for order, paths in lost.items() if paths}
