--- a/test/util/kept.py
+++ b/test/util/kept.py
@@ -29,7 +29,10 @@
 
 
 class App:
-    """Note each request that is handed over and answer it in two parts."""
+    """Note each request that is handed over and answer it in two parts.
+
+    As the gateway does, it gives up once it is told that its caller has gone.
+    """
 
     def __init__(self):
         self.given = []
@@ -44,10 +47,18 @@
         self.given.append(scope['path'])
         while (await receive()).get('more_body'):
             pass
-        await self.gate.wait()
-        await self._answer(f'<{scope["path"]}>'.encode(), send)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, receive, nursery.cancel_scope)
+            await self._answer(f'<{scope["path"]}>'.encode(), send)
+            nursery.cancel_scope.cancel()
+
+    async def _watch(self, receive, scope):
+        while (await receive())['type'] != 'http.disconnect':
+            pass
+        scope.cancel()
 
     async def _answer(self, body, send):
+        await self.gate.wait()
         length = (b'content-length', b'%d' % len(body))
         head = {'type': 'http.response.start', 'status': 200}
         await send({**head, 'headers': [length]})
