Test that the end of the idle time cuts off no request passed on

Callers of a gateway that nobody stops get a close and no answer, though a replica has their requests.

Cause: as at a stop. The event loop is held up while the keep-alive time ends; the request and the end are due in one turn. Where that turn runs the reading task first the request is passed on and cut off; in the other order it is closed away unread, which is why that row passes. The file has its name for both, and the test of the stop the name of what it checks.

--- a/test/gateway/test_stop_kept.py
+++ b/test/gateway/test_kept_connections.py
@@ -1,7 +1,8 @@
-"""Test that a planned stop cuts off no request of a kept connection."""
+"""Test that a gateway cuts off no request of a kept connection."""
 
 import re
 import socket
+import time
 
 import pytest
 import trio
@@ -16,6 +17,10 @@
 
 # Turns of the event loop from the stop, with one caller each.
 TURNS = 20
+CALLERS = 10
+# How long the event loop is held up, to the end of the idle time.
+HOLD_S = 0.3
+SETTLE_S = 0.05
 WAIT_S = 10.0
 DONE = re.compile(rb'done by (i-desk-\d)')
 TRANSPORT = kept.Transport(socket.AF_INET)
@@ -68,29 +73,66 @@
         await trio.lowlevel.checkpoint()
 
 
-@pytest.mark.parametrize('last_first', [False, True])
-async def test_a_stop_cuts_off_no_request_that_was_handed_over(
+class Play:
+    """Callers of a gateway, and which requests it got and passed on."""
+
+    def __init__(self, monkeypatch):
+        self.given = _note_requests(monkeypatch, handler, 'make_app')
+        self.passed_on = _note_requests(monkeypatch, replicas, 'create_app')
+        self.callers = {}
+
+    async def read_to_end(self):
+        with trio.fail_after(WAIT_S):
+            for caller in self.callers.values():
+                await caller.read_to_end()
+
+    def check(self):
+        cut_off = {
+            name
+            for name, caller in self.callers.items()
+            if len(DONE.findall(caller.data)) < 2
+        }
+        assert not cut_off.intersection(self.passed_on)
+        assert not cut_off.intersection(self.given)
+
+
+orders = pytest.mark.parametrize('last_first', [False, True])
+
+
+@orders
+async def test_a_stop_cuts_off_no_request_that_was_passed_on(
     tmp_path, monkeypatch, last_first
 ):
     stop = trio.Event()
     monkeypatch.setattr(serving, 'wait_for_stop', stop.wait)
     monkeypatch.setattr(main, 'LEAVE_S', 0.0)
-    given = _note_requests(monkeypatch, handler, 'make_app')
-    passed_on = _note_requests(monkeypatch, replicas, 'create_app')
+    play = Play(monkeypatch)
     names = [f'turn-{turn}' for turn in range(TURNS)]
     async with sites.running() as site:
         async with gateways.running(site, tmp_path) as (gateway,):
-            callers = await _connect_kept(gateway, names)
+            play.callers = await _connect_kept(gateway, names)
             kept.set_order(monkeypatch, [last_first])
             stop.set()
-            await _send_by_turns(gateway, callers)
-            with trio.fail_after(WAIT_S):
-                for caller in callers.values():
-                    await caller.read_to_end()
-    cut_off = {
-        name
-        for name, caller in callers.items()
-        if len(DONE.findall(caller.data)) < 2
-    }
-    assert not cut_off.intersection(passed_on)
-    assert not cut_off.intersection(given)
+            await _send_by_turns(gateway, play.callers)
+            await play.read_to_end()
+    play.check()
+
+
+@orders
+async def test_the_idle_time_cuts_off_no_request_that_was_passed_on(
+    tmp_path, monkeypatch, last_first
+):
+    play = Play(monkeypatch)
+    names = [f'caller-{number}' for number in range(CALLERS)]
+    async with sites.running() as site:
+        # Replicas keep their connections to the gateway.
+        monkeypatch.setattr(serving, 'KEEP_ALIVE_S', HOLD_S)
+        async with gateways.running(site, tmp_path) as (gateway,):
+            play.callers = await _connect_kept(gateway, names)
+            await trio.sleep(SETTLE_S)
+            kept.set_order(monkeypatch, [last_first])
+            for name, caller in play.callers.items():
+                caller.send(_request(gateway, name))
+            time.sleep(HOLD_S)
+            await play.read_to_end()
+    play.check()
