End the task that reads when its connection is closed

What operators saw: a planned stop that lasts to the end of its grace though its last answer has been given, where a caller had pipelined requests.

Cause: the reading task waits behind the request that is being answered. After the stop the library starts no new cycle: it wakes that task, which waits again, for ever.

Evidence: the three rows of test_pipelined_requests_do_not_delay_a_stop, known red until now, pass; test/util, core, gateway and entry pass with it.

Change: closing a connection ends the task that reads it.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -104,6 +104,7 @@
         self._idleness = idleness.Idleness(
             config.keep_alive_timeout, trio.current_time()
         )
+        self._reader = trio.CancelScope()
         self._receiving = trio.CancelScope()
 
     def stop(self) -> None:
@@ -125,10 +126,11 @@
             protocol.connection = http1.ServerConnection(
                 h11.SERVER, self.config.h11_max_incomplete_size
             )
-        while (data := await self._receive()) is not None:
-            await self.protocol.handle(events.RawData(data))
-            if not data:
-                break
+        with self._reader:
+            while (data := await self._receive()) is not None:
+                await self.protocol.handle(events.RawData(data))
+                if not data:
+                    break
         await self.protocol.handle(events.Closed())
 
     async def _receive(self) -> bytes | None:
@@ -224,6 +226,8 @@
             until_s = trio.current_time() + self.send_stall_s
             with trio.CancelScope(deadline=until_s, shield=True):
                 await super().protocol_send(event)
+            # It may wait behind this answer to read the next request.
+            self._reader.cancel()
             return
         data = event.data
         if self._fd is not None and not self.send_lock.locked():
