Let a second SIGTERM change nothing

What callers saw: where a VM was asked to stop twice, all that was under way was cut without an answer; the process ended with the signal's own action.

Cause: the first SIGTERM ended the wait for it, and with that the handler.

Change: the handler stays. A second SIGINT ends the process at once, for those who run it by hand. The soak asks processes again that are being stopped.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import ssl
+import types
 import typing
 
 import h11
@@ -381,7 +382,20 @@
 
 
 async def wait_for_stop() -> None:
-    """Return when this process is asked to stop."""
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
-        async for _ in stops:
-            return
+    """Return when this process is asked to stop.
+
+    A second SIGTERM changes nothing: answers are still under way. A second
+    SIGINT ends the process at once.
+    """
+    asked = trio.Event()
+    token = trio.lowlevel.current_trio_token()
+
+    def note(signum: int, _: types.FrameType | None) -> None:
+        if signum == signal.SIGINT:
+            signal.signal(signal.SIGINT, signal.SIG_DFL)
+        with contextlib.suppress(trio.RunFinishedError):
+            token.run_sync_soon(asked.set, idempotent=True)
+
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signum, note)
+    await asked.wait()
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -115,6 +115,9 @@
                 gateway.signal(signal.SIGHUP)
             return
         if gateway.vm in self._away:
+            if fault.what == 'stop':
+                # A stop is asked for again; it changes nothing.
+                gateway.signal(signal.SIGTERM)
             return
         if fault.what == 'pause':
             gateway.signal(signal.SIGSTOP)
