Let leaves pause when all hubs were left lately

Cause: a leaf that leaves a hub goes to the one that was left longest ago. When all were left within AVOID_S, that one is opened at once, turned down again by its first word, and so on with nothing in between.

Found in the log of a failed run of test_hubs.py, test_a_leaf_leaves_a_hub_that_the_store_turns_away: three leaves left their one hub 251 times within 0.34 s. It is no new fault: in the plays of that test on and on alike a hub is left some 300 times. With the store away from all VMs each leaf of a large fleet would do so.

Change: a leaf waits LOOK_S before it goes to a hub that it left lately. The first round through all hubs is as quick as before.

test_leaf_link.py failed before, with 3 ms between two tries (the time that a try takes there) where 0.5 s is asked for now.

--- a/gentianstair/gateway/leaf_link.py
+++ b/gentianstair/gateway/leaf_link.py
@@ -28,6 +28,7 @@
 # the time to notice its silence it stays well below the two seconds in which
 # a leaving replica may get new work; a hub's own watch takes less than this.
 OLD_S = 0.9
+# Pause while there is no hub to go to, or none that was not left lately.
 LOOK_S = 0.5
 
 
@@ -50,11 +51,20 @@
         """Stay with a hub while this VM is a leaf, until cancelled."""
         while True:
             hub = self._choose()
+            if hub is not None and self._is_avoided(hub):
+                # All were left lately, as while the store is away. A leaf
+                # that went on at once would open hundreds of links a second,
+                # at a cost to itself and to the hubs.
+                await trio.sleep(LOOK_S)
+                hub = self._choose()
             if hub is None:
                 await trio.sleep(LOOK_S)
                 continue
             await self._stay(hub)
 
+    def _is_avoided(self, hub: hubs.Vm) -> bool:
+        return self._avoided_s.get(hub.name, 0.0) > self._node.clock()
+
     def _choose(self) -> hubs.Vm | None:
         """Return the hub to go to, None if this VM needs none."""
         roster = self._node.roster
--- /dev/null
+++ b/test/gateway/test_leaf_link.py
@@ -0,0 +1,74 @@
+"""Test how a leaf goes from hub to hub, without a network."""
+
+import contextlib
+import types
+
+import pytest
+import trio
+
+from gentianstair.gateway import hubs
+from gentianstair.gateway import leaf_link
+from gentianstair.peers import link
+from gentianstair.util import clock
+
+# What one try costs on loopback, about.
+OPEN_S = 0.003
+RUN_S = 20.0
+
+
+class Hubs:
+    """A network and roster of hubs that fail until one is well."""
+
+    def __init__(self, count):
+        self.found = [
+            hubs.Vm(f'hub-{n}', 'a', f'10.0.0.{n}:1', 2.0)
+            for n in range(count)
+        ]
+        self.own = hubs.Vm('leaf', 'a', '10.0.0.99:1', 2.0)
+        self.opened = []
+
+    def is_hub(self):
+        return False
+
+    def hubs(self):
+        return self.found
+
+    def forget_told(self):
+        pass
+
+    @contextlib.asynccontextmanager
+    async def open(self, address):
+        self.opened.append((address, trio.current_time()))
+        await trio.sleep(OPEN_S)
+        raise link.LinkClosedError('it does not see the store')
+        yield
+
+
+def gaps_s(times):
+    return [later - at for at, later in zip(times, times[1:], strict=False)]
+
+
+@pytest.mark.parametrize('count', [1, 6])
+async def test_hubs_that_all_fail_are_tried_with_pauses(
+    autojump_clock, nursery, count
+):
+    """The store is away, so no hub knows what goes on.
+
+    A leaf left each and went on to the next one at once, some three hundred
+    times a second; on the VMs that had to take over nothing else got done.
+    """
+    found = Hubs(count)
+    node = types.SimpleNamespace(roster=found, clock=clock.trio_time_s)
+    leaf = leaf_link.LeafLink(node, found, None)
+    began_s = trio.current_time()
+    with trio.move_on_after(RUN_S):
+        await leaf.run()
+    times = [at_s - began_s for _, at_s in found.opened]
+    # The first round goes through all of them at once.
+    assert times[count - 1] <= 2 * OPEN_S * count
+    later = gaps_s(times[count - 1 :])
+    assert min(later) >= leaf_link.LOOK_S
+    # It goes on trying, and each of them.
+    assert max(later) <= leaf_link.LOOK_S + 2 * OPEN_S
+    tried = {address for address, _ in found.opened[count:]}
+    assert tried == {hub.peer_address for hub in found.found}
