Tell leaves how old a hub's knowledge of replicas is when its calls fail

What was seen: test_hubs.py, test_a_leaf_leaves_a_hub_that_the_store_turns_away failed once: 1.9 s after the store had turned the hub away and a replica had begun to leave, leaves still gave that replica 4 calls of 12.

Cause: one moment of the last answer stood for both kinds that a hub follows. The store still answers the watch of the configuration that it held when it turned the hub away, up to WATCH_S (0.8 s) later, and the hub passed for current from then on although its calls for replicas were refused. The bounds add up to 0.8 + 0.9 (OLD_S) + 0.25 (ASK_S) + 0.2 s (TOLD_LOOK_S) and a listing, which is more than the two seconds that a leaving replica has.

Change: a hub whose last call for replicas failed tells the age of its last answer about replicas. While its calls succeed nothing changes. A failed watch of the configuration alone makes nobody leave; five seconds hold there.

--- a/gentianstair/gateway/following.py
+++ b/gentianstair/gateway/following.py
@@ -55,6 +55,9 @@
     gather_s: float
     # How long a watch waits when nothing changes.
     watch_s: float = WATCH_S
+    # Whether other VMs, told of its changes, must see them within the time
+    # in which a leaving replica may get new work.
+    is_urgent: bool = False
 
 
 class Touch:
@@ -64,6 +67,10 @@
         self._clock = clock
         self._at_s = clock()
         self._lost_s: float | None = None
+        # When the store last told what is urgent, and whether its last call
+        # for it failed.
+        self._urgent_s = self._at_s
+        self._urgent_failed = False
         # When it answered other VMs, as these told lately.
         self._others_s: collections.deque[float] = collections.deque(
             maxlen=OTHERS_KEPT
@@ -78,9 +85,23 @@
         """Return how long ago the store last answered."""
         return self._clock() - self._at_s
 
-    def answered(self) -> None:
+    @property
+    def told_age_s(self) -> float:
+        """Return the age of what this VM can tell others.
+
+        A store that turns this VM away still answers the watch of another
+        kind that it held before; that says nothing of what is urgent.
+        """
+        if self._urgent_failed:
+            return max(self.age_s, self._clock() - self._urgent_s)
+        return self.age_s
+
+    def answered(self, is_urgent: bool) -> None:
         """Note an answer; tell if the store is back."""
         now_s = self._clock()
+        if is_urgent:
+            self._urgent_s = now_s
+            self._urgent_failed = False
         if self._lost_s is not None:
             loguru.logger.bind(
                 event=events.STORE_BACK, away_s=round(now_s - self._lost_s, 2)
@@ -107,8 +128,9 @@
         until_s = self._clock() - replicas.RETURN_S
         return not any(from_s <= at_s <= until_s for at_s in self._others_s)
 
-    def failed(self, error: errors.StoreError) -> None:
+    def failed(self, error: errors.StoreError, is_urgent: bool) -> None:
         """Note a failed call; tell if it is the first."""
+        self._urgent_failed |= is_urgent
         if self._lost_s is None:
             self._lost_s = self._at_s
             loguru.logger.bind(
@@ -182,7 +204,7 @@
                 )
                 for item in listing.objects:
                     source.change(item)
-            touch.answered()
+            touch.answered(source.is_urgent)
             revision = max(highest, listing.revision)
             highest = revision
             await trio.sleep(source.gather_s)
@@ -190,7 +212,7 @@
             revision = None
             await trio.sleep(TOO_OLD_PAUSE_S)
         except errors.StoreError as error:
-            touch.failed(error)
+            touch.failed(error, source.is_urgent)
             # What lapsed meanwhile is told by events, but whether an entry
             # lapsed because of the outage only a listing shows.
             revision = None
@@ -248,4 +270,4 @@
         found = [decode(item) for item in items if item.value is not None]
         registry.replace([r for r in found if r is not None], away)
 
-    return Source(kind, replace, change, GATHER_S, BEATS_WATCH_S)
+    return Source(kind, replace, change, GATHER_S, BEATS_WATCH_S, True)
--- a/gentianstair/gateway/hub_link.py
+++ b/gentianstair/gateway/hub_link.py
@@ -47,7 +47,7 @@
             'version': link.VERSION,
             'type': 'feed',
             'process': node.roster.process,
-            'age_ms': int(self._touch.age_s * 1000),
+            'age_ms': int(self._touch.told_age_s * 1000),
             'loads': loads.encode(node.work.without(self._leaf)),
             'cache': [list(change) for _, change in cache],
             'replicas': replicas,
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -5,6 +5,7 @@
 
 from gentianstair import errors
 from gentianstair.gateway import following
+from gentianstair.gateway import leaf_link
 from gentianstair.gateway import replicas
 from gentianstair.platform import configuration
 from gentianstair.platform import objects
@@ -249,3 +250,30 @@
     await trio.sleep(5)
     # Two sources, each some ten listings a second at the most.
     assert sum(watched.store.calls.values()) - before < 2 * 10 * 5
+
+
+@pytest.mark.parametrize('phase', range(16))
+async def test_a_held_watch_makes_nobody_current(
+    watched, autojump_clock, phase
+):
+    """The store turns a VM away and still answers the watches it holds.
+
+    The one of the configuration, answered up to 0.8 s later, made the VM
+    pass for current, though it knew nothing new of the replicas. Leaves
+    stayed with such a hub and gave a leaving replica work for too long.
+    """
+    await trio.sleep(phase * following.WATCH_S / 16)
+    assert watched.touch.told_age_s < leaf_link.OLD_S
+    store = watched.store
+    real = store.list, store.watch
+
+    async def refuse(*_, **__):
+        raise errors.StoreUnavailableError('refused')
+
+    store.list = store.watch = refuse
+    # Only what a held watch of the replicas still told may count.
+    await trio.sleep(following.BEATS_WATCH_S + leaf_link.OLD_S + 0.001)
+    assert watched.touch.told_age_s > leaf_link.OLD_S
+    store.list, store.watch = real
+    await trio.sleep(2.0)
+    assert watched.touch.told_age_s < leaf_link.OLD_S
--- a/test/gateway/test_hubs.py
+++ b/test/gateway/test_hubs.py
@@ -198,3 +198,34 @@
             for call in range(4):
                 await gateway.call('GET', '/lookup/entry', f'r{call}')
         assert site.replica('i-desk-1').arrivals == before
+
+
+async def test_an_answer_that_was_under_way_makes_no_hub_current(
+    tmp_path, one_hub
+):
+    """The store turns a hub away right after it began to hold a watch.
+
+    It still answered that watch of the configuration 0.8 s later. The hub
+    then passed for well although nothing told it of the replicas any more,
+    and its leaves gave a leaving one work for more than two seconds.
+    """
+    async with linked(tmp_path) as (site, found):
+        site.faults.calls.clear()
+        await trio.sleep(1.0)
+        hub = hub_of(site)
+        asked = site.faults.calls[hub, 'config']
+        with trio.fail_after(2.0):
+            while site.faults.calls[hub, 'config'] == asked:
+                await trio.sleep(0.005)
+        site.faults.refused_vms.add(hub)
+        site.faults.refused_status = 503
+        site.replica('i-desk-1').draining = True
+        # Within the two seconds that the settings allow.
+        await trio.sleep(1.9)
+        before = site.replica('i-desk-1').arrivals
+        for number, gateway in enumerate(found):
+            if hub.endswith(f'-{number}'):
+                continue
+            for call in range(4):
+                await gateway.call('GET', '/lookup/entry', f'r{call}')
+        assert site.replica('i-desk-1').arrivals == before
