Count what running streams relayed before each write of usage

What was seen: test_usage_killed.py failed once: 2608 tokens delivered, 568 not billed at the kill of an entry, 549 delivered in the flush interval and a write before it.

Cause: a stream was counted each 64 tokens and at its end. The test's streams have 60, so nothing of one is counted before its end, however long it runs, and a write can't keep what isn't counted. The eight run side by side, a round of 480 tokens takes 0.9 s.

Ruled out: a late write.

Change: a running stream is asked for its part before each write.

--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import json
 
 import httpx
@@ -174,7 +175,10 @@
                     await self._refused(found)
                     return streams.Usage()
                 await self._start()
-                await self._copy(found, tried, guard)
+                self._billed = 0
+                bill_part = functools.partial(self._bill_part, tried)
+                with node.usage.relaying(bill_part):
+                    await self._copy(found, guard, tried, bill_part)
             self.answer.ending()
         finally:
             # Each run is billed by itself, also one that was cut, since
@@ -212,13 +216,13 @@
     async def _copy(
         self,
         found: httpx.Response,
-        tried: tries.Try,
         guard: Guard,
+        tried: tries.Try,
+        bill_part: collections.abc.Callable[[], None],
     ) -> None:
         answer = self.answer
         write = self._exchange.write
         bill_at = answer.tokens + BILL_STEP_TOKENS
-        self._billed = 0
         first = True
         async for data in found.stream:
             out = answer.feed(data)
@@ -231,16 +235,20 @@
             guard.progress()
             if answer.tokens >= bill_at:
                 bill_at += BILL_STEP_TOKENS
-                self._bill_step(tried)
+                bill_part()
 
-    def _bill_step(self, tried: tries.Try) -> None:
-        """Count a part of a long answer before its end.
+    def _bill_part(self, tried: tries.Try) -> None:
+        """Count what was delivered of an answer before its end.
 
         What is not counted is lost if this VM is killed, and a stream may
-        run for minutes. A step is a little less than was delivered, since
-        an engine may send an event without a token.
+        run for minutes. It is a little less than was delivered, since an
+        engine may send an event without a token.
         """
-        tokens = BILL_STEP_TOKENS - BILL_STEP_MARGIN
+        made = self.answer.run_tokens
+        steps = -(-made // BILL_STEP_TOKENS)
+        tokens = made - BILL_STEP_MARGIN * steps - self._billed
+        if tokens <= 0:
+            return
         self._billed += tokens
         used = streams.Usage(output_tokens=tokens)
         bill(self._node, self._request, tried, used)
--- a/gentianstair/entry/streams.py
+++ b/gentianstair/entry/streams.py
@@ -164,6 +164,11 @@
         events = b''.join(self._events).split(EVENT_END)
         return ''.join(_event_text(event) for event in events)
 
+    @property
+    def run_tokens(self) -> int:
+        """Return how many tokens the present run has delivered."""
+        return self.tokens - self._tokens_before
+
     def run_usage(self, prompt_tokens: int) -> Usage:
         """Return what the present run is billed for.
 
@@ -171,7 +176,7 @@
         lost engine can no longer tell its count, so prompt_tokens and what
         was delivered stand for it.
         """
-        made = self.tokens - self._tokens_before
+        made = self.run_tokens
         if self.usage is not None:
             found = self.usage
         else:
--- a/gentianstair/entry/usage.py
+++ b/gentianstair/entry/usage.py
@@ -1,6 +1,7 @@
 """Count what customers use, and keep the counts in the store."""
 
 import collections.abc
+import contextlib
 import typing
 
 import msgspec
@@ -59,6 +60,8 @@
         self._flushed: dict[usage_rows.Key, messages.UsageRow] = {}
         # Rows of writes whose answers were lost, by nonce.
         self._unsettled: dict[str, dict] = {}
+        # Each counts what a running stream has delivered since it last did.
+        self._relayed: set[collections.abc.Callable[[], None]] = set()
         self._full = trio.Event()
         self._lock = trio.Lock()
         self._closed_below = 0
@@ -81,8 +84,9 @@
     ) -> None:
         """Count usage in the present window.
 
-        A stream should be counted piece by piece as it is relayed: what is
-        not counted yet is lost when this VM is killed.
+        A stream should be counted piece by piece as it is relayed, and
+        before each write (see relaying): what is not counted yet is lost
+        when this VM is killed.
         """
         window = int(self._wall() // self._terms.window_s)
         window = max(window, self._closed_below)
@@ -103,6 +107,17 @@
         if self.unflushed_tokens >= self._terms.flush_tokens:
             self._full.set()
 
+    @contextlib.contextmanager
+    def relaying(
+        self, count_part: collections.abc.Callable[[], None]
+    ) -> collections.abc.Iterator[None]:
+        """Have a stream's part counted before each write in this context."""
+        self._relayed.add(count_part)
+        try:
+            yield
+        finally:
+            self._relayed.remove(count_part)
+
     async def run(self) -> None:
         """Flush until cancelled."""
         while True:
@@ -122,6 +137,8 @@
         Call it once more at a planned stop, after the last request.
         """
         async with self._lock:
+            for count_part in self._relayed:
+                count_part()
             if not self.changed:
                 return
             rows = dict(self._rows)
--- a/test/control/test_usage.py
+++ b/test/control/test_usage.py
@@ -227,3 +227,27 @@
     assert counts.incarnation != before
     found = store.table.get('usage', counts.incarnation)
     assert total(found.value['rows']) == {('c', 'spot'): 2}
+
+
+async def test_what_runs_is_counted_before_each_write(autojump_clock):
+    """A stream runs for long; each write has what it delivered before."""
+    store = memory_store.MemoryStore()
+    counts = entry_usage.make_usage(
+        store, 'vm', trio.current_time, ENTRY_TERMS
+    )
+
+    def part():
+        counts.count('c', 'spot', output_tokens=3)
+
+    def kept():
+        found = store.table.get('usage', counts.incarnation)
+        return total(found.value['rows']) if found.value else {}
+
+    with counts.relaying(part):
+        await counts.flush()
+        assert kept() == {('c', 'spot'): 3}
+        await counts.flush()
+        assert kept() == {('c', 'spot'): 6}
+        assert counts.unflushed_tokens == 0
+    await counts.flush()
+    assert kept() == {('c', 'spot'): 6}
--- a/test/test_usage_killed.py
+++ b/test/test_usage_killed.py
@@ -14,6 +14,10 @@
 WRITE_S = 0.5
 LOAD_S = 5.0
 CALLERS = 8
+# An engine so slow takes some seconds for one answer, and is killed when most
+# of the first eight has been delivered.
+SLOW_SCALE = 4
+SLOW_TOKENS = 52 * CALLERS
 FLAGS = (
     '--failure-domain=north',
     '--usage-window-s=1',
@@ -22,11 +26,14 @@
 )
 
 
-def start(run):
+def start(run, time_scale=1):
     """Start a fleet of one entry; return it and the platform."""
     platform = run.start('platform', 'standins.platform')
     engine = run.start(
-        'engine', 'standins.engine', f'--models={test_path.MODEL}'
+        'engine',
+        'standins.engine',
+        f'--models={test_path.MODEL}',
+        f'--time-scale={time_scale}',
     )
     objects = {
         **test_path.OBJECTS,
@@ -123,3 +130,35 @@
     assert missing <= exposed
     # Pieces are counted before they are passed on.
     assert total <= len(delivered) + 60 * CALLERS
+
+
+@pytest.mark.promise
+@pytest.mark.process
+def test_running_streams_are_flushed_before_they_end(tmp_path):
+    """An entry is killed while it relays eight slow, short streams.
+
+    A stream was counted each 64 tokens and at its end, so of shorter ones
+    nothing was billed until then, though they had been relayed for seconds.
+    """
+    run = fleet.Fleet(tmp_path)
+    delivered = []
+    try:
+        platform, entry = start(run, SLOW_SCALE)
+        end_s = time.monotonic() + 60.0
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            for _ in range(CALLERS):
+                pool.submit(call, entry.url, delivered, end_s)
+            while len(delivered) < SLOW_TOKENS and time.monotonic() < end_s:
+                time.sleep(0.01)
+            killed_s = time.monotonic()
+            run.kill('entry')
+        time.sleep(6.0)
+        total = billed(platform)
+    finally:
+        run.stop_all()
+    exposed = sum(at_s > killed_s - FLUSH_S - WRITE_S for at_s in delivered)
+    missing = len(delivered) - total
+    print(f'{len(delivered)} delivered, {missing} unbilled, {exposed} exposed')
+    assert SLOW_TOKENS <= len(delivered) < 60 * CALLERS
+    assert missing <= exposed
+    assert total <= len(delivered) + 60 * CALLERS
