Refuse tests that take the mock clock through a fixture only

Such a test runs on the machine's clock without a word, as with the jumping clock; one was written so and noticed by its length alone.

--- a/test/conftest.py
+++ b/test/conftest.py
@@ -6,7 +6,7 @@
 
 from test import known_red
 
-CLOCK = 'autojump_clock'
+CLOCKS = ('autojump_clock', 'mock_clock')
 
 
 @pytest.hookimpl(tryfirst=True)
@@ -17,16 +17,17 @@
 
 
 def _check_clocks(items):
-    """Refuse tests that ask for the jumping clock through a fixture only.
+    """Refuse tests that ask for a clock of their own by a fixture only.
 
     Such a test would run on the machine's clock without a word: it takes
     as long as what it plays, and fails when the machine is busy. The clock
     becomes the run's only if it is an argument of the test itself.
     """
     for item in items:
-        if CLOCK not in getattr(item, 'fixturenames', ()):
+        asked = set(CLOCKS).intersection(getattr(item, 'fixturenames', ()))
+        if not asked:
             continue
-        if CLOCK not in inspect.signature(item.function).parameters:
+        if not asked.intersection(inspect.signature(item.function).parameters):
             raise pytest.UsageError(
-                f'{item.nodeid}: name {CLOCK} among its arguments'
+                f'{item.nodeid}: name {min(asked)} among its arguments'
             )
