Make the keep-alive time a setting, so that the soak meets its end

What was missed: no run of ours reached the end of the keep-alive time, which was a constant of 75 s; operators could not fit it to a balancer either.

Change: GENTIANSTAIR_KEEP_ALIVE_S, read beside the metrics' port in a module of its own, a bad value told in one line. The soak's gateways have 3 s, and the test of one close plays that end, too. Callers are told nine tenths of the time in place of a fixed 70 s.

--- /dev/null
+++ b/gentianstair/gateway/environment.py
@@ -0,0 +1,53 @@
+"""Read the settings of ours that the platform's file has no place for."""
+
+import collections.abc
+import typing
+
+from gentianstair import errors
+
+METRICS_VARIABLE = 'GENTIANSTAIR_METRICS_PORT'
+KEEP_ALIVE_VARIABLE = 'GENTIANSTAIR_KEEP_ALIVE_S'
+LONGEST_KEEP_ALIVE_S = 3600.0
+
+
+class Own(typing.NamedTuple):
+    """Settings of ours; None where the default holds."""
+
+    # Metrics are served there, and not at all without it.
+    metrics_port: int | None = None
+    # How long a caller's connection is kept without a request.
+    keep_alive_s: float | None = None
+
+
+DEFAULTS = Own()
+
+
+def read(environ: collections.abc.Mapping[str, str]) -> Own:
+    """Return the settings; raise SettingsError at a bad one."""
+    return Own(
+        _port(environ.get(METRICS_VARIABLE)),
+        _keep_alive_s(environ.get(KEEP_ALIVE_VARIABLE)),
+    )
+
+
+def _port(text: str | None) -> int | None:
+    if text is None:
+        return None
+    if not text.isdigit() or not 0 < int(text) < 65536:
+        raise errors.SettingsError(f'{METRICS_VARIABLE}: {text!r} is no port')
+    return int(text)
+
+
+def _keep_alive_s(text: str | None) -> float | None:
+    if text is None:
+        return None
+    try:
+        value_s = float(text)
+    except ValueError:
+        value_s = 0.0
+    if not 0 < value_s <= LONGEST_KEEP_ALIVE_S:
+        raise errors.SettingsError(
+            f'{KEEP_ALIVE_VARIABLE}: {text!r} is no time above 0 and up to '
+            f'{LONGEST_KEEP_ALIVE_S:g} s'
+        )
+    return value_s
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -21,6 +21,7 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import duties
+from gentianstair.gateway import environment
 from gentianstair.gateway import fleet as fleets
 from gentianstair.gateway import following
 from gentianstair.gateway import handler
@@ -69,7 +70,6 @@
 FAULT_PAUSE_S = 1.0
 # Longest wait for the log's reader before the process ends by itself.
 LAST_LINE_S = 0.5
-METRICS_VARIABLE = 'GENTIANSTAIR_METRICS_PORT'
 
 
 class Process(typing.NamedTuple):
@@ -314,7 +314,7 @@
 async def run(
     file: pathlib.Path,
     found: deployment.Deployment,
-    metrics_address: str | None = None,
+    own: environment.Own = environment.DEFAULTS,
 ) -> None:
     """Serve until stopped, then let running requests end."""
     live = deployment.Live(found)
@@ -326,8 +326,8 @@
         reloader = reload.Reloader(file, live, settings.read)
         nursery.start_soon(reloader.run)
         apps = [(ready.make_app(node), ready_sock)]
-        if metrics_address is not None:
-            sock = serving.listen(metrics_address)
+        if own.metrics_port is not None:
+            sock = serving.listen(f'{found.ip}:{own.metrics_port}')
             apps.append((ready.make_metrics_app(), sock))
         for app, sock in apps:
             nursery.start_soon(
@@ -345,6 +345,7 @@
                 callers,
                 functools.partial(_leave, node),
                 served_s(found.bounds.grace_s) - LEAVE_S,
+                keep_alive_s=own.keep_alive_s,
             )
             duty_nursery.cancel_scope.cancel()
         with trio.move_on_after(LAST_WRITES_S / 2):
@@ -353,19 +354,6 @@
         nursery.cancel_scope.cancel()
 
 
-def metrics_address(ip: str) -> str | None:
-    """Return where metrics are served, None if they are not.
-
-    The port is a setting of ours, as the platform's file has none.
-    """
-    port = os.environ.get(METRICS_VARIABLE)
-    if port is None:
-        return None
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        raise errors.SettingsError(f'{METRICS_VARIABLE}: {port!r} is no port')
-    return f'{ip}:{port}'
-
-
 def _leaves(error: BaseException) -> list[BaseException]:
     if not isinstance(error, BaseExceptionGroup):
         return [error]
@@ -393,7 +381,7 @@
     writer = line_writer.LineWriter(sys.stdout.fileno(), time.monotonic)
     logs.setup('INFO', found.vm, found.failure_domain, writer)
     try:
-        trio.run(run, file, found, metrics_address(found.ip))
+        trio.run(run, file, found, environment.read(os.environ))
     except errors.UserError:
         raise
     except Exception as error:
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -33,8 +33,9 @@
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
 KEEP_ALIVE_S = 75.0
-# Told to callers; by then a request of theirs has had time to arrive.
-KEEP_ALIVE_TOLD_S = 70
+# Of the keep-alive time, told to callers: the rest is for a request of theirs
+# that is on its way by then.
+KEEP_ALIVE_TOLD_SHARE = 0.9
 # Longest wait of one part of an answer for a caller to take it.
 SEND_STALL_S = 10.0
 SEND_PART_BYTES = 65536
@@ -305,20 +306,22 @@
     def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
         """Return the headers that each answer bears, by its protocol."""
         headers = super().response_headers(protocol)
-        if protocol == 'h11':
+        told_s = int(KEEP_ALIVE_TOLD_SHARE * self.keep_alive_timeout)
+        if protocol == 'h11' and told_s:
             # A caller that comes back in time meets no close of ours.
-            told = b'timeout=%d' % KEEP_ALIVE_TOLD_S
-            headers.append((b'keep-alive', told))
+            headers.append((b'keep-alive', b'timeout=%d' % told_s))
         return headers
 
 
-def _make_config(graceful_timeout_s: float) -> hypercorn.config.Config:
+def _make_config(
+    graceful_timeout_s: float, keep_alive_s: float
+) -> hypercorn.config.Config:
     config = _Config()
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = keep_alive_s
     config.graceful_timeout = graceful_timeout_s
     return config
 
@@ -330,12 +333,14 @@
     graceful_timeout_s: float,
     context: ssl.SSLContext | None = None,
     send_stall_s: float = SEND_STALL_S,
+    keep_alive_s: float | None = None,
 ) -> None:
     """Serve until shutdown returns, then until running answers ended.
 
-    A caller that takes no part of its answer for send_stall_s is cut off.
+    A caller that takes no part of its answer for send_stall_s is cut off, a
+    connection without a request for keep_alive_s is closed.
     """
-    config = _make_config(graceful_timeout_s)
+    config = _make_config(graceful_timeout_s, keep_alive_s or KEEP_ALIVE_S)
     # Of all connections; its deadline is the end of the grace.
     grace = trio.CancelScope()
     wrapped = app_wrappers.ASGIWrapper(endings.note_requests(app, grace))
--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -9,6 +9,8 @@
 import httpx
 import trio
 
+from gentianstair.gateway import environment
+from gentianstair.util import serving
 from standins import ports
 
 START_S = 15.0
@@ -62,8 +64,14 @@
 class Gateway:
     """One VM: its settings, its process and how callers reach it."""
 
-    def __init__(self, folder: pathlib.Path, number: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        number: int,
+        keep_alive_s: float = serving.KEEP_ALIVE_S,
+    ) -> None:
         self.vm = f'entry-{number}'
+        self.keep_alive_s = keep_alive_s
         self.ports = {
             n: ports.free_port() for n in ('front', 'ready', 'control')
         }
@@ -101,7 +109,11 @@
         )
         if self.log.exists():
             self._log_bytes = self.log.stat().st_size
-        environ = {**os.environ, 'GENTIANSTAIR_NODE_FILE': str(self.file)}
+        environ = {
+            **os.environ,
+            'GENTIANSTAIR_NODE_FILE': str(self.file),
+            environment.KEEP_ALIVE_VARIABLE: str(self.keep_alive_s),
+        }
         with self.log.open('a') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'gentianstair.gateway'],
--- a/standins/soak/crossing.py
+++ b/standins/soak/crossing.py
@@ -17,7 +17,6 @@
 import trio
 
 from gentianstair.gateway import main as gateways
-from gentianstair.util import serving
 from standins.site import processes
 from standins.site import site as sites
 from standins.soak import callers
@@ -95,7 +94,7 @@
             request_id = f'f{self._seed:03x}{number:04x}'
             await connection.ask('lookup', request_id, KEY, chance)
         self._answered += 1
-        closes_s = connection.last_s + serving.KEEP_ALIVE_S
+        closes_s = connection.last_s + self._gateway.keep_alive_s
         while close is Close.STOP and self._stopped_s is None:
             await trio.sleep(0.01)
         if self._stopped_s is not None:
@@ -121,7 +120,7 @@
     seed: int, close: Close, connections: int, folder: pathlib.Path
 ) -> Ends:
     """Play one round with a process of its own."""
-    gateway = processes.Gateway(folder, seed % 1000)
+    gateway = processes.Gateway(folder, seed % 1000, kept.KEEP_ALIVE_S)
     async with sites.running() as site:
         gateway.start(
             site.store_port, site.cloud_port, gateway.ports['control']
--- a/standins/soak/kept.py
+++ b/standins/soak/kept.py
@@ -8,10 +8,11 @@
 import trio
 
 from gentianstair.gateway import main as gateways
-from gentianstair.util import serving
 from standins.site import processes
 from standins.soak import callers
 
+# Of the gateways; short, so that it ends often in a run.
+KEEP_ALIVE_S = 3.0
 READ_BYTES = 65536
 # A caller waits a little longer than the deadline that it tells.
 LIMIT_S = callers.DEADLINE_MS / 1000 + 1
@@ -199,4 +200,4 @@
         stopped_s = self._stopped_s.get(connection.vm, float('-inf'))
         if stopped_s > connection.opened_s:
             return stopped_s + gateways.LEAVE_S
-        return connection.last_s + serving.KEEP_ALIVE_S
+        return connection.last_s + self._gateway.keep_alive_s
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -47,7 +47,10 @@
 
     def __init__(self, site: sites.Site, folder: pathlib.Path) -> None:
         self.site = site
-        self.gateways = [processes.Gateway(folder, n) for n in range(VMS)]
+        self.gateways = [
+            processes.Gateway(folder, number, kept.KEEP_ALIVE_S)
+            for number in range(VMS)
+        ]
         self.store_links = [proxy.Proxy(site.store_port) for _ in range(VMS)]
         self.replica_links = [
             proxy.Proxy(int(replica.address.rpartition(':')[2]))
--- a/test/util/test_connections.py
+++ b/test/util/test_connections.py
@@ -331,8 +331,8 @@
     # Guards against a close of our own that is taken for the caller's.
     make_config = serving._make_config
 
-    def make_short(grace_s):
-        config = make_config(grace_s)
+    def make_short(*args):
+        config = make_config(*args)
         if drive is CASES['last-request'][0]:
             config.keep_alive_max_requests = 1
         if drive in (keep_idle, never_ask):
