Wait for a caller that reads the end of its answer late

What callers would have seen: no answer to the next request on a connection whose last part was taken later than a second after it was sent, and over HTTP/2 half an answer at a stop.

Cause: the shield around the server's last steps had a limit of its own, and cut them half way where a caller was slow.

Change: no limit but the server's own for a caller that takes nothing; HTTP/2, which has no such steps, is cancelled as before.

--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -26,8 +26,6 @@
 # their callers left, or this process closed their connections.
 HTTP_CALLER_GONE = 499
 HTTP_CLOSED_HERE = 444
-# Longest time for the server's steps after an answer; they wait for nothing.
-END_S = 1.0
 
 
 class CallerGoneError(errors.GentianstairError):
@@ -62,6 +60,7 @@
         # Asked when the answer starts: whether its connection is to close.
         self.closes: collections.abc.Callable[[], bool] | None = None
         self._body_read = False
+        self._is_http1 = scope.get('http_version', '1.1').startswith('1')
         self._receive = receive
         self._send = send
 
@@ -183,14 +182,14 @@
     async def end(self, data: bytes = b'') -> None:
         """Send the last part of the body.
 
-        What the server does after it is not cancelled half way: the
-        connection would neither be read on nor be closed.
+        What the server does after it is not cancelled half way, or the
+        connection would neither be read on nor be closed. It waits no
+        longer than the server has a caller take what it sends.
         """
         if data:
             await self.write(data)
         self.ended = True
-        until_s = trio.current_time() + END_S
-        with trio.CancelScope(deadline=until_s, shield=True):
+        with trio.CancelScope(shield=self._is_http1):
             await self._send_last()
 
     async def _send_last(self) -> None:
