End the task that reads where a write finds its caller gone

What operators saw: a stop that waited out its grace, and a task that stayed, for each caller that reset its connection while a pipelined request, or one behind an upgrade, waited for its turn. The same cause as with a connection that is closed after its answer, in the other place that closes.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -263,6 +263,7 @@
             # tells the application that the caller has gone.
             await trio.aclose_forcefully(self.stream)
             await self.protocol.handle(events.Closed())
+            self._reader.cancel()
 
     async def _write_parts(self, data: bytes) -> bool:
         """Return whether the caller took each part in time."""
