Contain a connection's fault at the end of the grace, too

What callers could have seen: all answers cut where one connection fails as it is cancelled: the fault comes in a group with the cancelling, which was not taken for a fault and ended the process.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -286,7 +286,7 @@
     """
     try:
         await server.run()
-    except Exception:
+    except* Exception:
         loguru.logger.bind(event=log_events.FAULT).exception(
             'a connection failed inside this process'
         )
