Have no caller's slowness outlast the grace of a stop

What operators saw: with a caller that had stopped reading a process served up to 10 s beyond its grace, for each part of its answer, and was killed with its last usage unwritten.

Change: a write ends with the grace at the latest.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -108,11 +108,15 @@
         )
         self._reader = trio.CancelScope()
         self._receiving = trio.CancelScope()
+        self._sending = trio.CancelScope()
 
     def stop(self) -> None:
-        """End as soon as no request is under way."""
+        """End as soon as no request is under way, or with the grace."""
         self._idleness.stop(trio.current_time())
         self._receiving.deadline = self._idleness.end_s
+        self._sending.deadline = min(
+            self._sending.deadline, self._grace.deadline
+        )
 
     async def _idle_timeout(self) -> None:
         """Leave the end of an idle connection to the task that reads.
@@ -225,7 +229,7 @@
             # Quart cancels its request once the answer has been sent, and
             # with it what follows in the same task: the connection would
             # not be closed, and stay open.
-            until_s = trio.current_time() + self.send_stall_s
+            until_s = self._send_until_s()
             with trio.CancelScope(deadline=until_s, shield=True):
                 await super().protocol_send(event)
             # It may wait behind this answer to read the next request.
@@ -265,15 +269,21 @@
             await self.protocol.handle(events.Closed())
             self._reader.cancel()
 
+    def _send_until_s(self) -> float:
+        """Return how long a caller may take to read what is sent now."""
+        until_s = trio.current_time() + self.send_stall_s
+        return min(until_s, self._grace.deadline)
+
     async def _write_parts(self, data: bytes) -> bool:
         """Return whether the caller took each part in time."""
         for start in range(0, len(data), SEND_PART_BYTES):
-            until_s = trio.current_time() + self.send_stall_s
-            with trio.CancelScope(deadline=until_s, shield=True) as scope:
+            until_s = self._send_until_s()
+            self._sending = trio.CancelScope(deadline=until_s, shield=True)
+            with self._sending:
                 await self.stream.send_all(
                     data[start : start + SEND_PART_BYTES]
                 )
-            if scope.cancelled_caught:
+            if self._sending.cancelled_caught:
                 return False
         return True
 
@@ -380,9 +390,9 @@
                     accepting.cancel_scope.cancel()
                 # Idle connections close now, busy ones after their answer.
                 await worker.terminated.set()
+                grace.deadline = trio.current_time() + graceful_timeout_s
                 for server in servers:
                     server.stop()
-                grace.deadline = trio.current_time() + graceful_timeout_s
         await life.wait_for_shutdown()
         life_nursery.cancel_scope.cancel()
 
