Take HTTP/2 connections without a stream for idle

What operators saw: a stop that waited out its grace for HTTP/2 connections that had no stream yet, or whose stream the caller had reset; nor did the keep-alive time end them.

Cause: the library tells of answers that end, not of streams. Change: after what was read, a connection without a stream is idle.

--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -15,6 +15,7 @@
 from hypercorn import app_wrappers
 from hypercorn import events
 import hypercorn.config
+from hypercorn.protocol import h2 as h2_protocol
 from hypercorn.protocol import h11 as h11_protocol
 from hypercorn.trio import lifespan
 from hypercorn.trio import tcp_server
@@ -137,6 +138,7 @@
                 await self.protocol.handle(events.RawData(data))
                 if not data:
                     break
+                self._note_idle_http2()
         await self.protocol.handle(events.Closed())
 
     async def _receive(self) -> bytes | None:
@@ -213,6 +215,13 @@
             self._idleness.begin()
         self._receiving.deadline = self._idleness.end_s
 
+    def _note_idle_http2(self) -> None:
+        """Note that no stream is left; the library tells of answers only."""
+        protocol = self.protocol.protocol
+        if isinstance(protocol, h2_protocol.H2Protocol) and protocol.idle:
+            self._idleness.rest(trio.current_time())
+            self._receiving.deadline = self._idleness.end_s
+
     def _note_closing(self) -> None:
         """Note why the protocol closes."""
         end = endings.why_closing(self.protocol.protocol)
--- /dev/null
+++ b/test/util/test_h2_ends.py
@@ -0,0 +1,58 @@
+"""Test that a stop ends HTTP/2 connections that have no request."""
+
+import h2.config
+import h2.connection
+import h2.events
+import pytest
+import trio
+
+from gentianstair.core import asgi
+from gentianstair.util import serving
+
+GRACE_S = 8.0
+SOON_S = 3.0
+HEADERS = [
+    (':method', 'GET'),
+    (':path', '/'),
+    (':scheme', 'http'),
+    (':authority', 'x'),
+]
+
+
+async def answer(exchange):
+    await exchange.read_body(1000, 5.0)
+    if exchange.header('slow'):
+        await exchange.wait_gone()
+        return
+    await exchange.answer(200, 'text/plain', b'x')
+
+
+@pytest.mark.parametrize('play', ['no stream', 'answered', 'reset'])
+async def test_a_stop_does_not_wait_for_it(play):
+    stop, ended = trio.Event(), trio.Event()
+    sock = serving.listen('127.0.0.1:0')
+
+    async def serve():
+        await serving.serve(asgi.make_app(answer), sock, stop.wait, GRACE_S)
+        ended.set()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve)
+        stream = await trio.open_tcp_stream(*sock.getsockname())
+        conn = h2.connection.H2Connection(
+            h2.config.H2Configuration(client_side=True)
+        )
+        conn.initiate_connection()
+        if play != 'no stream':
+            more = [('slow', '1')] if play == 'reset' else []
+            conn.send_headers(1, HEADERS + more, end_stream=True)
+        await stream.send_all(conn.data_to_send())
+        await trio.sleep(0.2)
+        if play == 'reset':
+            conn.reset_stream(1)
+            await stream.send_all(conn.data_to_send())
+        await trio.sleep(1.2)
+        stop.set()
+        with trio.fail_after(SOON_S):
+            await ended.wait()
+        nursery.cancel_scope.cancel()
