Prove the soak's recovery without its kept connections

Cause: 450 callers of kept connections, which come every 3 s since the keep-alive time is that short, went on while the recovery was proved by six others. They are a load of our own.

Change: kept connections end with the faults; the proof is as before there were any.

--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -285,9 +285,13 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(soak.watch_exits)
         _start_callers(soak, seed, nursery)
-        async with trio.open_nursery() as strikes:
-            for fault in faults:
-                strikes.start_soon(soak.strike, fault)
+        async with trio.open_nursery() as kept_nursery:
+            _start_kept(soak, seed, kept_nursery)
+            async with trio.open_nursery() as strikes:
+                for fault in faults:
+                    strikes.start_soon(soak.strike, fault)
+            # They are a load by themselves, and no part of the proof.
+            kept_nursery.cancel_scope.cancel()
         await soak.prove_recovery(seed)
         nursery.cancel_scope.cancel()
 
@@ -302,6 +306,9 @@
             soak.asked,
             soak.sent,
         )
+
+
+def _start_kept(soak: Soak, seed: int, nursery: trio.Nursery) -> None:
     for gateway in soak.gateways:
         for use, number in KEPT.items():
             for one in range(number):
