Keep idle connections for as long as callers may reuse them

What callers could have seen: their request on an idle connection met our close, where the configuration lets them reuse connections that were idle for more than 75 s. By the users' pages they do so for four fifths of its idle limit; our own time took no notice of it. Found by a review.

Change: the keep-alive time is the limit in force if that is longer; a time that operators set goes first.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -302,6 +302,12 @@
     return min(answered_s(grace_s) + grace.LAST_ANSWERS_S, grace_s)
 
 
+def _idle_limit_s(node: nodes.Node) -> float:
+    """Return how long callers may leave a connection idle and reuse it."""
+    found = node.force.catalog
+    return found.limits.idle_s if found else 0.0
+
+
 async def _leave(node: nodes.Node) -> None:
     """Return when callers have been told to go elsewhere."""
     await serving.wait_for_stop()
@@ -346,6 +352,7 @@
                 functools.partial(_leave, node),
                 served_s(found.bounds.grace_s) - LEAVE_S,
                 keep_alive_s=own.keep_alive_s,
+                least_keep_alive_s=functools.partial(_idle_limit_s, node),
             )
             duty_nursery.cancel_scope.cancel()
         with trio.move_on_after(LAST_WRITES_S / 2):
--- a/gentianstair/util/idleness.py
+++ b/gentianstair/util/idleness.py
@@ -1,5 +1,6 @@
 """Decide how long a connection may stay open between two requests."""
 
+import collections.abc
 import math
 
 # How long a request that seems to be on its way is waited for: a connection
@@ -14,11 +15,14 @@
     a request is under way.
     """
 
-    def __init__(self, keep_alive_s: float, now_s: float) -> None:
+    def __init__(
+        self, keep_alive_s: collections.abc.Callable[[], float], now_s: float
+    ) -> None:
+        # Asked anew for each wait, as a configuration may change it.
         self._keep_alive_s = keep_alive_s
         self._stopping = False
         self._first_request_s = now_s + ARRIVAL_S
-        self.end_s = now_s + keep_alive_s
+        self.end_s = now_s + keep_alive_s()
 
     def begin(self) -> None:
         """Note that a request has been taken."""
@@ -29,7 +33,7 @@
         """Note that the answer is whole and the next request may come."""
         self.end_s = now_s
         if not self._stopping:
-            self.end_s += self._keep_alive_s
+            self.end_s += self._keep_alive_s()
 
     def stop(self, now_s: float) -> None:
         """Keep no idle connection from now on."""
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -104,9 +104,7 @@
         state = {**state, connections.STATE_KEY: self.connection}
         super().__init__(app, config, worker, state, stream)
         self._grace = grace
-        self._idleness = idleness.Idleness(
-            config.keep_alive_timeout, trio.current_time()
-        )
+        self._idleness = idleness.Idleness(config.kept_s, trio.current_time())
         self._reader = trio.CancelScope()
         self._receiving = trio.CancelScope()
         self._sending = trio.CancelScope()
@@ -323,10 +321,18 @@
 class _Config(hypercorn.config.Config):
     """The library's settings, and what it says with each answer."""
 
+    least_keep_alive_s: collections.abc.Callable[[], float] | None = None
+
+    def kept_s(self) -> float:
+        """Return how long a connection without a request is kept now."""
+        if self.least_keep_alive_s is None:
+            return self.keep_alive_timeout
+        return max(self.keep_alive_timeout, self.least_keep_alive_s())
+
     def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
         """Return the headers that each answer bears, by its protocol."""
         headers = super().response_headers(protocol)
-        told_s = int(KEEP_ALIVE_TOLD_SHARE * self.keep_alive_timeout)
+        told_s = int(KEEP_ALIVE_TOLD_SHARE * self.kept_s())
         if protocol == 'h11' and told_s:
             # A caller that comes back in time meets no close of ours.
             headers.append((b'keep-alive', b'timeout=%d' % told_s))
@@ -354,13 +360,17 @@
     context: ssl.SSLContext | None = None,
     send_stall_s: float = SEND_STALL_S,
     keep_alive_s: float | None = None,
+    least_keep_alive_s: collections.abc.Callable[[], float] | None = None,
 ) -> None:
     """Serve until shutdown returns, then until running answers ended.
 
     A caller that takes no part of its answer for send_stall_s is cut off, a
-    connection without a request for keep_alive_s is closed.
+    connection without a request for keep_alive_s is closed. Without
+    keep_alive_s that is the default, or least_keep_alive_s if it is longer.
     """
     config = _make_config(graceful_timeout_s, keep_alive_s or KEEP_ALIVE_S)
+    if keep_alive_s is None:
+        config.least_keep_alive_s = least_keep_alive_s
     # Of all connections; its deadline is the end of the grace.
     grace = trio.CancelScope()
     wrapped = app_wrappers.ASGIWrapper(endings.note_requests(app, grace))
--- a/test/util/test_idleness.py
+++ b/test/util/test_idleness.py
@@ -13,7 +13,7 @@
 
 
 def end_s(steps):
-    found = idleness.Idleness(KEEP_ALIVE_S, 0.0)
+    found = idleness.Idleness(lambda: KEEP_ALIVE_S, 0.0)
     for step, at_s in steps:
         if step == 'begin':
             found.begin()
@@ -50,5 +50,15 @@
 
 @pytest.mark.parametrize('now_s', [0.0, 74.9, 75.0, 80.0])
 def test_it_is_over_from_its_end_on(now_s):
-    found = idleness.Idleness(KEEP_ALIVE_S, 0.0)
+    found = idleness.Idleness(lambda: KEEP_ALIVE_S, 0.0)
     assert found.is_over(now_s) == (now_s >= KEEP_ALIVE_S)
+
+
+def test_a_wait_has_the_time_that_is_in_force():
+    # Callers reuse a connection for as long as the newest limit lets them.
+    times_s = [75.0, 120.0]
+    found = idleness.Idleness(lambda: times_s[0], 0.0)
+    del times_s[0]
+    found.begin()
+    found.rest(3.0)
+    assert found.end_s == 123.0
