Free a KV handle as it is, whatever it holds

A handle with a number sign, a question mark or dots named another path: a#b was freed as a, a/../c as c. Handles seen so far are hexadecimal.

--- a/gentianstair/platform/wire.py
+++ b/gentianstair/platform/wire.py
@@ -2,6 +2,7 @@
 
 import re
 import typing
+import urllib.parse
 
 import httpx
 import msgspec
@@ -52,7 +53,7 @@
 READS_PROMPTS = 'prefill'
 LEAST_LEFT_MS = 1
 LAST_URGENCY = 9
-# What a header and a URL can carry unchanged.
+# What a header can carry unchanged.
 _HANDLE = re.compile(r'[!-~]{1,256}')
 
 
@@ -195,9 +196,10 @@
     replica_name: str, source: calls.KvSource, connect_s: float
 ) -> httpx.Request:
     """Return the request that frees a KV cache that nobody will take."""
+    handle = urllib.parse.quote(source.handle, safe='')
     return httpx.Request(
         'DELETE',
-        f'http://{source.address}/api/kv-handle/{source.handle}',
+        f'http://{source.address}/api/kv-handle/{handle}',
         headers=[(b'x-expect-instance', replica_name.encode())],
         extensions={'connect_s': connect_s},
     )
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -1,5 +1,7 @@
 """Test that what others write to the store is decoded or passed over."""
 
+import urllib.parse
+
 import hypothesis
 from hypothesis import strategies
 import msgspec
@@ -188,3 +190,12 @@
     request = wire.release_kv_request(name, source, 0.5)
     assert request.url.raw_path == b'/api/kv-handle/3fa0'
     assert (b'x-expect-instance', name.encode()) in request.headers.raw
+
+
+@pytest.mark.parametrize('handle', ['3fa0', 'a#b', 'a?b', '../c', 'a%2fb'])
+def test_a_handle_is_freed_as_it_is(handle):
+    # Another one was freed, or none.
+    source = calls.KvSource('10.0.0.1:80', handle)
+    path = wire.release_kv_request('i-1', source, 0.5).url.raw_path.decode()
+    assert path.startswith('/api/kv-handle/')
+    assert urllib.parse.unquote(path.rpartition('/')[2]) == handle
