Count what the soak's ordinary callers were served, and excuse no more cuts

The count of what was served had taken in kept connections, so it no longer said that the ordinary callers were served; and cuts were excused from the moment at which connections were once given up at a stop, a little before the one that holds now.

--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -135,7 +135,7 @@
         breaks_s = now_s
         if planned:
             self.stopped_s[gateway.vm] = now_s
-            breaks_s += processes.GRACE_S - gateways.LAST_WRITES_S
+            breaks_s += gateways.served_s(processes.GRACE_S)
         gateway.signal(signal.SIGTERM if gentle else signal.SIGKILL)
         # One that is paused at this moment must be able to end.
         gateway.signal(signal.SIGCONT)
@@ -276,7 +276,7 @@
         soak.breaks,
     )
     found = soak.breaches + checks.all_breaches(seen)
-    served = sum(sent.status == 200 and sent.whole for sent in seen.sent)
+    served = sum(sent.status == 200 and sent.whole for sent in soak.sent)
     crossed = sum(sent.hung_up for sent in seen.sent)
     return Result(found, len(seen.sent), served, crossed)
 
