--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -105,16 +105,16 @@
         super().__init__(app, config, worker, state, stream)
         self._grace = grace
         self._idleness = idleness.Idleness(config.kept_s, trio.current_time())
-        self._reader = trio.CancelScope()
-        self._receiving = trio.CancelScope()
-        self._sending = trio.CancelScope()
+        self._reader_scope = trio.CancelScope()
+        self._receive_scope = trio.CancelScope()
+        self._send_scope = trio.CancelScope()
 
     def stop(self) -> None:
         """End as soon as no request is under way, or with the grace."""
         self._idleness.stop(trio.current_time())
-        self._receiving.deadline = self._idleness.end_s
-        self._sending.deadline = min(
-            self._sending.deadline, self._grace.deadline
+        self._receive_scope.deadline = self._idleness.end_s
+        self._send_scope.deadline = min(
+            self._send_scope.deadline, self._grace.deadline
         )
 
     async def _idle_timeout(self) -> None:
@@ -131,7 +131,7 @@
             protocol.connection = http1.ServerConnection(
                 h11.SERVER, self.config.h11_max_incomplete_size
             )
-        with self._reader:
+        with self._reader_scope:
             while (data := await self._receive()) is not None:
                 await self.protocol.handle(events.RawData(data))
                 if not data:
@@ -142,8 +142,10 @@
     async def _receive(self) -> bytes | None:
         """Return what came, nothing at its end, None if none can come."""
         while True:
-            self._receiving = trio.CancelScope(deadline=self._idleness.end_s)
-            with self._receiving:
+            self._receive_scope = trio.CancelScope(
+                deadline=self._idleness.end_s
+            )
+            with self._receive_scope:
                 return await self._receive_some()
             if self._idleness.is_over(trio.current_time()) and self._leave():
                 return None
@@ -211,14 +213,14 @@
         else:
             self.connection.read()
             self._idleness.begin()
-        self._receiving.deadline = self._idleness.end_s
+        self._receive_scope.deadline = self._idleness.end_s
 
     def _note_idle_http2(self) -> None:
         """Note that no stream is left; the library tells of answers only."""
         protocol = self.protocol.protocol
         if isinstance(protocol, h2_protocol.H2Protocol) and protocol.idle:
             self._idleness.rest(trio.current_time())
-            self._receiving.deadline = self._idleness.end_s
+            self._receive_scope.deadline = self._idleness.end_s
 
     def _note_closing(self) -> None:
         """Note why the protocol closes."""
@@ -240,7 +242,7 @@
             with trio.CancelScope(deadline=until_s, shield=True):
                 await super().protocol_send(event)
             # It may wait behind this answer to read the next request.
-            self._reader.cancel()
+            self._reader_scope.cancel()
             return
         data = event.data
         if self._fd is not None and not self.send_lock.locked():
@@ -274,7 +276,7 @@
             # tells the application that the caller has gone.
             await trio.aclose_forcefully(self.stream)
             await self.protocol.handle(events.Closed())
-            self._reader.cancel()
+            self._reader_scope.cancel()
 
     def _send_until_s(self) -> float:
         """Return how long a caller may take to read what is sent now."""
@@ -285,12 +287,12 @@
         """Return whether the caller took each part in time."""
         for start in range(0, len(data), SEND_PART_BYTES):
             until_s = self._send_until_s()
-            self._sending = trio.CancelScope(deadline=until_s, shield=True)
-            with self._sending:
+            self._send_scope = trio.CancelScope(deadline=until_s, shield=True)
+            with self._send_scope:
                 await self.stream.send_all(
                     data[start : start + SEND_PART_BYTES]
                 )
-            if self._sending.cancelled_caught:
+            if self._send_scope.cancelled_caught:
                 return False
         return True
 
--- a/test/control/test_usage.py
+++ b/test/control/test_usage.py
@@ -230,7 +230,7 @@
 
 
 async def test_what_runs_is_counted_before_each_write(autojump_clock):
-    """A stream runs for long; each write has what it delivered before."""
+    # A long stream's part was lost with the process that relayed it.
     store = memory_store.MemoryStore()
     counts = entry_usage.make_usage(
         store, 'vm', trio.current_time, ENTRY_TERMS
--- a/test/gateway/test_following.py
+++ b/test/gateway/test_following.py
@@ -256,12 +256,7 @@
 async def test_a_held_watch_makes_nobody_current(
     watched, autojump_clock, phase
 ):
-    """The store turns a VM away and still answers the watches it holds.
-
-    The one of the configuration, answered up to 0.8 s later, made the VM
-    pass for current, though it knew nothing new of the replicas. Leaves
-    stayed with such a hub and gave a leaving replica work for too long.
-    """
+    # Leaves of a hub that is turned away gave a leaving replica work.
     await trio.sleep(phase * following.WATCH_S / 16)
     assert watched.touch.told_age_s < leaf_link.OLD_S
     store = watched.store
--- a/test/gateway/test_hub_link.py
+++ b/test/gateway/test_hub_link.py
@@ -41,8 +41,7 @@
 
 
 def test_the_end_of_a_replaced_link_forgets_nothing():
-    # A leaf's first link breaks at the leaf's end. The hub takes it for
-    # silent seconds later, when the leaf has long told more on a new one.
+    # The hub forgot a leaf that had told it more on a new link.
     node = make_node()
     touch = types.SimpleNamespace(told_age_s=0.0)
     first, second = (hub_link.HubLink(node, touch) for _ in range(2))
--- a/test/gateway/test_hubs.py
+++ b/test/gateway/test_hubs.py
@@ -203,12 +203,7 @@
 async def test_an_answer_that_was_under_way_makes_no_hub_current(
     tmp_path, one_hub
 ):
-    """The store turns a hub away right after it began to hold a watch.
-
-    It still answered that watch of the configuration 0.8 s later. The hub
-    then passed for well although nothing told it of the replicas any more,
-    and its leaves gave a leaving one work for more than two seconds.
-    """
+    # Its leaves gave a leaving replica work for more than two seconds.
     async with linked(tmp_path) as (site, found):
         site.faults.calls.clear()
         await trio.sleep(1.0)
--- a/test/gateway/test_leaf_link.py
+++ b/test/gateway/test_leaf_link.py
@@ -52,11 +52,7 @@
 async def test_hubs_that_all_fail_are_tried_with_pauses(
     autojump_clock, nursery, count
 ):
-    """The store is away, so no hub knows what goes on.
-
-    A leaf left each and went on to the next one at once, some three hundred
-    times a second; on the VMs that had to take over nothing else got done.
-    """
+    # A leaf opened links to hubs hundreds of times a second.
     found = Hubs(count)
     node = types.SimpleNamespace(roster=found, clock=clock.trio_time_s)
     leaf = leaf_link.LeafLink(node, found, None)
--- a/test/test_usage_killed.py
+++ b/test/test_usage_killed.py
@@ -135,11 +135,7 @@
 @pytest.mark.promise
 @pytest.mark.process
 def test_running_streams_are_flushed_before_they_end(tmp_path):
-    """An entry is killed while it relays eight slow, short streams.
-
-    A stream was counted each 64 tokens and at its end, so of shorter ones
-    nothing was billed until then, though they had been relayed for seconds.
-    """
+    # Of short streams that had run for seconds nothing was billed.
     run = fleet.Fleet(tmp_path)
     delivered = []
     try:
