--- a/test/util/test_random_stops.py
+++ b/test/util/test_random_stops.py
@@ -8,8 +8,8 @@
 import pytest
 import trio
 
-from gentianstair.core import exchange as exchanges
 from gentianstair.core import asgi
+from gentianstair.core import exchange as exchanges
 from gentianstair.core import grace as graces
 from gentianstair.core import patience
 from gentianstair.util import serving
@@ -28,7 +28,7 @@
 
     async def serve(self, exchange):
         exchange.closes = self.leaving.is_set
-        body = await exchange.read_body(10**7, 5.0)
+        await exchange.read_body(10**7, 5.0)
         name = exchange.path
         self.given[name] = 'given'
         # From here the replica has it.
