Pass over a registry entry whose address no request can use

What callers would see: 500 to each request for which that entry was chosen; caches of replicas followed anew each second.

Cause: an entry with a line break, an empty label or a digit beyond ASCII in its address was taken for a replica. httpx.InvalidURL and UnicodeError are no UpstreamError: they are faults of the request, and of the task that follows all caches, which is begun anew.

Evidence before: FAILED test_entries_that_name_no_replica[changed6], [changed7], [changed9] and [changed10]

--- a/gentianstair/platform/registry.py
+++ b/gentianstair/platform/registry.py
@@ -1,5 +1,6 @@
 """Decode the entries under which replicas register themselves."""
 
+import ipaddress
 import typing
 
 import loguru
@@ -8,6 +9,7 @@
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 from gentianstair.store import store as stores
+from gentianstair.util import addresses
 
 KIND = 'servers'
 READY = 'ready'
@@ -44,8 +46,7 @@
         entry = msgspec.convert(item.value, _Entry)
     except (msgspec.ValidationError, TypeError) as error:
         return _passed_over(item.name, str(error))
-    host, _, port = entry.address.rpartition(':')
-    if not host or not port.isdigit():
+    if not _is_address(entry.address):
         return _passed_over(item.name, 'its address is none')
     if entry.state not in (READY, DRAINING) or entry.stage not in STAGES:
         return _passed_over(item.name, 'its state or stage is unknown')
@@ -64,6 +65,18 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether text is IP:PORT, to which a request can be made."""
+    if not text.isascii():
+        return False
+    try:
+        host, _ = addresses.parse(text)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def _passed_over(name: typing.Any, why: str) -> None:
     loguru.logger.bind(
         event=events.ENTRY_PASSED_OVER, replica=str(name)
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -66,6 +66,12 @@
         {'address': 'nowhere'},
         {'address': ':80'},
         {'address': 'a:b'},
+        # No request can be made to these.
+        {'address': 'a..b:80'},
+        {'address': '10.0.0.1\n:80'},
+        {'address': '10.0.0.1:80\n'},
+        {'address': '10.0.0.1:99999'},
+        {'address': '10.0.0.1:\u0663'},
         {'slots': 'six'},
         {'service': None},
         {'sequence': 'x'},
