Shorten the site's idle limit, too, in the test of the idle time

Its gateway kept connections for the configured limit of 15 s since that is the least, and the test ran into its time limit, in both rows.

--- a/test/gateway/test_kept_connections.py
+++ b/test/gateway/test_kept_connections.py
@@ -124,6 +124,9 @@
 ):
     play = Play(monkeypatch)
     names = [f'caller-{number}' for number in range(CALLERS)]
+    # Connections are kept for the longer of this limit and our own time.
+    limits = sites.CONFIG['limits']
+    monkeypatch.setitem(limits, 'idle_timeout_ms', 1000 * HOLD_S)
     async with sites.running() as site:
         # Replicas keep their connections to the gateway.
         monkeypatch.setattr(serving, 'KEEP_ALIVE_S', HOLD_S)
