Keep a leaf a leaf while neither a hub nor the store answers it

Cause, found by reading: a leaf does not list the VMs while it has a hub's feed, so its own listing is as old as its process. When its hub fails and the store turns the leaf away, it went by that listing, which holds few VMs or itself alone, took itself for a hub, left off looking for one, opened links to its neighbours and competed for duties until the store answered again. With a third of 195 VMs turned away, among them three of nine hubs, that is some twenty VMs.

Change: a leaf goes by the hubs and the number of VMs of its last feed until a listing is newer, for ten seconds at most, and tries those hubs in turn.

--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -114,6 +114,11 @@
         """Return this process's name, new at each start."""
         return self._name
 
+    @property
+    def listed_at_s(self) -> float:
+        """Return when the store last returned a listing."""
+        return self._listed_at_s
+
     @property
     def heartbeat_interval_s(self) -> float:
         """Return the heartbeat interval, which grows with the fleet."""
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -17,6 +17,10 @@
 # the call to the store it must take less than the two seconds within which a
 # draining replica may still get new work.
 MAX_FEED_AGE_S = 1.2
+# How long a leaf that has neither a feed nor a listing of the store goes by
+# the hubs and the number of VMs in its last feed. It tries each of those hubs
+# meanwhile; after this time all of them may be gone.
+MAX_REMEMBERED_FEED_S = 10.0
 # How long a selection of hubs is reused.
 HUB_SELECTION_S = 0.3
 # How long an assignment of replicas to VMs is reused.
@@ -50,6 +54,8 @@
         self._registry = registry
         self._clock = clock
         self._hub_feed: HubFeed | None = None
+        # Whether the hub of the last feed has been left since.
+        self._left_hub = False
         # The hubs selected from the VMs in the store, and until when this
         # selection is reused.
         self._selected: list[hubs.Vm] = []
@@ -69,10 +75,11 @@
     def set_hub_feed(self, feed: HubFeed) -> None:
         """Set the hub's newest feed."""
         self._hub_feed = feed
+        self._left_hub = False
 
     def clear_hub_feed(self) -> None:
-        """Drop the feed of a hub that was left."""
-        self._hub_feed = None
+        """Record that the hub of the last feed was left."""
+        self._left_hub = True
 
     def has_hub_feed(self) -> bool:
         """Return whether this VM is a leaf with a current feed."""
@@ -81,9 +88,27 @@
     def _current_feed(self) -> HubFeed | None:
         """Return the hub's last feed, or None if it is too old."""
         feed = self._hub_feed
-        if feed is None or self._clock() - feed.received_s > MAX_FEED_AGE_S:
+        if feed is None or self._left_hub:
             return None
-        return feed
+        return None if self._age_s(feed) > MAX_FEED_AGE_S else feed
+
+    def _newest_feed(self) -> HubFeed | None:
+        """Return the last feed if nothing newer tells of the fleet.
+
+        A leaf does not list the VMs while it has a feed. If then its hub
+        fails and the store refuses it, its own listing is as old as its
+        process; going by it, the leaf would take itself for a hub.
+        """
+        current = self._current_feed()
+        if current is not None:
+            return current
+        feed = self._hub_feed
+        if feed is None or feed.received_s <= self._members.listed_at_s:
+            return None
+        return None if self._age_s(feed) > MAX_REMEMBERED_FEED_S else feed
+
+    def _age_s(self, feed: HubFeed) -> float:
+        return self._clock() - feed.received_s
 
     def vms(self) -> list[hubs.Vm]:
         """Return the VMs that this one sees in the store, itself included."""
@@ -101,12 +126,12 @@
 
     def vm_count(self) -> int:
         """Return how many VMs there are, or an assumed number."""
-        feed = self._current_feed()
+        feed = self._newest_feed()
         return feed.vm_count if feed else self._members.count()
 
     def hubs(self) -> list[hubs.Vm]:
         """Return the hubs of the fleet."""
-        feed = self._current_feed()
+        feed = self._newest_feed()
         if feed is not None:
             return list(feed.hubs)
         now_s = self._clock()
@@ -121,7 +146,7 @@
 
     def is_mesh(self) -> bool:
         """Return whether all VMs are hubs, so that there are no leaves."""
-        if self._current_feed() is not None:
+        if self._newest_feed() is not None:
             return False
         return len(self.hubs()) == len(self.vms())
 
