Make fewer calls to the store: duties, watches

Cause: each hub looked at the lease each second, and watched the store for 0.8 and 0.5 s a call whatever the deployment allows: nine hubs made some 35 of the fleet's 85 calls a second.

Change: the first four hubs of a selection, in different failure domains, compete for the duties, in small fleets too; if they are gone from the listing the next ones do. A watch waits for a share of the time in which a configuration must be in force, or a drained replica be left: 0.8 s and 0.5 s at 2 s as before, 1.6 and 1.0 s from 4 s on. The age at which leaves leave a hub grows alike. The test of stale hubs runs with both.

--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -16,6 +16,7 @@
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
 from gentianstair.gateway import roster as rosters
+from gentianstair.gateway import store_watch
 from gentianstair.generated import events
 from gentianstair.generated import messages
 from gentianstair.peers import link
@@ -28,10 +29,10 @@
 # How long a hub that failed, or that lost the store, is avoided.
 HUB_COOLDOWN_S = 4.0
 # A leaf changes to another hub if the store last answered its hub longer ago
-# than this. Together with RESPONSE_TIMEOUT_S it must be less than the two
-# seconds within which a draining replica may still get new work, and it must
-# be more than the timeout of a hub's watch.
-MAX_STORE_AGE_S = 0.9
+# than this share of the time within which a draining replica may still get
+# new work. Together with RESPONSE_TIMEOUT_S it must be less than that time,
+# and it must be more than the timeout of a hub's watch.
+MAX_STORE_AGE_SHARE = 0.45
 # How often a report repeats what the hub stores for this leaf, if no request
 # has started since.
 MEMBER_INTERVAL_S = 2.0
@@ -39,6 +40,15 @@
 HUB_RETRY_S = 0.5
 
 
+def max_store_age_s(drain_s: float) -> float:
+    """Return the age of a hub's data at which its leaves leave it.
+
+    >>> max_store_age_s(2.0), max_store_age_s(4.0)
+    (0.9, 1.8)
+    """
+    return MAX_STORE_AGE_SHARE * min(drain_s, store_watch.MAX_USED_BOUND_S)
+
+
 class HubClient:
     """A leaf's link to a hub; it fails over to another hub."""
 
@@ -138,7 +148,7 @@
                 except errors.DecodeError as error:
                     _log_unreadable(error)
                     return 'invalid feed'
-                if age_s > MAX_STORE_AGE_S:
+                if age_s > self._max_store_age_s():
                     return 'its data from the store is too old'
                 await trio.sleep(REPORT_INTERVAL_S)
             return ''
@@ -165,6 +175,9 @@
                     return message
         return None
 
+    def _max_store_age_s(self) -> float:
+        return max_store_age_s(self._node.deployment.bounds.drain_s)
+
     def _apply_feed(self, feed: messages.GatewayFeed) -> float:
         """Apply a hub's feed; return the age of its data from the store."""
         node, updates = self._node, self._updates
@@ -176,10 +189,11 @@
         )
         node.cache_updates.apply_rows(feed['cache'], to_hubs=False)
         self._adopt_costs(feed)
-        if age_s <= max(MAX_STORE_AGE_S, updates.store_health.age_s):
+        max_age_s = self._max_store_age_s()
+        if age_s <= max(max_age_s, updates.store_health.age_s):
             self._apply_replicas(feed)
             updates.store_health.record_hub_answer(age_s)
-        if age_s <= MAX_STORE_AGE_S and node.is_synced():
+        if age_s <= max_age_s and node.is_synced():
             node.roster.set_hub_feed(
                 rosters.HubFeed(
                     node.clock(),
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -221,15 +221,20 @@
 
 def _watch_sources(process: ProcessParts) -> list[store_watch.Source]:
     node = process.node
+    bounds = node.deployment.bounds
     return [
         store_watch.config_source(
             configuration.decode,
             configuration.NAME,
             configuration.KIND,
             functools.partial(_apply_catalog, node),
+            bounds.config_apply_s,
         ),
         store_watch.replica_source(
-            registry_entries.decode, registry_entries.KIND, node.registry
+            registry_entries.decode,
+            registry_entries.KIND,
+            node.registry,
+            bounds.drain_s,
         ),
     ]
 
@@ -332,8 +337,7 @@
     roster = process.node.roster
 
     def offered_scopes() -> dict[str, lease.HolderTask]:
-        # Only hubs compete, because each check of the lease is a store call.
-        return scopes if roster.is_hub() else {}
+        return scopes if roster.is_duty_candidate() else {}
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(process.lease_manager.run, offered_scopes)
@@ -341,7 +345,7 @@
             process.lease_manager.candidates = (
                 process.members.lease_candidates(
                     leader_tasks.takeover_delay_s(vm_settings.bounds.lease_s),
-                    {hub.name for hub in roster.hubs()},
+                    {vm.name for vm in roster.duty_candidates()},
                 )
             )
             await trio.sleep(leader_tasks.POLL_INTERVAL_S)
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -24,6 +24,9 @@
 MAX_REMEMBERED_FEED_S = 10.0
 # How long a selection of hubs is reused.
 HUB_SELECTION_S = 0.3
+# How many hubs compete for the duties; each check of a lease is a call to the
+# store. The first hubs of a selection are in different failure domains.
+MAX_DUTY_CANDIDATES = 4
 # How long an assignment of replicas to VMs is reused.
 ASSIGNMENT_S = 0.5
 # Pending calls at a replica that are left to VMs which were replaced and
@@ -139,6 +142,10 @@
         feed = self._newest_feed()
         return feed.vm_count if feed else self._members.count()
 
+    def duty_candidates(self) -> list[hubs.Vm]:
+        """Return the hubs that compete for the duties."""
+        return self.hubs()[:MAX_DUTY_CANDIDATES]
+
     def hubs(self) -> list[hubs.Vm]:
         """Return the hubs of the fleet."""
         feed = self._newest_feed()
@@ -154,6 +161,12 @@
         """Return whether this VM is one of the hubs."""
         return any(hub.name == self.own_vm.name for hub in self.hubs())
 
+    def is_duty_candidate(self) -> bool:
+        """Return whether this VM competes for the duties."""
+        return any(
+            vm.name == self.own_vm.name for vm in self.duty_candidates()
+        )
+
     def is_mesh(self) -> bool:
         """Return whether all VMs are hubs, so that there are no leaves."""
         if self._newest_feed() is not None:
--- a/gentianstair/gateway/store_watch.py
+++ b/gentianstair/gateway/store_watch.py
@@ -14,14 +14,16 @@
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
 
-# Timeout of a watch on which nothing changes. If its connection fails
-# silently, a change is only seen after this timeout, the call's grace and a
-# new listing, which must take less than the two seconds within which a
-# draining replica may still get new work.
-WATCH_TIMEOUT_S = 0.8
-# The same for replicas. Their heartbeats end most watches sooner; it is
+# Timeout of a watch on which nothing changes, as a share of the time in which
+# a configuration must be in force. If its connection fails silently, a change
+# is only seen after this timeout, the call's grace and a new listing.
+CONFIG_WATCH_SHARE = 0.4
+# The same for replicas, as a share of the time within which a draining one
+# may still get new work. Their heartbeats end most watches sooner; it is
 # shorter because a hub's leaves see the changes later than the hub.
-REPLICA_WATCH_TIMEOUT_S = 0.5
+REPLICA_WATCH_SHARE = 0.25
+# Times that are allowed beyond this are not used.
+MAX_USED_BOUND_S = 4.0
 # Pause after a failed call, in a fleet of up to FULL_RETRY_RATE_VMS.
 RETRY_PAUSE_S = 0.25
 # How many store answers reported by peers are remembered.
@@ -51,7 +53,7 @@
     change: collections.abc.Callable[[stores.StoredObject], None]
     # Pause after each read, so that one watch returns several changes.
     batch_s: float
-    watch_timeout_s: float = WATCH_TIMEOUT_S
+    watch_timeout_s: float
     # Whether its changes stop new work to draining replicas, so that peers
     # must know how old they are.
     is_urgent: bool = False
@@ -229,13 +231,35 @@
             await trio.sleep(policy.retry_pause_s())
 
 
+def config_watch_timeout_s(apply_limit_s: float) -> float:
+    """Return the timeout of a watch of the configuration.
+
+    >>> config_watch_timeout_s(2.0), config_watch_timeout_s(60.0)
+    (0.8, 1.6)
+    """
+    return CONFIG_WATCH_SHARE * min(apply_limit_s, MAX_USED_BOUND_S)
+
+
+def replica_watch_timeout_s(drain_s: float) -> float:
+    """Return the timeout of a watch of the replicas.
+
+    >>> replica_watch_timeout_s(2.0), replica_watch_timeout_s(4.0)
+    (0.5, 1.0)
+    """
+    return REPLICA_WATCH_SHARE * min(drain_s, MAX_USED_BOUND_S)
+
+
 def config_source(
     decode: collections.abc.Callable[[typing.Any], catalog.Catalog],
     name: str,
     kind: str,
     apply: collections.abc.Callable[[catalog.Catalog], None],
+    apply_limit_s: float,
 ) -> Source:
-    """Return a source that applies the configuration object name."""
+    """Return a source that applies the configuration object name.
+
+    A version has to be in force within apply_limit_s.
+    """
 
     def change(item: stores.StoredObject) -> None:
         if item.name != name or item.value is None:
@@ -252,7 +276,8 @@
         for item in items:
             change(item)
 
-    return Source(kind, replace, change, 0.0)
+    timeout_s = config_watch_timeout_s(apply_limit_s)
+    return Source(kind, replace, change, 0.0, timeout_s)
 
 
 def replica_source(
@@ -261,8 +286,12 @@
     ],
     kind: str,
     registry: replicas.Registry,
+    drain_s: float,
 ) -> Source:
-    """Return a source that updates the registry."""
+    """Return a source that updates the registry.
+
+    A draining replica may get new work for drain_s.
+    """
 
     def change(item: stores.StoredObject) -> None:
         if item.value is None:
@@ -278,6 +307,5 @@
         found = [decode(item) for item in items if item.value is not None]
         registry.replace([r for r in found if r is not None], after_outage)
 
-    return Source(
-        kind, replace, change, REPLICA_BATCH_S, REPLICA_WATCH_TIMEOUT_S, True
-    )
+    timeout_s = replica_watch_timeout_s(drain_s)
+    return Source(kind, replace, change, REPLICA_BATCH_S, timeout_s, True)
--- a/test/gateway/test_roster.py
+++ b/test/gateway/test_roster.py
@@ -73,3 +73,17 @@
     fleet.roster.clear_hub_feed()
     fleet.now_s += rosters.MAX_REMEMBERED_FEED_S + 0.1
     assert fleet.roster.is_hub()
+
+
+@pytest.mark.parametrize(
+    ('own', 'expected'),
+    [(HUBS[0], True), (HUBS[3], True), (HUBS[4], False), (OWN, False)],
+    ids=['first', 'fourth', 'fifth', 'no hub'],
+)
+def test_only_the_first_hubs_compete_for_duties(own, expected):
+    # Each check of a lease is a priced call; its rate grew with the hubs.
+    fleet = Fleet()
+    fleet.now_s += 1.0
+    fleet.receive_feed()
+    fleet.roster.own_vm = own
+    assert fleet.roster.is_duty_candidate() == expected
--- a/test/gateway/test_store_watch.py
+++ b/test/gateway/test_store_watch.py
@@ -24,7 +24,8 @@
 class Follower:
     """A registry and configuration versions that follow a store in memory."""
 
-    def __init__(self):
+    def __init__(self, bound_s=2.0):
+        self.bound_s = bound_s
         self.store = memory_store.MemoryStore()
         self.registry = replicas.Registry(clock.trio_time_s)
         self.versions = []
@@ -42,13 +43,17 @@
     async def run(self):
         sources = [
             store_watch.replica_source(
-                registry_entries.decode, registry_entries.KIND, self.registry
+                registry_entries.decode,
+                registry_entries.KIND,
+                self.registry,
+                self.bound_s,
             ),
             store_watch.config_source(
                 configuration.decode,
                 configuration.NAME,
                 configuration.KIND,
                 lambda found: self.versions.append(found.version),
+                self.bound_s,
             ),
         ]
         async with trio.open_nursery() as nursery:
@@ -254,14 +259,19 @@
     assert sum(follower.store.calls.values()) - before < 2 * 10 * 5
 
 
+@pytest.mark.parametrize('bound_s', [2.0, 4.0])
 @pytest.mark.parametrize('phase', range(16))
 async def test_answer_to_a_pending_watch_does_not_hide_refusals(
-    follower, autojump_clock, phase
+    nursery, autojump_clock, phase, bound_s
 ):
     # Otherwise leaves of a hub that the store refuses keep sending work to
     # a draining replica.
-    await trio.sleep(phase * store_watch.WATCH_TIMEOUT_S / 16)
-    assert follower.store_health.reported_age_s < hub_client.MAX_STORE_AGE_S
+    follower = Follower(bound_s)
+    follower.write('i-1', entry('i-1'))
+    nursery.start_soon(follower.run)
+    max_age_s = hub_client.max_store_age_s(bound_s)
+    await trio.sleep(1 + phase * max_age_s / 16)
+    assert follower.store_health.reported_age_s < max_age_s
     store = follower.store
     real = store.list, store.watch
 
@@ -271,11 +281,17 @@
     store.list = store.watch = refuse
     # Only the pending watch of the replicas may still count.
     await trio.sleep(
-        store_watch.REPLICA_WATCH_TIMEOUT_S
-        + hub_client.MAX_STORE_AGE_S
-        + 0.001
+        store_watch.replica_watch_timeout_s(bound_s) + max_age_s + 0.001
     )
-    assert follower.store_health.reported_age_s > hub_client.MAX_STORE_AGE_S
+    assert follower.store_health.reported_age_s > max_age_s
     store.list, store.watch = real
     await trio.sleep(2.0)
-    assert follower.store_health.reported_age_s < hub_client.MAX_STORE_AGE_S
+    assert follower.store_health.reported_age_s < max_age_s
+
+
+@pytest.mark.parametrize('bound_s', [0.5, 2.0, 4.0, 60.0])
+def test_silent_hub_and_watch_leave_time_before_a_replica_is_gone(bound_s):
+    # A leaf must see within that time that its hub's data are old.
+    watch_s = store_watch.replica_watch_timeout_s(bound_s)
+    age_s = hub_client.max_store_age_s(bound_s)
+    assert watch_s < age_s < bound_s / 2
