Defer imports that a gateway's start does not need

Change: modules that no start uses (HTTP/2 and websockets of callers, two that bring asyncio, DTLS, Hypercorn's own serving) are imported when one of their classes is first called; a caller that speaks HTTP/2 is served as before.

--- a/gentianstair/gateway/__main__.py
+++ b/gentianstair/gateway/__main__.py
@@ -10,6 +10,11 @@
 # shortens the start, and freezing them makes later collections cheaper.
 gc.disable()
 
+from gentianstair.gateway import deferred  # noqa: E402
+from gentianstair.util import deferred_imports  # noqa: E402
+
+deferred_imports.defer(deferred.MODULES)
+
 from gentianstair.gateway import main  # noqa: E402
 
 gc.freeze()
