Remember evictions of parts that are not logged

Cause, found by reading: two VMs follow each replica's cache. When the faster one told the eviction of a part that was not in the log (its first change came over a link that was cut since), the eviction's number was not kept, and the slower one's older change put the part back. Prompts were then sent, and copies planned, from a replica that had to compute the part.

Change: the last 4,000 such evictions are kept by replica and part, and dropped with the replica. The row of the test that called the fault right ('is not remembered') now asks for the opposite; it failed before.

--- a/gentianstair/gateway/cache_updates.py
+++ b/gentianstair/gateway/cache_updates.py
@@ -4,6 +4,7 @@
 them which parts of prompts it has cached.
 """
 
+import collections
 import collections.abc
 import typing
 
@@ -17,6 +18,9 @@
 MIN_SHARED_TOKENS = 500
 # Maximum number of parts, over all replicas, that each log holds.
 MAX_LOGGED_PARTS = 20000
+# How many evictions of parts that are not logged are remembered, so that an
+# older change that comes later does not undo them.
+MAX_REMEMBERED_EVICTIONS = 4000
 
 
 class Change(typing.NamedTuple):
@@ -40,6 +44,10 @@
         self._index = index
         # The newest sequence seen, by replica and part.
         self._sequences: dict[str, dict[str, int]] = {}
+        # The same for evictions of parts that are not logged, oldest first.
+        self._evictions: collections.OrderedDict[tuple[str, str], int] = (
+            collections.OrderedDict()
+        )
         # Changes polled by this VM and its leaves, for the other hubs; on a
         # leaf, for its hub.
         self.hub_log: _Log = change_log.ChangeLog(MAX_LOGGED_PARTS)
@@ -54,17 +62,28 @@
         change is logged for the other hubs, too.
         """
         sequences = self._sequences.setdefault(change.replica, {})
-        if sequences.get(change.part, -1) >= change.sequence:
+        key = (change.replica, change.part)
+        newest = max(
+            sequences.get(change.part, -1), self._evictions.get(key, -1)
+        )
+        if newest >= change.sequence:
             return
         self._index.update(change.replica, change.part, change.tokens)
-        key = (change.replica, change.part)
         if change.tokens < MIN_SHARED_TOKENS and key not in self.leaf_log:
+            if not change.tokens:
+                self._remember_eviction(key, change.sequence)
             return
         sequences[change.part] = change.sequence
         if to_hubs:
             self.hub_log.put(key, change)
         self.leaf_log.put(key, change)
 
+    def _remember_eviction(self, key: tuple[str, str], sequence: int) -> None:
+        self._evictions.pop(key, None)
+        self._evictions[key] = sequence
+        if len(self._evictions) > MAX_REMEMBERED_EVICTIONS:
+            self._evictions.popitem(last=False)
+
     def apply_rows(
         self, rows: collections.abc.Iterable[list], to_hubs: bool
     ) -> None:
@@ -82,3 +101,5 @@
         for part in self._sequences.pop(replica, ()):
             self.hub_log.drop((replica, part))
             self.leaf_log.drop((replica, part))
+        for key in [k for k in self._evictions if k[0] == replica]:
+            del self._evictions[key]
--- a/test/gateway/test_cache_updates.py
+++ b/test/gateway/test_cache_updates.py
@@ -30,10 +30,18 @@
         ([change(1, 9000), change(2, 0)], 9100),
         # The slower of two followers reports a part that was evicted.
         ([change(1, 9000), change(2, 0), change(1, 9000)], 9100),
-        # The eviction of a part that was not logged is not remembered.
-        ([change(2, 0), change(1, 9000)], 100),
+        # The eviction of a part that was not logged comes first.
+        ([change(2, 0), change(1, 9000)], 9100),
+        ([change(2, 0), change(1, 9000), change(3, 9000)], 100),
+    ],
+    ids=[
+        'none',
+        'cached',
+        'evicted',
+        'late repeat',
+        'unlogged eviction',
+        'cached again after an unlogged eviction',
     ],
-    ids=['none', 'cached', 'evicted', 'late repeat', 'unlogged eviction'],
 )
 def test_late_change_does_not_undo_a_newer_one(
     updates, changes, uncached_tokens
@@ -45,6 +53,23 @@
     assert cache.uncached_tokens('i-1', PROMPT) == uncached_tokens
 
 
+def test_replica_that_restarted_starts_its_count_anew(updates):
+    # Otherwise its first changes would seem older than its last evictions.
+    cache = prefix_index.PrefixIndex()
+    updates = cache_updates.CacheUpdates(cache)
+    updates.apply(change(9, 0), to_hubs=True)
+    updates.forget('i-1')
+    updates.apply(change(1, 9000), to_hubs=True)
+    assert cache.uncached_tokens('i-1', PROMPT) == 100
+
+
+def test_remembered_evictions_are_bounded(updates):
+    limit = cache_updates.MAX_REMEMBERED_EVICTIONS
+    for number in range(limit + 50):
+        updates.apply(change(number, 0, f'p{number}'), to_hubs=True)
+    assert len(updates._evictions) == limit
+
+
 def test_short_parts_are_not_forwarded(updates):
     updates.apply(change(1, 40, 'tiny'), to_hubs=True)
     updates.apply(change(2, 9000), to_hubs=True)
