Retract expected parts of a run that failed before its output

Cause, found by reading: a run at a decode replica enters the prompt's parts as expected there when it begins, and a remote prefill retracts them when it fails; the run did not. Until the replica's own events told otherwise, prompts with the same part were sent to a replica that had not computed it.

Change: ReplicaRun enters the parts, and retracts those that it added if it ends without any output.

--- a/gentianstair/gateway/run_record.py
+++ b/gentianstair/gateway/run_record.py
@@ -48,6 +48,7 @@
         prompt: calls.Prompt,
         decode_replica: replicas.Replica,
         plan: placement.Plan | None,
+        kv_tokens: int,
     ) -> None:
         self._request = request
         self._prompt = prompt
@@ -63,6 +64,12 @@
             decode_replica.name, work_s, prefill_end_s, miss_penalty_s
         )
         self.first_event_s: float | None = None
+        # The parts that the replica holds only if this run gets to its output.
+        self._expected = (
+            node.prefix_index.expect(decode_replica.name, prompt, kv_tokens)
+            if prompt.parts
+            else []
+        )
 
     def record_event(self) -> bool:
         """Record an event; return whether it is the run's first."""
@@ -97,5 +104,12 @@
         )
 
     def finish(self) -> None:
-        """Remove the run from the load of its replica."""
+        """Remove the run from the load of its replica.
+
+        Without any output its prompt was not computed, or not whole.
+        """
+        if self.first_event_s is None:
+            self._request.node.prefix_index.retract(
+                self._decode_replica.name, self._expected
+            )
         self._request.node.load_tracker.end(self._load)
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -198,10 +198,6 @@
         request, node = self._request, self._node
         copy = plan.copy if plan else placement.NO_KV_COPY
         started_s = request.begin_attempt(decode_replica)
-        if self._prompt.parts:
-            node.prefix_index.expect(
-                decode_replica.name, self._prompt, self._engine.kv_tokens
-            )
         attempt = request.make_attempt(
             decode_replica,
             kv_source=kv_source,
@@ -210,7 +206,11 @@
             priority=self._priority(),
         )
         run = run_record.ReplicaRun(
-            request, self._prompt, decode_replica, plan
+            request,
+            self._prompt,
+            decode_replica,
+            plan,
+            self._engine.kv_tokens,
         )
         try:
             async with forward.open_response(
