Call only a refused order of replicas missing capacity

Cause, found by reading: each 409 of the platform's API became 'no capacity available', also that of a usage report whose window it has with other counts. The log then told of replicas where a bill was refused.

Change: 409 means missing capacity for orders alone; a report's is an error with its status and body.

--- a/gentianstair/platform/cloud_client.py
+++ b/gentianstair/platform/cloud_client.py
@@ -12,6 +12,8 @@
 # duration of a lease.
 CALL_LIFETIME_S = 0.6
 CALL_TIMEOUT_S = 0.8
+HTTP_OK = 200
+HTTP_CONFLICT = 409
 
 
 class CloudClient:
@@ -32,7 +34,8 @@
         Raise UpstreamError or LeaseLostError.
         """
         body = {'window': window, 'counts': dict(counts)}
-        await self._post(authority, '/usage', body)
+        response = await self._post(authority, '/usage', body)
+        _check_status('/usage', response, body)
 
     async def order_replicas(
         self,
@@ -55,15 +58,20 @@
         }
         if reclaimable:
             body['spot'] = True
-        await self._post(authority, '/scale', body)
+        response = await self._post(authority, '/scale', body)
+        if response.status == HTTP_CONFLICT:
+            raise errors.UpstreamRejectedError(
+                '/scale: no capacity available', response.status
+            )
+        _check_status('/scale', response, body)
 
     async def _post(
         self,
         authority: lease.Authority,
         path: str,
         body: collections.abc.Mapping,
-    ) -> None:
-        answer = await leased_call.call(
+    ) -> leased_call.Response:
+        return await leased_call.call(
             f'http://{self._address}{path}',
             'POST',
             body,
@@ -75,12 +83,14 @@
                 'X-Fencing-Token': str(authority.epoch),
             },
         )
-        if answer.status == 409:
-            raise errors.UpstreamRejectedError(
-                f'{path}: no capacity available', answer.status
-            )
-        if answer.status != 200:
-            raise errors.UpstreamError(
-                f'{path}: status {answer.status} {answer.body} for {body}',
-                verdicts.Verdict.NOT_RUN,
-            )
+
+
+def _check_status(
+    path: str, response: leased_call.Response, body: collections.abc.Mapping
+) -> None:
+    """Raise UpstreamError for a call that the platform did not accept."""
+    if response.status != HTTP_OK:
+        raise errors.UpstreamError(
+            f'{path}: status {response.status} {response.body} for {body}',
+            verdicts.Verdict.NOT_RUN,
+        )
