Count calls to the store by kind and method

Each call to the platform's store is charged, and which of them grow with the fleet could not be told from a running process. Counters by kind of object and method, and the bytes that came back, take the place of a total that nothing read.

--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -10,6 +10,7 @@
 import httpx
 import loguru
 import msgspec
+import prometheus_client
 import trio
 
 from gentianstair import errors
@@ -25,6 +26,17 @@
 WATCH_GRACE_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
+STORE_CALLS = prometheus_client.Counter(
+    'gentianstair_store_calls',
+    'Calls to the platform store, by kind of object and HTTP method or watch.',
+    ['kind', 'call'],
+)
+STORE_BYTES = prometheus_client.Counter(
+    'gentianstair_store_read_bytes',
+    'Bytes of the bodies that the store returned.',
+    ['kind', 'call'],
+)
+
 
 class _Meta(msgspec.Struct):
     name: str
@@ -68,7 +80,6 @@
         self._headers = {'user-agent': vm}
         self._address = address
         self._timeout_s = timeout_s
-        self.call_count = 0
 
     async def _call(
         self,
@@ -91,7 +102,9 @@
         )
         if body is not None:
             request.headers['content-type'] = 'application/json'
-        self.call_count += 1
+        call = 'watch' if params and 'watch' in params else method.lower()
+        kind = path.partition('/')[0]
+        STORE_CALLS.labels(kind, call).inc()
         try:
             with trio.fail_after(timeout_s or self._timeout_s):
                 response = await self._transport.handle_async_request(request)
@@ -99,6 +112,7 @@
                     content = await transports.read_all(
                         response, MAX_RESPONSE_BYTES
                     )
+                    STORE_BYTES.labels(kind, call).inc(len(content))
                     return response.status_code, content
                 finally:
                     await response.stream.aclose()
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -94,3 +94,21 @@
     server.closing = False
     assert (await store.get('config', 'main', purpose='test')).version == 5
     assert server.connections == 2
+
+
+async def test_calls_are_counted_by_kind_and_method(nursery):
+    # A priced call that grows with the fleet could not be found otherwise.
+    server = StoreServer()
+    listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
+    port = listeners[0].socket.getsockname()[1]
+    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', 0.3)
+
+    def counted(metric):
+        return metric.labels('config', 'get')._value.get()
+
+    calls = counted(object_store.STORE_CALLS)
+    read_bytes = counted(object_store.STORE_BYTES)
+    await store.get('config', 'main', purpose='test')
+    assert counted(object_store.STORE_CALLS) == calls + 1
+    body = ANSWER.partition(b'\r\n\r\n')[2]
+    assert counted(object_store.STORE_BYTES) == read_bytes + len(body)
