Remove code that nothing calls

Registry.confirm_listed, Ejector.latency_ratio, exchange.MAX_ID_LENGTH, callers.is_key_valid, http_codec.SIGNATURE_HEADER, Members.present of peers, and the decoded fields that nothing reads: Engine.kv_hold_s and stage_change_s, Bounds.retry_after_s.

--- a/gentianstair/core/ejection.py
+++ b/gentianstair/core/ejection.py
@@ -228,15 +228,3 @@
             0.75, 1.25
         )
         state.probe_started_s = None
-
-    def latency_ratio(self, upstream: str) -> float:
-        """Return the upstream's latency as a multiple of the median.
-
-        A slow upstream that succeeds is not ejected, as its capacity may be
-        needed; callers may prefer others by this ratio.
-        """
-        median_latency_s = self._baseline.median_latency_s
-        state = self._states.get(upstream)
-        if state is None or state.latency_s is None or not median_latency_s:
-            return 1.0
-        return state.latency_s / median_latency_s
--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -21,7 +21,6 @@
 HTTP_HEADERS_TOO_LARGE = 431
 HTTP_CONTENT_TOO_LARGE = 413
 HTTP_TIMEOUT = 408
-MAX_ID_LENGTH = 128
 # Status, only in logs and metrics, of requests without a complete response:
 # the caller disconnected, or this process closed the connection.
 HTTP_CALLER_DISCONNECTED = 499
--- a/gentianstair/entry/callers.py
+++ b/gentianstair/entry/callers.py
@@ -58,12 +58,6 @@
     return Caller(key['customer'], key_digest)
 
 
-def is_key_valid(view: views.View, caller: Caller) -> bool:
-    """Return whether the caller's key exists and is not revoked."""
-    key = view.key(caller.key_digest)
-    return key is not None and not key['revoked']
-
-
 def _may_use(entry: messages.ModelEntry, customer: str) -> bool:
     return not entry['customers'] or customer in entry['customers']
 
--- a/gentianstair/gateway/catalog.py
+++ b/gentianstair/gateway/catalog.py
@@ -56,9 +56,6 @@
     kv_tokens: int
     kv_token_bytes: int
     link_mbps: float
-    # How long a replica holds a KV cache that no other replica fetches.
-    kv_hold_s: float
-    stage_change_s: float
     models: tuple[str, ...]
     # Cache event calls that may wait at a replica at the same time.
     max_cache_calls: int = 12
--- a/gentianstair/gateway/deployment.py
+++ b/gentianstair/gateway/deployment.py
@@ -26,8 +26,6 @@
     # Length of a usage reporting window, and how late its report may be.
     usage_window_s: float
     usage_late_s: float
-    # Read from the file; the gateway does not use it.
-    retry_after_s: float
 
 
 class Deployment(typing.NamedTuple):
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -144,11 +144,6 @@
             _log_removed(replica, 'entry removed')
             self._index()
 
-    def confirm_listed(self, names: typing.Iterable[str]) -> None:
-        """Record that these are registered, and must not lapse."""
-        for name in names:
-            self._lapsed_until_s.pop(name, None)
-
     def _remove_lapsed(self) -> None:
         if not self._lapsed_until_s:
             return
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -36,7 +36,7 @@
 # numbers are left for resumed streams.
 PRIORITY_OFFSET = 2
 # Used when the configuration gives no engine for a streaming service.
-DEFAULT_ENGINE = catalog.Engine(64, 100000, 16384, 100000.0, 5.0, 3.0, ())
+DEFAULT_ENGINE = catalog.Engine(64, 100000, 16384, 100000.0, ())
 
 
 class StreamingResponse:
--- a/gentianstair/peers/membership.py
+++ b/gentianstair/peers/membership.py
@@ -232,14 +232,6 @@
         self._digest = (self.generation, combined)
         return combined
 
-    def present(self) -> list[Member]:
-        """Return the members that links may be opened to."""
-        return [
-            member
-            for member in self.by_name.values()
-            if member.status in (LIVE, SUSPECT, LEAVING)
-        ]
-
     def tree_domains(self) -> dict[str, str]:
         """Return the failure domain of each VM in the link topology, by name.
 
--- a/gentianstair/platform/configuration.py
+++ b/gentianstair/platform/configuration.py
@@ -52,8 +52,6 @@
     kv_capacity_tokens: int
     kv_token_bytes: int
     link_mbps: float = 100000.0
-    kv_hold_s: float = 5.0
-    stage_switch_s: float = 3.0
     models: list[_Model] = []
     # Cache event calls that may wait at a replica at the same time.
     most: int = 12
@@ -123,8 +121,6 @@
         kv_tokens=raw.kv_capacity_tokens,
         kv_token_bytes=raw.kv_token_bytes,
         link_mbps=raw.link_mbps,
-        kv_hold_s=raw.kv_hold_s,
-        stage_change_s=raw.stage_switch_s,
         models=tuple(model.name for model in raw.models),
         max_cache_calls=raw.most,
     )
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -45,7 +45,6 @@
 )
 BEARER_PREFIX = 'bearer '
 REQUEST_ID_HEADER = b'x-request-id'
-SIGNATURE_HEADER = b'x-response-signature'
 # Present if the replica did not run the request.
 NOT_EXECUTED_HEADER = b'x-not-executed'
 # Status if another replica now has the address; the request was not run.
--- a/gentianstair/platform/settings_file.py
+++ b/gentianstair/platform/settings_file.py
@@ -89,7 +89,6 @@
         lease_s=table.number('lease_ms') / 1000,
         usage_window_s=table.number('usage_window_s'),
         usage_late_s=table.number('usage_late_s'),
-        retry_after_s=table.number('retry_after_s', 0.0),
     )
 
 
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -13,7 +13,7 @@
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
 
-ENGINE = catalog.Engine(64, 400000, 18432, 180000.0, 5.0, 3.0, ('m',))
+ENGINE = catalog.Engine(64, 400000, 18432, 180000.0, ('m',))
 BODY_BYTES = 17000
 
 
--- a/test/gateway/test_placement_of_many_vms.py
+++ b/test/gateway/test_placement_of_many_vms.py
@@ -23,7 +23,7 @@
 DOMAINS = 'abcde'
 VMS = 60
 PREFILLERS, DECODERS = 30, 50
-ENGINE = catalog.Engine(64, 380531, 18432, 180000.0, 5.0, 3.0, ('m',))
+ENGINE = catalog.Engine(64, 380531, 18432, 180000.0, ('m',))
 # Seconds of latency, for a thousand tokens and for a million pairs.
 COEFFICIENTS = (0.03, 0.0272, 0.00025)
 DECODE_SLOWDOWN = 2.0
--- a/test/gateway/test_placement_under_load.py
+++ b/test/gateway/test_placement_under_load.py
@@ -19,7 +19,7 @@
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
 
-ENGINE = catalog.Engine(64, 468083, 35136, 300000.0, 5.0, 3.0, ('m',))
+ENGINE = catalog.Engine(64, 468083, 35136, 300000.0, ('m',))
 # Seconds of latency, for a thousand tokens and for a million pairs.
 COEFFICIENTS = (0.132, 0.0239, 0.0007)
 DECODE_SLOWDOWN = 2.0
