End the link on which a peer sends what can't be read

Cause, found by reading: a hub logged a message that it could not decode and read on, so that a peer whose stream was out of step, or that reported in the name of another process, went on to change loads and caches with each message that happened to be readable.

Change: such a message ends its link, with one log line; the peer opens a new one after its usual pause. A report whose record names another process than its sender counts as unreadable. Unknown types and fields are passed over as before, as a fleet runs mixed versions while it is rolled.

--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -34,11 +34,15 @@
     ) -> messages.GatewayFeed:
         """Apply a leaf's report; return what changed since its last one."""
         node = self._node
-        self._process_name = report['process']
-        node.roster.leaves[self._process_name] = self
         if 'member' in report:
             record = decode_member(report['member'])
+            if record.name != report['process']:
+                raise errors.DecodeError(
+                    f'{report["process"]} reports as {record.name}'
+                )
             node.roster.leaf_records.put(record)
+        self._process_name = report['process']
+        node.roster.leaves[self._process_name] = self
         node.load_tracker.update_peer(
             self._process_name,
             replica_load.decode(report['loads']),
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -176,10 +176,12 @@
                 if message is not None:
                     await self._handle(channel, message, leaf)
             except errors.DecodeError as error:
-                # One peer's bad message must not end the other links.
+                # What the peer sends next can't be trusted either; the other
+                # links go on.
                 loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
                     '{}', error
                 )
+                raise link.LinkClosedError('unreadable message') from error
 
     async def _handle(
         self,
