--- /dev/null
+++ b/gentianstair/gateway/process_parts.py
@@ -0,0 +1,163 @@
+"""Make the components of one gateway process, none of them running yet."""
+
+import functools
+import random
+import time
+import typing
+
+import trio
+
+from gentianstair.control import lease
+from gentianstair.core import ejection
+from gentianstair.core import grace_period
+from gentianstair.gateway import autoscaler
+from gentianstair.gateway import cache_updates
+from gentianstair.gateway import deployment
+from gentianstair.gateway import hubs
+from gentianstair.gateway import leader_tasks
+from gentianstair.gateway import members as memberships
+from gentianstair.gateway import node as nodes
+from gentianstair.gateway import placement
+from gentianstair.gateway import prefill_costs
+from gentianstair.gateway import prefix_index
+from gentianstair.gateway import replica_load
+from gentianstair.gateway import replicas
+from gentianstair.gateway import retry_budget
+from gentianstair.gateway import roster as rosters
+from gentianstair.gateway import store_watch
+from gentianstair.gateway import usage_counter
+from gentianstair.platform import cloud_client
+from gentianstair.platform import object_store
+from gentianstair.store import confirmed_write
+from gentianstair.upstreams import transport
+from gentianstair.util import clock
+from gentianstair.util import steady_wall_clock
+
+# How long idle connections to replicas are kept; shorter than the keep-alive
+# timeout of any replica that does not announce one.
+REPLICA_IDLE_TIMEOUT_S = 1.0
+
+
+class ProcessParts(typing.NamedTuple):
+    """The components of one process, none of them running yet."""
+
+    node: nodes.Node
+    members: memberships.Members
+    lease_manager: lease.LeaseManager
+    usage_reporter: leader_tasks.UsageReporter
+    autoscaler: autoscaler.Autoscaler
+    store_health: store_watch.StoreHealth
+
+
+def make_process_parts(
+    live: deployment.LiveSettings, nursery: trio.Nursery
+) -> ProcessParts:
+    """Return the components of a process for a deployment."""
+    vm_settings = live.current
+    now = clock.boottime_s
+    store = object_store.connect(vm_settings.store_address, vm_settings.vm)
+    bounds = vm_settings.bounds
+    wall_clock = steady_wall_clock.SteadyWallClock(time.time, now)
+    counts = usage_counter.UsageCounter(wall_clock, bounds.usage_window_s)
+    name = f'{vm_settings.vm}.{confirmed_write.new_nonce()}'
+    record = memberships.Record(
+        vm=vm_settings.vm,
+        failure_domain=vm_settings.failure_domain,
+        peer_address=vm_settings.peer_address,
+        beat=0,
+        windows={},
+        cores=vm_settings.cores,
+    )
+    costs = prefill_costs.PrefillCosts()
+    members = memberships.Members(
+        store,
+        name,
+        record,
+        counts,
+        now,
+        vm_settings.store_writes_per_s,
+        costs,
+    )
+    node = _make_node(live, store, counts, members, costs, nursery)
+    lease_manager = lease.make_lease_manager(
+        store, name, now, leader_tasks.lease_timing(bounds.lease_s)
+    )
+    platform = cloud_client.CloudClient(
+        vm_settings.duties_address, vm_settings.vm
+    )
+    store_health = store_watch.StoreHealth(now)
+    usage_reporter = leader_tasks.UsageReporter(
+        store,
+        members,
+        platform,
+        counts,
+        leader_tasks.ReportTiming(bounds.usage_window_s, bounds.usage_late_s),
+        wall_clock,
+    )
+    scaler = autoscaler.Autoscaler(node, platform, store_health)
+    return ProcessParts(
+        node, members, lease_manager, usage_reporter, scaler, store_health
+    )
+
+
+def _retry_limits(live: deployment.LiveSettings) -> retry_budget.Limits:
+    bounds = live.current.bounds
+    return retry_budget.Limits(
+        bounds.retry_ratio,
+        bounds.retry_allowance,
+        bounds.retry_window_s,
+    )
+
+
+def _make_node(
+    live: deployment.LiveSettings,
+    store: object_store.ObjectStore,
+    counts: usage_counter.UsageCounter,
+    members: memberships.Members,
+    costs: prefill_costs.PrefillCosts,
+    nursery: trio.Nursery,
+) -> nodes.Node:
+    now = clock.boottime_s
+    vm_settings = live.current
+    load_tracker = replica_load.LoadTracker(now)
+    index = prefix_index.PrefixIndex()
+    registry = replicas.Registry(now)
+    own_vm = hubs.Vm(
+        vm_settings.vm,
+        vm_settings.failure_domain,
+        vm_settings.peer_address,
+        vm_settings.cores,
+    )
+    roster = rosters.Roster(own_vm, members, registry, now)
+    return nodes.Node(
+        live_settings=live,
+        clock=now,
+        started_s=now(),
+        active_config=nodes.ActiveConfig(),
+        registry=registry,
+        load_tracker=load_tracker,
+        prefix_index=index,
+        cache_updates=cache_updates.CacheUpdates(index),
+        roster=roster,
+        prefill_costs=costs,
+        placement=placement.Placement(
+            vm_settings.failure_domain,
+            load_tracker,
+            index,
+            costs,
+            random.Random(vm_settings.vm),
+        ),
+        retry_budget=retry_budget.RetryBudget(
+            functools.partial(_retry_limits, live),
+            now,
+            roster.vm_count,
+            restarted=not vm_settings.whole_system_starts,
+        ),
+        ejector=ejection.Ejector(),
+        transport=transport.make_transport(idle_s=REPLICA_IDLE_TIMEOUT_S),
+        store=store,
+        usage_counter=counts,
+        draining=trio.Event(),
+        grace_period=grace_period.GracePeriod(),
+        nursery=nursery,
+    )
--- a/test/gateway/test_hubs.py
+++ b/test/gateway/test_hubs.py
@@ -131,16 +131,15 @@
             vm for vm, kind in site.faults.calls if kind == 'gateway-process'
         }
         assert len(writers) == 1
-        windows = {}
-        for item in site.table.list('gateway-process').objects:
-            record = members.decode(item.value)
-            for one in (record, *record.leaves):
-                counts = members.usage_windows(one)
-                merged = usage_counter.merge([(one.vm, counts)])
-                windows.update(merged)
+        sources = [
+            (one.vm, members.usage_windows(one))
+            for item in site.table.list('gateway-process').objects
+            for record in [members.decode(item.value)]
+            for one in (record, *record.leaves)
+        ]
         totals = [
-            sum(sum(counts.values()) for counts in of_vm.values())
-            for of_vm in windows.values()
+            sum(sum(counts.values()) for counts in windows.values())
+            for windows in usage_counter.merge(sources).values()
         ]
         assert sum(totals) == len(found)
 
--- a/test/gateway/test_restart_on_fault.py
+++ b/test/gateway/test_restart_on_fault.py
@@ -4,7 +4,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.gateway import main
+from gentianstair.gateway import background
 
 
 async def test_unexpected_error_restarts_background_work(autojump_clock):
@@ -21,9 +21,11 @@
             raise OSError('unexpected')
 
     with trio.fail_after(60):
-        await main.restart_on_fault(work)
+        await background.restart_on_fault(work)
     assert len(starts_s) == 3
-    assert starts_s[2] - starts_s[0] == pytest.approx(2 * main.FAULT_BACKOFF_S)
+    assert starts_s[2] - starts_s[0] == pytest.approx(
+        2 * background.FAULT_BACKOFF_S
+    )
 
 
 async def test_lost_lease_ends_duty_without_restart(autojump_clock):
@@ -31,4 +33,4 @@
         raise errors.LeaseLostError('lapsed')
 
     with pytest.raises(errors.LeaseLostError):
-        await main.restart_on_fault(work)
+        await background.restart_on_fault(work)
--- a/test/gateway/test_unexpected_exit.py
+++ b/test/gateway/test_unexpected_exit.py
@@ -24,7 +24,7 @@
     await trio.sleep(0.3)
     raise RuntimeError('planted')
 
-main._campaign_for_duties = fail
+main.background.campaign_for_duties = fail
 main.main()
 """
 
