Leave a hub that is no hub any more

Seen: the test that leaves' requests are billed failed once beside other tests, and in 4 of 8 runs eight at a time: 2 or 3 of 4 requests counted. Cause, from the objects at the failure: when VMs start, their views differ, and a leaf links to a VM that takes itself for a hub for a moment. That VM becomes a leaf and goes on answering reports: its own data come fresh from its hub. So the first leaf stayed, for good. The VM in between tells its hub only its own load and stores nothing, so the leaf's load was unseen by all others (before this change, too) and its requests were not billed (new with hubs that store for their leaves).

Change: a leaf leaves a VM that is not among the hubs that it names.

--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -111,7 +111,7 @@
                 opening.deadline = trio.current_time() + OPEN_TIMEOUT_S
                 async with self._network.open(hub.peer_address) as channel:
                     opening.deadline = float('inf')
-                    failure = await self._exchange(channel)
+                    failure = await self._exchange(channel, hub)
         except link.LinkClosedError as error:
             failure = str(error)
         if not failure:
@@ -123,8 +123,8 @@
             'left the hub: {}', failure
         )
 
-    async def _exchange(self, channel: link.Channel) -> str:
-        """Send reports and apply feeds; return the failure that ends it.
+    async def _exchange(self, channel: link.Channel, hub: hubs.Vm) -> str:
+        """Send reports to hub and apply feeds; return what ends it.
 
         It is empty if this VM has become a hub.
         """
@@ -150,6 +150,9 @@
                     return 'invalid feed'
                 if age_s > self._max_store_age_s():
                     return 'its data from the store is too old'
+                if hub.name not in {row[0] for row in feed['hubs']}:
+                    # It would store nothing for this leaf any more.
+                    return 'it is no hub any more'
                 await trio.sleep(REPORT_INTERVAL_S)
             return ''
         finally:
--- a/test/gateway/test_hub_client.py
+++ b/test/gateway/test_hub_client.py
@@ -6,8 +6,17 @@
 import pytest
 import trio
 
+from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hub_client
 from gentianstair.gateway import hubs
+from gentianstair.gateway import peer_updates
+from gentianstair.gateway import prefill_costs
+from gentianstair.gateway import prefix_index
+from gentianstair.gateway import replica_load
+from gentianstair.gateway import replicas
+from gentianstair.gateway import roster as rosters
+from gentianstair.gateway import store_watch
+from gentianstair.gateway import usage_counter
 from gentianstair.peers import link
 from gentianstair.util import clock
 
@@ -68,3 +77,98 @@
     assert max(later) <= hub_client.HUB_RETRY_S + 2 * OPEN_S
     tried = {address for address, _ in failing.opened[count:]}
     assert tried == {hub.peer_address for hub in failing.vms}
+
+
+class FeedingHub(link.Channel):
+    """A hub's end of a link, which names these VMs as the hubs."""
+
+    def __init__(self, name, hub_names):
+        self.name = name
+        self.hub_names = hub_names
+        self.reports = []
+
+    async def send(self, data):
+        self.reports.append(link.decode(data))
+
+    async def receive(self):
+        return link.encode(
+            {
+                'type': 'feed',
+                'process': f'{self.name}.1',
+                'age_ms': 10,
+                'loads': {},
+                'cache': [],
+                'replicas': [],
+                'gone': [],
+                'whole': True,
+                'vms': 195,
+                'hubs': [[n, 'a', f'{n}:1'] for n in self.hub_names],
+                'follow': [],
+            }
+        )
+
+    async def aclose(self):
+        pass
+
+
+class Feeds:
+    """A network of VMs that feed a leaf, some of them no hubs any more."""
+
+    def __init__(self, hub_names):
+        self.hub_names = hub_names
+        self.opened = []
+
+    @contextlib.asynccontextmanager
+    async def open(self, address):
+        name = address.partition(':')[0]
+        self.opened.append(name)
+        yield FeedingHub(name, self.hub_names)
+
+
+def make_leaf():
+    """Return the parts of a leaf's node, which knows hub-0 as its hub."""
+    now = clock.trio_time_s
+    members = types.SimpleNamespace(
+        name='leaf.1', listed_at_s=now(), count=lambda: 2, alive_vms=dict
+    )
+    registry = replicas.Registry(now)
+    own = hubs.Vm('leaf', 'a', '10.0.0.99:1', 0.5)
+    roster = rosters.Roster(own, members, registry, now)
+    roster.remember_hubs(195, [hubs.Vm('hub-0', 'a', 'hub-0:1', 0.0)])
+    return types.SimpleNamespace(
+        roster=roster,
+        clock=now,
+        registry=registry,
+        load_tracker=replica_load.LoadTracker(now),
+        cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
+        prefill_costs=prefill_costs.PrefillCosts(),
+        usage_counter=usage_counter.UsageCounter(now, 5.0),
+        active_config=types.SimpleNamespace(catalog=None),
+        is_synced=lambda: True,
+        deployment=types.SimpleNamespace(
+            peer_address='10.0.0.99:1',
+            bounds=types.SimpleNamespace(drain_s=2.0),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ('hub_names', 'opened'),
+    [(['hub-0', 'hub-1'], ['hub-0']), (['hub-1'], ['hub-0', 'hub-1'])],
+    ids=['still a hub', 'no hub any more'],
+)
+async def test_leaf_leaves_a_vm_that_is_no_hub_any_more(
+    autojump_clock, hub_names, opened
+):
+    # That VM reports and stores nothing for the leaf: its load is unseen,
+    # and its requests are not billed.
+    node = make_leaf()
+    network = Feeds(hub_names)
+    updates = peer_updates.PeerUpdates(
+        None, None, store_watch.StoreHealth(clock.trio_time_s)
+    )
+    leaf = hub_client.HubClient(node, network, updates)
+    with trio.move_on_after(RUN_S):
+        await leaf.run()
+    assert network.opened == opened
+    assert node.roster.has_hub_feed()
