Let test processes draw ports from parts of their own

Seen: test_polls_of_a_busy_cache_are_batched failed twice with 'cannot listen on 127.0.0.1:20580: Address already in use', once with three test processes and once with four. Each drew ports at random from all, tried them, and took one that another had drawn and not listened on yet.

--- a/test/standins/test_ports.py
+++ b/test/standins/test_ports.py
@@ -23,3 +23,10 @@
     # Guards against a process that ends as its own second port is in use.
     found = [ports.free_port() for _ in range(2000)]
     assert len(set(found)) == len(found)
+
+
+def test_test_processes_draw_from_parts_of_their_own():
+    # Two drew the same port, and one program ended with 'cannot listen'.
+    drawn = [set(ports.part(f'gw{n}')) for n in range(ports.PARTS)]
+    assert len(set.union(*drawn)) == sum(len(one) for one in drawn)
+    assert set.union(*drawn) <= set(range(ports.FIRST, ports.LAST))
