Pass over records and feeds with unreadable windows or hubs

Cause, found by reading this change: a window's name that is no number, in a record that another program wrote or in a leaf's report, raised in the task that writes the hub's object or seals the usage, at each turn; a hub's row of another shape raised in the task of a leaf's link, outside what ends a link.

Change: both are decoded where they come in, and count as unreadable. The new rows of the tests failed before. Two names of this change are plainer (Role for Feeds; what a sample always holds).

--- a/gentianstair/gateway/background.py
+++ b/gentianstair/gateway/background.py
@@ -110,10 +110,10 @@
         )
         for source in _watch_sources(process)
     ]
-    feeds = memberships.Feeds(roster.has_hub_feed, roster.is_hub)
+    role = memberships.Role(roster.has_hub_feed, roster.is_hub)
     return [
         *watches,
-        functools.partial(process.members.run, feeds),
+        functools.partial(process.members.run, role),
         functools.partial(cache_watch.run, node),
     ]
 
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -145,12 +145,15 @@
                 process = feed['process']
                 try:
                     age_s = self._apply_feed(feed)
+                    hub_names = {
+                        leaf_feed.decode_hub(row).name for row in feed['hubs']
+                    }
                 except errors.DecodeError as error:
                     _log_unreadable(error)
                     return 'invalid feed'
                 if age_s > self._max_store_age_s():
                     return 'its data from the store is too old'
-                if hub.name not in {row[0] for row in feed['hubs']}:
+                if hub.name not in hub_names:
                     # It would store nothing for this leaf any more.
                     return 'it is no hub any more'
                 await trio.sleep(REPORT_INTERVAL_S)
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -125,6 +125,8 @@
 def decode_member(row: dict[str, typing.Any]) -> leaf_records.LeafRecord:
     """Return the record in a leaf's report; raise DecodeError."""
     try:
-        return msgspec.convert(row, leaf_records.LeafRecord)
-    except msgspec.ValidationError as error:
+        record = msgspec.convert(row, leaf_records.LeafRecord)
+        leaf_records.decode_windows(record.windows)
+        return record
+    except (msgspec.ValidationError, ValueError) as error:
         raise errors.DecodeError(f'bad member: {error}') from error
--- a/gentianstair/gateway/leaf_records.py
+++ b/gentianstair/gateway/leaf_records.py
@@ -26,6 +26,17 @@
     linked: bool = True
 
 
+def decode_windows(
+    windows: dict[str, dict[str, int]],
+) -> usage_counter.Windows:
+    """Return counts by number of the window; raise ValueError if it is none.
+
+    >>> decode_windows({'7': {'club': 2}})
+    {7: {'club': 2}}
+    """
+    return {int(window): counts for window, counts in windows.items()}
+
+
 class LeafRecords:
     """The records of a hub's leaves.
 
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -72,16 +72,16 @@
     leaves: list[leaf_records.LeafRecord] = []
 
 
-class Feeds(typing.NamedTuple):
-    """What a process asks about its place in the fleet."""
+class Role(typing.NamedTuple):
+    """What a process asks about its role in the fleet, hub or leaf."""
 
     # Whether it has a hub's current feed.
     has_hub_feed: typing.Callable[[], bool] = lambda: False
     is_hub: typing.Callable[[], bool] = lambda: True
 
 
-# The place of a process in a fleet without leaves.
-IN_MESH = Feeds()
+# The role of each process in a fleet without leaves.
+IN_MESH = Role()
 
 
 class Member(typing.NamedTuple):
@@ -98,14 +98,17 @@
     record: Record | leaf_records.LeafRecord,
 ) -> usage_counter.Windows:
     """Return the usage counts in a record, by window."""
-    return {int(window): counts for window, counts in record.windows.items()}
+    return leaf_records.decode_windows(record.windows)
 
 
 def decode(value: typing.Any) -> Record | None:
     """Return the record in an object, or None if it is invalid."""
     try:
-        return msgspec.convert(value, Record)
-    except (msgspec.ValidationError, TypeError) as error:
+        record = msgspec.convert(value, Record)
+        for one in (record, *record.leaves):
+            leaf_records.decode_windows(one.windows)
+        return record
+    except (msgspec.ValidationError, TypeError, ValueError) as error:
         loguru.logger.bind(event=events.MEMBER_UNREADABLE).warning('{}', error)
         return None
 
@@ -229,7 +232,7 @@
         names = sorted(member.name for member in mature or alive)
         return tuple(names) or (self._name,)
 
-    async def run(self, feeds: Feeds = IN_MESH) -> None:
+    async def run(self, role: Role = IN_MESH) -> None:
         """Write heartbeats and list the processes, until cancelled.
 
         A process that has a hub's feed does neither. The first heartbeat
@@ -240,11 +243,11 @@
         linked_s = self._clock()
         while True:
             now_s = self._clock()
-            if feeds.has_hub_feed():
+            if role.has_hub_feed():
                 linked_s = now_s
                 await trio.sleep(FEED_CHECK_S)
                 continue
-            may_write = feeds.is_hub() or now_s - linked_s > UNLINKED_WRITE_S
+            may_write = role.is_hub() or now_s - linked_s > UNLINKED_WRITE_S
             if may_write and now_s - last_write_s > (
                 self.heartbeat_interval_s - MIN_PAUSE_S
             ):
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -31,8 +31,8 @@
 # Share of a prefill's duration by which it slows each stream on its replica.
 INTERFERENCE_SHARE = 0.01
 # In a large fleet, at most this many replicas of each stage are compared
-# besides those that hold a part of the prompt. The random sample bounds the
-# work per request and spreads requests of different VMs.
+# besides those that hold a part of the prompt or are its homes. The random
+# sample bounds the work per request and spreads requests of different VMs.
 SAMPLE_SIZE = 12
 # Random jitter on each cost: VMs with the same view choose different
 # replicas.
@@ -224,17 +224,13 @@
         """Return the replicas to compare."""
         if len(candidates) <= 2 * SAMPLE_SIZE:
             return candidates
-        holders = {*self._index.holders(prompt), *homes.savings}
-        holding = [
-            replica for replica in candidates if replica.name in holders
-        ]
-        rest = [
-            replica for replica in candidates if replica.name not in holders
-        ]
+        preferred = {*self._index.holders(prompt), *homes.savings}
+        always = [r for r in candidates if r.name in preferred]
+        rest = [r for r in candidates if r.name not in preferred]
         self._random.shuffle(rest)
         prefillers = [r for r in rest if r.stage == prefill_costs.PREFILL]
         decoders = [r for r in rest if r.stage != prefill_costs.PREFILL]
-        return holding + prefillers[:SAMPLE_SIZE] + decoders[:SAMPLE_SIZE]
+        return always + prefillers[:SAMPLE_SIZE] + decoders[:SAMPLE_SIZE]
 
     def _best_sources(
         self,
--- a/test/gateway/test_hub_client.py
+++ b/test/gateway/test_hub_client.py
@@ -102,7 +102,9 @@
                 'gone': [],
                 'whole': True,
                 'vms': 195,
-                'hubs': [[n, 'a', f'{n}:1'] for n in self.hub_names],
+                'hubs': [
+                    [n, 'a', f'{n}:1'] if n else [] for n in self.hub_names
+                ],
                 'follow': [],
             }
         )
@@ -172,3 +174,20 @@
         await leaf.run()
     assert network.opened == opened
     assert node.roster.has_hub_feed()
+
+
+async def test_leaf_leaves_a_hub_that_names_hubs_in_no_known_way(
+    autojump_clock,
+):
+    # An error in the leaf's task would end its links to all others.
+    node = make_leaf()
+    node.is_synced = lambda: False
+    network = Feeds(['hub-0', ''])
+    updates = peer_updates.PeerUpdates(
+        None, None, store_watch.StoreHealth(clock.trio_time_s)
+    )
+    leaf = hub_client.HubClient(node, network, updates)
+    with trio.move_on_after(RUN_S):
+        await leaf.run()
+    assert not node.roster.has_hub_feed()
+    assert len(network.opened) <= RUN_S / hub_client.HUB_RETRY_S + 1
--- a/test/gateway/test_leader_tasks.py
+++ b/test/gateway/test_leader_tasks.py
@@ -1,5 +1,6 @@
 """Test that usage reports are complete, and repeated unchanged."""
 
+import msgspec
 import pytest
 import trio
 
@@ -123,8 +124,8 @@
     # In a large fleet these calls grew with VMs times VMs.
     _, hub, leaf = pair
     has_feed = True
-    feeds = memberships.Feeds(lambda: has_feed, lambda: False)
-    nursery.start_soon(leaf.members.run, feeds)
+    role = memberships.Role(lambda: has_feed, lambda: False)
+    nursery.start_soon(leaf.members.run, role)
     hub.members.leaves.put(leaf_record({}))
     nursery.start_soon(hub.members.run)
     await trio.sleep(20)
@@ -138,6 +139,33 @@
     assert len(await hub.members.records()) == 2
 
 
+@pytest.mark.parametrize('place', ['its own', "a leaf's"])
+async def test_record_with_an_unreadable_window_is_passed_over(
+    pair, autojump_clock, nursery, place
+):
+    # No window would be reported while it is there.
+    cloud, one, two = pair
+    windows = {'this week': {'club': 9}}
+    record = {
+        'vm': 'p3',
+        'failure_domain': 'a',
+        'peer_address': '',
+        'beat': 1,
+        'windows': windows if place == 'its own' else {},
+        'leaves': [
+            {**msgspec.to_builtins(leaf_record({})), 'windows': windows}
+        ]
+        if place == "a leaf's"
+        else [],
+    }
+    one.store.table.write(memberships.KIND, 'p3.1', record, 0)
+    two.counts.count_start('club')
+    await two.members.write_heartbeat()
+    nursery.start_soon(one.reporter.run, one.authority)
+    await trio.sleep(12)
+    assert cloud.reports[0] == (0, {'club': 1})
+
+
 async def test_hub_that_died_is_seen_to_be_gone(pair, autojump_clock, nursery):
     _, one, two = pair
     one.members.leaves.put(leaf_record({}))
--- a/test/gateway/test_leaf_feed.py
+++ b/test/gateway/test_leaf_feed.py
@@ -90,8 +90,13 @@
 
 @pytest.mark.parametrize(
     'row',
-    [{}, {**member({}), 'windows': 'many'}, {**member({}), 'cores': None}],
-    ids=['empty', 'windows of another type', 'no cores'],
+    [
+        {},
+        {**member({}), 'windows': 'many'},
+        {**member({}), 'windows': {'this week': {'club': 1}}},
+        {**member({}), 'cores': None},
+    ],
+    ids=['empty', 'windows of another type', 'no number', 'no cores'],
 )
 def test_unreadable_member_is_a_decode_error(row):
     with pytest.raises(errors.DecodeError):
