End with status 0 at a planned stop during the start

The kept log shows the process before (serving, then killed) and the one after; the one that was stopped has no line at all. Cause: SIGTERM came while the process still imported its modules, before its handler was installed, and the default action ended it. So a planned stop looked like a crash. No caller was cut: the process had not begun to listen.

Change: the first lines of the program install a handler that exits with 0. Before the first line of ours, in the interpreter's own start, SIGTERM still ends it.

--- a/gentianstair/gateway/__main__.py
+++ b/gentianstair/gateway/__main__.py
@@ -1,11 +1,15 @@
 """Start the gateway with ``python3 -m gentianstair.gateway``."""
 
 import gc
+import os
 import signal
 
 # Ignore SIGHUP until its handler is installed; the default action would
 # terminate the process while it starts.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# Until its handler is installed, a planned stop ends the process as one that
+# has served: no request has come yet.
+signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
 # Objects created by imports live as long as the process. Disabling collection
 # shortens the start, and freezing them makes later collections cheaper.
 gc.disable()
--- a/test/gateway/test_signals_at_start.py
+++ b/test/gateway/test_signals_at_start.py
@@ -35,3 +35,17 @@
                 gateway.signal(signal.SIGHUP)
                 await trio.sleep(0.02)
         assert gateway.is_running()
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('after_s', [0.15, 0.2, 0.25])
+async def test_planned_stop_during_the_start_is_no_failure(gateway, after_s):
+    # The default action of SIGTERM made a planned stop look like a crash.
+    async with sites.running() as site:
+        start(gateway, site)
+        await trio.sleep(after_s)
+        gateway.signal(signal.SIGTERM)
+        with trio.fail_after(processes.START_S):
+            while gateway.is_running():
+                await trio.sleep(0.02)
+        assert gateway.process.wait() == 0
