Give the gateway's store metrics names of their own

Found by loading all programs in one process: gentianstair_store_calls is defined by store/call_budget.py for the other programs, with other labels, and a process that loads both modules ends at its start. The gateway's counters are now gentianstair_platform_calls and _read_bytes.

--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -26,13 +26,13 @@
 WATCH_GRACE_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
-STORE_CALLS = prometheus_client.Counter(
-    'gentianstair_store_calls',
+PLATFORM_CALLS = prometheus_client.Counter(
+    'gentianstair_platform_calls',
     'Calls to the platform store, by kind of object and HTTP method or watch.',
     ['kind', 'call'],
 )
-STORE_BYTES = prometheus_client.Counter(
-    'gentianstair_store_read_bytes',
+PLATFORM_BYTES = prometheus_client.Counter(
+    'gentianstair_platform_read_bytes',
     'Bytes of the bodies that the store returned.',
     ['kind', 'call'],
 )
@@ -104,7 +104,7 @@
             request.headers['content-type'] = 'application/json'
         call = 'watch' if params and 'watch' in params else method.lower()
         kind = path.partition('/')[0]
-        STORE_CALLS.labels(kind, call).inc()
+        PLATFORM_CALLS.labels(kind, call).inc()
         try:
             with trio.fail_after(timeout_s or self._timeout_s):
                 response = await self._transport.handle_async_request(request)
@@ -112,7 +112,7 @@
                     content = await transports.read_all(
                         response, MAX_RESPONSE_BYTES
                     )
-                    STORE_BYTES.labels(kind, call).inc(len(content))
+                    PLATFORM_BYTES.labels(kind, call).inc(len(content))
                     return response.status_code, content
                 finally:
                     await response.stream.aclose()
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -106,9 +106,9 @@
     def counted(metric):
         return metric.labels('config', 'get')._value.get()
 
-    calls = counted(object_store.STORE_CALLS)
-    read_bytes = counted(object_store.STORE_BYTES)
+    calls = counted(object_store.PLATFORM_CALLS)
+    read_bytes = counted(object_store.PLATFORM_BYTES)
     await store.get('config', 'main', purpose='test')
-    assert counted(object_store.STORE_CALLS) == calls + 1
+    assert counted(object_store.PLATFORM_CALLS) == calls + 1
     body = ANSWER.partition(b'\r\n\r\n')[2]
-    assert counted(object_store.STORE_BYTES) == read_bytes + len(body)
+    assert counted(object_store.PLATFORM_BYTES) == read_bytes + len(body)
