--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -29,6 +29,7 @@
 from gentianstair.upstreams import orders_client
 from gentianstair.util import clock
 from gentianstair.util import serving
+from gentianstair.util import stop_signals
 
 # Time that open HTTP requests have at a stop; also the interval at which the
 # candidates are updated.
@@ -165,7 +166,7 @@
         await serving.serve(
             create_app(config, lease_manager),
             sock,
-            serving.wait_for_stop_signal,
+            stop_signals.wait_for_stop_signal,
             SHUTDOWN_GRACE_S,
         )
         loguru.logger.info(
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -33,6 +33,7 @@
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
 from gentianstair.util import serving
+from gentianstair.util import stop_signals
 from gentianstair.util import tls
 
 # How long the operator listener waits for its requests at shutdown.
@@ -202,7 +203,7 @@
     leaving = trio.Event()
 
     async def leave() -> None:
-        await serving.wait_for_stop_signal()
+        await stop_signals.wait_for_stop_signal()
         loguru.logger.info('stopping: draining requests in flight')
         leaving.set()
         peer.leave()
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -25,6 +25,7 @@
 from gentianstair.util import line_writer
 from gentianstair.util import logs
 from gentianstair.util import serving
+from gentianstair.util import stop_signals
 
 # How long new connections are accepted after a stop is requested. The load
 # balancer checks readiness each second and needs two failures to notice.
@@ -79,7 +80,7 @@
     env_settings: environment.EnvironmentSettings = environment.DEFAULTS,
 ) -> None:
     """Serve until stopped, then let running requests complete."""
-    stop_requested = serving.watch_stop_signals()
+    stop_requested = stop_signals.watch_stop_signals()
     live = deployment.LiveSettings(vm_settings)
     callers = serving.listen(vm_settings.callers_address)
     ready_sock = serving.listen(vm_settings.ready_address)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,6 +6,7 @@
 import quart_trio
 
 from gentianstair.util import serving
+from gentianstair.util import stop_signals
 
 listen = serving.listen
 
@@ -15,7 +16,7 @@
     sock: socket.socket,
     shutdown: collections.abc.Callable[
         [], collections.abc.Awaitable[None]
-    ] = serving.wait_for_stop_signal,
+    ] = stop_signals.wait_for_stop_signal,
     graceful_timeout_s: float = 5.0,
 ) -> None:
     """Serve app on sock until shutdown returns; print the address first."""
--- a/test/core/test_slow_response_end.py
+++ b/test/core/test_slow_response_end.py
@@ -4,6 +4,7 @@
 import trio
 
 from gentianstair.core import asgi
+from gentianstair.util import connection_server
 from gentianstair.util import serving
 
 RESPONSE_TIMEOUT_S = 5.0
@@ -22,8 +23,8 @@
     read_delay_s, monkeypatch
 ):
     # Guards against a next request that is never read.
-    write_now = serving._ConnectionServer._write_now
-    write_chunks = serving._ConnectionServer._write_chunks
+    write_now = connection_server.ConnectionServer._write_now
+    write_chunks = connection_server.ConnectionServer._write_chunks
 
     def refuse_last_chunk(server, data):
         return 0 if data == LAST_CHUNK else write_now(server, data)
@@ -35,10 +36,10 @@
             return await write_chunks(server, data)
 
     monkeypatch.setattr(
-        serving._ConnectionServer, '_write_now', refuse_last_chunk
+        connection_server.ConnectionServer, '_write_now', refuse_last_chunk
     )
     monkeypatch.setattr(
-        serving._ConnectionServer, '_write_chunks', write_chunks_late
+        connection_server.ConnectionServer, '_write_chunks', write_chunks_late
     )
     sock = serving.listen('127.0.0.1:0')
     app = asgi.make_app(respond)
--- a/test/gateway/test_cut_connections.py
+++ b/test/gateway/test_cut_connections.py
@@ -14,10 +14,11 @@
 from gentianstair.generated import events
 from gentianstair.ui import losses
 from gentianstair.ui import stories
+from gentianstair.util import connection_server
 from gentianstair.util import connections
 from gentianstair.util import log_lines
 from gentianstair.util import logs
-from gentianstair.util import serving
+from gentianstair.util import stop_signals
 from standins.site import site as sites
 from test.gateway import gateways
 
@@ -73,13 +74,13 @@
 def servers(monkeypatch):
     """Collect the server of each connection."""
     servers_made = []
-    original_init = serving._ConnectionServer.__init__
+    original_init = connection_server.ConnectionServer.__init__
 
     def make(self, *args):
         original_init(self, *args)
         servers_made.append(self)
 
-    monkeypatch.setattr(serving._ConnectionServer, '__init__', make)
+    monkeypatch.setattr(connection_server.ConnectionServer, '__init__', make)
     return servers_made
 
 
@@ -172,7 +173,7 @@
     # Guards against a close by this process that is logged as a disconnect of
     # the caller.
     stop = trio.Event()
-    monkeypatch.setattr(serving, 'watch_stop_signals', lambda: stop)
+    monkeypatch.setattr(stop_signals, 'watch_stop_signals', lambda: stop)
     monkeypatch.setattr(main, 'BALANCER_DRAIN_S', 0.0)
     # Keep the request running past the grace period instead of ending it with
     # a response.
--- a/test/gateway/test_keep_alive_close.py
+++ b/test/gateway/test_keep_alive_close.py
@@ -10,6 +10,7 @@
 from gentianstair.gateway import handler
 from gentianstair.gateway import main
 from gentianstair.util import serving
+from gentianstair.util import stop_signals
 from standins.site import replica as replicas
 from standins.site import site as sites
 from test.gateway import gateways
@@ -107,7 +108,7 @@
     tmp_path, monkeypatch, last_first
 ):
     stop = trio.Event()
-    monkeypatch.setattr(serving, 'watch_stop_signals', lambda: stop)
+    monkeypatch.setattr(stop_signals, 'watch_stop_signals', lambda: stop)
     monkeypatch.setattr(main, 'BALANCER_DRAIN_S', 0.0)
     tracker = RequestTracker(monkeypatch)
     names = [f'turn-{turn}' for turn in range(TURNS)]
--- a/test/gateway/test_planned_stop.py
+++ b/test/gateway/test_planned_stop.py
@@ -4,7 +4,7 @@
 import trio
 
 from gentianstair.gateway import main
-from gentianstair.util import serving
+from gentianstair.util import stop_signals
 from standins.site import site as sites
 from test.gateway import gateways
 
@@ -16,7 +16,7 @@
 @pytest.fixture
 def stop(monkeypatch):
     found = trio.Event()
-    monkeypatch.setattr(serving, 'watch_stop_signals', lambda: found)
+    monkeypatch.setattr(stop_signals, 'watch_stop_signals', lambda: found)
     monkeypatch.setattr(main, 'BALANCER_DRAIN_S', 0.2)
     return found
 
--- a/test/util/test_connection_faults.py
+++ b/test/util/test_connection_faults.py
@@ -9,6 +9,7 @@
 
 from gentianstair.core import asgi
 from gentianstair.generated import events
+from gentianstair.util import connection_server
 from gentianstair.util import serving
 
 TIMEOUT_S = 10.0
@@ -97,7 +98,7 @@
     async def fail(server):
         raise RuntimeError('a fault')
 
-    monkeypatch.setattr(serving._ConnectionServer, place, fail)
+    monkeypatch.setattr(connection_server.ConnectionServer, place, fail)
     sock = serving.listen('127.0.0.1:0')
     app = asgi.make_app(respond_slowly)
     async with trio.open_nursery() as nursery:
--- a/test/util/test_connections.py
+++ b/test/util/test_connections.py
@@ -14,6 +14,7 @@
 
 from gentianstair import errors
 from gentianstair.generated import events
+from gentianstair.util import connection_server
 from gentianstair.util import connections
 from gentianstair.util import serving
 
@@ -362,7 +363,7 @@
 @pytest.mark.parametrize('own', [True, False])
 async def test_fault_ends_only_its_own_connection(own, monkeypatch):
     # Guards against a fault that ends others or looks like a disconnect.
-    original_receive = serving._ConnectionServer._receive
+    original_receive = connection_server.ConnectionServer._receive
 
     async def receive(self):
         data = await original_receive(self)
@@ -370,7 +371,9 @@
             raise RuntimeError('planted')
         return data
 
-    monkeypatch.setattr(serving._ConnectionServer, '_receive', receive)
+    monkeypatch.setattr(
+        connection_server.ConnectionServer, '_receive', receive
+    )
     async with running() as server:
         async with await server.open(GET % b'/held') as stream:
             await wait_until_read(stream)
@@ -388,13 +391,13 @@
 async def test_close_with_a_request_in_flight_logs_the_request(monkeypatch):
     # Guards against lost requests that cannot be found in the log.
     servers = []
-    original_init = serving._ConnectionServer.__init__
+    original_init = connection_server.ConnectionServer.__init__
 
     def make(self, *args):
         original_init(self, *args)
         servers.append(self)
 
-    monkeypatch.setattr(serving._ConnectionServer, '__init__', make)
+    monkeypatch.setattr(connection_server.ConnectionServer, '__init__', make)
     async with running() as server:
         stream = await server.open(GET % b'/')
         await read_response(stream)
--- a/test/util/test_grace_timeout.py
+++ b/test/util/test_grace_timeout.py
@@ -4,6 +4,7 @@
 import trio
 
 from gentianstair.core import asgi
+from gentianstair.util import connection_server
 from gentianstair.util import serving
 
 GRACE_S = 1.0
@@ -46,7 +47,7 @@
 ):
     # Guards against raising an error that is grouped with a cancellation.
     entered = trio.Event()
-    original = getattr(serving._ConnectionServer, place)
+    original = getattr(connection_server.ConnectionServer, place)
 
     async def fail(server):
         entered.set()
@@ -62,7 +63,7 @@
         finally:
             await trio.lowlevel.cancel_shielded_checkpoint()
 
-    monkeypatch.setattr(serving._ConnectionServer, place, fail)
+    monkeypatch.setattr(connection_server.ConnectionServer, place, fail)
     stop = trio.Event()
     sock = serving.listen('127.0.0.1:0')
     async with trio.open_nursery() as nursery:
