Share what two played loads and two tests of hubs had twice

The schedule and the replicas of the two placement simulations go to prefill_play.py, a hub's node to hub_nodes.py. Tests and bounds are as before.

--- /dev/null
+++ b/test/gateway/hub_nodes.py
@@ -0,0 +1,48 @@
+"""Make the parts of a node that a hub's links use."""
+
+import types
+
+from gentianstair.gateway import cache_updates
+from gentianstair.gateway import leaf_records
+from gentianstair.gateway import prefill_costs
+from gentianstair.gateway import prefix_index
+from gentianstair.gateway import replica_load
+from gentianstair.gateway import replicas
+from gentianstair.gateway import roster as rosters
+from gentianstair.gateway import usage_counter
+
+
+def clock():
+    """Return the time at which all of it happens."""
+    return 100.0
+
+
+def make_node():
+    """Return the parts of a node that a hub's links use."""
+    members = types.SimpleNamespace(
+        name='vm-1.cd',
+        count=lambda: 2,
+        listed_at_s=clock(),
+        alive_vms=dict,
+        leaves=leaf_records.LeafRecords(
+            usage_counter.UsageCounter(clock, 5.0)
+        ),
+    )
+    registry = replicas.Registry(clock)
+    own = types.SimpleNamespace(
+        name='vm-1', failure_domain='a', peer_address='10.0.0.1:1'
+    )
+    roster = rosters.Roster(own, members, registry, clock)
+    roster.hubs = list
+    roster.assigned_replicas = lambda process: []
+    return types.SimpleNamespace(
+        roster=roster,
+        load_tracker=replica_load.LoadTracker(clock),
+        cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
+        prefill_costs=prefill_costs.PrefillCosts(),
+        registry=registry,
+        active_config=types.SimpleNamespace(catalog=None),
+        deployment=types.SimpleNamespace(
+            peer_seeds=(), peer_address='10.0.0.1:1'
+        ),
+    )
--- a/test/gateway/test_leaf_feed.py
+++ b/test/gateway/test_leaf_feed.py
@@ -5,15 +5,10 @@
 import pytest
 
 from gentianstair import errors
-from gentianstair.gateway import cache_updates
 from gentianstair.gateway import leaf_feed
 from gentianstair.gateway import leaf_records
-from gentianstair.gateway import prefill_costs
-from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replicas
-from gentianstair.gateway import roster as rosters
-from gentianstair.gateway import usage_counter
+from test.gateway import hub_nodes
 
 LEAF = 'vm-2.ab'
 REPORT = {
@@ -23,38 +18,9 @@
 }
 
 
-def make_node():
-    """Return the parts of a node that a leaf's feed uses."""
-
-    def clock():
-        return 100.0
-
-    counter = usage_counter.UsageCounter(clock, 5.0)
-    members = types.SimpleNamespace(
-        name='vm-1.cd',
-        count=lambda: 2,
-        leaves=leaf_records.LeafRecords(counter),
-    )
-    registry = replicas.Registry(clock)
-    own = types.SimpleNamespace(
-        name='vm-1', failure_domain='', peer_address=''
-    )
-    roster = rosters.Roster(own, members, registry, clock)
-    roster.hubs = list
-    roster.assigned_replicas = lambda process: []
-    return types.SimpleNamespace(
-        roster=roster,
-        load_tracker=replica_load.LoadTracker(clock),
-        cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
-        prefill_costs=prefill_costs.PrefillCosts(),
-        registry=registry,
-        active_config=types.SimpleNamespace(catalog=None),
-    )
-
-
 def test_closing_a_replaced_link_keeps_the_leaf():
     # The leaf has already reported on a newer link.
-    node = make_node()
+    node = hub_nodes.make_node()
     store_health = types.SimpleNamespace(reported_age_s=0.0)
     first, second = (leaf_feed.LeafFeed(node, store_health) for _ in range(2))
     first.handle_report(REPORT)
@@ -75,7 +41,7 @@
 
 def test_counts_of_a_killed_leaf_stay_until_their_windows_are_over():
     # Its last requests would not be billed.
-    node = make_node()
+    node = hub_nodes.make_node()
     feed = leaf_feed.LeafFeed(node, types.SimpleNamespace(reported_age_s=0.0))
     current = 20
     windows = {str(current): {'club': 2}, str(current - 9): {'club': 9}}
@@ -104,7 +70,7 @@
 
 
 def test_costs_are_in_the_first_feed_only():
-    node = make_node()
+    node = hub_nodes.make_node()
     feed = leaf_feed.LeafFeed(node, types.SimpleNamespace(reported_age_s=0.0))
     node.registry.loaded.set()
     assert 'costs' in feed.handle_report(REPORT)
--- a/test/gateway/test_peer_messages.py
+++ b/test/gateway/test_peer_messages.py
@@ -8,17 +8,11 @@
 import pytest
 import trio
 
-from gentianstair.gateway import cache_updates
 from gentianstair.gateway import leaf_feed
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import peer_links
-from gentianstair.gateway import prefill_costs
-from gentianstair.gateway import prefix_index
-from gentianstair.gateway import replica_load
-from gentianstair.gateway import replicas
-from gentianstair.gateway import roster as rosters
-from gentianstair.gateway import usage_counter
 from gentianstair.peers import link
+from test.gateway import hub_nodes
 
 LEAF = 'vm-2.ab'
 LOAD = {
@@ -58,40 +52,9 @@
         self.closed = True
 
 
-def make_node():
-    """Return the parts of a node that a hub's links use."""
-    members = types.SimpleNamespace(
-        name='vm-1.cd',
-        count=lambda: 2,
-        listed_at_s=clock(),
-        alive_vms=dict,
-        leaves=leaf_records.LeafRecords(
-            usage_counter.UsageCounter(clock, 5.0)
-        ),
-    )
-    registry = replicas.Registry(clock)
-    own = types.SimpleNamespace(
-        name='vm-1', failure_domain='a', peer_address='10.0.0.1:1'
-    )
-    roster = rosters.Roster(own, members, registry, clock)
-    roster.hubs = list
-    roster.assigned_replicas = lambda process: []
-    return types.SimpleNamespace(
-        roster=roster,
-        load_tracker=replica_load.LoadTracker(clock),
-        cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
-        prefill_costs=prefill_costs.PrefillCosts(),
-        registry=registry,
-        active_config=types.SimpleNamespace(catalog=None),
-        deployment=types.SimpleNamespace(
-            peer_seeds=(), peer_address='10.0.0.1:1'
-        ),
-    )
-
-
 async def accept(*messages):
     """Play a peer's messages; return node, channel and logged events."""
-    node = make_node()
+    node = hub_nodes.make_node()
     channel = Channel(messages)
     updates = types.SimpleNamespace(
         store_health=types.SimpleNamespace(reported_age_s=0.0, age_s=0.0)
--- a/test/gateway/test_placement_of_many_vms.py
+++ b/test/gateway/test_placement_of_many_vms.py
@@ -4,7 +4,6 @@
 the others have sent and which parts the replicas have cached.
 """
 
-import heapq
 import itertools
 import random
 import typing
@@ -19,6 +18,7 @@
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
+from test.gateway import prefill_play
 
 DOMAINS = 'abcde'
 VMS = 60
@@ -26,7 +26,6 @@
 ENGINE = catalog.Engine(64, 380531, 18432, 180000.0, ('m',))
 # Seconds of latency, for a thousand tokens and for a million pairs.
 COEFFICIENTS = (0.03, 0.0272, 0.00025)
-DECODE_SLOWDOWN = 2.0
 # How old what a VM knows of the others' load and of caches is.
 LOAD_DELAY_S = 0.4
 CACHE_DELAY_S = 1.2
@@ -62,46 +61,34 @@
         )
 
 
-class Simulation:
-    """Replicas that prefill one prompt after the other, and the VMs."""
+def fleet(seed):
+    """Return replicas in all domains, with other names for each seed."""
+    stages = ['prefill'] * PREFILLERS + ['decode'] * DECODERS
+    return [
+        replicas.Replica(
+            f'i-{seed}-{n}',
+            's',
+            f'i-{seed}-{n}:80',
+            DOMAINS[n % len(DOMAINS)],
+            64,
+            False,
+            stage,
+            1,
+            0,
+            False,
+            (),
+        )
+        for n, stage in enumerate(stages)
+    ]
+
+
+class Simulation(prefill_play.Play):
+    """The replicas, and VMs that each observe a part of what happens."""
 
     def __init__(self, seed):
-        self.now_s = 0.0
+        super().__init__(fleet(seed), COEFFICIENTS)
         self.rng = random.Random(seed)
-        stages = ['prefill'] * PREFILLERS + ['decode'] * DECODERS
-        self.fleet = [
-            replicas.Replica(
-                f'i-{seed}-{n}',
-                's',
-                f'i-{seed}-{n}:80',
-                DOMAINS[n % len(DOMAINS)],
-                64,
-                False,
-                stage,
-                1,
-                0,
-                False,
-                (),
-            )
-            for n, stage in enumerate(stages)
-        ]
-        self.free_s = {r.name: 0.0 for r in self.fleet}
-        self.cached = {r.name: set() for r in self.fleet}
-        self.computed = set()
-        self.repeated_tokens = 0
         self.vms = [Vm(n, lambda: self.now_s) for n in range(VMS)]
-        self.events = []
-        self.sequence = itertools.count()
-
-    def schedule(self, at_s, callback):
-        heapq.heappush(self.events, (at_s, next(self.sequence), callback))
-
-    def advance(self, to_s):
-        """Run the scheduled events up to a time, in order."""
-        while self.events and self.events[0][0] <= to_s:
-            self.now_s, _, callback = heapq.heappop(self.events)
-            callback()
-        self.now_s = to_s
 
     def prompt(self, number):
         book = int(SHARED_PARTS * self.rng.random() ** 1.4)
@@ -113,37 +100,12 @@
         )
         return calls.Prompt('m', shared + own, 15, parts)
 
-    def prefill(self, replica, prompt, source):
-        """Return when the prefill of a prompt sent now ends."""
-        cached = self.cached[replica.name]
-        if source is not None:
-            cached |= self.cached[source]
-        uncached = [p for p in prompt.parts if p.name not in cached]
-        for part in uncached:
-            if part.name in self.computed:
-                self.repeated_tokens += part.tokens
-        names = {part.name for part in prompt.parts}
-        cached |= names
-        self.computed |= names
-        _, thousands, pairs = prefill_costs.features(
-            sum(part.tokens for part in uncached), prompt.tokens
-        )
-        work_s = thousands * COEFFICIENTS[1] + pairs * COEFFICIENTS[2]
-        if replica.stage == 'decode':
-            work_s *= DECODE_SLOWDOWN
-        begins_s = max(self.now_s, self.free_s[replica.name])
-        self.free_s[replica.name] = begins_s + work_s
-        return begins_s + work_s + COEFFICIENTS[0]
-
     def send(self, vm, prompt):
         """Place a prompt; return when its prefill ends."""
         plan = vm.placement.plan_stream(
             self.fleet, prompt, ENGINE, 17000, self.fleet
         )
-        replica = plan.prefill_replica or plan.decode_replica
-        source = plan.copy.address
-        source = source.partition(':')[0] if source else None
-        ends_s = self.prefill(replica, prompt, source)
+        replica, ends_s = self.prefill_by_plan(plan, prompt)
         active = vm.load.begin(
             replica.name,
             plan.work_s,
@@ -156,14 +118,13 @@
             vm.load.end(active)
             vm.index.confirm(replica.name, prompt)
 
-        def told():
+        def tell_all():
+            shared = prompt.parts[0]
             for other in self.vms:
-                vm_index = other.index
-                for part in prompt.parts[:1]:
-                    vm_index.update(replica.name, part.name, part.tokens)
+                other.index.update(replica.name, shared.name, shared.tokens)
 
         self.schedule(ends_s, end)
-        self.schedule(ends_s + CACHE_DELAY_S, told)
+        self.schedule(ends_s + CACHE_DELAY_S, tell_all)
         return ends_s
 
     def exchange_loads(self):
--- a/test/gateway/test_placement_under_load.py
+++ b/test/gateway/test_placement_under_load.py
@@ -4,7 +4,6 @@
 placement knows only the events that a gateway would get.
 """
 
-import heapq
 import itertools
 import random
 import typing
@@ -18,11 +17,11 @@
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
+from test.gateway import prefill_play
 
 ENGINE = catalog.Engine(64, 468083, 35136, 300000.0, ('m',))
 # Seconds of latency, for a thousand tokens and for a million pairs.
 COEFFICIENTS = (0.132, 0.0239, 0.0007)
-DECODE_SLOWDOWN = 2.0
 DURATION_S = 30.0
 LONG_OBJECTIVE_S = 0.8
 SHORT_OBJECTIVE_S = 0.4
@@ -65,57 +64,24 @@
         yield at_s, calls.Prompt('m', shared + own, 100, parts)
 
 
-class Simulation:
+class Simulation(prefill_play.Play):
     """The replicas, and a placement that observes them."""
 
     def __init__(self, seed):
-        self.now_s = 0.0
-        self.fleet = fleet()
-        self.free_s = {replica.name: 0.0 for replica in self.fleet}
-        self.cached = {replica.name: set() for replica in self.fleet}
+        super().__init__(fleet(), COEFFICIENTS)
         self.load = replica_load.LoadTracker(lambda: self.now_s)
         self.index = prefix_index.PrefixIndex()
         self.costs = prefill_costs.PrefillCosts()
         self.placement = placement.Placement(
             'a', self.load, self.index, self.costs, random.Random(seed)
         )
-        self.events = []
-        self.sequence = itertools.count()
-
-    def prefill(self, replica, prompt, copied_from=None):
-        """Return when the prefill of a prompt sent now ends."""
-        cached = self.cached[replica.name]
-        if copied_from is not None:
-            cached |= self.cached[copied_from]
-        uncached = sum(p.tokens for p in prompt.parts if p.name not in cached)
-        cached |= {part.name for part in prompt.parts}
-        _, thousands, pairs = prefill_costs.features(uncached, prompt.tokens)
-        work_s = thousands * COEFFICIENTS[1] + pairs * COEFFICIENTS[2]
-        if replica.stage == 'decode':
-            work_s *= DECODE_SLOWDOWN
-        begins_s = max(self.now_s, self.free_s[replica.name])
-        self.free_s[replica.name] = begins_s + work_s
-        return begins_s + work_s + COEFFICIENTS[0]
-
-    def schedule(self, at_s, callback):
-        heapq.heappush(self.events, (at_s, next(self.sequence), callback))
-
-    def advance(self, to_s):
-        """Run the scheduled events up to a time, in order."""
-        while self.events and self.events[0][0] <= to_s:
-            self.now_s, _, callback = heapq.heappop(self.events)
-            callback()
-        self.now_s = to_s
 
     def by_plan(self, prompt):
         """Send a prompt by the placement; return when its prefill ends."""
         plan = self.placement.plan_stream(
             self.fleet, prompt, ENGINE, 17000, self.fleet
         )
-        replica = plan.prefill_replica or plan.decode_replica
-        source = plan.copy.address
-        source = source.partition(':')[0] if source else None
-        ends_s = self.prefill(replica, prompt, source)
+        replica, ends_s = self.prefill_by_plan(plan, prompt)
         request = self.load.begin(
             replica.name,
             plan.work_s,
