--- a/test/gateway/test_joining.py
+++ b/test/gateway/test_joining.py
@@ -172,3 +172,17 @@
     await process.learn(SPREAD_S)
     assert trio.current_time() - started_s <= joining.READ_LIMIT_S
     assert process.roster.is_hub()
+
+
+async def test_slow_store_delays_the_start_by_little(autojump_clock):
+    # Requests wait half a second for a configuration, and a slow store takes
+    # a fifth of one for each of the calls after this.
+    process = Process(objects.ObjectTable(), 1, 0.5)
+
+    async def hang(*_, **__):
+        await trio.sleep(60)
+
+    process.store.get = hang
+    started_s = trio.current_time()
+    await process.learn()
+    assert trio.current_time() - started_s <= 0.1
