--- a/gentianstair/gateway/joining.py
+++ b/gentianstair/gateway/joining.py
@@ -12,8 +12,8 @@
 from gentianstair.generated import events
 from gentianstair.store import store as stores
 
-# How long the list of hubs is waited for. Callers of a process that starts wait
-# for what it reads next, and not for long.
+# How long the list of hubs is waited for. Callers of a process that starts
+# wait for what it reads next, and not for long.
 READ_LIMIT_S = 0.1
 # How long a leaf waits for the first feed before it reads the store itself.
 FEED_WAIT_S = 1.0
