Let a hub read the store again at once after a silent watch

The leaves of all hubs left them within half a second (39 times 'its data from the store is too old'), tried every hub, and read the store themselves: 9 listings of replicas, 6 of the configuration and 5 of processes within 2 s, where a calm fleet has none. At 195 VMs each of these is 25 to 100 KB.

Cause: a hub's silent watch took 0.5 s of batching, 1.0 s of its own and 0.5 s of grace, longer than the 1.8 s after which leaves leave. Then the hub waited before it listed again, and that pause grew with all VMs of the fleet, though only the hubs read the store: 3.25 s at 195 VMs.

Change: a watch of replicas waits 0.6 s at most where drains leave 4 s (heartbeats end most watches sooner); a failed watch is followed by a listing after 0.1 s; pauses after a failed listing go by the number of readers, the hubs for a hub, all VMs for one without.

--- a/gentianstair/gateway/background.py
+++ b/gentianstair/gateway/background.py
@@ -99,7 +99,9 @@
     """Return the tasks that read the store unless a hub feeds this VM."""
     node = process.node
     roster = node.roster
-    policy = store_watch.ReadPolicy(roster.has_hub_feed, roster.vm_count)
+    policy = store_watch.ReadPolicy(
+        roster.has_hub_feed, roster.store_reader_count
+    )
     watches = [
         functools.partial(
             store_watch.follow,
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -161,6 +161,14 @@
         """Return whether this VM is one of the hubs."""
         return any(hub.name == self.own_vm.name for hub in self.hubs())
 
+    def store_reader_count(self) -> int:
+        """Return how many VMs read the store when this one does.
+
+        A VM that is no hub reads it if no hub serves it, and then probably
+        none serves the others either.
+        """
+        return len(self.hubs()) if self.is_hub() else self.vm_count()
+
     def is_duty_candidate(self) -> bool:
         """Return whether this VM competes for the duties."""
         return any(
--- a/gentianstair/gateway/store_watch.py
+++ b/gentianstair/gateway/store_watch.py
@@ -19,28 +19,29 @@
 # is only seen after this timeout, the call's grace and a new listing.
 CONFIG_WATCH_SHARE = 0.4
 # The same for replicas, as a share of the time within which a draining one
-# may still get new work. Their heartbeats end most watches sooner; it is
-# shorter because a hub's leaves see the changes later than the hub.
-REPLICA_WATCH_SHARE = 0.25
+# may still get new work. Their heartbeats end most watches sooner. It is
+# shorter because a hub's leaves see the changes later than the hub, and leave
+# a hub that has not read the store again soon after a silent watch.
+REPLICA_WATCH_SHARE = 0.15
 # Times that are allowed beyond this are not used.
 MAX_USED_BOUND_S = 4.0
-# Pause after a failed call, in a fleet of up to FULL_RETRY_RATE_VMS.
+# Pause after a failed call, if up to FULL_RETRY_RATE_VMS read the store.
 RETRY_PAUSE_S = 0.25
 # How many store answers reported by peers are remembered.
 MAX_PEER_ANSWERS = 64
 # An answer to a peer shows that the store stayed up only if it came this
 # long after this VM lost the store; earlier ones may precede an outage.
 PEER_ANSWER_MARGIN_S = 0.5
-# In a fleet of more VMs than this, the pause after a failed call grows in
-# proportion to their number.
+# If more VMs than this read the store, the pause after a failed call grows
+# in proportion to their number.
 FULL_RETRY_RATE_VMS = 15
 # How often a process with a hub's feed checks that it still has one.
 FEED_CHECK_S = 0.2
 # Pause between watches of the replicas, so that one call returns several
 # heartbeats.
 REPLICA_BATCH_S = 0.5
-# Pause before a new listing when the store has dropped the history that a
-# watch asked for. It bounds the reads of a store that keeps no history.
+# Pause before a new listing after a watch that failed, or whose history the
+# store has dropped. It bounds the reads of a store that keeps no history.
 RELIST_PAUSE_S = 0.1
 
 
@@ -148,16 +149,19 @@
 
     # Whether this VM has a hub's current feed and need not read the store.
     has_hub_feed: collections.abc.Callable[[], bool]
-    # How many VMs may retry at the same time.
-    vm_count: collections.abc.Callable[[], int]
+    # How many VMs may retry at the same time: the hubs, or without a hub
+    # all VMs.
+    reader_count: collections.abc.Callable[[], int]
 
     def retry_pause_s(self) -> float:
-        """Return the pause after a failed call.
+        """Return the pause after a failed listing.
 
-        It grows with the fleet, as all VMs may retry at once while the
-        store is down and each call is charged.
+        It grows with the number of readers, as all may retry at once while
+        the store is down and each call is charged.
         """
-        return RETRY_PAUSE_S * max(1.0, self.vm_count() / FULL_RETRY_RATE_VMS)
+        return RETRY_PAUSE_S * max(
+            1.0, self.reader_count() / FULL_RETRY_RATE_VMS
+        )
 
 
 ALWAYS_READ = ReadPolicy(lambda: False, lambda: 1)
@@ -226,7 +230,10 @@
             # Only a new listing shows which entries went missing during
             # the outage; a watch reports each of them as removed.
             revision = None
-            if down_since_s is None and was_listing:
+            if not was_listing:
+                await trio.sleep(RELIST_PAUSE_S)
+                continue
+            if down_since_s is None:
                 down_since_s = store_health.now_s() - store_health.age_s
             await trio.sleep(policy.retry_pause_s())
 
@@ -244,7 +251,7 @@
     """Return the timeout of a watch of the replicas.
 
     >>> replica_watch_timeout_s(2.0), replica_watch_timeout_s(4.0)
-    (0.5, 1.0)
+    (0.3, 0.6)
     """
     return REPLICA_WATCH_SHARE * min(drain_s, MAX_USED_BOUND_S)
 
--- a/test/gateway/test_roster.py
+++ b/test/gateway/test_roster.py
@@ -87,3 +87,16 @@
     fleet.receive_feed()
     fleet.roster.own_vm = own
     assert fleet.roster.is_duty_candidate() == expected
+
+
+@pytest.mark.parametrize(
+    ('own', 'readers'), [(OWN, 195), (HUBS[0], len(HUBS))], ids=['leaf', 'hub']
+)
+def test_hub_does_not_wait_for_the_store_as_long_as_a_whole_fleet(
+    own, readers
+):
+    # One failed watch would leave it without the store for three seconds.
+    fleet = Fleet()
+    fleet.roster.own_vm = own
+    fleet.receive_feed()
+    assert fleet.roster.store_reader_count() == readers
--- a/test/gateway/test_store_watch.py
+++ b/test/gateway/test_store_watch.py
@@ -24,8 +24,9 @@
 class Follower:
     """A registry and configuration versions that follow a store in memory."""
 
-    def __init__(self, bound_s=2.0):
+    def __init__(self, bound_s=2.0, policy=store_watch.ALWAYS_READ):
         self.bound_s = bound_s
+        self.policy = policy
         self.store = memory_store.MemoryStore()
         self.registry = replicas.Registry(clock.trio_time_s)
         self.versions = []
@@ -59,7 +60,11 @@
         async with trio.open_nursery() as nursery:
             for source in sources:
                 nursery.start_soon(
-                    store_watch.follow, self.store, source, self.store_health
+                    store_watch.follow,
+                    self.store,
+                    source,
+                    self.store_health,
+                    self.policy,
                 )
 
 
@@ -295,3 +300,33 @@
     watch_s = store_watch.replica_watch_timeout_s(bound_s)
     age_s = hub_client.max_store_age_s(bound_s)
     assert watch_s < age_s < bound_s / 2
+
+
+@pytest.mark.parametrize('phase', range(8))
+async def test_silent_watch_does_not_cost_a_hub_its_leaves(
+    nursery, autojump_clock, phase
+):
+    # All leaves of all hubs would leave them at once and read the store.
+    bound_s, hub_count = 4.0, 9
+    follower = Follower(
+        bound_s, store_watch.ReadPolicy(lambda: False, lambda: hub_count)
+    )
+    follower.write('i-1', entry('i-1'))
+    nursery.start_soon(follower.run)
+    await trio.sleep(2 + phase / 8)
+    store = follower.store
+    real = store.watch
+    silent_until_s = trio.current_time() + 1.0
+
+    async def silent(kinds, after_revision, timeout_s, *, purpose):
+        if trio.current_time() > silent_until_s:
+            store.watch = real
+        await trio.sleep(timeout_s + object_store.WATCH_GRACE_S)
+        raise errors.StoreUnavailableError('no answer in time')
+
+    store.watch = silent
+    ages_s = []
+    for _ in range(400):
+        await trio.sleep(0.01)
+        ages_s.append(follower.store_health.reported_age_s)
+    assert max(ages_s) < hub_client.max_store_age_s(bound_s)
