List no fleet on a leaf that changes hubs

Cause: a leaf that loses its feed listed the fleet at once, with an entry and the usage counts of every VM, though it goes by the hubs of its last feed for ten seconds and has another one within a second as a rule.

Change: it lists, as it writes its own object, after three seconds without a feed. A process that knows no hub lists at once, as before. The test failed before.

--- a/gentianstair/gateway/background.py
+++ b/gentianstair/gateway/background.py
@@ -112,7 +112,9 @@
         )
         for source in _watch_sources(process)
     ]
-    role = memberships.Role(roster.has_hub_feed, roster.is_hub)
+    role = memberships.Role(
+        roster.has_hub_feed, roster.is_hub, roster.remembers_hubs
+    )
     return [
         *watches,
         functools.partial(process.members.run, role),
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -41,8 +41,9 @@
 # How often a process with a hub's feed checks that it still has one.
 FEED_CHECK_S = 0.4
 # A process that is no hub and has had no hub's feed for this long writes its
-# own object. It is more than a change of hubs takes.
-UNLINKED_WRITE_S = 3.0
+# own object, and lists the others even if it knows hubs to try. It is more
+# than a change of hubs takes.
+UNLINKED_S = 3.0
 # Number of missed heartbeats after which a process counts as gone.
 MISSED_HEARTBEATS = 3.0
 # How long the object of a process that is gone is kept; its counts are
@@ -78,6 +79,8 @@
     # Whether it has a hub's current feed.
     has_hub_feed: typing.Callable[[], bool] = lambda: False
     is_hub: typing.Callable[[], bool] = lambda: True
+    # Whether it knows hubs from an earlier feed or the published list.
+    remembers_hubs: typing.Callable[[], bool] = lambda: False
 
 
 # The role of each process in a fleet without leaves.
@@ -247,7 +250,12 @@
                 linked_s = now_s
                 await trio.sleep(FEED_CHECK_S)
                 continue
-            may_write = role.is_hub() or now_s - linked_s > UNLINKED_WRITE_S
+            may_write = role.is_hub() or now_s - linked_s > UNLINKED_S
+            if not may_write and role.remembers_hubs():
+                # It will soon have a hub: a listing of all VMs by each leaf
+                # of a lost hub would be in vain.
+                await trio.sleep(FEED_CHECK_S)
+                continue
             if may_write and now_s - last_write_s > (
                 self.heartbeat_interval_s - MIN_PAUSE_S
             ):
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -101,6 +101,10 @@
         """Return whether this VM is a leaf with a current feed."""
         return self._current_feed() is not None and not self.is_hub()
 
+    def remembers_hubs(self) -> bool:
+        """Return whether hubs are known from a feed or the published list."""
+        return self._newest_feed() is not None
+
     def _current_feed(self) -> HubFeed | None:
         """Return the hub's last feed, or None if it is too old."""
         feed = self._hub_feed
--- a/test/gateway/test_leader_tasks.py
+++ b/test/gateway/test_leader_tasks.py
@@ -132,13 +132,30 @@
     assert [r.vm for r in await hub.members.records()] == ['p1']
     assert hub.members.count() == 2
     has_feed = False
-    await trio.sleep(memberships.UNLINKED_WRITE_S - 0.5)
+    await trio.sleep(memberships.UNLINKED_S - 0.5)
     assert len(await hub.members.records()) == 1
     # Its last counts must not be lost if no hub can be reached.
     await trio.sleep(2.0)
     assert len(await hub.members.records()) == 2
 
 
+async def test_leaf_that_changes_hubs_does_not_list_the_fleet(
+    pair, autojump_clock, nursery
+):
+    # All leaves of a lost hub would, each with an entry for every VM.
+    _, _, leaf = pair
+    linked = [True]
+    role = memberships.Role(lambda: linked[0], lambda: False, lambda: True)
+    nursery.start_soon(leaf.members.run, role)
+    await trio.sleep(2.0)
+    linked[0] = False
+    await trio.sleep(memberships.UNLINKED_S - 0.5)
+    assert leaf.store.calls[memberships.PURPOSE] == 0
+    # No hub of the last feed has answered: look who is there now.
+    await trio.sleep(1.5)
+    assert leaf.store.calls[memberships.PURPOSE] > 0
+
+
 @pytest.mark.parametrize('place', ['its own', "a leaf's"])
 async def test_record_with_an_unreadable_window_is_passed_over(
     pair, autojump_clock, nursery, place
