Send a leaf that changes hubs only what it does not know

Cause: a hub's first feed on a link had all replicas and all logged changes of caches, and each leaf of a lost hub tries hubs one after the other.

Change: the first report on a link says what the leaf knows, a hash and the newest change of the cache by replica, and the hub sends the rest. Changes of a cache are forwarded in order, so the newest one stands for those before it. Entries that lapsed on the leaf alone are not told, or the hub would never send them again. The hubs are sent when they change.

--- a/gentianstair/gateway/cache_updates.py
+++ b/gentianstair/gateway/cache_updates.py
@@ -84,6 +84,10 @@
         if len(self._evictions) > MAX_REMEMBERED_EVICTIONS:
             self._evictions.popitem(last=False)
 
+    def newest_sequence(self, replica: str, default: int) -> int:
+        """Return the newest logged change of a cache, default if none is."""
+        return max(self._sequences.get(replica, {}).values(), default=default)
+
     def apply_rows(
         self, rows: collections.abc.Iterable[list], to_hubs: bool
     ) -> None:
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -9,6 +9,7 @@
 from gentianstair import errors
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_feed
+from gentianstair.gateway import leaf_knowledge
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import peer_updates
@@ -131,12 +132,17 @@
         node = self._node
         sent_position = 0
         process = ''
+        known_hubs: tuple[hubs.Vm, ...] = ()
         member = _MemberReports(node)
         try:
             while not node.roster.is_hub():
                 position = node.cache_updates.hub_log.position
                 report = self._make_report(sent_position)
                 member.add_to(report)
+                if not process:
+                    report['known'] = leaf_knowledge.describe(
+                        node.registry, node.cache_updates
+                    )
                 await channel.send(link.encode(report))
                 sent_position = position
                 feed = await self._receive_feed(channel)
@@ -144,16 +150,15 @@
                     return 'no feed in time'
                 process = feed['process']
                 try:
-                    age_s = self._apply_feed(feed)
-                    hub_names = {
-                        leaf_feed.decode_hub(row).name for row in feed['hubs']
-                    }
+                    if 'hubs' in feed:
+                        known_hubs = leaf_feed.decode_hubs(feed['hubs'])
+                    age_s = self._apply_feed(feed, known_hubs)
                 except errors.DecodeError as error:
                     _log_unreadable(error)
                     return 'invalid feed'
                 if age_s > self._max_store_age_s():
                     return 'its data from the store is too old'
-                if hub.name not in hub_names:
+                if all(known.name != hub.name for known in known_hubs):
                     # It would store nothing for this leaf any more.
                     return 'it is no hub any more'
                 await trio.sleep(REPORT_INTERVAL_S)
@@ -184,8 +189,13 @@
     def _max_store_age_s(self) -> float:
         return max_store_age_s(self._node.deployment.bounds.drain_s)
 
-    def _apply_feed(self, feed: messages.GatewayFeed) -> float:
-        """Apply a hub's feed; return the age of its data from the store."""
+    def _apply_feed(
+        self, feed: messages.GatewayFeed, known_hubs: tuple[hubs.Vm, ...]
+    ) -> float:
+        """Apply a hub's feed; return the age of its data from the store.
+
+        known_hubs are those that the hub named last.
+        """
         node, updates = self._node, self._updates
         if 'config' in feed:
             updates.apply_config(feed['config'])
@@ -204,7 +214,7 @@
                 rosters.HubFeed(
                     node.clock(),
                     feed['vms'],
-                    tuple(leaf_feed.decode_hub(row) for row in feed['hubs']),
+                    known_hubs,
                     frozenset(feed['follow']),
                 )
             )
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from gentianstair import errors
+from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hubs
+from gentianstair.gateway import leaf_knowledge
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replica_load
@@ -24,10 +26,14 @@
         self._store_health = store_health
         # The name of the leaf's process, empty until its first report.
         self._process_name = ''
+        # What the leaf knew at its first report; None if it did not say.
+        self._knowledge: leaf_knowledge.Knowledge | None = None
         # Positions in the change logs up to which the leaf has been sent
-        # the replicas (None: nothing yet) and the changes of caches.
+        # the replicas and the changes of caches (None: nothing yet).
         self._replicas_position: int | None = None
-        self._cache_position = 0
+        self._cache_position: int | None = None
+        # The hubs that it was sent last.
+        self._sent_hubs: list[hubs.Vm] | None = None
 
     def handle_report(
         self, report: messages.GatewayLoad
@@ -41,6 +47,8 @@
                     f'{report["process"]} reports as {record.name}'
                 )
             node.roster.leaf_records.put(record)
+        if 'known' in report:
+            self._knowledge = leaf_knowledge.decode(report['known'])
         self._process_name = report['process']
         node.roster.leaves[self._process_name] = self
         node.load_tracker.update_peer(
@@ -63,8 +71,6 @@
         node = self._node
         is_first = self._replicas_position is None
         replicas, gone, is_whole = self._new_replicas()
-        cache_changes = node.cache_updates.leaf_log.since(self._cache_position)
-        self._cache_position = node.cache_updates.leaf_log.position
         feed: messages.GatewayFeed = {
             'version': link.PROTOCOL_VERSION,
             'type': 'feed',
@@ -73,14 +79,17 @@
             'loads': replica_load.encode(
                 node.load_tracker.excluding(self._process_name)
             ),
-            'cache': [list(change) for _, change in cache_changes],
+            'cache': [list(change) for change in self._new_cache_changes()],
             'replicas': replicas,
             'gone': gone,
             'whole': is_whole,
             'vms': node.roster.vm_count(),
-            'hubs': [encode_hub(hub) for hub in node.roster.hubs()],
             'follow': node.roster.assigned_replicas(self._process_name),
         }
+        current_hubs = node.roster.hubs()
+        if self._knowledge is None or current_hubs != self._sent_hubs:
+            feed['hubs'] = [encode_hub(hub) for hub in current_hubs]
+            self._sent_hubs = current_hubs
         if is_first:
             feed['costs'] = [list(fit) for fit in node.prefill_costs.export()]
         current = node.active_config.catalog
@@ -95,6 +104,9 @@
         if not registry.loaded.is_set():
             return [], [], False
         self._replicas_position = registry.changes.position
+        if since is None and self._knowledge:
+            missing, gone = self._knowledge.missing_replicas(registry.all())
+            return [list(replica) for replica in missing], gone, False
         if since is None:
             return [list(replica) for replica in registry.all()], [], True
         changes = registry.changes.since(since)
@@ -102,6 +114,16 @@
         gone = [name for name, replica in changes if replica is None]
         return changed, gone, False
 
+    def _new_cache_changes(self) -> list[cache_updates.Change]:
+        """Return the changes of caches that the leaf may not know."""
+        node, since = self._node, self._cache_position
+        log = node.cache_updates.leaf_log
+        self._cache_position = log.position
+        changes = [change for _, change in log.since(since or 0)]
+        if since is None and self._knowledge:
+            return self._knowledge.missing_changes(changes, node.registry)
+        return changes
+
 
 def encode_hub(hub: hubs.Vm) -> list[str]:
     """Return a hub as a row of a feed."""
@@ -117,6 +139,11 @@
     return hubs.Vm(name, failure_domain, peer_address, 0.0)
 
 
+def decode_hubs(rows: list[list[str]]) -> tuple[hubs.Vm, ...]:
+    """Return the hubs in a feed; raise DecodeError."""
+    return tuple(decode_hub(row) for row in rows)
+
+
 def encode_member(record: leaf_records.LeafRecord) -> dict[str, typing.Any]:
     """Return a leaf's record in the form of a report."""
     return msgspec.to_builtins(record)
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -67,6 +67,14 @@
         """Return all replicas, draining ones among them."""
         return list(self._replicas.values())
 
+    def registered(self) -> list[Replica]:
+        """Return the replicas whose entries have not lapsed."""
+        return [
+            replica
+            for name, replica in self._replicas.items()
+            if name not in self._lapsed_until_s
+        ]
+
     def of_service(self, service: str) -> list[Replica]:
         """Return all replicas of a service, draining ones among them."""
         return [r for r in self._replicas.values() if r.service == service]
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -1,8 +1,9 @@
-"""Make the parts of a node that a hub's links use."""
+"""Make the parts of a node that the links of hubs and leaves use."""
 
 import types
 
 from gentianstair.gateway import cache_updates
+from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
@@ -10,6 +11,7 @@
 from gentianstair.gateway import replicas
 from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import usage_counter
+from gentianstair.util import clock as clocks
 
 
 def clock():
@@ -46,3 +48,33 @@
             peer_seeds=(), peer_address='10.0.0.1:1'
         ),
     )
+
+
+def make_leaf():
+    """Return the parts of a leaf's node, which knows hub-0 as its hub.
+
+    Its clock is that of trio.
+    """
+    now = clocks.trio_time_s
+    members = types.SimpleNamespace(
+        name='leaf.1', listed_at_s=now(), count=lambda: 2, alive_vms=dict
+    )
+    registry = replicas.Registry(now)
+    own = hubs.Vm('leaf', 'a', '10.0.0.99:1', 0.5)
+    roster = rosters.Roster(own, members, registry, now)
+    roster.remember_hubs(195, [hubs.Vm('hub-0', 'a', 'hub-0:1', 0.0)])
+    return types.SimpleNamespace(
+        roster=roster,
+        clock=now,
+        registry=registry,
+        load_tracker=replica_load.LoadTracker(now),
+        cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
+        prefill_costs=prefill_costs.PrefillCosts(),
+        usage_counter=usage_counter.UsageCounter(now, 5.0),
+        active_config=types.SimpleNamespace(catalog=None),
+        is_synced=lambda: True,
+        deployment=types.SimpleNamespace(
+            peer_address='10.0.0.99:1',
+            bounds=types.SimpleNamespace(drain_s=2.0),
+        ),
+    )
--- a/test/gateway/test_hub_client.py
+++ b/test/gateway/test_hub_client.py
@@ -6,19 +6,13 @@
 import pytest
 import trio
 
-from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hub_client
 from gentianstair.gateway import hubs
 from gentianstair.gateway import peer_updates
-from gentianstair.gateway import prefill_costs
-from gentianstair.gateway import prefix_index
-from gentianstair.gateway import replica_load
-from gentianstair.gateway import replicas
-from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import store_watch
-from gentianstair.gateway import usage_counter
 from gentianstair.peers import link
 from gentianstair.util import clock
+from test.gateway import hub_nodes
 
 # How long the stand-in takes to open a link.
 OPEN_S = 0.003
@@ -127,33 +121,6 @@
         yield FeedingHub(name, self.hub_names)
 
 
-def make_leaf():
-    """Return the parts of a leaf's node, which knows hub-0 as its hub."""
-    now = clock.trio_time_s
-    members = types.SimpleNamespace(
-        name='leaf.1', listed_at_s=now(), count=lambda: 2, alive_vms=dict
-    )
-    registry = replicas.Registry(now)
-    own = hubs.Vm('leaf', 'a', '10.0.0.99:1', 0.5)
-    roster = rosters.Roster(own, members, registry, now)
-    roster.remember_hubs(195, [hubs.Vm('hub-0', 'a', 'hub-0:1', 0.0)])
-    return types.SimpleNamespace(
-        roster=roster,
-        clock=now,
-        registry=registry,
-        load_tracker=replica_load.LoadTracker(now),
-        cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
-        prefill_costs=prefill_costs.PrefillCosts(),
-        usage_counter=usage_counter.UsageCounter(now, 5.0),
-        active_config=types.SimpleNamespace(catalog=None),
-        is_synced=lambda: True,
-        deployment=types.SimpleNamespace(
-            peer_address='10.0.0.99:1',
-            bounds=types.SimpleNamespace(drain_s=2.0),
-        ),
-    )
-
-
 @pytest.mark.parametrize(
     ('hub_names', 'opened'),
     [(['hub-0', 'hub-1'], ['hub-0']), (['hub-1'], ['hub-0', 'hub-1'])],
@@ -164,7 +131,7 @@
 ):
     # That VM reports and stores nothing for the leaf: its load is unseen,
     # and its requests are not billed.
-    node = make_leaf()
+    node = hub_nodes.make_leaf()
     network = Feeds(hub_names)
     updates = peer_updates.PeerUpdates(
         None, None, store_watch.StoreHealth(clock.trio_time_s)
@@ -180,7 +147,7 @@
     autojump_clock,
 ):
     # An error in the leaf's task would end its links to all others.
-    node = make_leaf()
+    node = hub_nodes.make_leaf()
     node.is_synced = lambda: False
     network = Feeds(['hub-0', ''])
     updates = peer_updates.PeerUpdates(
