Release the first replicas of a large fleet in as short a time as a small one's

Cause: on-demand replicas that reclaimable ones have replaced were released one at a time, at least 2.5 s apart, whatever the fleet: 12 s for five, most of two minutes for 39.

Change: the interval is 12.5 s divided by the number of replicas that the operator began with, 2.5 s at most; several may be due at one look. What was just released counts as released while the list still shows it. Small fleets are as before.

--- a/gentianstair/gateway/autoscaling.py
+++ b/gentianstair/gateway/autoscaling.py
@@ -26,6 +26,9 @@
 # Minimum time between two releases of on-demand replicas: the prefixes cached
 # at a released replica must be computed again elsewhere.
 RELEASE_INTERVAL_S = 2.5
+# In a large fleet the interval is shorter, so that releasing as many replicas
+# as the operator started takes this long: each of them caches a smaller part.
+RELEASE_ALL_S = 12.5
 
 
 class Order(typing.NamedTuple):
@@ -42,6 +45,17 @@
 
     reclaimable: dict[str, int]
     on_demand: dict[str, int]
+    # Minimum time between two releases of on-demand replicas.
+    release_interval_s: float = RELEASE_INTERVAL_S
+
+
+def release_interval_s(baseline: int) -> float:
+    """Return the time between two releases in a fleet of some size.
+
+    >>> [release_interval_s(baseline) for baseline in (1, 5, 50)]
+    [2.5, 2.5, 0.25]
+    """
+    return min(RELEASE_INTERVAL_S, RELEASE_ALL_S / max(1, baseline))
 
 
 def spread(
@@ -126,7 +140,9 @@
             on_demand[domain] += 1
             missing -= 1
     return DesiredCounts(
-        spread(total, domains, scaling.max_replicas), on_demand
+        spread(total, domains, scaling.max_replicas),
+        on_demand,
+        release_interval_s(baseline),
     )
 
 
@@ -146,6 +162,7 @@
     def __init__(self) -> None:
         # When each replica was first seen, by its name.
         self._first_seen_s: dict[str, float] = {}
+        # When the next on-demand replica may be released.
         self._next_release_s = 0.0
         # The following are by service, failure domain and reclaimable.
         # Until when an accepted or refused order isn't repeated.
@@ -180,6 +197,7 @@
         """Return the orders to give now, reclaimable replicas first."""
         orders = []
         on_demand = count_by_domain(fleet, False)
+        releases = self._due_releases(desired.release_interval_s, now_s)
         kinds = ((True, desired.reclaimable), (False, desired.on_demand))
         for reclaimable, counts in kinds:
             running = count_by_domain(fleet, reclaimable)
@@ -191,10 +209,15 @@
                         number, scaling.max_replicas - on_demand.get(domain, 0)
                     )
                 elif number < running.get(domain, 0):
-                    if now_s < self._next_release_s:
+                    left = self._left_on_demand(key, running[domain], now_s)
+                    released = min(releases, left - number)
+                    if released <= 0:
                         continue
-                    number = running[domain] - 1
-                    self._next_release_s = now_s + RELEASE_INTERVAL_S
+                    number = left - released
+                    releases -= released
+                    self._next_release_s += (
+                        released * desired.release_interval_s
+                    )
                 if running.get(domain, 0) < self._last_running.get(key, 0):
                     # Replicas were reclaimed after the last order took
                     # effect, so it may be repeated at once.
@@ -207,6 +230,23 @@
                 orders.append(Order(service, domain, reclaimable, number))
         return orders
 
+    def _due_releases(self, interval_s: float, now_s: float) -> int:
+        """Return how many on-demand replicas may be released now."""
+        if now_s - self._next_release_s > RELEASE_INTERVAL_S:
+            # Nothing was to be released for a while.
+            self._next_release_s = now_s
+        if now_s < self._next_release_s:
+            return 0
+        return 1 + int((now_s - self._next_release_s) / interval_s)
+
+    def _left_on_demand(
+        self, key: tuple[str, str, bool], running: int, now_s: float
+    ) -> int:
+        """Return how many replicas run, less those that were just released."""
+        if now_s < self._hold_until_s.get(key, 0.0):
+            return min(running, self._last_ordered[key])
+        return running
+
     def record_accepted(
         self, order: Order, scaling: catalog.Scaling, now_s: float
     ) -> None:
--- a/test/gateway/test_autoscaling.py
+++ b/test/gateway/test_autoscaling.py
@@ -98,6 +98,50 @@
     assert times_s[2] - times_s[0] >= 2 * autoscaling.RELEASE_INTERVAL_S - 0.01
 
 
+@pytest.mark.parametrize('lag_s', [0.0, 1.2], ids=['at once', 'late'])
+def test_on_demand_replicas_of_a_large_fleet_are_released_as_soon(lag_s):
+    # One by one, as in a small fleet, took most of two minutes.
+    size, check_s = 40, 0.5
+    scaling = SCALING._replace(max_replicas=32)
+    planner = autoscaling.OrderPlanner()
+    found = fleet('abc' * size, 'abc' * size)[: 3 * size + size]
+    desired = autoscaling.desired_counts(scaling, size, found, names(found))
+    assert sum(desired.on_demand.values()) == 0
+    now_s, pending, left = 100.0, [], []
+    while now_s < 100.0 + autoscaling.RELEASE_ALL_S + 2 * lag_s + 1.0:
+        for at_s, order in list(pending):
+            if now_s >= at_s:
+                pending.remove((at_s, order))
+                found = shrink(found, order)
+        for order in planner.due_orders(
+            'models', scaling, desired, found, now_s
+        ):
+            planner.record_accepted(order, scaling, now_s)
+            if not order.reclaimable:
+                pending.append((now_s + lag_s, order))
+        left.append(sum(not replica.reclaimable for replica in found))
+        now_s += check_s
+    assert left[-1] == 0
+    # Never many at once: what they cache is computed again elsewhere.
+    most = check_s * size / autoscaling.RELEASE_ALL_S + 1
+    assert max(a - b for a, b in zip(left, left[1:], strict=False)) <= most
+
+
+def shrink(found, order):
+    """Return the fleet after an order that releases on-demand replicas."""
+    kept, count = [], 0
+    for replica in found:
+        if (
+            not replica.reclaimable
+            and replica.failure_domain == order.failure_domain
+        ):
+            count += 1
+            if count > order.count:
+                continue
+        kept.append(replica)
+    return kept
+
+
 @pytest.mark.parametrize(
     ('price', 'total'), [(0.22, 9), (0.4, 6), (0.9, 5), (1.0, 0), (0.0, 0)]
 )
