Serve soon on a VM that the store refuses from its start

Cause: a process that starts counts as answered by the store at its start, so it asked its peers only after 2.4 s, and then once each 0.8 s. When all VMs lose power while the store turns a third of them away, that third answers 503 for three seconds. A hub among them reported young data that it did not have, so its leaves waited for it as long.

Change: a process whose first call has failed has no data, says so to its leaves, and asks peers ten times a second until it has configuration and replicas. The reply names the hubs, and a VM that knows of no fleet goes to one, so that it learns of caches and loads too. Only a process that has read the replicas replies: an empty list of one that starts would have replaced the receiver's. Unreadable knowledge in a report is refused before the report has any effect.

Tests, both with leaves and in a mesh: 200 within a second of the first answer, and a drain seen after it; both failed before.

--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -40,6 +40,8 @@
     ) -> messages.GatewayFeed:
         """Apply a leaf's report; return what changed since its last one."""
         node = self._node
+        if 'known' in report:
+            self._knowledge = leaf_knowledge.decode(report['known'])
         if 'member' in report:
             record = decode_member(report['member'])
             if record.name != report['process']:
@@ -47,8 +49,6 @@
                     f'{report["process"]} reports as {record.name}'
                 )
             node.roster.leaf_records.put(record)
-        if 'known' in report:
-            self._knowledge = leaf_knowledge.decode(report['known'])
         self._process_name = report['process']
         node.roster.leaves[self._process_name] = self
         node.load_tracker.update_peer(
@@ -88,7 +88,7 @@
         }
         current_hubs = node.roster.hubs()
         if self._knowledge is None or current_hubs != self._sent_hubs:
-            feed['hubs'] = [encode_hub(hub) for hub in current_hubs]
+            feed['hubs'] = encode_hubs(current_hubs)
             self._sent_hubs = current_hubs
         if is_first:
             feed['costs'] = [list(fit) for fit in node.prefill_costs.export()]
@@ -125,13 +125,13 @@
         return changes
 
 
-def encode_hub(hub: hubs.Vm) -> list[str]:
-    """Return a hub as a row of a feed."""
-    return [hub.name, hub.failure_domain, hub.peer_address]
+def encode_hubs(known: list[hubs.Vm]) -> list[list[str]]:
+    """Return hubs as rows of a message."""
+    return [[hub.name, hub.failure_domain, hub.peer_address] for hub in known]
 
 
 def decode_hub(row: list[str]) -> hubs.Vm:
-    """Return the hub in a row of a feed; raise DecodeError."""
+    """Return the hub in a row of a message; raise DecodeError."""
     try:
         name, failure_domain, peer_address = row
     except ValueError as error:
@@ -140,7 +140,7 @@
 
 
 def decode_hubs(rows: list[list[str]]) -> tuple[hubs.Vm, ...]:
-    """Return the hubs in a feed; raise DecodeError."""
+    """Return the hubs in a message; raise DecodeError."""
     return tuple(decode_hub(row) for row in rows)
 
 
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -38,6 +38,8 @@
 # Pause between queries to peers. A new configuration must be in force on
 # all VMs within seconds, also on one that the store refuses.
 QUERY_INTERVAL_S = 0.8
+# The same while this VM lacks configuration or replicas; its callers wait.
+START_QUERY_INTERVAL_S = 0.1
 # Mean pause before a lost link is opened again.
 MEAN_RECONNECT_S = 0.7
 # How often the set of peers to link to is checked.
@@ -195,7 +197,9 @@
         elif message['type'] == 'load':
             self._handle_load(typing.cast(messages.GatewayLoad, message))
         elif message['type'] == 'ask_news':
-            await _send(channel, self._make_reply(message['config_version']))
+            if self._node.is_synced():
+                reply = self._make_reply(message['config_version'])
+                await _send(channel, reply)
         elif message['type'] == 'news':
             self._handle_reply(typing.cast(messages.GatewayNews, message))
 
@@ -220,6 +224,9 @@
             'replicas': [list(r) for r in node.registry.all()],
             'addresses': sorted(self._known_addresses),
         }
+        if node.roster.knows_fleet() and not node.roster.is_mesh():
+            reply['vms'] = node.roster.vm_count()
+            reply['hubs'] = leaf_feed.encode_hubs(node.roster.hubs())
         current = node.active_config.catalog
         if current is not None and current.version > known_version:
             reply['config'] = current.raw
@@ -227,6 +234,7 @@
 
     def _handle_reply(self, reply: messages.GatewayNews) -> None:
         self._known_addresses.update(reply['addresses'])
+        self._adopt_hubs(reply)
         if 'config' in reply:
             self._updates.apply_config(reply['config'])
         age_s = reply['age_ms'] / 1000
@@ -245,6 +253,14 @@
             return
         self._node.registry.replace(known, after_outage=False)
 
+    def _adopt_hubs(self, reply: messages.GatewayNews) -> None:
+        """Become a leaf if nothing else has told of the fleet."""
+        if 'hubs' not in reply or 'vms' not in reply:
+            return
+        known = leaf_feed.decode_hubs(reply['hubs'])
+        if known and not self._node.roster.knows_fleet():
+            self._node.roster.remember_hubs(reply['vms'], list(known))
+
     def _config_is_behind(self) -> bool:
         current = self._node.active_config.catalog
         return (
@@ -258,7 +274,10 @@
         them, too.
         """
         while True:
-            await trio.sleep(QUERY_INTERVAL_S)
+            is_synced = self._node.is_synced()
+            await trio.sleep(
+                QUERY_INTERVAL_S if is_synced else START_QUERY_INTERVAL_S
+            )
             if not self._open_channels or not (
                 self._store_is_down() or self._config_is_behind()
             ):
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -101,6 +101,10 @@
         """Return whether this VM is a leaf with a current feed."""
         return self._current_feed() is not None and not self.is_hub()
 
+    def knows_fleet(self) -> bool:
+        """Return whether anything has told of the other VMs."""
+        return self.remembers_hubs() or bool(self._members.alive_vms())
+
     def remembers_hubs(self) -> bool:
         """Return whether hubs are known from a feed or the published list."""
         return self._newest_feed() is not None
--- a/gentianstair/gateway/store_watch.py
+++ b/gentianstair/gateway/store_watch.py
@@ -27,6 +27,8 @@
 MAX_USED_BOUND_S = 4.0
 # Pause after a failed call, if up to FULL_RETRY_RATE_VMS read the store.
 RETRY_PAUSE_S = 0.25
+# Age of the data of a process that the store has refused since its start.
+NEVER_ANSWERED_AGE_S = 3600.0
 # How many store answers reported by peers are remembered.
 MAX_PEER_ANSWERS = 64
 # An answer to a peer shows that the store stayed up only if it came this
@@ -66,6 +68,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._answered_at_s = clock()
+        self._was_answered = False
         self._lost_at_s: float | None = None
         # When the store last answered a call for an urgent source, and
         # whether the latest such call failed.
@@ -82,7 +85,12 @@
 
     @property
     def age_s(self) -> float:
-        """Return how long ago the store last answered."""
+        """Return how long ago the store last answered.
+
+        A process that starts counts as answered until a call fails.
+        """
+        if self._lost_at_s is not None and not self._was_answered:
+            return NEVER_ANSWERED_AGE_S
         return self._clock() - self._answered_at_s
 
     @property
@@ -109,10 +117,12 @@
             ).info('the store answers again')
             self._lost_at_s = None
         self._answered_at_s = now_s
+        self._was_answered = True
 
     def record_hub_answer(self, age_s: float) -> None:
         """Record that the store answered this VM's hub age_s ago."""
         self._answered_at_s = max(self._answered_at_s, self._clock() - age_s)
+        self._was_answered = True
         self.record_peer_answer(age_s)
 
     def record_peer_answer(self, age_s: float) -> None:
--- a/test/gateway/gateways.py
+++ b/test/gateway/gateways.py
@@ -107,6 +107,22 @@
         nursery.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def one_more(tmp_path, values, vm, seed_port):
+    """Yield one more gateway of a fleet, which has just been started."""
+    text = samples.settings(**values)
+    text = text.replace(
+        f'seeds = ["127.0.0.1:{values["control"]}"]',
+        f'seeds = ["127.0.0.1:{seed_port}"]',
+    )
+    file = tmp_path / f'{vm}.toml'
+    file.write_text(text.replace('front-a-1', vm))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(main.run, file, settings_file.read(file))
+        yield Gateway(values, None)
+        nursery.cancel_scope.cancel()
+
+
 @contextlib.asynccontextmanager
 async def starting(site, tmp_path):
     """Yield a gateway that has just been started."""
--- a/test/gateway/test_hubs.py
+++ b/test/gateway/test_hubs.py
@@ -214,6 +214,39 @@
         assert site.replica('i-desk-1').arrivals == before
 
 
+@pytest.mark.parametrize('is_large', [True, False], ids=['leaves', 'mesh'])
+async def test_vm_that_starts_while_the_store_refuses_it_soon_serves(
+    tmp_path, monkeypatch, is_large
+):
+    # A third of the VMs that lost power would refuse all calls for seconds.
+    if is_large:
+        monkeypatch.setattr(hubs, 'MAX_MESH_VMS', 1)
+        monkeypatch.setattr(hubs, 'MIN_HUBS', 1)
+    async with linked(tmp_path) as (site, found):
+        site.faults.refused_vms.add('front-a-9')
+        site.faults.refused_status = 503
+        values = gateways.values_for(site)
+        async with gateways.one_more(
+            tmp_path, values, 'front-a-9', found[0].values['control']
+        ) as gateway:
+            await gateway.first_answer()
+            started_s = trio.current_time()
+            with trio.fail_after(5.0):
+                while True:
+                    answer = await gateway.call('GET', '/lookup/entry')
+                    if answer.status_code == 200:
+                        break
+                    assert answer.status_code == 503
+            assert trio.current_time() - started_s < 1.0
+            # It goes on to see what changes.
+            site.replica('i-desk-1').draining = True
+            await trio.sleep(1.9)
+            before = site.replica('i-desk-1').arrivals
+            for call in range(8):
+                await gateway.call('GET', '/lookup/entry', f'r{call}')
+            assert site.replica('i-desk-1').arrivals == before
+
+
 async def test_leaves_change_hub_when_the_store_refuses_it(tmp_path, one_hub):
     """The store refuses the hub but serves the other VMs.
 
--- a/test/gateway/test_peer_messages.py
+++ b/test/gateway/test_peer_messages.py
@@ -52,9 +52,10 @@
         self.closed = True
 
 
-async def accept(*messages):
+async def accept(*messages, is_synced=True):
     """Play a peer's messages; return node, channel and logged events."""
     node = hub_nodes.make_node()
+    node.is_synced = lambda: is_synced
     channel = Channel(messages)
     updates = types.SimpleNamespace(
         store_health=types.SimpleNamespace(reported_age_s=0.0, age_s=0.0)
@@ -87,6 +88,9 @@
     'loads of another type': encoded(loads=[1, 2]),
     'cache change of another shape': encoded(cache=[['i-1', 'p']]),
     'member of another shape': encoded(member={'name': LEAF}),
+    'known replicas of another shape': encoded(
+        member=MEMBER, known={'i-1': ['x']}
+    ),
     'member in the name of another process': encoded(
         member={**MEMBER, 'name': 'vm-3.ef'}
     ),
@@ -124,3 +128,15 @@
     assert not channel.messages
     assert 'peer-unreadable' not in logged
     assert channel.sent[-1]['type'] == 'feed'
+
+
+@pytest.mark.parametrize('is_synced', [True, False], ids=['synced', 'starts'])
+async def test_process_that_starts_does_not_tell_of_replicas(
+    is_synced, autojump_clock
+):
+    # Its empty list would replace the one of a VM that the store refuses.
+    query = {'version': 1, 'type': 'ask_news', 'config_version': 0}
+    _, channel, _ = await accept(cbor2.dumps(query), is_synced=is_synced)
+    assert [message['type'] for message in channel.sent] == (
+        ['news'] if is_synced else []
+    )
--- a/test/gateway/test_store_watch.py
+++ b/test/gateway/test_store_watch.py
@@ -330,3 +330,21 @@
         await trio.sleep(0.01)
         ages_s.append(follower.store_health.reported_age_s)
     assert max(ages_s) < hub_client.max_store_age_s(bound_s)
+
+
+@pytest.mark.parametrize(
+    ('refused', 'is_old'), [(True, True), (False, False)], ids=['yes', 'no']
+)
+async def test_process_that_the_store_refuses_from_its_start_has_no_data(
+    nursery, autojump_clock, refused, is_old
+):
+    # Its leaves would wait for it, and it would not ask its peers.
+    follower = Follower()
+    follower.store.faults.down = refused
+    nursery.start_soon(follower.run)
+    await trio.sleep(0.2)
+    max_age_s = hub_client.max_store_age_s(follower.bound_s)
+    assert (follower.store_health.reported_age_s > max_age_s) == is_old
+    follower.store.faults.down = False
+    await trio.sleep(0.5)
+    assert follower.store_health.reported_age_s < max_age_s
