Leave prefill replicas to the prompts that have no time, when they are short

Load: prompts of three kinds from cold, long ones with a tight objective, medium and short ones with more time, at 60 VMs whose view is 0.4 s old, 30 prefill and 50 decode replicas. Each prompt took the place that ended it first, so medium prompts, which a decode replica computes in time, queued in front of long ones at the prefill replicas.

Change: while the median prefill replica has 50 ms queued, a prompt whose first event is expected within 0.4 of the time left to its objective is computed where it is answered.

--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -6,9 +6,13 @@
 and its KV cache is transferred to a decode replica, or the decode replica
 does both. The replica that runs the prefill first copies cached prefix parts
 from another replica where that saves time.
+
+When prompts of several kinds come faster than the prefill replicas can compute
+them, these are left to the prompts that no decode replica computes in time.
 """
 
 import random
+import statistics
 import typing
 
 from gentianstair.gateway import calls
@@ -40,6 +44,11 @@
 # A KV copy must save at least this much time, as the index of cached parts
 # may be out of date.
 MIN_COPY_GAIN_S = 0.03
+# Prefill replicas are short when half of them have at least this much queued.
+SHORT_QUEUE_S = 0.05
+# A decode replica is sure to be in time if it is expected to take at most this
+# share of the time that is left to the objective.
+SAFE_OBJECTIVE_SHARE = 0.4
 # Transfers between failure domains take this many times as long.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
 
@@ -151,11 +160,13 @@
         engine: catalog.Engine,
         body_bytes: int,
         copy_sources: typing.Sequence[replicas.Replica] = (),
+        objective_left_s: float = 0.0,
     ) -> Plan | None:
         """Return the cheapest plan for a prompt, None if none can decode.
 
         Cached parts may be copied from copy_sources. Draining replicas may
-        be among these: their KV cache is lost when they stop.
+        be among these: their KV cache is lost when they stop. The first
+        event is on time if it comes within objective_left_s.
         """
         sources = self._best_sources(copy_sources, prompt)
         homes = self._homes(candidates, prompt)
@@ -176,13 +187,14 @@
             c.cost_s + decode_cost_s[c.replica.name] + self._interference_s(c)
             for c in direct
         ]
-        if prefillers:
+        remote = [self._candidate(r, request) for r in prefillers]
+        if remote and not (
+            _are_short(remote) and _is_safe(options, objective_left_s)
+        ):
             kv_transfer_s = TRANSFER_SETUP_S + transfer_s(
                 prompt.tokens, engine
             )
-            prefill = self._cheapest(
-                [self._candidate(r, request) for r in prefillers]
-            )
+            prefill = self._cheapest(remote)
             decode = min(
                 direct,
                 key=lambda c: decode_cost_s[c.replica.name] + c.network_cost_s,
@@ -364,6 +376,18 @@
         return INTERFERENCE_SHARE * running * candidate.work_s
 
 
+def _are_short(prefillers: list[_Candidate]) -> bool:
+    """Return whether work is queued at most of the prefill replicas."""
+    median_s = statistics.median_low(c.queued_s for c in prefillers)
+    return median_s > SHORT_QUEUE_S
+
+
+def _is_safe(options: list[Plan], objective_left_s: float) -> bool:
+    """Return whether one of the plans is sure to be on time."""
+    soonest_s = min(plan.first_event_s for plan in options)
+    return soonest_s <= SAFE_OBJECTIVE_SHARE * objective_left_s
+
+
 def _plan(
     decode: _Candidate, prefill: _Candidate, transfer_duration_s: float
 ) -> Plan:
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -52,6 +52,7 @@
         self.service = service
         self.customer = customer
         self.deadline_s = deadline_s
+        self._arrived_s = node.clock()
         self.verdict = verdicts.Verdict.NOT_RUN
         # Attempts that reached a replica, or may have.
         self.attempts = 0
@@ -79,6 +80,11 @@
         left_s = max(0.0, self.deadline_s - self.node.clock())
         return min(left_s, self.node.grace_period.remaining_s())
 
+    def objective_left_s(self) -> float:
+        """Return the time to the route's latency objective, at least 0."""
+        waited_s = self.node.clock() - self._arrived_s
+        return max(0.0, self.route.objective_s - waited_s)
+
     def priority(self) -> int:
         """Return the customer's priority, or else the route's."""
         if self.customer and self.customer.priority is not None:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -110,6 +110,7 @@
             self._engine,
             len(request.body),
             request.kv_copy_sources(),
+            request.objective_left_s(),
         )
         if plan is not None:
             request.log(
