Divide the placement by job

placement.py had grown over 400 lines: plans.py describes a plan and the places compared, prefill_shortage.py decides when a prompt leaves the prefill replicas to others. No decision changes.

--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -12,12 +12,13 @@
 """
 
 import random
-import statistics
 import typing
 
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
+from gentianstair.gateway import plans
 from gentianstair.gateway import prefill_costs
+from gentianstair.gateway import prefill_shortage
 from gentianstair.gateway import prefix_homes
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
@@ -44,84 +45,10 @@
 # A KV copy must save at least this much time, as the index of cached parts
 # may be out of date.
 MIN_COPY_GAIN_S = 0.03
-# Prefill replicas are short when half of them have at least this much queued.
-SHORT_QUEUE_S = 0.05
-# A decode replica is sure to be in time if it is expected to take at most this
-# share of the time that is left to the objective.
-SAFE_OBJECTIVE_SHARE = 0.4
 # Transfers between failure domains take this many times as long.
 CROSS_DOMAIN_TRANSFER_FACTOR = 2.0
 
 
-class KvCopy(typing.NamedTuple):
-    """A copy of cached prompt parts from one replica to another."""
-
-    # The source, or None if nothing is copied.
-    address: str | None
-    tokens: int
-    duration_s: float
-
-
-NO_KV_COPY = KvCopy(None, 0, 0.0)
-
-
-class Plan(typing.NamedTuple):
-    """The replicas that serve a prompt, and the expected times."""
-
-    decode_replica: replicas.Replica
-    # None if the decode replica runs the prefill itself.
-    prefill_replica: replicas.Replica | None
-    # Tokens left to compute after the copy.
-    uncached_tokens: int
-    # To the replica that runs the prefill.
-    copy: KvCopy
-    # Work queued at the prefill's replica ahead of it.
-    queued_s: float
-    # How long the prefill occupies its replica.
-    work_s: float
-    # How much longer the prefill takes if no part is cached or copied.
-    miss_penalty_s: float
-    # Time from now to the end of the prefill.
-    prefill_end_s: float
-    # Time from now to the first event of the stream.
-    first_event_s: float
-
-
-class _Candidate(typing.NamedTuple):
-    # Plan describes the fields that both have.
-    replica: replicas.Replica
-    uncached_tokens: int
-    copy: KvCopy
-    queued_s: float
-    work_s: float
-    miss_penalty_s: float
-    prefill_end_s: float
-    # Cost of sending the request body there.
-    network_cost_s: float
-    # How much sooner the prefill is expected to end because another VM has
-    # the shared part computed there.
-    expected_saving_s: float
-
-    @property
-    def cost_s(self) -> float:
-        """Return the cost by which the places for a prefill compare."""
-        return (
-            self.prefill_end_s + self.network_cost_s - self.expected_saving_s
-        )
-
-
-class _StreamRequest(typing.NamedTuple):
-    """The request that replicas are compared for."""
-
-    engine: catalog.Engine
-    prompt: calls.Prompt
-    body_bytes: int
-    # In each failure domain the replica that holds most of the prompt, with
-    # the number of tokens it lacks.
-    copy_sources: list[tuple[replicas.Replica, int]]
-    homes: prefix_homes.Homes
-
-
 class Placement:
     """Choose replicas by the load and the cached prefixes known here."""
 
@@ -161,7 +88,7 @@
         body_bytes: int,
         copy_sources: typing.Sequence[replicas.Replica] = (),
         objective_left_s: float = 0.0,
-    ) -> Plan | None:
+    ) -> plans.Plan | None:
         """Return the cheapest plan for a prompt, None if none can decode.
 
         Cached parts may be copied from copy_sources. Draining replicas may
@@ -170,7 +97,9 @@
         """
         sources = self._best_sources(copy_sources, prompt)
         homes = self._homes(candidates, prompt)
-        request = _StreamRequest(engine, prompt, body_bytes, sources, homes)
+        request = plans.StreamRequest(
+            engine, prompt, body_bytes, sources, homes
+        )
         candidates = self._sample(candidates, prompt, homes)
         decoders = [r for r in candidates if r.stage != prefill_costs.PREFILL]
         prefillers = [
@@ -182,14 +111,16 @@
         decode_cost_s = {
             c.replica.name: self._decode_cost_s(c.replica) for c in direct
         }
-        options = [_plan(c, c, 0.0) for c in direct]
+        options = [plans.make_plan(c, c, 0.0) for c in direct]
         costs = [
             c.cost_s + decode_cost_s[c.replica.name] + self._interference_s(c)
             for c in direct
         ]
         remote = [self._candidate(r, request) for r in prefillers]
-        if remote and not (
-            _are_short(remote) and _is_safe(options, objective_left_s)
+        if remote and not prefill_shortage.leaves_prefill_replicas(
+            [candidate.queued_s for candidate in remote],
+            min(plan.first_event_s for plan in options),
+            objective_left_s,
         ):
             kv_transfer_s = TRANSFER_SETUP_S + transfer_s(
                 prompt.tokens, engine
@@ -199,7 +130,7 @@
                 direct,
                 key=lambda c: decode_cost_s[c.replica.name] + c.network_cost_s,
             )
-            options.append(_plan(decode, prefill, kv_transfer_s))
+            options.append(plans.make_plan(decode, prefill, kv_transfer_s))
             costs.append(
                 prefill.cost_s
                 + kv_transfer_s
@@ -290,8 +221,8 @@
         return CROSS_DOMAIN_S_PER_BYTE * body_bytes
 
     def _candidate(
-        self, replica: replicas.Replica, request: _StreamRequest
-    ) -> _Candidate:
+        self, replica: replicas.Replica, request: plans.StreamRequest
+    ) -> plans.Candidate:
         missing = self._index.uncached_tokens(replica.name, request.prompt)
         copy = self._choose_copy(replica, missing, request)
         uncached = missing - copy.tokens
@@ -300,7 +231,7 @@
         queued_s = (
             self._load_tracker.load_of(replica.name).queued_prefill_ms / 1000
         )
-        return _Candidate(
+        return plans.Candidate(
             replica,
             uncached,
             copy,
@@ -313,7 +244,10 @@
         )
 
     def _expected_saving_s(
-        self, replica: replicas.Replica, uncached: int, request: _StreamRequest
+        self,
+        replica: replicas.Replica,
+        uncached: int,
+        request: plans.StreamRequest,
     ) -> float:
         saved = min(uncached, round(request.homes.saved_tokens(replica.name)))
         if not saved:
@@ -323,22 +257,28 @@
         return whole.work_s - rest.work_s
 
     def _prefill_cost(
-        self, replica: replicas.Replica, uncached: int, request: _StreamRequest
+        self,
+        replica: replicas.Replica,
+        uncached: int,
+        request: plans.StreamRequest,
     ) -> prefill_costs.Cost:
         return self._costs.estimate(
             replica.service, replica.stage, uncached, request.prompt.tokens
         )
 
     def _choose_copy(
-        self, replica: replicas.Replica, missing: int, request: _StreamRequest
-    ) -> KvCopy:
+        self,
+        replica: replicas.Replica,
+        missing: int,
+        request: plans.StreamRequest,
+    ) -> plans.KvCopy:
         """Return the copy to a replica that saves most time, if any does.
 
         A replica that has just started has an empty cache. Without copies
         it would compute long shared prefixes, which a link carries far
         sooner.
         """
-        best, best_gain_s = NO_KV_COPY, MIN_COPY_GAIN_S
+        best, best_gain_s = plans.NO_KV_COPY, MIN_COPY_GAIN_S
         uncopied_s = None
         for source, source_missing in request.copy_sources:
             tokens = missing - source_missing
@@ -356,11 +296,11 @@
             ).work_s
             gain_s = uncopied_s - rest_s - duration_s
             if gain_s > best_gain_s:
-                best = KvCopy(source.address, tokens, duration_s)
+                best = plans.KvCopy(source.address, tokens, duration_s)
                 best_gain_s = gain_s
         return best
 
-    def _cheapest(self, candidates: list[_Candidate]) -> _Candidate:
+    def _cheapest(self, candidates: list[plans.Candidate]) -> plans.Candidate:
         return min(
             candidates,
             key=lambda c: c.cost_s + self._random.uniform(0, TIE_BREAK_S),
@@ -371,40 +311,11 @@
         overload = max(0, running - replica.slots * 0.9)
         return STREAM_COST_S * running + OVERLOAD_COST_S * overload
 
-    def _interference_s(self, candidate: _Candidate) -> float:
+    def _interference_s(self, candidate: plans.Candidate) -> float:
         running = self._load_tracker.load_of(candidate.replica.name).running
         return INTERFERENCE_SHARE * running * candidate.work_s
 
 
-def _are_short(prefillers: list[_Candidate]) -> bool:
-    """Return whether work is queued at most of the prefill replicas."""
-    median_s = statistics.median_low(c.queued_s for c in prefillers)
-    return median_s > SHORT_QUEUE_S
-
-
-def _is_safe(options: list[Plan], objective_left_s: float) -> bool:
-    """Return whether one of the plans is sure to be on time."""
-    soonest_s = min(plan.first_event_s for plan in options)
-    return soonest_s <= SAFE_OBJECTIVE_SHARE * objective_left_s
-
-
-def _plan(
-    decode: _Candidate, prefill: _Candidate, transfer_duration_s: float
-) -> Plan:
-    """Return the plan with these replicas; both may be the same."""
-    return Plan(
-        decode.replica,
-        None if decode is prefill else prefill.replica,
-        prefill.uncached_tokens,
-        prefill.copy,
-        prefill.queued_s,
-        prefill.work_s,
-        prefill.miss_penalty_s,
-        prefill.prefill_end_s,
-        prefill.prefill_end_s + transfer_duration_s,
-    )
-
-
 def transfer_s(tokens: int, engine: catalog.Engine) -> float:
     """Return how long a link carries the KV cache of some tokens."""
     bits = tokens * engine.kv_token_bytes * 8
--- a/gentianstair/gateway/remote_prefill.py
+++ b/gentianstair/gateway/remote_prefill.py
@@ -12,7 +12,7 @@
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
-from gentianstair.gateway import placement
+from gentianstair.gateway import plans
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
 from gentianstair.gateway import run_record
@@ -61,7 +61,7 @@
             return budget.try_spend(service)
         return not budget.spent(service) or budget.remaining(service) >= 1
 
-    async def prefill(self, plan: placement.Plan, priority: int) -> None:
+    async def prefill(self, plan: plans.Plan, priority: int) -> None:
         """Run the prefill of a plan; raise UpstreamError."""
         replica = plan.prefill_replica
         assert replica is not None
--- a/gentianstair/gateway/run_record.py
+++ b/gentianstair/gateway/run_record.py
@@ -1,7 +1,7 @@
 """Record prefills and runs in the log, cost model and prefix index."""
 
 from gentianstair.gateway import calls
-from gentianstair.gateway import placement
+from gentianstair.gateway import plans
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
 from gentianstair.generated import events
@@ -11,7 +11,7 @@
     request: request_state.RequestState,
     prompt: calls.Prompt,
     replica: replicas.Replica,
-    plan: placement.Plan,
+    plan: plans.Plan,
     took_s: float,
 ) -> None:
     """Record a prefill that ended took_s after its attempt began."""
@@ -47,7 +47,7 @@
         request: request_state.RequestState,
         prompt: calls.Prompt,
         decode_replica: replicas.Replica,
-        plan: placement.Plan | None,
+        plan: plans.Plan | None,
         kv_tokens: int,
     ) -> None:
         self._request = request
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -16,7 +16,7 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_stream
 from gentianstair.gateway import forward
-from gentianstair.gateway import placement
+from gentianstair.gateway import plans
 from gentianstair.gateway import remote_prefill
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
@@ -89,7 +89,7 @@
             return request.failure_response
         raise request.final_error()
 
-    def _cannot_meet_deadline(self, plan: placement.Plan) -> bool:
+    def _cannot_meet_deadline(self, plan: plans.Plan) -> bool:
         """Return whether a request can't get its first event in time.
 
         Serving it would only delay others. A request that may have run
@@ -102,7 +102,7 @@
             return True
         return plan.first_event_s > REFUSAL_FACTOR * request.remaining_s()
 
-    def _make_plan(self) -> placement.Plan | None:
+    def _make_plan(self) -> plans.Plan | None:
         request = self._request
         plan = self._node.placement.plan_stream(
             request.candidates(),
@@ -128,7 +128,7 @@
             )
         return plan
 
-    async def _run_plan(self, plan: placement.Plan) -> None:
+    async def _run_plan(self, plan: plans.Plan) -> None:
         if (
             plan.prefill_replica is not None
             and self._remote_prefill.source is None
@@ -150,7 +150,7 @@
             self._remote_prefill.handle_decode_failure(error)
             raise
 
-    def _without_prefill_replica(self, plan: placement.Plan) -> placement.Plan:
+    def _without_prefill_replica(self, plan: plans.Plan) -> plans.Plan:
         """Return a plan in which the decode replica prefills the prompt too.
 
         It needs one attempt instead of two.
@@ -189,7 +189,7 @@
         self,
         decode_replica: replicas.Replica,
         kv_source: calls.KvSource | None,
-        plan: placement.Plan | None,
+        plan: plans.Plan | None,
     ) -> None:
         """Run the request at a replica and forward its events.
 
@@ -197,7 +197,7 @@
         cache.
         """
         request, node = self._request, self._node
-        copy = plan.copy if plan else placement.NO_KV_COPY
+        copy = plan.copy if plan else plans.NO_KV_COPY
         started_s = request.begin_attempt(decode_replica)
         attempt = request.make_attempt(
             decode_replica,
--- a/test/gateway/test_placement_of_mixed_prompts.py
+++ b/test/gateway/test_placement_of_mixed_prompts.py
@@ -11,7 +11,7 @@
 import pytest
 
 from gentianstair.gateway import calls
-from gentianstair.gateway import placement
+from gentianstair.gateway import prefill_shortage
 from test.gateway import many_vms_play
 
 DURATION_S = 6.0
@@ -74,7 +74,7 @@
 ):
     # Prefill replicas took whatever they would end first.
     found = late_shares(prompts_per_s)
-    monkeypatch.setattr(placement, 'SHORT_QUEUE_S', math.inf)
+    monkeypatch.setattr(prefill_shortage, 'SHORT_QUEUE_S', math.inf)
     before = late_shares(prompts_per_s)
     assert all(found[kind] <= before[kind] for kind in KINDS)
     assert sum(found.values()) <= 0.85 * sum(before.values())
