Play faults of hubs in the soak, with leaves

The same checks hold; kept connections are those of the first three VMs, as before. A refusal of the store ends for the VM it began for, so that two may overlap.

--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -71,6 +71,7 @@
         keep_alive_s: float = serving.KEEP_ALIVE_S,
     ) -> None:
         self.vm = f'entry-{number}'
+        self.failure_domain = 'a'
         self.keep_alive_s = keep_alive_s
         self.ports = {
             n: ports.free_port() for n in ('front', 'ready', 'control')
@@ -97,7 +98,7 @@
         self.file.write_text(
             SETTINGS.format(
                 vm=self.vm,
-                failure_domain='a',
+                failure_domain=self.failure_domain,
                 first_control=first_control,
                 store=store_port,
                 cloud=cloud_port,
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -21,6 +21,7 @@
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--length-s', type=float, default=LENGTH_S)
     parser.add_argument('--plan', choices=plan.PLANS, default='both')
+    parser.add_argument('--vms', type=int, help='how many gateways')
     parser.add_argument('--keep', type=pathlib.Path, help='folder for logs')
     found = parser.parse_args()
     loguru.logger.remove()
@@ -37,6 +38,7 @@
                 found.length_s,
                 folder,
                 plan.PLANS[found.plan],
+                found.vms or run.default_vms(found.plan),
             )
         red += bool(result.breaches)
         print(
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -15,6 +15,9 @@
 PROCESS_FAULTS = ('kill', 'stop', 'pause', 'hup', 'kill-all')
 REPLICA_FAULTS = ('fails', 'full', 'silent', 'breaks', 'changed', 'drains')
 STORE_FAULTS = ('down', 'refuses', 'loses', 'compacts')
+HUB_FAULTS = ('kill', 'stop', 'pause', 'refuses')
+# Between two faults of hubs.
+HUB_GAP_S = (1.0, 3.0)
 CHANGES = ('config', 'revoke')
 LINKS = ('store-link', 'replica-link')
 _MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
@@ -32,7 +35,8 @@
     """One fault: what, to whom, when and for how long."""
 
     at_s: float
-    # 'process', 'replica', 'store', 'store-link', 'replica-link', 'change'.
+    # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
+    # 'change'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
@@ -73,4 +77,22 @@
     return sorted(draw(seed, length_s) + draw_stops(seed, length_s))
 
 
-PLANS = {'faults': draw, 'stops': draw_stops, 'both': draw_both}
+def draw_hubs(seed: int, length_s: float) -> list[Fault]:
+    """Return faults of hubs in series, with those of all kinds beside them."""
+    chance = random.Random(f'hubs/{seed}')
+    found = draw(seed, length_s)
+    at_s = 1.0
+    while at_s < length_s:
+        what = chance.choice(HUB_FAULTS)
+        lasts_s = min(chance.uniform(*LASTS_S), length_s - at_s)
+        found.append(Fault(at_s, 'hub', what, chance.randrange(1000), lasts_s))
+        at_s += chance.uniform(*HUB_GAP_S)
+    return sorted(found)
+
+
+PLANS = {
+    'faults': draw,
+    'stops': draw_stops,
+    'both': draw_both,
+    'hubs': draw_hubs,
+}
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from gentianstair.gateway import hubs
 from gentianstair.gateway import main as gateways
 from standins.site import processes
 from standins.site import replica as replicas
@@ -20,8 +21,11 @@
 from standins.soak import proxy
 
 VMS = 3
+# With more VMs than hubs.MAX_MESH_VMS there are leaves.
+VMS_WITH_LEAVES = 14
+DOMAINS = 'abc'
 CALLERS = 6
-# Kept connections to each VM, by how they are used.
+# Kept connections to each of the first VMS, by how they are used.
 KEPT = {kept.Use.OFTEN: 4, kept.Use.RARELY: 8, kept.Use.AT_CLOSE: 150}
 RESTART_S = 0.5
 # After the last fault all must be served again within this time.
@@ -39,19 +43,29 @@
 }
 
 
+def default_vms(plan_name: str) -> int:
+    """Return how many VMs a plan is played with."""
+    return VMS_WITH_LEAVES if plan_name == 'hubs' else VMS
+
+
 Draw = collections.abc.Callable[[int, float], list[plan.Fault]]
 
 
 class Soak:
     """One run and what its faults act on."""
 
-    def __init__(self, site: sites.Site, folder: pathlib.Path) -> None:
+    def __init__(
+        self, site: sites.Site, folder: pathlib.Path, vms: int = VMS
+    ) -> None:
         self.site = site
         self.gateways = [
             processes.Gateway(folder, number, kept.KEEP_ALIVE_S)
-            for number in range(VMS)
+            for number in range(vms)
         ]
-        self.store_links = [proxy.Proxy(site.store_port) for _ in range(VMS)]
+        if vms > VMS:
+            for number, gateway in enumerate(self.gateways):
+                gateway.failure_domain = DOMAINS[number % len(DOMAINS)]
+        self.store_links = [proxy.Proxy(site.store_port) for _ in range(vms)]
         self.replica_links = [
             proxy.Proxy(int(replica.address.rpartition(':')[2]))
             for replica in site.replicas
@@ -94,6 +108,7 @@
         await trio.sleep(fault.at_s)
         strikes = {
             'process': self._strike_process,
+            'hub': self._strike_hub,
             'replica': self._strike_replica,
             'store': self._strike_store,
             'store-link': self._strike_link,
@@ -103,13 +118,37 @@
         await strikes[fault.where](fault)
 
     async def _strike_process(self, fault: plan.Fault) -> None:
-        numbers = [fault.whom % VMS]
+        numbers = [fault.whom % len(self.gateways)]
         if fault.what == 'kill-all':
-            numbers = list(range(VMS))
+            numbers = list(range(len(self.gateways)))
         async with trio.open_nursery() as nursery:
             for number in numbers:
                 nursery.start_soon(self._signal, number, fault)
 
+    async def _strike_hub(self, fault: plan.Fault) -> None:
+        found = hubs.select(
+            hubs.Vm(gateway.vm, gateway.failure_domain, '', 0.0)
+            for gateway in self.gateways
+        )
+        vm = found[fault.whom % len(found)].name
+        if fault.what == 'refuses':
+            await self._refuse(vm, fault.lasts_s)
+            return
+        (number,) = [
+            number
+            for number, gateway in enumerate(self.gateways)
+            if gateway.vm == vm
+        ]
+        await self._signal(number, fault)
+
+    async def _refuse(self, vm: str, lasts_s: float) -> None:
+        """Let the store refuse a VM's calls for so long."""
+        faults = self.site.faults
+        faults.refused_status = REFUSED_STATUS
+        faults.refused_vms.add(vm)
+        await trio.sleep(lasts_s)
+        faults.refused_vms.discard(vm)
+
     async def _signal(self, number: int, fault: plan.Fault) -> None:
         gateway = self.gateways[number]
         if fault.what == 'hup':
@@ -172,16 +211,16 @@
             listing = self.site.table.list('servers')
             faults.compacted_revision = listing.revision
             return
+        if fault.what == 'refuses':
+            gateway = self.gateways[fault.whom % len(self.gateways)]
+            await self._refuse(gateway.vm, fault.lasts_s)
+            return
         if fault.what == 'down':
             faults.down = True
-        elif fault.what == 'refuses':
-            faults.refused_status = REFUSED_STATUS
-            faults.refused_vms.add(f'entry-{fault.whom % VMS}')
         else:
             faults.lose_answers, faults.late_s = 0.4, 1.0
         await trio.sleep(fault.lasts_s)
         faults.down = False
-        faults.refused_vms.clear()
         faults.lose_answers = 0.0
 
     async def _strike_link(self, fault: plan.Fault) -> None:
@@ -244,17 +283,18 @@
     length_s: float,
     folder: pathlib.Path,
     draw: Draw = plan.draw_both,
+    vms: int = VMS,
 ) -> Result:
     """Play a seed for so long; logs of the processes stay in folder."""
     async with sites.running() as site, trio.open_nursery() as nursery:
-        soak = Soak(site, folder)
+        soak = Soak(site, folder, vms)
         for link in (*soak.store_links, *soak.replica_links):
             await nursery.start(link.run)
         pairs = zip(site.replicas, soak.replica_links, strict=True)
         for replica, link in pairs:
             replica.address = f'127.0.0.1:{link.port}'
         try:
-            for number in range(VMS):
+            for number in range(vms):
                 soak.start(number, bootstrap=True)
             for gateway in soak.gateways:
                 await gateway.ready()
@@ -309,7 +349,7 @@
 
 
 def _start_kept(soak: Soak, seed: int, nursery: trio.Nursery) -> None:
-    for gateway in soak.gateways:
+    for gateway in soak.gateways[:VMS]:
         for use, number in KEPT.items():
             for one in range(number):
                 caller = kept.Caller(
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -34,6 +34,7 @@
     ('both', 16),
     ('both', 18),
     ('both', 20),
+    ('hubs', 1),
 ]
 LENGTH_S = 8.0
 
@@ -42,7 +43,8 @@
 @pytest.mark.parametrize(('name', 'seed'), SEEDS)
 def test_no_promise_is_broken(name, seed, tmp_path):
     draw = plan.PLANS[name]
-    result = trio.run(run.play, seed, LENGTH_S, tmp_path, draw)
+    vms = run.default_vms(name)
+    result = trio.run(run.play, seed, LENGTH_S, tmp_path, draw, vms)
     assert result.breaches == []
     assert result.served
     # A run of stops that no request crosses would see nothing.
