--- a/test/gateway/test_leaf_knowledge.py
+++ b/test/gateway/test_leaf_knowledge.py
@@ -80,6 +80,12 @@
     return leaf_knowledge.describe(leaf.registry, leaf.cache_updates)
 
 
+def apply_feed(leaf, feed):
+    store_health = store_watch.StoreHealth(clock.trio_time_s)
+    updates = peer_updates.PeerUpdates(None, None, store_health)
+    hub_client.HubClient(leaf, None, updates)._apply_feed(feed, ())
+
+
 async def test_change_of_hubs_costs_a_leaf_little(autojump_clock):
     # A lost hub's leaves would get all that is cached again, all at once.
     hub, leaf = make_hub(), hub_nodes.make_leaf()
@@ -153,14 +159,7 @@
     assert not feed['whole']
     if parts is not None:
         assert [row[1] for row in feed['cache']] == parts
-    client = hub_client.HubClient(
-        leaf,
-        None,
-        peer_updates.PeerUpdates(
-            None, None, store_watch.StoreHealth(clock.trio_time_s)
-        ),
-    )
-    client._apply_feed(feed, ())
+    apply_feed(leaf, feed)
     assert {r.name: r for r in leaf.registry.all()} == {
         r.name: r for r in hub.registry.all()
     }
@@ -176,14 +175,7 @@
     leaf.registry.replace(others, after_outage=True)
     feed = first_feed(hub, known=report_of(leaf))
     assert [row[0] for row in feed['replicas']] == ['i-5']
-    client = hub_client.HubClient(
-        leaf,
-        None,
-        peer_updates.PeerUpdates(
-            None, None, store_watch.StoreHealth(clock.trio_time_s)
-        ),
-    )
-    client._apply_feed(feed, ())
+    apply_feed(leaf, feed)
     await trio.sleep(replicas.REREGISTER_S + 0.1)
     assert len(leaf.registry.usable('models')) == REPLICAS
 
