Report usage windows from before a start of all processes

Cause: a reporter began with the window in which its process started, as others report those before; after a start of all processes nobody does.

Change: a new holder begins as far back as a report is still due. A window from before its own start for which nothing is counted is passed over, as the fleet may not have run then; a sealed one is repeated as sealed. Tests with and without a seal, both failed before.

Left: the next holder acts ten seconds after such a start (each process waits out a lease that its VM may have held, then watches the old one lapse), so the report of the last window may still come late.

--- a/gentianstair/gateway/leader_tasks.py
+++ b/gentianstair/gateway/leader_tasks.py
@@ -65,8 +65,8 @@
         self._usage_counter = counter
         self._timing = timing
         self._wall_clock = wall_clock
-        # Windows before the start of this process are reported by others.
-        self._next_window = counter.current_window()
+        self._first_own_window = counter.current_window()
+        self._next_window = 0
 
     async def run(self, authority: lease.Authority) -> None:
         """Report windows as they become due, until authority ends."""
@@ -101,6 +101,10 @@
         while self._wall_clock() >= self._due_s(self._next_window):
             window = self._next_window
             counts = await self._seal(window)
+            if not counts and window < self._first_own_window:
+                # The fleet may not have run yet.
+                self._next_window = window + 1
+                continue
             await self._cloud.report_usage(authority, window, counts)
             loguru.logger.bind(
                 event=events.USAGE_REPORTED,
--- a/test/gateway/test_leader_tasks.py
+++ b/test/gateway/test_leader_tasks.py
@@ -88,6 +88,28 @@
     assert [window for window, _ in cloud.reports] == [0, 1]
 
 
+@pytest.mark.parametrize('was_sealed', [False, True])
+async def test_windows_before_a_start_of_all_processes_are_reported(
+    pair, autojump_clock, nursery, was_sealed
+):
+    # All were killed at once, and no process of that window is left.
+    cloud, one, _ = pair
+    one.counts.count_start('club')
+    await one.members.write_heartbeat()
+    if was_sealed:
+        await one.reporter._seal(0)
+        one.counts.count_start('club')
+        await one.members.write_heartbeat()
+    await trio.sleep(WINDOW_S + 1)
+    later = Process(one.store.table, cloud, 'p3', one.reporter._wall_clock)
+    nursery.start_soon(later.members.run)
+    nursery.start_soon(later.reporter.run, later.authority)
+    await trio.sleep(12)
+    assert cloud.reports[0] == (0, {'club': 1})
+    # Nothing is reported of windows before the fleet's first start.
+    assert [window for window, _ in cloud.reports][:2] == [0, 1]
+
+
 async def test_report_includes_a_killed_process(pair, autojump_clock, nursery):
     cloud, one, two = pair
     nursery.start_soon(one.members.run)
