--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -117,7 +117,7 @@
             for c in direct
         ]
         remote = [self._candidate(r, request) for r in prefillers]
-        if remote and not prefill_shortage.leaves_prefill_replicas(
+        if remote and not prefill_shortage.spares_prefill_replicas(
             [candidate.queued_s for candidate in remote],
             min(plan.first_event_s for plan in options),
             objective_left_s,
--- a/gentianstair/gateway/prefill_shortage.py
+++ b/gentianstair/gateway/prefill_shortage.py
@@ -16,7 +16,7 @@
 SAFE_OBJECTIVE_SHARE = 0.4
 
 
-def leaves_prefill_replicas(
+def spares_prefill_replicas(
     queued_s: collections.abc.Collection[float],
     elsewhere_s: float,
     objective_left_s: float,
@@ -26,11 +26,11 @@
     queued_s is the work queued at each prefill replica, elsewhere_s the
     expected time to the first event without them.
 
-    >>> leaves_prefill_replicas([0.2, 0.2, 0.0], 0.3, 1.2)
+    >>> spares_prefill_replicas([0.2, 0.2, 0.0], 0.3, 1.2)
     True
-    >>> leaves_prefill_replicas([0.2, 0.0, 0.0], 0.3, 1.2)
+    >>> spares_prefill_replicas([0.2, 0.0, 0.0], 0.3, 1.2)
     False
-    >>> leaves_prefill_replicas([0.2, 0.2, 0.0], 0.6, 1.2)
+    >>> spares_prefill_replicas([0.2, 0.2, 0.0], 0.6, 1.2)
     False
     """
     if statistics.median_low(queued_s) <= SHORT_QUEUE_S:
