End a stopped gateway without the interpreter's shutdown

The kept log has one stop of that process, with 'stopping' and 'stopped', the last line, and no further one: it had done all its work and then ended by SIGTERM.

Cause: the soak asks again for a stop of a process that is on its way out. The second SIGTERM came while the interpreter shut down, which first restores the default actions of signals. No caller was cut, but the stop looked like a crash.

--- a/gentianstair/gateway/__main__.py
+++ b/gentianstair/gateway/__main__.py
@@ -3,6 +3,7 @@
 import gc
 import os
 import signal
+import sys
 
 # Ignore SIGHUP until its handler is installed; the default action would
 # terminate the process while it starts.
@@ -24,3 +25,8 @@
 gc.freeze()
 gc.enable()
 main.main()
+# Without the interpreter's own shutdown, which restores the default actions
+# of signals: another SIGTERM would end a planned stop like a crash.
+sys.stdout.flush()
+sys.stderr.flush()
+os._exit(0)
--- a/test/gateway/test_signals_at_stop.py
+++ b/test/gateway/test_signals_at_stop.py
@@ -67,3 +67,23 @@
                 await trio.sleep(0)
         gateway.signal(signal.SIGTERM)
         assert await gateway.wait() == 0
+
+
+@pytest.mark.process
+@pytest.mark.parametrize('again', ['SIGTERM', 'SIGHUP'])
+async def test_signals_after_the_last_line_do_not_end_the_process(
+    gateway, again
+):
+    # A planned stop would look like a crash.
+    async with sites.running() as site:
+        control = gateway.ports['control']
+        gateway.start(site.store_port, site.cloud_port, control)
+        await gateway.ready()
+        gateway.signal(signal.SIGTERM)
+        with trio.fail_after(processes.START_S):
+            while b'"event": "stopped"' not in gateway.log.read_bytes():
+                await trio.sleep(0.001)
+            while gateway.is_running():
+                gateway.signal(signal.Signals[again])
+                await trio.sleep(0.0005)
+        assert await gateway.wait() == 0
