Accept the connections that wait at a socket together

Cause: trio.serve_listeners takes one connection a turn of the event loop. While turns are long, more come than are taken, and what waits in the kernel is given up before it is read; the process then serves dead requests only. Change: up to 16 that wait are accepted together, in the server, on the links between VMs (the same loop) and in the soak's proxies. Why it works: taking connections no longer depends on the length of a turn.

--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -15,7 +15,8 @@
 
 from gentianstair import errors
 from gentianstair.generated import messages
-from gentianstair.util import addresses
+from gentianstair.util import batch_listener
+from gentianstair.util import serving
 from gentianstair.util import tls
 
 PROTOCOL_VERSION = 1
@@ -238,9 +239,8 @@
         task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """See Network.serve."""
-        host, port = addresses.parse(self._listen)
-        listeners = await trio.open_tcp_listeners(port, host=host)
-        bound = listeners[0].socket.getsockname()
+        sock = serving.listen(self._listen, send_buffer_bytes=None)
+        bound = sock.getsockname()
         task_status.started(f'{bound[0]}:{bound[1]}')
 
         async def accept(connection: typing.Any) -> None:
@@ -251,7 +251,7 @@
                 nursery.start_soon(self._credentials.watch_files)
             await websockets.trio.server.serve(
                 accept,
-                listeners=listeners,
+                listeners=[batch_listener.BatchListener(sock)],
                 ssl=self._credentials.server if self._credentials else None,
                 compression=None,
                 open_timeout=OPEN_TIMEOUT_S,
--- /dev/null
+++ b/gentianstair/util/batch_listener.py
@@ -0,0 +1,60 @@
+"""Accept the connections that wait at a socket several at a time."""
+
+import collections
+import socket
+
+import trio
+
+# Most connections accepted in one turn of the event loop.
+MAX_BATCH = 16
+
+
+class BatchListener(trio.abc.Listener[trio.SocketStream]):
+    """A listener that takes the connections that wait for it together.
+
+    Trio's own listener takes one in each turn of the event loop, so that a
+    process whose turns are long serves callers who have long given up while
+    those that came later wait in the kernel's queue.
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._listener = trio.SocketListener(
+            trio.socket.from_stdlib_socket(sock)
+        )
+        self._accepted: collections.deque[trio.SocketStream] = (
+            collections.deque()
+        )
+
+    @property
+    def socket(self) -> trio.socket.SocketType:
+        """Return the listening socket."""
+        return self._listener.socket
+
+    async def accept(self) -> trio.SocketStream:
+        """Return the next connection; raise OSError as Trio's listener does.
+
+        While there are accepted ones it doesn't yield, so that none of them
+        is left behind by a cancellation.
+        """
+        if not self._accepted:
+            self._accepted.append(await self._listener.accept())
+            self._accept_waiting()
+        return self._accepted.popleft()
+
+    def _accept_waiting(self) -> None:
+        """Accept what waits; leave an error to the next call of accept."""
+        while len(self._accepted) < MAX_BATCH:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            self._accepted.append(
+                trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            )
+
+    async def aclose(self) -> None:
+        """Close the listening socket and what no task has taken."""
+        for stream in self._accepted:
+            await trio.aclose_forcefully(stream)
+        await self._listener.aclose()
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -16,6 +16,7 @@
 from gentianstair import errors
 from gentianstair.generated import events as log_events
 from gentianstair.util import addresses
+from gentianstair.util import batch_listener
 from gentianstair.util import connection_server
 from gentianstair.util import end_reasons
 
@@ -30,17 +31,23 @@
 SEND_BUFFER_BYTES = 131072
 
 
-def listen(address: str, reuse_port: bool = False) -> socket.socket:
+def listen(
+    address: str,
+    reuse_port: bool = False,
+    send_buffer_bytes: int | None = SEND_BUFFER_BYTES,
+) -> socket.socket:
     """Return a listening socket; raise UserError if binding fails.
 
-    With reuse_port several processes on a VM can share the address.
+    With reuse_port several processes on a VM can share the address. Without
+    send_buffer_bytes the kernel sizes the buffers of accepted connections.
     """
     host, port = addresses.parse(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    # Accepted connections inherit it.
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    if send_buffer_bytes is not None:
+        # Accepted connections inherit it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes)
     if reuse_port:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     try:
@@ -75,7 +82,7 @@
 def _make_listener(
     sock: socket.socket, context: ssl.SSLContext | None
 ) -> trio.abc.Listener:
-    listener = trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+    listener = batch_listener.BatchListener(sock)
     if context is None:
         return listener
     return trio.SSLListener(listener, context, https_compatible=True)
--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -4,6 +4,9 @@
 
 import trio
 
+from gentianstair.util import batch_listener
+from gentianstair.util import serving
+
 READ_BYTES = 65536
 DELAY_S = 0.3
 
@@ -49,9 +52,10 @@
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled."""
-        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
-        self.port = listener.socket.getsockname()[1]
+        sock = serving.listen('127.0.0.1:0', send_buffer_bytes=None)
+        self.port = sock.getsockname()[1]
         task_status.started()
+        listener = batch_listener.BatchListener(sock)
         await trio.serve_listeners(self._serve, [listener])
 
     async def _serve(self, near: trio.SocketStream) -> None:
