Give up a late attempt only for a retry that may follow

Cause: the attempt was cancelled first, and the retry budget asked afterwards. Evidence: each 502 has one 'try-failed: no answer in time' after 0.3 s, sent 1, and no second try. Ruled out: an answer of the replica (a 502 of its own would be its signed failure) and the gateway's own processor time (the try ended on its timer). Change: a late attempt goes on until a retry is possible, has another replica and is paid for. The ejector still hears that it is late. Streams likewise; those that can't be resumed are never cut for a pause.

--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -11,6 +11,7 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 
@@ -66,6 +67,7 @@
         # Attempts that ran the request, or may have.
         self.possible_runs = 0
         self.tried_replicas: set[str] = set()
+        self._next_retry_is_paid = False
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
@@ -164,6 +166,13 @@
             self._ejector_key(replica), True, now_s - started_s, now_s
         )
 
+    def record_late(self, replica: replicas.Replica, started_s: float) -> None:
+        """Report a late attempt, which goes on, to the ejector."""
+        now_s = self.node.clock()
+        self.node.ejector.record_outcome(
+            self._ejector_key(replica), False, now_s - started_s, now_s
+        )
+
     def record_failure(
         self,
         replica: replicas.Replica,
@@ -207,21 +216,45 @@
 
     def may_retry(self, last_verdict: verdicts.Verdict) -> bool:
         """Return whether another attempt may follow a failed one."""
-        if self.remaining_s() < MIN_REMAINING_S:
-            return False
         if (
             last_verdict is not verdicts.Verdict.NOT_RUN
             and not self.route.retryable
         ):
             return False
+        return self._may_retry_after(self.possible_runs)
+
+    def _may_retry_after(self, runs: int) -> bool:
+        """Return whether an attempt may follow so many possible runs."""
+        if self.remaining_s() < MIN_REMAINING_S:
+            return False
         max_runs = self.route.max_attempts
-        if (
-            self.possible_runs >= max_runs
-            or self.attempts >= max_runs + EXTRA_ATTEMPTS
-        ):
+        if runs >= max_runs or self.attempts >= max_runs + EXTRA_ATTEMPTS:
             return False
         return self.unreachable_attempts < MAX_UNREACHABLE_ATTEMPTS
 
+    def may_replace_attempt(self) -> bool:
+        """Return whether a retry may replace the attempt in flight."""
+        return self.route.retryable and self._may_retry_after(
+            self.possible_runs + 1
+        )
+
+    def reserve_retry(self) -> bool:
+        """Pay for a retry in place of the attempt in flight.
+
+        Return False if none may follow, no other replica is left or the
+        retry budget is spent.
+        """
+        if not self.may_replace_attempt():
+            return False
+        if not any(
+            r.stage != prefill_costs.PREFILL for r in self.candidates()
+        ):
+            return False
+        self._next_retry_is_paid = self.node.retry_budget.try_spend(
+            self.service
+        )
+        return self._next_retry_is_paid
+
     def record_event_sent(self) -> None:
         """Record that an event of a stream goes to the caller now."""
         now_s = self.node.clock()
@@ -238,6 +271,9 @@
         """
         if self.attempts == self.failed_prefills:
             return True
+        if self._next_retry_is_paid:
+            self._next_retry_is_paid = False
+            return True
         return self.node.retry_budget.try_spend(self.service)
 
     def log(self, event: str, message: str, **fields: typing.Any) -> None:
--- a/gentianstair/gateway/run_record.py
+++ b/gentianstair/gateway/run_record.py
@@ -64,6 +64,9 @@
             decode_replica.name, work_s, prefill_end_s, miss_penalty_s
         )
         self.first_event_s: float | None = None
+        # Since when the next event is waited for; None before the first one
+        # and while its caller takes one.
+        self.waiting_since_s: float | None = None
         # The parts that the replica holds only if this run gets to its output.
         self._expected = (
             node.prefix_index.expect(decode_replica.name, prompt, kv_tokens)
@@ -92,6 +95,22 @@
             )
         return True
 
+    def record_waiting(self) -> None:
+        """Record that more data of a stream that has begun is waited for."""
+        if self.first_event_s is not None:
+            self.waiting_since_s = self._request.node.clock()
+
+    def stalled_in_s(self, stall_timeout_s: float) -> float:
+        """Return the time until the stream counts as stalled."""
+        if self.waiting_since_s is None:
+            return stall_timeout_s
+        now_s = self._request.node.clock()
+        return self.waiting_since_s + stall_timeout_s - now_s
+
+    def record_stall(self) -> None:
+        """Report a stalled stream, which goes on, to the ejector."""
+        self._request.record_late(self._decode_replica, self._started_s)
+
     def _record_kv_transfer(self, took_s: float) -> None:
         self._request.log(
             events.MOVED,
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -5,10 +5,9 @@
 replica is resumed at another one after the last event that was forwarded.
 """
 
-import math
+import functools
 
 import httpx
-import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
@@ -16,6 +15,7 @@
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_stream
 from gentianstair.gateway import forward
+from gentianstair.gateway import late_attempt
 from gentianstair.gateway import plans
 from gentianstair.gateway import remote_prefill
 from gentianstair.gateway import replicas
@@ -217,7 +217,7 @@
             async with forward.open_response(
                 node, request.call, attempt
             ) as response:
-                await self._forward_events(response, run)
+                await self._forward_response(response, run)
         except errors.UpstreamError as error:
             request.record_failure(
                 decode_replica,
@@ -233,38 +233,45 @@
     def _resume_event_id(self) -> str | None:
         return self._event_buffer.last_id or self._request.call.last_event_id
 
-    async def _forward_events(
+    async def _forward_response(
         self, response: httpx.Response, run: run_record.ReplicaRun
     ) -> None:
-        request = self._request
+        """Forward a stream to its end; raise UpstreamError if it fails."""
         verdict = http_codec.verdict_of(response)
         if response.status_code != 200:
             await self._handle_non_stream(response, verdict)
             return
+        forward_events = functools.partial(self._forward_events, response, run)
+        if not self._request.route.retryable:
+            await forward_events()
+            return
         stall_timeout_s = max(
-            MIN_STALL_TIMEOUT_S, STALL_PAUSES * request.route.max_pause_s
+            MIN_STALL_TIMEOUT_S,
+            STALL_PAUSES * self._request.route.max_pause_s,
         )
-        stream = aiter(response.stream)
-        # The first event may be queued for long, so it has no limit here.
-        timeout_s = math.inf
-        while True:
-            data = None
-            with trio.move_on_after(timeout_s):
-                data = await anext(stream, b'')
-            if data is None:
-                raise errors.UpstreamError(
-                    f'no event for {stall_timeout_s:g} s', verdicts.Verdict.RAN
-                )
-            if not data:
-                break
+        attempt = late_attempt.Attempt(
+            lambda: run.stalled_in_s(stall_timeout_s),
+            self._request.reserve_retry,
+            run.record_stall,
+        )
+        if not await late_attempt.run_unless_replaced(forward_events, attempt):
+            raise errors.UpstreamError(
+                f'no event for {stall_timeout_s:g} s', verdicts.Verdict.RAN
+            )
+
+    async def _forward_events(
+        self, response: httpx.Response, run: run_record.ReplicaRun
+    ) -> None:
+        request = self._request
+        async for data in response.stream:
             complete_events = self._event_buffer.feed(data)
-            if not complete_events:
-                continue
-            if run.record_event():
-                timeout_s = stall_timeout_s
-                await self._start_response(response)
-            request.record_event_sent()
-            await request.exchange.write(complete_events)
+            if complete_events:
+                run.waiting_since_s = None
+                if run.record_event():
+                    await self._start_response(response)
+                request.record_event_sent()
+                await request.exchange.write(complete_events)
+            run.record_waiting()
         if (
             not self._event_buffer.at_event_boundary()
             or not self._event_buffer.event_count
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -1,16 +1,15 @@
 """Serve a unary request: one whole response, with retries."""
 
-import trio
-
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.gateway import forward
+from gentianstair.gateway import late_attempt
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
 
-# A retryable request is retried elsewhere when a replica takes this many
-# times the route's objective, if at least as much time remains for the retry.
-ATTEMPT_TIMEOUT_OBJECTIVES = 3.0
+# An attempt is late after this many times the route's objective. It is then
+# retried elsewhere, if a retry is possible and had as much time at the start.
+LATE_OBJECTIVES = 3.0
 
 
 async def serve(
@@ -23,7 +22,7 @@
             break
         started_s = request.begin_attempt(replica)
         try:
-            response = await _attempt(request, replica)
+            response = await _attempt(request, replica, started_s)
             request.record_verdict(response.verdict)
             request.record_success(replica, started_s)
             return response
@@ -36,35 +35,51 @@
     raise request.final_error()
 
 
-def _attempt_timeout_s(request: request_state.RequestState) -> float:
-    """Return how long to wait for one replica."""
-    remaining_s = request.remaining_s()
-    timeout_s = ATTEMPT_TIMEOUT_OBJECTIVES * request.route.objective_s
-    is_last = request.possible_runs + 1 >= request.route.max_attempts
-    if is_last or not request.route.retryable or remaining_s < 2 * timeout_s:
-        return remaining_s
-    return timeout_s
+def _is_worth_replacing(
+    request: request_state.RequestState, late_s: float
+) -> bool:
+    """Return whether a retry has as much time as the late attempt had."""
+    return (
+        request.may_replace_attempt() and request.remaining_s() >= 2 * late_s
+    )
 
 
 async def _attempt(
-    request: request_state.RequestState, replica: replicas.Replica
+    request: request_state.RequestState,
+    replica: replicas.Replica,
+    started_s: float,
 ) -> forward.ReplicaResponse:
     """Return the response of one replica; raise UpstreamError on failure."""
     node = request.node
+    late_s = LATE_OBJECTIVES * request.route.objective_s
+    attempt = late_attempt.Attempt(
+        lambda: started_s + late_s - node.clock(),
+        request.reserve_retry,
+        lambda: request.record_late(replica, started_s),
+    )
+    found: list[forward.ReplicaResponse] = []
+
+    async def fetch() -> None:
+        found.append(
+            await forward.fetch_response(
+                node, request.call, request.make_attempt(replica)
+            )
+        )
+
     load = node.load_tracker.begin(replica.name)
     try:
-        with trio.move_on_after(_attempt_timeout_s(request)):
-            response = await forward.fetch_response(
-                node, request.call, request.make_attempt(replica)
+        if not _is_worth_replacing(request, late_s):
+            await fetch()
+        elif not await late_attempt.run_unless_replaced(fetch, attempt):
+            raise errors.UpstreamError(
+                'no answer in time', verdicts.Verdict.MAY_HAVE_RUN
             )
-            if response.verdict is verdicts.Verdict.RAN:
-                node.usage_counter.count_start(request.customer_name)
-            return _check_response(request, response)
     finally:
         node.load_tracker.end(load)
-    raise errors.UpstreamError(
-        'no answer in time', verdicts.Verdict.MAY_HAVE_RUN
-    )
+    (response,) = found
+    if response.verdict is verdicts.Verdict.RAN:
+        node.usage_counter.count_start(request.customer_name)
+    return _check_response(request, response)
 
 
 def _check_response(
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -37,6 +37,8 @@
         self.changed = False
         # Runs the request and never answers.
         self.silent = False
+        # Answers so much later, a stream in the middle.
+        self.late_s = 0.0
         # Breaks a stream off in the middle of the event after this many,
         # unless it is a resumed one.
         self.breaks_after: int | None = None
@@ -203,6 +205,8 @@
                     yield f'id: {number}\nda'.encode()
                     raise ConnectionAbortedError('told to break off')
                 await trio.sleep(EVENT_S)
+                if first == 1 and number == replica.events // 2:
+                    await trio.sleep(replica.faults.late_s)
                 yield f'id: {number}\ndata: word{number}\n\n'.encode()
         except trio.Cancelled:
             replica.cancelled += 1
@@ -238,7 +242,7 @@
         return _signed(replica, 'failed', faults.fails_with)
     if replica.stage:
         return await _stream(replica, first)
-    await trio.sleep(PLAIN_S)
+    await trio.sleep(PLAIN_S + faults.late_s)
     return _signed(replica, f'done by {replica.name}')
 
 
--- a/test/gateway/samples.py
+++ b/test/gateway/samples.py
@@ -31,7 +31,7 @@
 max_stretch_ms = 5000
 budget_ratio = {budget_ratio}
 budget_window_s = 10
-retry_slack = 52
+retry_slack = {retry_slack}
 fencing_enforced = false
 lease_ms = {lease_ms}
 usage_window_s = {usage_window_s}
@@ -54,6 +54,7 @@
     'cloud': 8363,
     'grace_s': 8,
     'budget_ratio': 0.2,
+    'retry_slack': 52,
     'lease_ms': 3000,
     'usage_window_s': 5,
     'usage_late_s': 10,
