Let reads of a store that answers late take longer

Cause: each read had one second, whatever the store did. One that takes longer gets the same calls again, and every answer comes just after it was given up. Ruled out: a fault of the plan (all had ended at the second), a silent connection (each call after a timeout opens a new one). Change: after a timeout on an open connection the next read may take half as long again, up to 2 s. Connecting, writes and reads under a lease keep 1 s, so a VM that reaches the store again is no later than before. Why it works: an answer that comes within 2 s is taken, and the calls get fewer where the store is slow.

--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -16,6 +16,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.generated import events
+from gentianstair.store import read_timeout
 from gentianstair.store import store
 from gentianstair.upstreams import transport as transports
 
@@ -23,10 +24,18 @@
 # can be repeated before the lease lapses. A call takes some milliseconds, and
 # fifty times as long on slow days.
 CALL_TIMEOUT_S = 1.0
+# The same at most for reads that nobody's lease depends on, while the store
+# answers late. Short enough that a VM which reaches the store again has read
+# it within the three seconds that the platform allows at least.
+MAX_READ_TIMEOUT_S = 2.0
 # How much longer than its own timeout a watch may take to answer.
 WATCH_GRACE_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
+# Purposes of reads that may take longer while the store answers late; others
+# are made under a lease, and must end well before it does.
+PATIENT_PURPOSES = frozenset({'follow', 'members', 'hubs'})
+
 PLATFORM_CALLS = prometheus_client.Counter(
     'gentianstair_platform_calls',
     'Calls to the platform store, by kind of object and HTTP method or watch.',
@@ -81,6 +90,9 @@
         self._headers = {'user-agent': vm}
         self._address = address
         self._timeout_s = timeout_s
+        self._read_timeout = read_timeout.ReadTimeout(
+            timeout_s, MAX_READ_TIMEOUT_S / CALL_TIMEOUT_S * timeout_s
+        )
 
     async def _call(
         self,
@@ -90,16 +102,22 @@
         body: typing.Any = None,
         timeout_s: float | None = None,
     ) -> tuple[int, bytes]:
-        """Return status and body.
+        """Return status and body; connecting has the usual time only.
 
         Raise StoreUnavailableError or StoreOutcomeUnknownError.
         """
+        if timeout_s is None:
+            timeout_s = self._timeout_s
         url = f'http://{self._address}/api/objects/{path}'
         if params:
             url += '?' + urllib.parse.urlencode(params)
         content = b'' if body is None else msgspec.json.encode(body)
         request = httpx.Request(
-            method, url, headers=self._headers, content=content
+            method,
+            url,
+            headers=self._headers,
+            content=content,
+            extensions={'connect_s': self._timeout_s},
         )
         if body is not None:
             request.headers['content-type'] = 'application/json'
@@ -107,7 +125,7 @@
         kind = path.partition('/')[0]
         PLATFORM_CALLS.labels(kind, call).inc()
         try:
-            with trio.fail_after(timeout_s or self._timeout_s):
+            with trio.fail_after(timeout_s):
                 response = await self._transport.handle_async_request(request)
                 try:
                     content = await transports.read_all(
@@ -121,12 +139,29 @@
             # After a network partition, connections from before it may stay
             # silent. Drop all, or each would cost one call its full timeout.
             self._transport.close_idle(self._address)
+            if method == 'GET':
+                self._read_timeout.record_timeout()
             raise self._lost_response_error(method, 'timed out') from error
         except errors.UpstreamError as error:
             if error.verdict is verdicts.Verdict.NOT_RUN:
                 raise errors.StoreUnavailableError(str(error)) from error
             raise self._lost_response_error(method, str(error)) from error
 
+    async def _read(
+        self,
+        path: str,
+        purpose: str,
+        params: dict[str, typing.Any] | None = None,
+    ) -> tuple[int, bytes]:
+        """Return status and body of a read that waits for no change."""
+        timeout_s = self._timeout_s
+        if purpose in PATIENT_PURPOSES:
+            timeout_s = self._read_timeout.current_s
+        started_s = trio.current_time()
+        answer = await self._call('GET', path, params, timeout_s=timeout_s)
+        self._read_timeout.record_answer(trio.current_time() - started_s)
+        return answer
+
     def _lost_response_error(
         self, method: str, reason: str
     ) -> errors.StoreError:
@@ -139,7 +174,7 @@
         self, kind: str, name: str, *, purpose: str
     ) -> store.StoredObject:
         """See Store.get."""
-        status, body = await self._call('GET', _path(kind, name))
+        status, body = await self._read(_path(kind, name), purpose)
         if status == 404:
             return store.StoredObject(kind, name, 0, None)
         _check_status(status, body)
@@ -158,7 +193,7 @@
         after = ''
         while True:
             params = {'after': after} if after else None
-            status, body = await self._call('GET', _path(kind), params)
+            status, body = await self._read(_path(kind), purpose, params)
             _check_status(status, body)
             page = _decode(body, _List)
             if revision is None:
@@ -230,8 +265,9 @@
             'watch': after_revision,
             'wait_ms': max(1, int(timeout_s * 1000)),
         }
+        limit_s = timeout_s + WATCH_GRACE_S + self._read_timeout.extra_s
         status, body = await self._call(
-            'GET', _path(kind), params, timeout_s=timeout_s + WATCH_GRACE_S
+            'GET', _path(kind), params, timeout_s=limit_s
         )
         if status == 410:
             raise errors.WatchTooOldError(kind)
--- a/test/gateway/gateways.py
+++ b/test/gateway/gateways.py
@@ -47,12 +47,12 @@
             method, path, headers=self.headers(request_id, **more)
         )
 
-    async def first_answer(self):
+    async def first_answer(self, path='/lookup/entry'):
         """Return the first response of a gateway that is starting."""
         with trio.fail_after(START_S):
             while True:
                 try:
-                    return await self.call('GET', '/lookup/entry')
+                    return await self.call('GET', path)
                 except httpx.ConnectError:
                     await trio.sleep(0.01)
 
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -1,5 +1,7 @@
 """Test the store client on connections that fail."""
 
+import contextlib
+
 import pytest
 import trio
 
@@ -112,3 +114,48 @@
     assert counted(object_store.PLATFORM_CALLS) == calls + 1
     body = ANSWER.partition(b'\r\n\r\n')[2]
     assert counted(object_store.PLATFORM_BYTES) == read_bytes + len(body)
+
+
+LATE_S = 0.45
+USUAL_S = 0.3
+
+
+async def _read(store, purpose):
+    return await store.get('config', 'main', purpose=purpose)
+
+
+@pytest.mark.parametrize(
+    ('purpose', 'late_s', 'reads', 'is_answered'),
+    [
+        ('follow', LATE_S, 3, True),
+        ('hubs', LATE_S, 3, True),
+        ('follow', 10.0, 6, False),
+        # A lease must not wait for so long.
+        ('lease', LATE_S, 3, False),
+    ],
+    ids=['late', 'late list of hubs', 'much too late', 'under a lease'],
+)
+async def test_store_that_answers_late_is_read_in_the_end(
+    nursery, purpose, late_s, reads, is_answered
+):
+    # Guards against a store that is asked again and again, and each answer
+    # thrown away just before it comes.
+    async def serve(stream):
+        while await stream.receive_some(4096):
+            await trio.sleep(late_s)
+            await stream.send_all(ANSWER)
+
+    listeners = await nursery.start(trio.serve_tcp, serve, 0)
+    port = listeners[0].socket.getsockname()[1]
+    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', USUAL_S)
+    answers = 0
+    started_s = trio.current_time()
+    for _ in range(reads):
+        with contextlib.suppress(errors.StoreUnavailableError):
+            await _read(store, purpose)
+            answers += 1
+    took_s = trio.current_time() - started_s
+    assert bool(answers) == is_answered
+    # A read never takes more than twice the usual time.
+    assert took_s <= reads * 2 * USUAL_S + 0.5
+    nursery.cancel_scope.cancel()
