Let the work for a request not grow with every replica

Cause: for each request every replica is looked at some five times (ejected? may copy? shuffled; holds a part? could decode?), and each report of all loads, four a second at a leaf, is summed anew though few have changed. Test: looks at loads must not grow from 1,000 to 3,000 replicas; three rows failed before (7,160 to 20,500).

--- a/gentianstair/core/ejection.py
+++ b/gentianstair/core/ejection.py
@@ -104,6 +104,17 @@
             now_s > probe_started_s + PROBE_TIMEOUT_S
         )
 
+    def unavailable(self, now_s: float) -> set[str]:
+        """Return the upstreams that is_available denies.
+
+        It looks only at ejected ones, and so costs little in a large fleet.
+        """
+        return {
+            upstream
+            for upstream in self._ejected
+            if not self.is_available(upstream, now_s)
+        }
+
     def record_start(self, upstream: str, now_s: float) -> None:
         """Record a sent attempt; the probe if the upstream is ejected."""
         state = self._states.get(upstream)
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -41,6 +41,9 @@
 # sample bounds the work per request and spreads requests of different VMs; it
 # is about as good as comparing all.
 SAMPLE_SIZE = 12
+# Of more replicas than this that hold a part of a prompt, or that could decode
+# one, a random sample is compared, which bounds the work per request.
+MAX_COMPARED = 64
 # Random jitter on each cost: VMs with the same view choose different
 # replicas.
 TIE_BREAK_S = 0.004
@@ -170,12 +173,36 @@
         if len(candidates) <= 2 * SAMPLE_SIZE:
             return candidates
         preferred = {*self._index.holders(prompt), *homes.savings}
-        always = [r for r in candidates if r.name in preferred]
-        rest = [r for r in candidates if r.name not in preferred]
-        self._random.shuffle(rest)
-        prefillers = [r for r in rest if r.stage == prefill_costs.PREFILL]
-        decoders = [r for r in rest if r.stage != prefill_costs.PREFILL]
-        return always + prefillers[:SAMPLE_SIZE] + decoders[:SAMPLE_SIZE]
+        always = self._at_most(
+            [r for r in candidates if r.name in preferred], MAX_COMPARED
+        )
+        return always + [
+            replica
+            for is_prefill in (True, False)
+            for replica in self._others(candidates, preferred, is_prefill)
+        ]
+
+    def _others(
+        self,
+        candidates: list[replicas.Replica],
+        preferred: set[str],
+        is_prefill: bool,
+    ) -> list[replicas.Replica]:
+        """Return a sample of a stage's replicas that are not preferred."""
+        found = [
+            r
+            for r in candidates
+            if (r.stage == prefill_costs.PREFILL) is is_prefill
+        ]
+        # As many more as may be left out again.
+        found = self._at_most(found, SAMPLE_SIZE + len(preferred))
+        return [r for r in found if r.name not in preferred][:SAMPLE_SIZE]
+
+    def _at_most(
+        self, found: list[replicas.Replica], count: int
+    ) -> list[replicas.Replica]:
+        """Return all that are found or, of more than count, a sample."""
+        return self._random.sample(found, min(len(found), count))
 
     def _best_sources(
         self,
@@ -206,7 +233,7 @@
         """Return the decode replica for a prompt already prefilled."""
         decoders = [r for r in candidates if r.stage != prefill_costs.PREFILL]
         return min(
-            decoders,
+            self._at_most(decoders, MAX_COMPARED),
             key=lambda r: (
                 self._decode_cost_s(r)
                 + self._network_cost_s(r, body_bytes)
--- a/gentianstair/gateway/replica_load.py
+++ b/gentianstair/gateway/replica_load.py
@@ -185,9 +185,22 @@
         self, process: str, loads: dict[str, Load], from_leaf: bool = False
     ) -> None:
         """Replace the load that a peer reported."""
-        self.remove_peer(process)
+        known = self._peers.get(process)
+        before = known.loads if known else {}
+        # Most loads are those of the report before; only others are summed.
+        changed = {
+            replica: load
+            for replica, load in loads.items()
+            if before.get(replica) != load
+        }
+        ended = {
+            replica: load
+            for replica, load in before.items()
+            if replica in changed or replica not in loads
+        }
+        _add(self._peer_totals, ended, -1)
+        _add(self._peer_totals, changed)
         self._peers[process] = _PeerLoad(self._clock(), loads, from_leaf)
-        _add(self._peer_totals, loads)
 
     def remove_peer(self, process: str) -> None:
         """Drop the load that a peer reported, if any."""
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -48,6 +48,7 @@
         # until which they are kept.
         self._lapsed_until_s: dict[str, float] = {}
         self._usable: dict[str, list[Replica]] = {}
+        self._by_service: dict[str, list[Replica]] = {}
         # New, changed and removed (None) replicas, for other VMs.
         self.changes: change_log.ChangeLog[str, Replica | None] = (
             change_log.ChangeLog(MAX_LOGGED_CHANGES)
@@ -77,7 +78,7 @@
 
     def of_service(self, service: str) -> list[Replica]:
         """Return all replicas of a service, draining ones among them."""
-        return [r for r in self._replicas.values() if r.service == service]
+        return self._by_service.get(service, [])
 
     def copy_sources(self, service: str, max_drain_s: float) -> list[Replica]:
         """Return the replicas of a service whose cache can be copied.
@@ -85,10 +86,13 @@
         Draining replicas are among them for max_drain_s, while they are sure
         to answer: their cache is lost when they stop.
         """
+        found = self.of_service(service)
+        if not self._draining_since_s:
+            return found
         oldest_s = self._clock() - max_drain_s
         return [
             replica
-            for replica in self.of_service(service)
+            for replica in found
             if self._draining_since_s.get(replica.name, oldest_s + 1)
             > oldest_s
         ]
@@ -172,12 +176,16 @@
             if replica.draining
         }
         by_service: dict[str, list[Replica]] = {}
-        for replica in self._replicas.values():
+        usable: dict[str, list[Replica]] = {}
+        for replica in sorted(self._replicas.values(), key=_name_of):
+            by_service.setdefault(replica.service, []).append(replica)
             if not replica.draining:
-                by_service.setdefault(replica.service, []).append(replica)
-        for found in by_service.values():
-            found.sort(key=lambda replica: replica.name)
-        self._usable = by_service
+                usable.setdefault(replica.service, []).append(replica)
+        self._by_service, self._usable = by_service, usable
+
+
+def _name_of(replica: Replica) -> str:
+    return replica.name
 
 
 def _is_unchanged(known: Replica | None, replica: Replica) -> bool:
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -110,18 +110,11 @@
 
         Ejected replicas are left out while there are others.
         """
-        now_s = self.node.clock()
         usable = self.node.registry.usable(self.service)
-        healthy = [
-            replica
-            for replica in usable
-            if self.node.ejector.is_available(
-                self._ejector_key(replica), now_s
-            )
-        ]
-        untried = [
-            r for r in healthy or usable if r.name not in self.tried_replicas
-        ]
+        excluded = self._ejected() | self.tried_replicas
+        if not excluded:
+            return usable
+        untried = [r for r in usable if r.name not in excluded]
         return untried or [
             r for r in usable if r.name not in self.tried_replicas
         ]
@@ -132,19 +125,23 @@
         Replicas that may be gone before the copy ends are left out: the
         prefill would start over and delay what is queued behind it.
         """
-        now_s = self.node.clock()
         drain_limit_s = (
             self.node.deployment.bounds.drain_s - DRAIN_NOTICE_DELAY_S
         )
-        return [
-            replica
-            for replica in self.node.registry.copy_sources(
-                self.service, drain_limit_s
-            )
-            if self.node.ejector.is_available(
-                self._ejector_key(replica), now_s
-            )
-        ]
+        sources = self.node.registry.copy_sources(self.service, drain_limit_s)
+        ejected = self._ejected()
+        if not ejected:
+            return sources
+        return [r for r in sources if r.name not in ejected]
+
+    def _ejected(self) -> set[str]:
+        """Return the names of the service's replicas that are ejected."""
+        prefix = forward.ejector_key(self.service, '')
+        return {
+            key.removeprefix(prefix)
+            for key in self.node.ejector.unavailable(self.node.clock())
+            if key.startswith(prefix)
+        }
 
     def _ejector_key(self, replica: replicas.Replica) -> str:
         return forward.ejector_key(self.service, replica.name)
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -288,3 +288,38 @@
     for _ in range(20):
         scheduler.plan(fleet, prompt(13300, 3700))
     assert (time.process_time() - started_s) / 20 < 0.01
+
+
+class CountedLoads(replica_load.LoadTracker):
+    """Counts how often it is asked for a replica's load."""
+
+    asked = 0
+
+    def load_of(self, replica):
+        self.asked += 1
+        return super().load_of(replica)
+
+
+@pytest.mark.parametrize('holders', [0, 40, 900])
+def test_work_for_a_request_does_not_grow_with_the_fleet(holders):
+    # Guards against a gateway that spends its processor on comparing all
+    # replicas of a large fleet for each request.
+    asked = {}
+    for size in (1000, 3000):
+        scheduler = Scheduler()
+        scheduler.load = CountedLoads(lambda: 0.0)
+        scheduler.placement._load_tracker = scheduler.load
+        fleet = [
+            replica(f'i-{n}', 'prefill' if n % 3 == 0 else 'decode')
+            for n in range(size)
+        ]
+        for held in fleet[:holders]:
+            scheduler.index.update(held.name, 'book', 13300)
+        for _ in range(10):
+            scheduler.plan(fleet, prompt(13300, 3700))
+            scheduler.placement.choose_decode_replica(fleet, BODY_BYTES)
+        asked[size] = scheduler.load.asked
+    assert asked[3000] <= 1.1 * asked[1000]
+    # Each candidate's load is asked for a few times.
+    candidates = 2 * placement.MAX_COMPARED + 2 * placement.SAMPLE_SIZE
+    assert asked[3000] <= 10 * 4 * candidates
