Record how late a soak's own process is

A failure beside load could not be told from a player that has no processor: replicas, store and callers share a process with it. Each soak now tells how late its event loop was, in its line and in the result that a failing test shows.

--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -11,6 +11,7 @@
 
 from gentianstair.gateway import hubs
 from gentianstair.gateway import main as gateways
+from standins import lateness
 from standins.site import processes
 from standins.site import replica as replicas
 from standins.site import site as sites
@@ -279,6 +280,8 @@
     served_kept: int
     # Requests on kept connections that were closed with no answer.
     crossed: int
+    # Of this process, which plays replicas, store and callers.
+    late: lateness.Lateness
 
 
 async def play(
@@ -289,7 +292,9 @@
     vms: int = VMS,
 ) -> Result:
     """Play a seed for so long; logs of the processes stay in folder."""
+    recorder = lateness.Recorder()
     async with sites.running() as site, trio.open_nursery() as nursery:
+        nursery.start_soon(recorder.run)
         soak = Soak(site, folder, vms)
         for link in (*soak.store_links, *soak.replica_links):
             await nursery.start(link.run)
@@ -327,6 +332,7 @@
         len(soak.sent_kept),
         _count_served(soak.sent_kept),
         crossed,
+        recorder.result(),
     )
 
 
