--- a/test/standins/test_ports.py
+++ b/test/standins/test_ports.py
@@ -30,3 +30,12 @@
     drawn = [set(ports.part(f'gw{n}')) for n in range(ports.PARTS)]
     assert len(set.union(*drawn)) == sum(len(one) for one in drawn)
     assert set.union(*drawn) <= set(range(ports.FIRST, ports.LAST))
+
+
+def test_processes_of_different_runs_hold_parts_of_their_own():
+    # Guards against callers of one run that reach the gateways of another.
+    first, ours = ports.hold_part('gw3')
+    second, theirs = ports.hold_part('gw3')
+    with first, second:
+        assert not set(ours) & set(theirs)
+        assert len(ours) == len(theirs)
