--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -35,6 +35,11 @@
     raise request.final_error()
 
 
+def _reserve_retry(request: request_state.RequestState, late_s: float) -> bool:
+    """Pay for a retry if it has as much time as the late attempt had."""
+    return request.remaining_s() >= late_s and request.reserve_retry()
+
+
 def _is_worth_replacing(
     request: request_state.RequestState, late_s: float
 ) -> bool:
@@ -54,7 +59,7 @@
     late_s = LATE_OBJECTIVES * request.route.objective_s
     attempt = late_attempt.Attempt(
         lambda: started_s + late_s - node.clock(),
-        request.reserve_retry,
+        lambda: _reserve_retry(request, late_s),
         lambda: request.record_late(replica, started_s),
     )
     found: list[forward.ReplicaResponse] = []
--- a/test/gateway/test_late_replicas.py
+++ b/test/gateway/test_late_replicas.py
@@ -2,6 +2,7 @@
 
 import socket
 import time
+import types
 
 import pytest
 import trio
@@ -9,6 +10,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.gateway import late_attempt
+from gentianstair.gateway import unary
 from gentianstair.util import overrun
 from standins.site import site as sites
 from test.gateway import gateways
@@ -149,3 +151,17 @@
                 assert await late_attempt.run_unless_replaced(
                     read, attempt.ask(late_s=0.05)
                 )
+
+
+@pytest.mark.parametrize(
+    ('remaining_s', 'is_replaced'), [(1.0, True), (0.3, True), (0.2, False)]
+)
+def test_late_attempt_is_not_replaced_by_one_with_less_time(
+    remaining_s, is_replaced
+):
+    # Guards against a budget that comes shortly before the deadline, and an
+    # answer on its way that is given up for an attempt that can't end.
+    request = types.SimpleNamespace(
+        remaining_s=lambda: remaining_s, reserve_retry=lambda: True
+    )
+    assert unary._reserve_retry(request, 0.3) == is_replaced
