Have the early requests of a crossing on connections that are in use

Cause, in the player: the gateway closes connections that were idle for 3 s, the stop's close comes 2.6 s after the signal, so only those answered in the last 0.4 s before the signal live until then; beside load that is none. Change: the one in six whose request comes early, 'and is answered also where the machine is so busy that all others come late', is used once more, 50 requests, just before the stop.

--- a/standins/soak/crossing.py
+++ b/standins/soak/crossing.py
@@ -29,6 +29,8 @@
 FIRST_SPREAD_S = 1.0
 # Pause before another connection is opened where one has had no answer.
 RECONNECT_S = (0.5, 1.5)
+# How often it is looked whether all have been answered.
+LOOK_S = 0.01
 # One in so many comes well before the close, and is answered also where the
 # machine is so busy that all others come late.
 EARLY_EACH = 6
@@ -77,6 +79,8 @@
         self._site = site
         self._gateway = gateway
         self._answered = 0
+        # Set when each connection has had an answer.
+        self._all_answered = trio.Event()
         self._stopped_s: float | None = None
 
     async def run(self, close: Close, connections: int) -> None:
@@ -86,8 +90,11 @@
                 nursery.start_soon(self._cross, number, close)
             if close is Close.KEEP_ALIVE:
                 return
-            while self._answered < connections:
-                await trio.sleep(0.01)
+            early = len(range(0, connections, EARLY_EACH))
+            for wanted in (connections, connections + early):
+                while self._answered < wanted:
+                    await trio.sleep(LOOK_S)
+                self._all_answered.set()
             self._stopped_s = trio.current_time()
             self._gateway.signal(signal.SIGTERM)
 
@@ -95,21 +102,18 @@
         chance = random.Random(f'{self._seed}/{number}')
         connection = await self._connect()
         await trio.sleep(chance.uniform(0, FIRST_SPREAD_S))
-        request_id = f'f{self._seed:03x}{number:04x}'
-        await connection.ask('lookup', request_id, KEY, chance)
-        while not connection.is_reusable:
-            # No whole answer in time: it can carry no more requests.
-            await connection.aclose()
-            await trio.sleep(chance.uniform(*RECONNECT_S))
-            connection = await self._connect()
-            await connection.ask('lookup', request_id, KEY, chance)
-        self._answered += 1
+        connection = await self._be_answered(connection, number, chance)
+        is_early = number % EARLY_EACH == 0
+        if is_early and close is Close.STOP:
+            # Where first answers take long it would be closed as idle by now.
+            await self._all_answered.wait()
+            connection = await self._be_answered(connection, number, chance)
         closes_s = connection.last_s + self._gateway.keep_alive_s
         while close is Close.STOP and self._stopped_s is None:
-            await trio.sleep(0.01)
+            await trio.sleep(LOOK_S)
         if self._stopped_s is not None:
             closes_s = self._stopped_s + gateways.BALANCER_DRAIN_S
-        around_s = EARLY_S if number % EARLY_EACH == 0 else kept.AROUND_CLOSE_S
+        around_s = EARLY_S if is_early else kept.AROUND_CLOSE_S
         await trio.sleep_until(closes_s + chance.uniform(*around_s))
         request_id = f'c{self._seed:03x}{number:04x}'
         kind = chance.choice(KINDS)
@@ -122,6 +126,27 @@
         assert connection is not None
         return connection
 
+    async def _be_answered(
+        self,
+        connection: kept.Connection,
+        number: int,
+        chance: random.Random,
+    ) -> kept.Connection:
+        """Ask until there is a whole answer; return the connection it had.
+
+        One that was closed, or had no whole answer within the caller's limit,
+        can carry no more requests, and is replaced after a pause.
+        """
+        request_id = f'f{self._seed:03x}{number:04x}'
+        await connection.ask('lookup', request_id, KEY, chance)
+        while not connection.is_reusable:
+            await connection.aclose()
+            await trio.sleep(chance.uniform(*RECONNECT_S))
+            connection = await self._connect()
+            await connection.ask('lookup', request_id, KEY, chance)
+        self._answered += 1
+        return connection
+
     def ends(self) -> Ends:
         """Count what became of the requests."""
         taken = set[str]().union(
