--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -43,7 +43,7 @@
 SAMPLE_SIZE = 12
 # Of more replicas than this that hold a part of a prompt, or that could decode
 # one, a random sample is compared, which bounds the work per request.
-MAX_COMPARED = 64
+MAX_COMPARED = 160
 # Random jitter on each cost: VMs with the same view choose different
 # replicas.
 TIE_BREAK_S = 0.004
