Stop the gateway also 0.25 s after its first line, as before

The rows that wait for the handler ended at 0.2 s after it, some 0.24 s after the start, where the rows before them went to 0.25 s. With this one no moment of the old table is left out.

--- a/test/gateway/test_signals_at_start.py
+++ b/test/gateway/test_signals_at_start.py
@@ -39,7 +39,7 @@
 
 
 @pytest.mark.process
-@pytest.mark.parametrize('after_s', [0.0, 0.05, 0.1, 0.2])
+@pytest.mark.parametrize('after_s', [0.0, 0.05, 0.1, 0.2, 0.25])
 async def test_planned_stop_during_the_start_is_no_failure(gateway, after_s):
     # The default action of SIGTERM made a planned stop look like a crash.
     async with sites.running() as site:
