Keep connecting to upstreams in a module of its own

The transport opened connections, checked idle ones and parsed answers in one file. Connecting is now a Connector; no behaviour changes. The test of a process that is held up calls the connector and is otherwise as before.

--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -7,12 +7,9 @@
 
 import collections
 import collections.abc
-import contextlib
 import math
 import os
 import re
-import select
-import ssl
 import typing
 
 import httptools
@@ -21,7 +18,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.util import overrun
+from gentianstair.upstreams import connector as connectors
 
 MAX_READ_BYTES = 65536
 # Lower status codes (1xx) are interim responses.
@@ -33,10 +30,6 @@
 MAX_HEADER_BYTES = 65536
 # Bounds the idle connections to one address.
 MAX_IDLE_CONNECTIONS = 256
-# Attempts to connect while this process is held up at each.
-CONNECT_ATTEMPTS = 2
-HTTPS_PORT = 443
-HTTP_PORT = 80
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
 
 
@@ -232,23 +225,6 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
-def _socket(stream: trio.abc.Stream) -> trio.socket.SocketType:
-    if isinstance(stream, trio.SSLStream):
-        return stream.transport_stream.socket
-    return stream.socket
-
-
-def _is_unusable(stream: trio.abc.Stream) -> bool:
-    """Return whether the upstream closed an idle connection or sent bytes.
-
-    Both make the socket readable. A request sent on a closed connection
-    would count as one that may have run.
-    """
-    poller = select.poll()
-    poller.register(_socket(stream).fileno(), select.POLLIN)
-    return bool(poller.poll(0))
-
-
 class Transport(httpx.AsyncBaseTransport):
     """An httpx transport with a pool of idle connections for each address.
 
@@ -264,58 +240,22 @@
     - ``target``: the request target, sent as it is.
     """
 
-    def __init__(
-        self, ssl_context: ssl.SSLContext | None, idle_s: float
-    ) -> None:
-        self._ssl_context = ssl_context
+    def __init__(self, connector: connectors.Connector, idle_s: float) -> None:
+        self._connector = connector
         self._idle_s = idle_s
         self._idle: dict[
             tuple[str, int], collections.deque[_IdleConnection]
         ] = {}
 
-    async def _connect(self, url: httpx.URL) -> trio.abc.Stream:
-        secure = url.scheme == 'https'
-        port = url.port or (HTTPS_PORT if secure else HTTP_PORT)
-        try:
-            if secure:
-                stream = await trio.open_ssl_over_tcp_stream(
-                    url.host, port, ssl_context=self._ssl_context
-                )
-                await stream.do_handshake()
-                return stream
-            return await trio.open_tcp_stream(url.host, port)
-        except (OSError, trio.BrokenResourceError) as error:
-            raise errors.UnreachableError(
-                f'cannot connect: {error}'
-            ) from error
-
-    async def _connect_in_time(
-        self, url: httpx.URL, limit_s: float | None
-    ) -> trio.abc.Stream:
-        """Return a connection; try twice if this process was held up.
-
-        The kernel may have connected in time while it did not run.
-        """
-        if limit_s is None:
-            return await self._connect(url)
-        for _ in range(CONNECT_ATTEMPTS):
-            due_s = trio.current_time() + limit_s
-            with trio.move_on_after(limit_s):
-                return await self._connect(url)
-            if not overrun.was_held_up(due_s, trio.current_time()):
-                break
-        raise errors.UnreachableError(f'no connection within {limit_s:g} s')
-
     def _take_idle(self, url: httpx.URL) -> trio.abc.Stream | None:
         """Remove and return an open idle connection, or None."""
         idle = self._idle.get((url.host, url.port or 0))
         now_s = trio.current_time()
         while idle:
             stream, expires_at_s = idle.pop()
-            if now_s < expires_at_s and not _is_unusable(stream):
+            if now_s < expires_at_s and not connectors.is_unusable(stream):
                 return stream
-            with contextlib.suppress(OSError):
-                _socket(stream).close()
+            connectors.discard(stream)
         return None
 
     def _keep_idle(
@@ -327,7 +267,7 @@
         expires_at_s = trio.current_time() + self._idle_limit_s(parser)
         idle.append(_IdleConnection(stream, expires_at_s))
         if len(idle) > MAX_IDLE_CONNECTIONS:
-            _socket(idle.popleft().stream).close()
+            connectors.discard(idle.popleft().stream)
 
     def _idle_limit_s(self, parser: _ResponseParser) -> float:
         """Return how long a connection may be idle before its reuse."""
@@ -341,8 +281,7 @@
         """Close the idle connections to an address (HOST:PORT)."""
         host, _, port = address.rpartition(':')
         for idle in self._idle.pop((host, int(port)), ()):
-            with contextlib.suppress(OSError):
-                _socket(idle.stream).close()
+            connectors.discard(idle.stream)
 
     async def handle_async_request(
         self, request: httpx.Request
@@ -357,7 +296,7 @@
         if not request.extensions.get('fresh'):
             stream = self._take_idle(request.url)
         if stream is None:
-            stream = await self._connect_in_time(
+            stream = await self._connector.connect(
                 request.url, request.extensions.get('connect_s')
             )
         try:
@@ -415,11 +354,11 @@
 
 
 def make_transport(
-    ssl_context: ssl.SSLContext | None = None, idle_s: float = math.inf
+    connector: connectors.Connector | None = None, idle_s: float = math.inf
 ) -> Transport:
     """Return a transport that has no connections yet.
 
     A connection is reused if it was idle for less than idle_s and for less
     than half of the timeout in the upstream's Keep-Alive header.
     """
-    return Transport(ssl_context, idle_s)
+    return Transport(connector or connectors.DirectConnector(), idle_s)
--- a/test/upstreams/test_transport.py
+++ b/test/upstreams/test_transport.py
@@ -11,6 +11,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict
+from gentianstair.upstreams import connector
 from gentianstair.upstreams import transport
 
 NOT_RUN = verdict.Verdict.NOT_RUN
@@ -167,11 +168,11 @@
     limit_s = 0.1
     with socket.create_server(('127.0.0.1', 0)) as server:
         url = httpx.URL(f'http://127.0.0.1:{server.getsockname()[1]}')
-        client = transport.make_transport()
+        client = connector.DirectConnector()
         found = []
 
         async def connect():
-            found.append(await client._connect_in_time(url, limit_s))
+            found.append(await client.connect(url, limit_s))
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connect)
