Log and count when a VM reaches no replica

In the incident each failed try has a line of its own, but none says that this VM reaches no replica at all, since when, or when it does again; the metrics have no figure for it. Hypotheses A (the path) and B (the replicas) differ by just that, compared between VMs. Nothing decides by it yet.

--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -20,7 +20,9 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
+from gentianstair.gateway import replica_connector
 from gentianstair.gateway import replica_load
+from gentianstair.gateway import replica_paths
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster as rosters
@@ -155,6 +157,7 @@
     )
     roster = rosters.Roster(own_vm, members, registry, now)
     active_config = nodes.ActiveConfig()
+    paths = replica_paths.ReplicaPaths(now)
     return nodes.Node(
         live_settings=live,
         clock=now,
@@ -181,7 +184,9 @@
         ),
         limiter=_make_limiter(live, active_config, roster),
         ejector=ejection.Ejector(),
-        transport=transport.make_transport(idle_s=REPLICA_IDLE_TIMEOUT_S),
+        transport=transport.make_transport(
+            replica_connector.ReplicaConnector(paths), REPLICA_IDLE_TIMEOUT_S
+        ),
         store=store,
         usage_counter=counts,
         draining=trio.Event(),
