--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -66,6 +66,8 @@
         self.tokens_per_s = tokens_per_s
         self.faults = Faults()
         self.address = ''
+        # Addresses at which single VMs find it.
+        self.aliases: set[str] = set()
         self.draining = False
         self.runs: list[Run] = []
         self.reads: list[str] = []
@@ -105,6 +107,10 @@
             entry['models'] = [{'name': 'm', 'version': 1, 'adapters': []}]
         return entry
 
+    def is_at(self, address: str) -> bool:
+        """Return whether an address is the replica's, for any VM."""
+        return address == self.address or address in self.aliases
+
     def taken(self) -> set[str]:
         """Return the ids of requests that it began to read or to run."""
         return {run.request_id for run in self.runs} | set(self.reads)
@@ -126,7 +132,7 @@
     """Copy what another replica keeps, if the request names one."""
     address = quart.request.headers.get('kv-fetch')
     for other in replicas:
-        if address is not None and other.address == address:
+        if address is not None and other.is_at(address):
             for part in _parts():
                 if part in other.kept and part not in replica.kept:
                     replica.kept[part] = other.kept[part]
@@ -177,7 +183,7 @@
         return True
     address, _, handle = source.partition('/')
     for other in replicas:
-        if other.address == address and handle in other.handles:
+        if other.is_at(address) and handle in other.handles:
             replica.kept.update(_parts())
             found = other.handles.pop(handle)
             return found == quart.request.headers['x-request-id']
--- a/standins/site/store.py
+++ b/standins/site/store.py
@@ -24,6 +24,8 @@
         # VM name itself in a header, as all share the loopback's address.
         self.refused_status = 0
         self.refused_vms: set[str] = set()
+        # Addresses of replicas, by name, that some VMs see in their entries.
+        self.addresses: dict[str, dict[str, str]] = {}
         # Watches from before this revision are told that it is gone.
         self.compacted_revision = 0
         # Seconds after which a write takes effect though its answer is lost.
@@ -34,15 +36,14 @@
         )
 
 
-def _shown(item: store.StoredObject) -> dict[str, typing.Any]:
-    meta = {'name': item.name, 'revision': item.version, 'finalizers': []}
-    return {'metadata': meta, 'spec': item.value, 'status': None}
-
-
 def _error(status: int) -> tuple[dict, int]:
     return {'error': 'refused'}, status
 
 
+def _calling_vm() -> str:
+    return quart.request.headers.get('user-agent', '')
+
+
 class _Calls:
     """The calls of one store."""
 
@@ -50,6 +51,15 @@
         self.table = table
         self.faults = faults
 
+    def _shown(self, item: store.StoredObject) -> dict[str, typing.Any]:
+        """Return an object as the calling VM sees it."""
+        meta = {'name': item.name, 'revision': item.version, 'finalizers': []}
+        addresses = self.faults.addresses.get(_calling_vm(), {})
+        value = item.value
+        if item.kind == 'servers' and value and item.name in addresses:
+            value = {**value, 'address': addresses[item.name]}
+        return {'metadata': meta, 'spec': value, 'status': None}
+
     async def watch(self, kind: str, args: typing.Mapping) -> typing.Any:
         since = int(args['watch'])
         if since < self.faults.compacted_revision:
@@ -60,7 +70,7 @@
         except errors.WatchTooOldError:
             return _error(410)
         events = [
-            {'object': _shown(item), 'tombstone': item.value is None}
+            {'object': self._shown(item), 'tombstone': item.value is None}
             for item in found.objects
         ]
         return {'events': events, 'store_revision': found.revision}
@@ -69,14 +79,14 @@
         listing = self.table.list(kind)
         items = [item for item in listing.objects if item.name > after]
         return {
-            'items': [_shown(item) for item in items[:PAGE_ITEMS]],
+            'items': [self._shown(item) for item in items[:PAGE_ITEMS]],
             'truncated': len(items) > PAGE_ITEMS,
             'store_revision': listing.revision,
         }
 
     def get(self, kind: str, name: str) -> typing.Any:
         item = self.table.get(kind, name)
-        return _error(404) if item.value is None else _shown(item)
+        return _error(404) if item.value is None else self._shown(item)
 
     async def write(
         self, kind: str, name: str, value: typing.Any, version: int | None
@@ -91,11 +101,11 @@
         try:
             self.table.write(kind, name, value, version)
         except errors.StoreConflictError:
-            shown = _shown(self.table.get(kind, name))
+            shown = self._shown(self.table.get(kind, name))
             return shown, 409
         if lost:
             await trio.sleep_forever()
-        return _shown(self.table.get(kind, name))
+        return self._shown(self.table.get(kind, name))
 
 
 def create_app(
@@ -110,7 +120,7 @@
         if faults.down:
             await trio.sleep_forever()
         await trio.sleep(faults.delay_s)
-        vm = quart.request.headers.get('user-agent', '')
+        vm = _calling_vm()
         kind = quart.request.path.split('/')[3]
         faults.calls[vm, kind] += 1
         if faults.refused_status and vm in faults.refused_vms:
