Reach replicas through a peer where this VM's own path is lost

Cause: a failed connect was taken for the loss of the replica. This VM judged by its own path alone, and no request had a second way, though peers reached every replica.

Now the connector opens a connection in several ways, each begun 0.15 s after the last or as that fails (upstreams/staggered.py): directly, then through peers of different failure domains, which carry its bytes (peers/tunnel.py). The peer knows nothing of the requests in it: what may be repeated, budgets, deadlines, counts and the caller's leaving stay with the VM that was asked, and closing the tunnel closes the connection. One hop, as a peer connects directly only. A connection through a peer shows that the path is lost (replica_paths.py): the peer is then asked first, connections kept from before are closed, and after two lost paths a peer is asked at once for any replica. An attempt without an answer has its path checked; one that may be repeated ends with its path. A VM with lost paths, or that stops, carries no tunnels; a stopping one has its tunnels closed once idle, and waits for them. Lost paths are looked for again each half second, and left as soon as they are back. When the last connect to each candidate has failed, a request no longer tries four of them first.

Peers are known from their loads; a leaf is named some by its hub, and hubs name some leaves to each other, so that many cut VMs spread over the fleet. A peer of an older version reports no tunnels and is not asked.

--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -74,3 +74,8 @@
     last_event_id: str | None = None
     # From 0, which runs first, to 9; None leaves it to the replica.
     priority: int | None = None
+    # After this time without an answer the path to the replica is checked.
+    silence_s: float | None = None
+    # Whether the attempt is given up when its path is found to be lost; it
+    # may be repeated.
+    ends_with_path: bool = False
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -158,6 +158,7 @@
                     if 'hubs' in feed:
                         known_hubs = leaf_feed.decode_hubs(feed['hubs'])
                     age_s = self._apply_feed(feed, known_hubs)
+                    self._record_tunnel_peers(feed, hub)
                     node.limiter.apply_hub_report(
                         use,
                         feed.get('reach', 0.0),
@@ -230,6 +231,15 @@
             )
         return age_s
 
+    def _record_tunnel_peers(
+        self, feed: messages.GatewayFeed, hub: hubs.Vm
+    ) -> None:
+        peers = self._node.tunnel_peers
+        # The hub names itself among them if it carries tunnels.
+        peers.record_report(hub.peer_address, None)
+        if 'tunnel_peers' in feed:
+            peers.record_named(hub.peer_address, feed['tunnel_peers'])
+
     def _adopt_costs(self, feed: messages.GatewayFeed) -> None:
         if self._has_costs or not feed.get('costs'):
             return
@@ -301,7 +311,7 @@
     """Return a VM's load report, with cache changes since sent_position."""
     current = node.active_config.catalog
     cache_changes = node.cache_updates.hub_log.since(sent_position)
-    return {
+    message: messages.GatewayLoad = {
         'version': link.PROTOCOL_VERSION,
         'type': 'load',
         'process': node.roster.process_name,
@@ -311,6 +321,9 @@
         'leaf': is_leaf,
         'cache': [list(change) for _, change in cache_changes],
     }
+    if node.carries_tunnels():
+        message['tunnels_from'] = node.deployment.failure_domain
+    return message
 
 
 def _log_unreadable(error: Exception) -> None:
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -34,6 +34,9 @@
         # the replicas and the changes of caches (None: nothing yet).
         self._replicas_position: int | None = None
         self._cache_position: int | None = None
+        # Where peers connect to the leaf.
+        self.address = ''
+        self._sent_tunnel_peers: list[list[str]] = []
         # The hubs that it was sent last.
         self._sent_hubs: list[hubs.Vm] | None = None
 
@@ -58,6 +61,10 @@
             replica_load.decode(report['loads']),
             from_leaf=True,
         )
+        self.address = report['address']
+        node.tunnel_peers.record_report(
+            self.address, report.get('tunnels_from')
+        )
         node.cache_updates.apply_rows(report.get('cache', ()), to_hubs=True)
         node.limiter.apply_leaf(uses.decode(report.get('use', {})))
         return self._make_feed(report['config_version'])
@@ -97,11 +104,24 @@
             self._sent_hubs = current_hubs
         if is_first:
             feed['costs'] = [list(fit) for fit in node.prefill_costs.export()]
+        named = self._tunnel_peers()
+        if named != self._sent_tunnel_peers:
+            feed['tunnel_peers'] = self._sent_tunnel_peers = named
         current = node.active_config.catalog
         if current is not None and current.version > known_version:
             feed['config'] = current.raw
         return feed
 
+    def _tunnel_peers(self) -> list[list[str]]:
+        """Return rows of VMs through which the leaf may reach replicas."""
+        node = self._node
+        record = node.roster.leaf_records.get(self._process_name)
+        return node.tunnel_peers.named_to(
+            self.address,
+            record.failure_domain if record else '',
+            node.carries_tunnels(),
+        )
+
     def _new_replicas(self) -> tuple[list[list[typing.Any]], list[str], bool]:
         """Return changed replicas, removed ones, and if the list is whole."""
         registry = self._node.registry
--- a/gentianstair/gateway/leaf_records.py
+++ b/gentianstair/gateway/leaf_records.py
@@ -53,6 +53,10 @@
         """Replace the record of a leaf."""
         self._records[record.name] = record
 
+    def get(self, process: str) -> LeafRecord | None:
+        """Return the record of a leaf, or None."""
+        return self._records.get(process)
+
     def unlink(self, process: str) -> None:
         """Record that a leaf has left."""
         record = self._records.get(process)
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -121,6 +121,8 @@
                 min_keep_alive_s=functools.partial(_idle_limit_s, node),
             )
             duty_nursery.cancel_scope.cancel()
+        with trio.move_on_after(node.grace_period.remaining_s()):
+            await node.tunnel_server.wait_all_closed()
         with trio.move_on_after(FINAL_WRITES_S / 2):
             await background.record_last_counts(process)
         loguru.logger.bind(event=events.STOPPED).info('stopped')
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -12,12 +12,16 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
+from gentianstair.gateway import replica_connector
 from gentianstair.gateway import replica_load
+from gentianstair.gateway import replica_paths
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster
+from gentianstair.gateway import tunnel_peers
 from gentianstair.gateway import usage_counter
 from gentianstair.limits import limiter
+from gentianstair.peers import tunnel
 from gentianstair.store import store as stores
 from gentianstair.upstreams import transport as transports
 from gentianstair.util import clock as clocks
@@ -57,7 +61,11 @@
     retry_budget: retry_budget.RetryBudget
     limiter: limiter.Limiter
     ejector: ejection.Ejector
+    paths: replica_paths.ReplicaPaths
+    connector: replica_connector.ReplicaConnector
     transport: transports.Transport
+    tunnel_peers: tunnel_peers.TunnelPeers
+    tunnel_server: tunnel.TunnelServer
     store: stores.Store
     usage_counter: usage_counter.UsageCounter
     # Set when a shutdown begins; responses then close their connections.
@@ -78,6 +86,10 @@
         await self.active_config.loaded.wait()
         await self.registry.loaded.wait()
 
+    def carries_tunnels(self) -> bool:
+        """Return whether this process carries tunnels to replicas now."""
+        return self.tunnel_server.has_room and not self.paths.is_cut()
+
     @property
     def deployment(self) -> deployment.Deployment:
         """Return the current settings."""
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -16,6 +16,7 @@
 from gentianstair.gateway import hub_client
 from gentianstair.gateway import leaf_feed
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import path_keeper
 from gentianstair.gateway import peer_updates
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
@@ -139,6 +140,7 @@
     async def _send_loads(self, channel: link.Channel) -> None:
         node = self._node
         sent_position = sent_use_position = 0
+        sent_leaves: list[list[str]] = []
         while True:
             cache_log = node.cache_updates.hub_log
             message = hub_client.load_message(
@@ -146,6 +148,11 @@
             )
             sent_position = cache_log.position
             sent_use_position = self._add_limits(message, sent_use_position)
+            shared = node.tunnel_peers.shared_leaves(
+                {leaf.address for leaf in node.roster.leaves.values()}
+            )
+            if shared != sent_leaves:
+                message['tunnel_peers'] = sent_leaves = shared
             await _send(channel, message)
             slowdown = len(self._open_channels) / FULL_RATE_PEERS
             pause_s = LOAD_INTERVAL_S * max(1.0, slowdown)
@@ -208,6 +215,9 @@
         message: link.Message,
         leaf: leaf_feed.LeafFeed | None,
     ) -> None:
+        if message['type'] == 'tunnel':
+            await self._node.tunnel_server.serve(channel, message)
+            raise link.LinkClosedError('the tunnel has ended')
         if message['type'] == 'load' and message.get('leaf') and leaf:
             report = typing.cast(messages.GatewayLoad, message)
             await _send(channel, leaf.handle_report(report))
@@ -232,6 +242,10 @@
             uses.decode(message.get('use', {})),
             levels.decode(message['low']) if 'low' in message else None,
         )
+        peers = self._node.tunnel_peers
+        peers.record_report(message['address'], message.get('tunnels_from'))
+        if 'tunnel_peers' in message:
+            peers.record_named(message['address'], message['tunnel_peers'])
         self._known_addresses.add(message['address'])
         self._newest_config_version = max(
             self._newest_config_version, message['config_version']
@@ -341,6 +355,7 @@
     client = hub_client.HubClient(node, network, updates)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run)
+        nursery.start_soon(path_keeper.run, node)
         nursery.start_soon(client.run)
 
 
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -13,6 +13,7 @@
 from gentianstair.gateway import autoscaler
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import deployment
+from gentianstair.gateway import forward
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leader_tasks
 from gentianstair.gateway import members as memberships
@@ -27,10 +28,13 @@
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import store_watch
+from gentianstair.gateway import tunnel_peers
 from gentianstair.gateway import usage_counter
 from gentianstair.limits import limiter
 from gentianstair.limits import rate_limit
 from gentianstair.limits import reach
+from gentianstair.peers import link
+from gentianstair.peers import tunnel
 from gentianstair.platform import cloud_client
 from gentianstair.platform import object_store
 from gentianstair.store import confirmed_write
@@ -41,6 +45,9 @@
 # How long idle connections to replicas are kept; shorter than the keep-alive
 # timeout of any replica that does not announce one.
 REPLICA_IDLE_TIMEOUT_S = 1.0
+# Tunnels of peers, each of two descriptors, that a VM carries; most of its
+# descriptors and of its processor are for its own callers.
+MAX_TUNNELS_PER_FD = 1 / 16
 
 
 class ProcessParts(typing.NamedTuple):
@@ -136,6 +143,20 @@
     )
 
 
+async def _open_replica(
+    registry: replicas.Registry,
+    connector: replica_connector.ReplicaConnector,
+    name: str,
+    limit_s: float,
+) -> trio.abc.Stream:
+    """Connect to a replica for a peer; raise KeyError for an unknown name."""
+    replica = registry.get(name)
+    if replica is None:
+        raise KeyError(name)
+    limit_s = min(limit_s, forward.CONNECT_TIMEOUT_S)
+    return await connector.connect_directly(replica.address, limit_s)
+
+
 def _make_node(
     live: deployment.LiveSettings,
     store: object_store.ObjectStore,
@@ -157,7 +178,21 @@
     )
     roster = rosters.Roster(own_vm, members, registry, now)
     active_config = nodes.ActiveConfig()
+    draining = trio.Event()
     paths = replica_paths.ReplicaPaths(now)
+    peers = tunnel_peers.TunnelPeers(
+        tunnel_peers.TunnelPeer(own_vm.failure_domain, own_vm.peer_address),
+        now,
+        random.Random(vm_settings.vm),
+    )
+    connector = replica_connector.ReplicaConnector(
+        paths,
+        registry,
+        peers,
+        link.WebsocketNetwork(vm_settings.peer_address, None),
+        nursery,
+        now,
+    )
     return nodes.Node(
         live_settings=live,
         clock=now,
@@ -184,12 +219,18 @@
         ),
         limiter=_make_limiter(live, active_config, roster),
         ejector=ejection.Ejector(),
-        transport=transport.make_transport(
-            replica_connector.ReplicaConnector(paths), REPLICA_IDLE_TIMEOUT_S
+        paths=paths,
+        connector=connector,
+        transport=transport.make_transport(connector, REPLICA_IDLE_TIMEOUT_S),
+        tunnel_peers=peers,
+        tunnel_server=tunnel.TunnelServer(
+            functools.partial(_open_replica, registry, connector),
+            int(vm_settings.max_fds * MAX_TUNNELS_PER_FD),
+            draining,
         ),
         store=store,
         usage_counter=counts,
-        draining=trio.Event(),
+        draining=draining,
         grace_period=grace_period.GracePeriod(),
         nursery=nursery,
     )
--- a/gentianstair/gateway/replica_paths.py
+++ b/gentianstair/gateway/replica_paths.py
@@ -1,9 +1,14 @@
-"""Track which replicas this VM itself reaches."""
+"""Track which replicas this VM reaches itself.
+
+A replica that this VM can't connect to may be down, or only the path from
+this VM is lost. A connection through another VM tells the two apart.
+"""
 
 import math
 
 import loguru
 import prometheus_client
+import trio
 
 from gentianstair.generated import events
 from gentianstair.util import clock as clocks
@@ -11,15 +16,22 @@
 # This many replicas in a row that can't be reached, with none reached between
 # them, point at this VM's own paths.
 MIN_UNREACHED_REPLICAS = 2
+# It is logged once it has lasted this long.
+MIN_CUT_S = 1.0
 
 CONNECTS = prometheus_client.Counter(
     'gentianstair_gateway_replica_connects',
-    'Connections to replicas that were opened, or not, by this VM itself',
+    'Connections to replicas: opened by this VM itself, through a peer, or '
+    'not at all',
     ['outcome'],
 )
 UNREACHED = prometheus_client.Gauge(
     'gentianstair_gateway_replicas_unreached',
-    'Replicas to which the last connection could not be opened',
+    'Replicas to which the last connection could not be opened directly',
+)
+LOST_PATHS = prometheus_client.Gauge(
+    'gentianstair_gateway_lost_paths',
+    'Replicas that peers reach and this VM does not',
 )
 
 
@@ -30,48 +42,120 @@
         self._clock = clock
         # Since when each replica has not been reached.
         self._unreached_since_s: dict[str, float] = {}
-        # Replicas not reached since the last one that was.
+        # Replicas not reached since the last one that was, and since when.
         self._in_a_row: set[str] = set()
-        self._last_reached_s = -math.inf
+        self._row_since_s = math.inf
+        # Since when the path to each replica that a peer reaches is lost.
+        self._lost_since_s: dict[str, float] = {}
         self._cut_since_s: float | None = None
+        self._last_reached_s = -math.inf
+        self._changed = trio.Event()
+
+    def is_lost(self, address: str) -> bool:
+        """Return whether peers reach a replica and this VM does not."""
+        return address in self._lost_since_s
+
+    def is_unreached(self, address: str) -> bool:
+        """Return whether the last connect to a replica has failed."""
+        return address in self._unreached_since_s
+
+    def lost(self) -> list[str]:
+        """Return the replicas whose path is lost, longest first."""
+        return list(self._lost_since_s)
 
     def is_cut(self) -> bool:
-        """Return whether this VM seems to have lost its paths to replicas."""
-        return self._cut_since_s is not None
+        """Return whether the paths to several replicas are lost."""
+        return len(self._lost_since_s) >= MIN_UNREACHED_REPLICAS
+
+    def distrusted_before_s(self, address: str) -> float:
+        """Return since when the path to a replica may have been lost.
+
+        A connection that was not heard from since then may be dead.
+        """
+        lost_s = self._lost_since_s.get(address, -math.inf)
+        if self.is_cut():
+            return max(lost_s, *self._lost_since_s.values())
+        return lost_s
+
+    async def wait_changed(self) -> None:
+        """Return when a path is found to be lost, or to be back."""
+        await self._changed.wait()
 
     def record_reached(self, address: str) -> None:
-        """Record a connection that was opened."""
+        """Record a connection that this VM opened itself."""
         CONNECTS.labels('opened').inc()
         self._last_reached_s = self._clock()
         self._in_a_row.clear()
-        if self._unreached_since_s.pop(address, None) is not None:
-            UNREACHED.set(len(self._unreached_since_s))
+        self._unreached_since_s.pop(address, None)
         self._end_cut(address)
+        lost_since_s = self._lost_since_s.pop(address, None)
+        self._set_gauges()
+        if lost_since_s is None:
+            return
+        self._note_change()
+        loguru.logger.bind(
+            event=events.PATH_BACK,
+            address=address,
+            lost_s=round(self._clock() - lost_since_s, 3),
+        ).info('the path to a replica is back')
 
     def record_unreached(self, address: str) -> None:
-        """Record a connection that could not be opened."""
+        """Record a connection that could not be opened at all."""
         CONNECTS.labels('failed').inc()
-        self._unreached_since_s.setdefault(address, self._clock())
+        self._add_unreached(address)
+
+    def record_lost(self, address: str, peer: str) -> None:
+        """Record a connection that was opened through a peer only."""
+        CONNECTS.labels('through a peer').inc()
+        if address not in self._lost_since_s:
+            self._lost_since_s[address] = self._clock()
+            self._note_change()
+            loguru.logger.bind(
+                event=events.PATH_LOST, address=address, peer=peer
+            ).info('the path to a replica that a peer reaches is lost')
+        self._add_unreached(address)
+
+    def forget(self, address: str) -> None:
+        """Forget a replica that is gone."""
+        self._unreached_since_s.pop(address, None)
+        self._in_a_row.discard(address)
+        if self._lost_since_s.pop(address, None) is not None:
+            self._note_change()
+        self._set_gauges()
+
+    def _note_change(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _set_gauges(self) -> None:
         UNREACHED.set(len(self._unreached_since_s))
+        LOST_PATHS.set(len(self._lost_since_s))
+
+    def _add_unreached(self, address: str) -> None:
+        now_s = self._clock()
+        self._unreached_since_s.setdefault(address, now_s)
+        if not self._in_a_row:
+            self._row_since_s = now_s
         self._in_a_row.add(address)
+        self._set_gauges()
         if (
             self._cut_since_s is None
             and len(self._in_a_row) >= MIN_UNREACHED_REPLICAS
+            and now_s - self._row_since_s >= MIN_CUT_S
         ):
             self._begin_cut()
 
     def _begin_cut(self) -> None:
-        self._cut_since_s = min(
-            self._unreached_since_s[address] for address in self._in_a_row
-        )
+        self._cut_since_s = self._row_since_s
         reached_s = self._clock() - self._last_reached_s
         loguru.logger.bind(
             event=events.REPLICAS_LOST,
-            replicas=sorted(self._in_a_row),
+            addresses=sorted(self._in_a_row),
+            reached_by_peers=sorted(self._lost_since_s),
             last_reached_s=round(reached_s, 3)
             if math.isfinite(reached_s)
             else None,
-        ).warning('this VM reaches no replica any more')
+        ).warning('this VM connects to no replica any more')
 
     def _end_cut(self, address: str) -> None:
         if self._cut_since_s is None:
@@ -82,4 +166,4 @@
             event=events.REPLICAS_BACK,
             address=address,
             lost_s=round(lost_s, 3),
-        ).info('this VM reaches replicas again')
+        ).info('this VM connects to replicas again')
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -47,6 +47,7 @@
         # Replicas whose entry lapsed in an outage of the store, with the time
         # until which they are kept.
         self._lapsed_until_s: dict[str, float] = {}
+        self._names_by_address: dict[str, str] = {}
         self._usable: dict[str, list[Replica]] = {}
         self._by_service: dict[str, list[Replica]] = {}
         # New, changed and removed (None) replicas, for other VMs.
@@ -64,6 +65,10 @@
         """Return a replica by its name."""
         return self._replicas.get(name)
 
+    def name_at(self, address: str) -> str | None:
+        """Return the name of the replica at an address, or None."""
+        return self._names_by_address.get(address)
+
     def all(self) -> list[Replica]:
         """Return all replicas, draining ones among them."""
         return list(self._replicas.values())
@@ -175,6 +180,9 @@
             for name, replica in self._replicas.items()
             if replica.draining
         }
+        self._names_by_address = {
+            replica.address: name for name, replica in self._replicas.items()
+        }
         by_service: dict[str, list[Replica]] = {}
         usable: dict[str, list[Replica]] = {}
         for replica in sorted(self._replicas.values(), key=_name_of):
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -27,6 +27,8 @@
 # How long a replica may have been draining before this VM learns of it, plus
 # the time to copy KV cache from it.
 DRAIN_NOTICE_DELAY_S = 0.8
+# Least time without an answer after which the path to a replica is checked.
+MIN_SILENCE_S = 0.3
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
 
@@ -102,6 +104,9 @@
             self.customer_name,
             self.remaining_s(),
             self.body,
+            silence_s=max(MIN_SILENCE_S, self.route.objective_s),
+            ends_with_path=self.route.retryable
+            or options.get('prefill_only', False),
             **options,
         )
 
@@ -227,8 +232,18 @@
         max_runs = self.route.max_attempts
         if runs >= max_runs or self.attempts >= max_runs + EXTRA_ATTEMPTS:
             return False
+        if self.unreachable_attempts and self._reaches_no_candidate():
+            # The next would most likely fail, too; the caller goes elsewhere.
+            return False
         return self.unreachable_attempts < MAX_UNREACHABLE_ATTEMPTS
 
+    def _reaches_no_candidate(self) -> bool:
+        """Return whether the last connect to each candidate has failed."""
+        return all(
+            self.node.paths.is_unreached(replica.address)
+            for replica in self.candidates()
+        )
+
     def may_replace_attempt(self) -> bool:
         """Return whether a retry may replace the attempt in flight."""
         return self.route.retryable and self._may_retry_after(
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -25,8 +25,12 @@
 MAX_NESTING_DEPTH = 12
 OPEN_TIMEOUT_S = 3.0
 CLOSE_TIMEOUT_S = 0.5
-# Longest time that sent bytes may stay unacknowledged.
+# Longest time that sent bytes, or probes of an idle link, may stay
+# unacknowledged.
 DELIVERY_TIMEOUT_MS = 3000
+# How long a link is idle before the kernel probes it, and between probes.
+PROBE_IDLE_S = 2
+PROBE_INTERVAL_S = 1
 # Frames that may wait to be read before the sender is throttled.
 MAX_RECEIVE_QUEUE_FRAMES = 16
 
@@ -45,6 +49,11 @@
     'ask_news': messages.GatewayAsk,
     'news': messages.GatewayNews,
     'feed': messages.GatewayFeed,
+    'tunnel': messages.Tunnel,
+    'tunnel_answer': messages.TunnelAnswer,
+    'tunnel_data': messages.TunnelData,
+    'tunnel_end': messages.TunnelEnd,
+    'tunnel_stopping': messages.TunnelStopping,
 }
 
 MESSAGE_BYTES = prometheus_client.Counter(
@@ -171,19 +180,24 @@
 
 
 def _limit_delivery_time(connection: typing.Any) -> None:
-    """Have the kernel break a link whose bytes are not acknowledged.
+    """Have the kernel break a link whose other end is gone.
 
     Without this limit the kernel would retransmit for minutes during a
-    partition. Raise LinkClosedError when the socket is gone, as when the
-    peer closes right after it accepted.
+    partition, and keep an idle link for ever. Raise LinkClosedError when the
+    socket is gone, as when the peer closes right after it accepted.
     """
     stream = connection.stream
     if not isinstance(stream, trio.SocketStream):
         return
+    options = [
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DELIVERY_TIMEOUT_MS),
+    ]
     try:
-        stream.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, DELIVERY_TIMEOUT_MS
-        )
+        for option in options:
+            stream.setsockopt(*option)
     except OSError as error:
         raise LinkClosedError(
             f'connection closed before use: {error}'
@@ -244,6 +258,10 @@
         task_status.started(f'{bound[0]}:{bound[1]}')
 
         async def accept(connection: typing.Any) -> None:
+            try:
+                _limit_delivery_time(connection)
+            except LinkClosedError:
+                return
             await handler(WebsocketChannel(connection))
 
         async with trio.open_nursery() as nursery:
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -223,6 +223,8 @@
             'target': call.target,
             'answer_id': call.request_id.encode() or None,
             'connect_s': connect_s,
+            'silence_s': attempt.silence_s,
+            'ends_with_path': attempt.ends_with_path,
         },
     )
 
--- a/gentianstair/upstreams/connector.py
+++ b/gentianstair/upstreams/connector.py
@@ -46,6 +46,16 @@
         Raise UnreachableError.
         """
 
+    @abc.abstractmethod
+    def record_heard(self, stream: trio.abc.Stream) -> None:
+        """Record that a response has begun to arrive on a connection."""
+
+    @abc.abstractmethod
+    async def wait_path_lost(
+        self, url: httpx.URL, stream: trio.abc.Stream
+    ) -> None:
+        """Return when the path of a silent connection is known to be lost."""
+
 
 class DirectConnector(Connector):
     """Connects to the upstream itself, with TLS for an https URL."""
@@ -70,6 +80,15 @@
                 f'cannot connect: {error}'
             ) from error
 
+    def record_heard(self, stream: trio.abc.Stream) -> None:
+        """See Connector.record_heard; nothing is concluded from it."""
+
+    async def wait_path_lost(
+        self, url: httpx.URL, stream: trio.abc.Stream
+    ) -> None:
+        """See Connector.wait_path_lost; without another way none is."""
+        await trio.sleep_forever()
+
 
 @functools.singledispatch
 def is_unusable(stream: trio.abc.Stream) -> bool:
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -34,9 +34,10 @@
 
 
 class _IdleConnection(typing.NamedTuple):
-    """An idle connection, and the time when it expires."""
+    """An idle connection, since when it is idle, and when it expires."""
 
     stream: trio.abc.Stream
+    kept_at_s: float
     expires_at_s: float
 
 
@@ -213,6 +214,13 @@
             ) from error
 
 
+async def _receive_headers(
+    stream: trio.abc.Stream, parser: _ResponseParser
+) -> None:
+    while not parser.headers_done:
+        await _receive_into(stream, parser)
+
+
 def _may_have_run(message: str) -> errors.UpstreamError:
     return errors.UpstreamError(message, verdicts.Verdict.MAY_HAVE_RUN)
 
@@ -238,6 +246,10 @@
     - ``answer_id``: the request's id; a response with another id is
       dropped.
     - ``target``: the request target, sent as it is.
+    - ``silence_s``: the time without a response after which the connector
+      is asked about the path.
+    - ``ends_with_path``: whether the request is given up if its path is
+      lost.
     """
 
     def __init__(self, connector: connectors.Connector, idle_s: float) -> None:
@@ -252,7 +264,7 @@
         idle = self._idle.get((url.host, url.port or 0))
         now_s = trio.current_time()
         while idle:
-            stream, expires_at_s = idle.pop()
+            stream, _, expires_at_s = idle.pop()
             if now_s < expires_at_s and not connectors.is_unusable(stream):
                 return stream
             connectors.discard(stream)
@@ -262,10 +274,16 @@
         self, url: httpx.URL, stream: trio.abc.Stream, parser: _ResponseParser
     ) -> None:
         """Add a connection to the pool; close the oldest one if it is full."""
-        address = (url.host, url.port or 0)
+        self._add_idle(
+            (url.host, url.port or 0), stream, self._idle_limit_s(parser)
+        )
+
+    def _add_idle(
+        self, address: tuple[str, int], stream: trio.abc.Stream, limit_s: float
+    ) -> None:
         idle = self._idle.setdefault(address, collections.deque())
-        expires_at_s = trio.current_time() + self._idle_limit_s(parser)
-        idle.append(_IdleConnection(stream, expires_at_s))
+        now_s = trio.current_time()
+        idle.append(_IdleConnection(stream, now_s, now_s + limit_s))
         if len(idle) > MAX_IDLE_CONNECTIONS:
             connectors.discard(idle.popleft().stream)
 
@@ -283,6 +301,28 @@
         for idle in self._idle.pop((host, int(port)), ()):
             connectors.discard(idle.stream)
 
+    def add_idle(self, address: str, stream: trio.abc.Stream) -> None:
+        """Keep a new connection to an address (HOST:PORT) for a request."""
+        host, _, port = address.rpartition(':')
+        self._add_idle((host, int(port)), stream, self._idle_s)
+
+    def close_idle_where(
+        self,
+        is_obsolete: collections.abc.Callable[
+            [str, trio.abc.Stream, float], bool
+        ],
+    ) -> None:
+        """Close the idle connections for which is_obsolete returns True.
+
+        It is given their address (HOST:PORT), the connection, and since when
+        that has been idle, by Trio's clock.
+        """
+        for (host, port), idle in self._idle.items():
+            for one in list(idle):
+                if is_obsolete(f'{host}:{port}', one.stream, one.kept_at_s):
+                    idle.remove(one)
+                    connectors.discard(one.stream)
+
     async def handle_async_request(
         self, request: httpx.Request
     ) -> httpx.Response:
@@ -318,8 +358,7 @@
                 'the connection broke while sending'
             ) from error
         parser = _ResponseParser(request.extensions.get('answer_id'))
-        while not parser.headers_done:
-            await _receive_into(stream, parser)
+        await self._receive_headers(stream, parser, request)
         if request.method == 'HEAD':
             # Its headers may give a length, but no body follows.
             parser.done = True
@@ -332,6 +371,53 @@
             parser.status, headers=parser.headers, stream=body
         )
 
+    async def _receive_headers(
+        self,
+        stream: trio.abc.Stream,
+        parser: _ResponseParser,
+        request: httpx.Request,
+    ) -> None:
+        """Read the headers; have the path checked while nothing comes."""
+        silence_s = request.extensions.get('silence_s')
+        with trio.move_on_after(
+            math.inf if silence_s is None else silence_s
+        ) as silence:
+            await _receive_headers(stream, parser)
+        if silence.cancelled_caught:
+            await self._receive_unless_lost(stream, parser, request)
+        self._connector.record_heard(stream)
+
+    async def _receive_unless_lost(
+        self,
+        stream: trio.abc.Stream,
+        parser: _ResponseParser,
+        request: httpx.Request,
+    ) -> None:
+        """Read the headers of a silent connection.
+
+        Raise UpstreamError if its path is lost and the request ends with it.
+        """
+        failure: errors.UpstreamError | None = None
+
+        async def watch_path(scope: trio.CancelScope) -> None:
+            nonlocal failure
+            await self._connector.wait_path_lost(request.url, stream)
+            if request.extensions.get('ends_with_path'):
+                failure = _may_have_run('the path to the upstream is lost')
+                scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch_path, nursery.cancel_scope)
+            try:
+                await _receive_headers(stream, parser)
+                failure = None
+            except errors.UpstreamError as error:
+                # The nursery would wrap it in an exception group.
+                failure = error
+            nursery.cancel_scope.cancel()
+        if failure is not None and not parser.headers_done:
+            raise failure
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
--- a/test/gateway/test_leaf_feed.py
+++ b/test/gateway/test_leaf_feed.py
@@ -13,6 +13,7 @@
 LEAF = 'vm-2.ab'
 REPORT = {
     'process': LEAF,
+    'address': '10.0.0.2:1',
     'loads': replica_load.encode({'i-1': replica_load.Load(3, 40.0)}),
     'config_version': 0,
 }
