Play cuts of some VMs from all replicas in the soak, with a floor of service

Plan 'paths': cuts that hang, reset or refuse, of one or most VMs, with stops, kills, reloads and changes beside them; each VM has paths of its own. The check cut_vms_served is the users' rule: from 3 s after a cut began, first tries at the cut VMs against those at the others, without VMs whose process was disturbed.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -10,6 +10,13 @@
 
 # Statuses that say: it has not run, and never will.
 NOT_RUN = (408, 421, 429, 503)
+# VMs have this long to find out about a fault.
+CONTACT_S = 3.0
+# How much of the service elsewhere a VM without paths must give, and how many
+# failures there are always allowed, with a share of all tries.
+MIN_SERVICE_SHARE = 2 / 3
+ALLOWED_FAILURES = 10
+ALLOWED_FAILURE_SHARE = 1 / 50
 WORD = re.compile(r'^data: word(\d+)$', re.MULTILINE)
 
 
@@ -21,6 +28,14 @@
     to_s: float
 
 
+class Cut(typing.NamedTuple):
+    """A time for which some VMs had no path to any replica."""
+
+    vms: frozenset[str]
+    from_s: float
+    to_s: float
+
+
 class Seen(typing.NamedTuple):
     """All that was seen of a run."""
 
@@ -34,6 +49,9 @@
     revoked_s: dict[str, float]
     revoke_s: float
     breaks: list[Break]
+    cuts: list[Cut] = []
+    # When the process of a VM was stopped, killed or paused, to its start.
+    disturbed: list[Break] = []
 
 
 def _runs(seen: Seen) -> dict[str, list[tuple[str, replicas.Run]]]:
@@ -155,6 +173,53 @@
     )
 
 
+def cut_vms_served(seen: Seen) -> list[str]:
+    """First tries at VMs without a path are served about as elsewhere."""
+    breaches = []
+    for cut in seen.cuts:
+        here, elsewhere = [], []
+        for sent in seen.sent:
+            if not _is_in_touch(seen, sent, cut):
+                continue
+            (here if sent.vm in cut.vms else elsewhere).append(sent)
+        failed = len(here) - _served(here)
+        allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * (
+            len(here) + len(elsewhere)
+        )
+        # Without tries elsewhere there is nothing to compare with.
+        too_few = _served(here) * len(elsewhere) < MIN_SERVICE_SHARE * _served(
+            elsewhere
+        ) * len(here)
+        if too_few and failed > allowed:
+            breaches.append(
+                f'{sorted(cut.vms)} served {_served(here)} of {len(here)}, '
+                f'others {_served(elsewhere)} of {len(elsewhere)}'
+            )
+    return breaches
+
+
+def _served(found: list[callers.Sent]) -> int:
+    return sum(sent.status == 200 and sent.whole for sent in found)
+
+
+def _is_in_touch(seen: Seen, sent: callers.Sent, cut: Cut) -> bool:
+    """Return whether a try counts for the service during a cut.
+
+    Not so near its start, of a key that was taken away, or at a VM whose
+    process was disturbed.
+    """
+    if not cut.from_s + CONTACT_S <= sent.at_s <= cut.to_s:
+        return False
+    if sent.key in seen.revoked_s:
+        return False
+    return not any(
+        found.who == sent.vm
+        and found.from_s <= sent.ended_s
+        and found.to_s + CONTACT_S >= sent.at_s
+        for found in seen.disturbed
+    )
+
+
 CHECKS = (
     at_most_once,
     whole_answers,
@@ -162,6 +227,7 @@
     revoked,
     one_holder,
     lost,
+    cut_vms_served,
 )
 
 
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from standins.soak import paths
 from standins.soak import proxy
 
 # Between two faults, and how long each lasts.
@@ -19,6 +20,19 @@
 # Between two faults of hubs.
 HUB_GAP_S = (1.0, 3.0)
 CHANGES = ('config', 'revoke')
+# How long some VMs are cut from all replicas, and between two cuts.
+CUT_S = (4.0, 8.0)
+CUT_GAP_S = (0.5, 2.0)
+# Between two faults beside cuts.
+BESIDE_CUT_GAP_S = (1.0, 4.0)
+BESIDE_CUT = (
+    ('process', 'stop'),
+    ('process', 'kill'),
+    ('process', 'hup'),
+    ('replica', 'drains'),
+    ('replica', 'full'),
+    ('change', 'config'),
+)
 LINKS = ('store-link', 'replica-link')
 _MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
 # Where and what, each as likely as the others.
@@ -36,7 +50,7 @@
 
     at_s: float
     # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
-    # 'change'.
+    # 'change', 'paths'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
@@ -90,9 +104,34 @@
     return sorted(found)
 
 
+def draw_paths(seed: int, length_s: float) -> list[Fault]:
+    """Return cuts of some VMs from all replicas, one after the other.
+
+    Planned stops, kills and changes come beside them.
+    """
+    chance = random.Random(f'paths/{seed}')
+    found = []
+    at_s = 1.0
+    while at_s < length_s:
+        how = chance.choice(list(paths.Cut)).value
+        lasts_s = min(chance.uniform(*CUT_S), length_s - at_s)
+        found.append(
+            Fault(at_s, 'paths', how, chance.randrange(1000), lasts_s)
+        )
+        at_s += lasts_s + chance.uniform(*CUT_GAP_S)
+    at_s = 1.0
+    while at_s < length_s:
+        where, what = chance.choice(BESIDE_CUT)
+        lasts_s = min(chance.uniform(*LASTS_S), length_s - at_s)
+        found.append(Fault(at_s, where, what, chance.randrange(1000), lasts_s))
+        at_s += chance.uniform(*BESIDE_CUT_GAP_S)
+    return sorted(found)
+
+
 PLANS = {
     'faults': draw,
     'stops': draw_stops,
     'both': draw_both,
     'hubs': draw_hubs,
+    'paths': draw_paths,
 }
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -4,6 +4,7 @@
 import contextlib
 import copy
 import pathlib
+import random
 import signal
 import typing
 
@@ -18,6 +19,7 @@
 from standins.soak import callers
 from standins.soak import checks
 from standins.soak import kept
+from standins.soak import paths
 from standins.soak import plan
 from standins.soak import proxy
 
@@ -26,6 +28,9 @@
 VMS_WITH_LEAVES = 14
 DOMAINS = 'abc'
 CALLERS = 6
+# Enough that the service of single VMs can be compared; there are no kept
+# connections beside them, which all send at once.
+CALLERS_OF_CUTS = 30
 # Kept connections to each of the first VMS, by how they are used.
 KEPT = {kept.Use.OFTEN: 4, kept.Use.RARELY: 8, kept.Use.AT_CLOSE: 150}
 RESTART_S = 0.5
@@ -79,6 +84,11 @@
         self.stopped_s: dict[str, float] = {}
         self.revoked_s: dict[str, float] = {}
         self.breaches: list[str] = []
+        # VMs cut from all replicas, and those whose process was disturbed.
+        self.cuts: list[checks.Cut] = []
+        self.disturbed: list[checks.Break] = []
+        # Each VM's own paths to replicas; none if they are never cut.
+        self.paths: paths.Paths | None = None
         self._version = int(sites.CONFIG['version'])
         self._config = copy.deepcopy(sites.CONFIG)
         # VMs whose process is meant to be away.
@@ -115,6 +125,7 @@
             'store-link': self._strike_link,
             'replica-link': self._strike_link,
             'change': self._change,
+            'paths': self._strike_paths,
         }
         await strikes[fault.where](fault)
 
@@ -150,6 +161,22 @@
         await trio.sleep(lasts_s)
         faults.refused_vms.discard(vm)
 
+    async def _strike_paths(self, fault: plan.Fault) -> None:
+        """Cut some VMs, but not all, from all replicas for so long."""
+        assert self.paths is not None
+        vms = [gateway.vm for gateway in self.gateways]
+        chance = random.Random(fault.whom)
+        cut = chance.sample(vms, chance.randrange(1, len(vms)))
+        for vm in cut:
+            self.paths.cut(vm, paths.Cut(fault.what))
+        from_s = trio.current_time()
+        await trio.sleep(fault.lasts_s)
+        for vm in cut:
+            self.paths.heal(vm)
+        self.cuts.append(
+            checks.Cut(frozenset(cut), from_s, trio.current_time())
+        )
+
     async def _signal(self, number: int, fault: plan.Fault) -> None:
         gateway = self.gateways[number]
         if fault.what == 'hup':
@@ -162,16 +189,17 @@
                 # A stop is asked for again; it changes nothing.
                 gateway.signal(signal.SIGTERM)
             return
+        now_s = trio.current_time()
         if fault.what == 'pause':
             gateway.signal(signal.SIGSTOP)
             await trio.sleep(fault.lasts_s)
             gateway.signal(signal.SIGCONT)
+            self._note_disturbed(gateway.vm, now_s)
             return
         self._away.add(gateway.vm)
         # A stop before it serves cuts nobody, and ends an interpreter.
         planned = fault.what == 'stop' and gateway.has_started()
         gentle = fault.what == 'stop'
-        now_s = trio.current_time()
         breaks_s = now_s
         if planned:
             self.stopped_s[gateway.vm] = now_s
@@ -185,8 +213,12 @@
         self._note_break(gateway.vm, breaks_s)
         await trio.sleep(RESTART_S)
         self.start(number, bootstrap=False)
+        self._note_disturbed(gateway.vm, now_s)
         self._away.discard(gateway.vm)
 
+    def _note_disturbed(self, vm: str, from_s: float) -> None:
+        self.disturbed.append(checks.Break(vm, from_s, trio.current_time()))
+
     def _note_break(self, who: str, from_s: float) -> None:
         """Note that answers of a VM or replica may have ended until now."""
         now_s = trio.current_time()
@@ -301,12 +333,17 @@
         pairs = zip(site.replicas, soak.replica_links, strict=True)
         for replica, link in pairs:
             replica.address = f'127.0.0.1:{link.port}'
+        faults = draw(seed, length_s)
+        if any(fault.where == 'paths' for fault in faults):
+            soak.paths = paths.Paths(site)
+            for gateway in soak.gateways:
+                await soak.paths.add(gateway.vm, nursery)
         try:
             for number in range(vms):
                 soak.start(number, bootstrap=True)
             for gateway in soak.gateways:
                 await gateway.ready()
-            await _strike_all(soak, seed, draw(seed, length_s))
+            await _strike_all(soak, seed, faults)
         finally:
             for gateway in soak.gateways:
                 gateway.signal(signal.SIGKILL)
@@ -322,6 +359,8 @@
         soak.revoked_s,
         REVOKE_S,
         soak.breaks,
+        soak.cuts,
+        soak.disturbed,
     )
     found = soak.breaches + checks.all_breaches(seen)
     crossed = sum(sent.hung_up for sent in seen.sent)
@@ -345,7 +384,8 @@
         nursery.start_soon(soak.watch_exits)
         _start_callers(soak, seed, nursery)
         async with trio.open_nursery() as kept_nursery:
-            _start_kept(soak, seed, kept_nursery)
+            if soak.paths is None:
+                _start_kept(soak, seed, kept_nursery)
             async with trio.open_nursery() as strikes:
                 for fault in faults:
                     strikes.start_soon(soak.strike, fault)
@@ -356,7 +396,7 @@
 
 
 def _start_callers(soak: Soak, seed: int, nursery: trio.Nursery) -> None:
-    for number in range(CALLERS):
+    for number in range(CALLERS if soak.paths is None else CALLERS_OF_CUTS):
         nursery.start_soon(
             callers.run,
             soak.gateways,
