Take a late attempt that was never sent as not run

A unary attempt counts as late after three times its objective, 0.3 s on some routes, and connecting may take 0.5 s.

--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -1,5 +1,6 @@
 """Define a caller's request and an attempt to run it at a replica."""
 
+import collections.abc
 import typing
 
 from gentianstair.gateway import replicas
@@ -79,3 +80,5 @@
     # Whether the attempt is given up when its path is found to be lost; it
     # may be repeated.
     ends_with_path: bool = False
+    # Called just before the first byte is sent.
+    before_send: collections.abc.Callable[[], None] | None = None
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -1,5 +1,7 @@
 """Serve a unary request: one whole response, with retries."""
 
+import trio
+
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.gateway import forward
@@ -63,19 +65,19 @@
         lambda: request.record_late(replica, started_s),
     )
     found: list[forward.ReplicaResponse] = []
+    sent = trio.Event()
 
     async def fetch() -> None:
-        found.append(
-            await forward.fetch_response(
-                node, request.call, request.make_attempt(replica)
-            )
-        )
+        call = request.make_attempt(replica, before_send=sent.set)
+        found.append(await forward.fetch_response(node, request.call, call))
 
     load = node.load_tracker.begin(replica.name)
     try:
         if not _is_worth_replacing(request, late_s):
             await fetch()
         elif not await late_attempt.run_unless_replaced(fetch, attempt):
+            if not sent.is_set():
+                raise errors.UnreachableError('no connection in time')
             raise errors.UpstreamError(
                 'no answer in time', verdicts.Verdict.MAY_HAVE_RUN
             )
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -225,6 +225,7 @@
             'connect_s': connect_s,
             'silence_s': attempt.silence_s,
             'ends_with_path': attempt.ends_with_path,
+            'before_send': attempt.before_send,
         },
     )
 
