Keep paths, their connector and its keeper in core, for both interfaces

They were written for replicas of the gateway. What they ask of it is now the TunnelDirectory: an upstream's name, the peers to ask, and what these said.

--- a/gentianstair/gateway/replica_connector.py
+++ b/gentianstair/core/upstream_connector.py
@@ -1,6 +1,8 @@
-"""Connect to replicas directly, or through a peer where the path is lost."""
+"""Connect to upstreams directly, or through a peer where the path is lost."""
 
+import abc
 import functools
+import ssl
 import typing
 
 import httpx
@@ -8,9 +10,7 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.gateway import replica_paths
-from gentianstair.gateway import replicas
-from gentianstair.gateway import tunnel_peers
+from gentianstair.core import upstream_paths
 from gentianstair.generated import events
 from gentianstair.peers import link
 from gentianstair.peers import tunnel
@@ -23,8 +23,8 @@
 STAGGER_S = 0.15
 # How many peers are asked for one connection.
 MAX_PEERS_ASKED = 3
-# No path is checked while a replica has been heard from so lately, nor within
-# CHECK_PAUSE_S of the check before.
+# No path is checked while an upstream has been heard from so lately, nor
+# within CHECK_PAUSE_S of the check before.
 HEARD_S = 0.3
 CHECK_PAUSE_S = 0.5
 # The pause while several paths are lost, when any other may be, too.
@@ -34,8 +34,28 @@
 CHECK_TIMEOUT_S = 0.5
 
 
+class TunnelDirectory(abc.ABC):
+    """Whom to ask for a tunnel to an upstream."""
+
+    @abc.abstractmethod
+    def name_at(self, address: str) -> str | None:
+        """Return the name of the upstream at HOST:PORT, or None."""
+
+    @abc.abstractmethod
+    def choose_peers(self, upstream: str, limit: int) -> list[str]:
+        """Return the addresses of peers to ask in turn, the best first."""
+
+    @abc.abstractmethod
+    def record_refusal(self, peer: str) -> None:
+        """Record that a peer gave no tunnel."""
+
+    @abc.abstractmethod
+    def carries(self, peer: str) -> bool:
+        """Return whether a peer may go on carrying tunnels."""
+
+
 class _Ways(typing.NamedTuple):
-    """The ways to one replica, in the order in which they are tried."""
+    """The ways to one upstream, in the order in which they are tried."""
 
     ways: list[staggered.Way]
     # The index of the direct way.
@@ -44,22 +64,20 @@
     peers: dict[int, str]
 
 
-class ReplicaConnector(connector.Connector):
-    """Connects to replicas, and notes what that shows of the paths."""
+class UpstreamConnector(connector.Connector):
+    """Connects to upstreams, and notes what that shows of the paths."""
 
     def __init__(
         self,
-        paths: replica_paths.ReplicaPaths,
-        registry: replicas.Registry,
-        peers: tunnel_peers.TunnelPeers,
+        paths: upstream_paths.UpstreamPaths,
+        directory: TunnelDirectory,
         network: link.Network,
         nursery: trio.Nursery,
         clock: clocks.Clock,
     ) -> None:
+        self.paths = paths
+        self.directory = directory
         self._direct = connector.DirectConnector()
-        self._paths = paths
-        self._registry = registry
-        self._peers = peers
         self._network = network
         self._nursery = nursery
         self._clock = clock
@@ -73,16 +91,19 @@
         try:
             return await super().connect(url, limit_s)
         except errors.UnreachableError:
-            self._paths.record_unreached(_address(url))
+            self.paths.record_unreached(_address(url))
             raise
 
     async def connect_directly(
         self, address: str, limit_s: float
     ) -> trio.abc.Stream:
-        """Connect on this VM's own path; raise UnreachableError."""
+        """Connect on this VM's own path, without TLS.
+
+        Raise UnreachableError.
+        """
         url = httpx.URL(f'http://{address}')
         stream = await self._direct.connect(url, limit_s)
-        self._paths.record_reached(address)
+        self.paths.record_reached(address)
         return stream
 
     async def open(self, url: httpx.URL) -> trio.abc.Stream:
@@ -91,68 +112,55 @@
         found = self._ways(url, address)
         opened = await staggered.open_first(found.ways)
         if opened.way == found.direct:
-            self._paths.record_reached(address)
+            self.paths.record_reached(address)
         else:
-            self._paths.record_lost(address, found.peers[opened.way])
+            self.paths.record_lost(address, found.peers[opened.way])
         return opened.stream
 
     def _ways(self, url: httpx.URL, address: str) -> _Ways:
-        """Return the ways to a replica, the likeliest first.
+        """Return the ways to an upstream, the likeliest first.
 
         While several paths are lost any other may be too, so a peer is asked
         at once.
         """
         direct = functools.partial(self._direct.open, url)
-        asked = self._peers_for(address)
-        if not self._paths.is_lost(address):
-            pause_s = 0.0 if self._paths.is_cut() else STAGGER_S
-            ways = [staggered.Way(direct)]
-            for number, (_, ask) in enumerate(asked):
-                delay_s = STAGGER_S if number else pause_s
-                ways.append(staggered.Way(ask, delay_s))
-            peers = {n + 1: peer for n, (peer, _) in enumerate(asked)}
-            return _Ways(ways, 0, peers)
-        ways = [staggered.Way(ask, STAGGER_S) for _, ask in asked]
-        peers = {n: peer for n, (peer, _) in enumerate(asked)}
-        ways.append(staggered.Way(direct, STAGGER_S))
-        return _Ways(ways, len(asked), peers)
-
-    def _peers_for(
-        self, address: str
-    ) -> list[tuple[str, typing.Callable[[], typing.Any]]]:
-        """Return the peers to ask for a tunnel, and how to ask each."""
-        name = self._registry.name_at(address)
-        replica = self._registry.get(name) if name else None
-        if replica is None:
-            return []
-        chosen = self._peers.choose(replica.failure_domain, MAX_PEERS_ASKED)
-        return [
-            (
-                peer.address,
-                functools.partial(
-                    self._open_tunnel, peer.address, replica.name
-                ),
-            )
-            for peer in chosen
+        name = self.directory.name_at(address)
+        peers: list[str] = []
+        if name is not None:
+            peers = self.directory.choose_peers(name, MAX_PEERS_ASKED)
+        asked = [
+            functools.partial(self._open_tunnel, url, peer, name)
+            for peer in peers
         ]
-
-    async def _open_tunnel(self, peer: str, replica: str) -> trio.abc.Stream:
-        """Return a tunnel through a peer; raise UnreachableError."""
+        if self.paths.is_lost(address):
+            ways = [staggered.Way(ask, STAGGER_S) for ask in asked]
+            ways.append(staggered.Way(direct, STAGGER_S))
+            return _Ways(ways, len(asked), dict(enumerate(peers)))
+        pause_s = 0.0 if self.paths.is_cut() else STAGGER_S
+        ways = [staggered.Way(direct)]
+        for number, ask in enumerate(asked):
+            ways.append(staggered.Way(ask, STAGGER_S if number else pause_s))
+        return _Ways(ways, 0, dict(enumerate(peers, start=1)))
+
+    async def _open_tunnel(
+        self, url: httpx.URL, peer: str, upstream: str
+    ) -> trio.abc.Stream:
+        """Return a connection through a peer; raise UnreachableError."""
         found = await tunnel.open_tunnel(
-            self._network, self._nursery, peer, replica, CHECK_TIMEOUT_S
+            self._network, self._nursery, peer, upstream, CHECK_TIMEOUT_S
         )
         if isinstance(found, tunnel.TunnelStream):
-            return found
+            return await _add_tls(url, found)
         # Also if it could not connect either: its own path may be lost.
-        self._peers.record_refusal(peer)
+        self.directory.record_refusal(peer)
         loguru.logger.bind(
-            event=events.TUNNEL_REFUSED, peer=peer, replica=replica
+            event=events.TUNNEL_REFUSED, peer=peer, upstream=upstream
         ).debug('{}', found.detail)
         raise errors.UnreachableError(f'no tunnel: {found.detail}')
 
     def record_heard(self, stream: trio.abc.Stream) -> None:
         """See Connector.record_heard."""
-        if not isinstance(stream, tunnel.TunnelStream):
+        if tunnel.tunnel_of(stream) is None:
             self._heard_s = self._clock()
 
     async def wait_path_lost(
@@ -163,17 +171,17 @@
         A connection through a peer is waited for without an end, as its
         path is not this VM's.
         """
-        if isinstance(stream, tunnel.TunnelStream):
+        if tunnel.tunnel_of(stream) is not None:
             await trio.sleep_forever()
         address = _address(url)
         while True:
-            if self._paths.is_lost(address):
+            if self.paths.is_lost(address):
                 if not await self._is_back(address):
                     return
             elif self._may_check():
                 await self._check(url)
             with trio.move_on_after(CHECK_INTERVAL_S):
-                await self._paths.wait_changed()
+                await self.paths.wait_changed()
 
     async def _is_back(self, address: str) -> bool:
         """Connect directly; a peer may only have been quicker before."""
@@ -187,7 +195,7 @@
     def _may_check(self) -> bool:
         now_s = self._clock()
         since_check_s = now_s - self._checked_s
-        if self._paths.is_cut():
+        if self.paths.is_cut():
             return since_check_s > CHECK_PAUSE_CUT_S
         return (
             since_check_s > CHECK_PAUSE_S and now_s - self._heard_s > HEARD_S
@@ -205,4 +213,30 @@
 
 
 def _address(url: httpx.URL) -> str:
-    return f'{url.host}:{url.port}'
+    return f'{url.host}:{connector.port_of(url)}'
+
+
+async def _add_tls(
+    url: httpx.URL, stream: tunnel.TunnelStream
+) -> trio.abc.Stream:
+    """Return the stream with TLS up to the upstream if its URL asks for it."""
+    if url.scheme != 'https':
+        return stream
+    secure = trio.SSLStream(
+        stream,
+        ssl.create_default_context(),
+        server_hostname=url.host,
+        https_compatible=True,
+    )
+    try:
+        await secure.do_handshake()
+    except trio.BrokenResourceError as error:
+        stream.close()
+        raise errors.UnreachableError(f'no TLS: {error}') from error
+    except BaseException:
+        stream.close()
+        raise
+    return secure
+
+
+__all__ = ['TunnelDirectory', 'UpstreamConnector']
--- a/gentianstair/gateway/replica_paths.py
+++ b/gentianstair/core/upstream_paths.py
@@ -1,6 +1,6 @@
-"""Track which replicas this VM reaches itself.
+"""Track which upstreams this VM reaches itself.
 
-A replica that this VM can't connect to may be down, or only the path from
+An upstream that this VM can't connect to may be down, or only the path from
 this VM is lost. A connection through another VM tells the two apart.
 """
 
@@ -13,62 +13,62 @@
 from gentianstair.generated import events
 from gentianstair.util import clock as clocks
 
-# This many replicas in a row that can't be reached, with none reached between
+# This many upstreams in a row that can't be reached, with none reached between
 # them, point at this VM's own paths.
-MIN_UNREACHED_REPLICAS = 2
+MIN_UNREACHED = 2
 # It is logged once it has lasted this long.
 MIN_CUT_S = 1.0
 
 CONNECTS = prometheus_client.Counter(
-    'gentianstair_gateway_replica_connects',
-    'Connections to replicas: opened by this VM itself, through a peer, or '
+    'gentianstair_upstream_connects',
+    'Connections to upstreams: opened by this VM itself, through a peer, or '
     'not at all',
     ['outcome'],
 )
 UNREACHED = prometheus_client.Gauge(
-    'gentianstair_gateway_replicas_unreached',
-    'Replicas to which the last connection could not be opened directly',
+    'gentianstair_upstreams_unreached',
+    'Upstreams to which the last connection could not be opened directly',
 )
 LOST_PATHS = prometheus_client.Gauge(
-    'gentianstair_gateway_lost_paths',
-    'Replicas that peers reach and this VM does not',
+    'gentianstair_lost_paths',
+    'Upstreams that peers reach and this VM does not',
 )
 
 
-class ReplicaPaths:
-    """What connecting has shown of the paths to replicas, by address."""
+class UpstreamPaths:
+    """What connecting has shown of the paths to upstreams, by address."""
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        # Since when each replica has not been reached.
+        # Since when each upstream has not been reached.
         self._unreached_since_s: dict[str, float] = {}
-        # Replicas not reached since the last one that was, and since when.
+        # Upstreams not reached since the last one that was, and since when.
         self._in_a_row: set[str] = set()
         self._row_since_s = math.inf
-        # Since when the path to each replica that a peer reaches is lost.
+        # Since when the path to each upstream that a peer reaches is lost.
         self._lost_since_s: dict[str, float] = {}
         self._cut_since_s: float | None = None
         self._last_reached_s = -math.inf
         self._changed = trio.Event()
 
     def is_lost(self, address: str) -> bool:
-        """Return whether peers reach a replica and this VM does not."""
+        """Return whether peers reach an upstream and this VM does not."""
         return address in self._lost_since_s
 
     def is_unreached(self, address: str) -> bool:
-        """Return whether nothing reached a replica at the last connect."""
+        """Return whether nothing reached an upstream at the last connect."""
         return address in self._unreached_since_s and not self.is_lost(address)
 
     def lost(self) -> list[str]:
-        """Return the replicas whose path is lost, longest first."""
+        """Return the upstreams whose path is lost, longest first."""
         return list(self._lost_since_s)
 
     def is_cut(self) -> bool:
-        """Return whether the paths to several replicas are lost."""
-        return len(self._lost_since_s) >= MIN_UNREACHED_REPLICAS
+        """Return whether the paths to several upstreams are lost."""
+        return len(self._lost_since_s) >= MIN_UNREACHED
 
     def distrusted_before_s(self, address: str) -> float:
-        """Return since when the path to a replica may have been lost.
+        """Return since when the path to an upstream may have been lost.
 
         A connection that was not heard from since then may be dead.
         """
@@ -97,7 +97,7 @@
             event=events.PATH_BACK,
             address=address,
             lost_s=round(self._clock() - lost_since_s, 3),
-        ).info('the path to a replica is back')
+        ).info('the path to an upstream is back')
 
     def record_unreached(self, address: str) -> None:
         """Record a connection that could not be opened at all."""
@@ -112,11 +112,11 @@
             self._note_change()
             loguru.logger.bind(
                 event=events.PATH_LOST, address=address, peer=peer
-            ).info('the path to a replica that a peer reaches is lost')
+            ).info('the path to an upstream that a peer reaches is lost')
         self._add_unreached(address)
 
     def forget(self, address: str) -> None:
-        """Forget a replica that is gone."""
+        """Forget an upstream that is gone."""
         self._unreached_since_s.pop(address, None)
         self._in_a_row.discard(address)
         if self._lost_since_s.pop(address, None) is not None:
@@ -140,7 +140,7 @@
         self._set_gauges()
         if (
             self._cut_since_s is None
-            and len(self._in_a_row) >= MIN_UNREACHED_REPLICAS
+            and len(self._in_a_row) >= MIN_UNREACHED
             and now_s - self._row_since_s >= MIN_CUT_S
         ):
             self._begin_cut()
@@ -149,13 +149,13 @@
         self._cut_since_s = self._row_since_s
         reached_s = self._clock() - self._last_reached_s
         loguru.logger.bind(
-            event=events.REPLICAS_LOST,
+            event=events.UPSTREAMS_LOST,
             addresses=sorted(self._in_a_row),
             reached_by_peers=sorted(self._lost_since_s),
             last_reached_s=round(reached_s, 3)
             if math.isfinite(reached_s)
             else None,
-        ).warning('this VM connects to no replica any more')
+        ).warning('this VM connects to no upstream any more')
 
     def _end_cut(self, address: str) -> None:
         if self._cut_since_s is None:
@@ -163,7 +163,7 @@
         lost_s = self._clock() - self._cut_since_s
         self._cut_since_s = None
         loguru.logger.bind(
-            event=events.REPLICAS_BACK,
+            event=events.UPSTREAMS_BACK,
             address=address,
             lost_s=round(lost_s, 3),
-        ).info('this VM connects to replicas again')
+        ).info('this VM connects to upstreams again')
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -6,15 +6,15 @@
 
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
+from gentianstair.core import path_keeper
+from gentianstair.core import upstream_paths
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
-from gentianstair.gateway import replica_connector
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replica_paths
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster
@@ -61,11 +61,11 @@
     retry_budget: retry_budget.RetryBudget
     limiter: limiter.Limiter
     ejector: ejection.Ejector
-    paths: replica_paths.ReplicaPaths
-    connector: replica_connector.ReplicaConnector
+    paths: upstream_paths.UpstreamPaths
     transport: transports.Transport
     tunnel_peers: tunnel_peers.TunnelPeers
     tunnel_server: tunnel.TunnelServer
+    path_keeper: path_keeper.PathKeeper
     store: stores.Store
     usage_counter: usage_counter.UsageCounter
     # Set when a shutdown begins; responses then close their connections.
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -16,7 +16,6 @@
 from gentianstair.gateway import hub_client
 from gentianstair.gateway import leaf_feed
 from gentianstair.gateway import node as nodes
-from gentianstair.gateway import path_keeper
 from gentianstair.gateway import peer_updates
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
@@ -355,7 +354,7 @@
     client = hub_client.HubClient(node, network, updates)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(links.run)
-        nursery.start_soon(path_keeper.run, node)
+        nursery.start_soon(node.path_keeper.run)
         nursery.start_soon(client.run)
 
 
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -10,6 +10,9 @@
 from gentianstair.control import lease
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
+from gentianstair.core import path_keeper
+from gentianstair.core import upstream_connector
+from gentianstair.core import upstream_paths
 from gentianstair.gateway import autoscaler
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import deployment
@@ -21,13 +24,12 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
-from gentianstair.gateway import replica_connector
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replica_paths
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import store_watch
+from gentianstair.gateway import tunnel_directory
 from gentianstair.gateway import tunnel_peers
 from gentianstair.gateway import usage_counter
 from gentianstair.limits import limiter
@@ -145,7 +147,7 @@
 
 async def _open_replica(
     registry: replicas.Registry,
-    connector: replica_connector.ReplicaConnector,
+    connector: upstream_connector.UpstreamConnector,
     name: str,
     limit_s: float,
 ) -> trio.abc.Stream:
@@ -179,20 +181,22 @@
     roster = rosters.Roster(own_vm, members, registry, now)
     active_config = nodes.ActiveConfig()
     draining = trio.Event()
-    paths = replica_paths.ReplicaPaths(now)
+    paths = upstream_paths.UpstreamPaths(now)
     peers = tunnel_peers.TunnelPeers(
         tunnel_peers.TunnelPeer(own_vm.failure_domain, own_vm.peer_address),
         now,
         random.Random(vm_settings.vm),
     )
-    connector = replica_connector.ReplicaConnector(
+    connector = upstream_connector.UpstreamConnector(
         paths,
-        registry,
-        peers,
+        tunnel_directory.TunnelDirectory(registry, peers),
         link.WebsocketNetwork(vm_settings.peer_address, None),
         nursery,
         now,
     )
+    replica_transport = transport.make_transport(
+        connector, REPLICA_IDLE_TIMEOUT_S
+    )
     return nodes.Node(
         live_settings=live,
         clock=now,
@@ -220,14 +224,16 @@
         limiter=_make_limiter(live, active_config, roster),
         ejector=ejection.Ejector(),
         paths=paths,
-        connector=connector,
-        transport=transport.make_transport(connector, REPLICA_IDLE_TIMEOUT_S),
+        transport=replica_transport,
         tunnel_peers=peers,
         tunnel_server=tunnel.TunnelServer(
             functools.partial(_open_replica, registry, connector),
             int(vm_settings.max_fds * MAX_TUNNELS_PER_FD),
             draining,
         ),
+        path_keeper=path_keeper.PathKeeper(
+            connector, replica_transport, now, random.Random(vm_settings.vm)
+        ),
         store=store,
         usage_counter=counts,
         draining=draining,
--- a/gentianstair/peers/tunnel.py
+++ b/gentianstair/peers/tunnel.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 import enum
+import functools
 import typing
 
 import loguru
@@ -127,6 +128,22 @@
     stream.close()
 
 
+@functools.singledispatch
+def tunnel_of(stream: trio.abc.Stream) -> TunnelStream | None:
+    """Return the tunnel that carries a connection, None if it is direct."""
+    return None
+
+
+@tunnel_of.register
+def _(stream: TunnelStream) -> TunnelStream | None:
+    return stream
+
+
+@tunnel_of.register
+def _(stream: trio.SSLStream) -> TunnelStream | None:
+    return tunnel_of(stream.transport_stream)
+
+
 async def _receive(channel: link.Channel) -> link.Message:
     """Return the next message of a type that is known; raise LinkClosedError.
 
@@ -206,7 +223,11 @@
         'limit_ms': int(limit_s * 1000),
     }
     await channel.send(link.encode(question))
-    answer = await _receive(channel)
+    while True:
+        answer = await _receive(channel)
+        # Some peers greet whoever links to them.
+        if answer['type'] == 'tunnel_answer':
+            break
     try:
         return Outcome(answer.get('outcome'))
     except ValueError as error:
@@ -344,4 +365,5 @@
     'TunnelServer',
     'TunnelStream',
     'open_tunnel',
+    'tunnel_of',
 ]
--- a/gentianstair/upstreams/connector.py
+++ b/gentianstair/upstreams/connector.py
@@ -18,6 +18,11 @@
 HTTP_PORT = 80
 
 
+def port_of(url: httpx.URL) -> int:
+    """Return the port of a URL, or the usual one of its scheme."""
+    return url.port or (HTTPS_PORT if url.scheme == 'https' else HTTP_PORT)
+
+
 class Connector(abc.ABC):
     """Opens the connections on which requests are sent."""
 
@@ -66,7 +71,7 @@
     async def open(self, url: httpx.URL) -> trio.abc.Stream:
         """See Connector.open."""
         secure = url.scheme == 'https'
-        port = url.port or (HTTPS_PORT if secure else HTTP_PORT)
+        port = port_of(url)
         try:
             if secure:
                 stream = await trio.open_ssl_over_tcp_stream(
--- a/test/gateway/test_replica_paths.py
+++ b/test/core/test_upstream_paths.py
@@ -1,9 +1,9 @@
-"""Test what a VM concludes from connections to replicas."""
+"""Test what a VM concludes from connections to upstreams."""
 
 import loguru
 import pytest
 
-from gentianstair.gateway import replica_paths
+from gentianstair.core import upstream_paths
 
 
 @pytest.fixture
@@ -24,33 +24,33 @@
         ('-a', False, []),
         ('-a -a -a', False, []),
         ('-a +b -c', False, []),
-        ('-a -b', False, ['replicas-lost']),
-        ('+a -a -b -c', False, ['replicas-lost']),
+        ('-a -b', False, ['upstreams-lost']),
+        ('+a -a -b -c', False, ['upstreams-lost']),
         ('-a -a -a +b -a', False, []),
-        ('-a -b +c', False, ['replicas-lost', 'replicas-back']),
+        ('-a -b +c', False, ['upstreams-lost', 'upstreams-back']),
         (
             '-a -b +c -a -b',
             False,
-            ['replicas-lost', 'replicas-back', 'replicas-lost'],
+            ['upstreams-lost', 'upstreams-back', 'upstreams-lost'],
         ),
         ('~a', False, ['path-lost']),
         ('~a ~a +a', False, ['path-lost', 'path-back']),
-        ('~a ~b', True, ['path-lost', 'path-lost', 'replicas-lost']),
+        ('~a ~b', True, ['path-lost', 'path-lost', 'upstreams-lost']),
         (
             '~a ~b +b',
             False,
-            ['path-lost', 'path-lost', 'replicas-lost']
-            + ['replicas-back', 'path-back'],
+            ['path-lost', 'path-lost', 'upstreams-lost']
+            + ['upstreams-back', 'path-back'],
         ),
         ('~a +c ~b', True, ['path-lost', 'path-lost']),
     ],
 )
-def test_vm_tells_lost_paths_from_replicas_that_are_down(
+def test_vm_tells_lost_paths_from_upstreams_that_are_down(
     logged, outcomes, is_cut, events
 ):
     # + reached, - not reached, ~ reached through a peer only.
     now_s = 0.0
-    paths = replica_paths.ReplicaPaths(lambda: now_s)
+    paths = upstream_paths.UpstreamPaths(lambda: now_s)
     for outcome in outcomes.split():
         now_s += 1.0
         sign, address = outcome
@@ -77,7 +77,7 @@
     # Guards against requests that run once at most on connections that were
     # kept from before a cut.
     now_s = 0.0
-    paths = replica_paths.ReplicaPaths(lambda: now_s)
+    paths = upstream_paths.UpstreamPaths(lambda: now_s)
     for sign, address in outcomes.split():
         now_s += 1.0
         if sign == '+':
