Reach upstreams through a peer on the OpenAI-style interface too

An entry VM that loses its path to an engine or service had the same fault: a connect that fails counts as the loss of the upstream, and no call has a second way. Its connections now come from the same connector; the peers are the live members, the names those of the view, and a tunnel carries TLS up to the upstream. A member of an older version ends the link at the unknown first message, and is avoided for a while.

Before, the transport knew one way only and each of its connects ended as unreachable. The choice among peers is now shared by both interfaces (core/peer_choice.py). make_node takes the nursery and the event of a planned stop, as tunnels outlive requests; the test that makes one says so.

--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -25,12 +25,12 @@
 from gentianstair.entry import routing
 from gentianstair.entry import sharing
 from gentianstair.entry import upstream_monitor
+from gentianstair.entry import upstream_parts
 from gentianstair.entry import usage as usages
 from gentianstair.generated import settings as generated
 from gentianstair.peers import node as peers
 from gentianstair.store import call_budget
 from gentianstair.store import http_store
-from gentianstair.upstreams import transport
 from gentianstair.util import clock
 from gentianstair.util import serving
 from gentianstair.util import stop_signals
@@ -66,8 +66,14 @@
 
 def make_node(
     config: generated.EntrySettings,
+    nursery: trio.Nursery,
+    leaving: trio.Event,
 ) -> tuple[nodes.Node, peers.Node]:
-    """Return the components of an entry process; none is running yet."""
+    """Return the components of an entry process; none is running yet.
+
+    The nursery is that of tasks which outlive a request; leaving is set when
+    a planned stop begins.
+    """
     view = views.View(config.bundle_public_key)
     now = clock.boottime_s
     store = call_budget.make_budget_store(
@@ -76,6 +82,10 @@
         now,
     )
     peer = peers.make_node(config, view, store, now)
+    parts = upstream_parts.make_upstream_parts(
+        config, view, peer, nursery, leaving
+    )
+    peer.tunnel_server = parts.tunnel_server
     explanations = explain.make_explanations()
 
     def record(decision: admission_types.Decision) -> None:
@@ -117,7 +127,8 @@
             ),
         ),
         explanations=explanations,
-        transport=transport.make_transport(),
+        transport=parts.transport,
+        path_keeper=parts.path_keeper,
         grace=grace_period.GracePeriod(),
     )
     return node, peer
@@ -197,10 +208,6 @@
     )
     sock = serving.listen(config.listen, reuse_port=True)
     operator_sock = serving.listen(config.operator_listen)
-    node, peer = make_node(config)
-    links = claim_links.connect(
-        config, node.claims, node.claims.store, node.clock
-    )
     leaving = trio.Event()
 
     async def leave() -> None:
@@ -220,7 +227,12 @@
     host, port = sock.getsockname()[:2]
     operator_port = operator_sock.getsockname()[1]
     async with trio.open_nursery() as nursery:
+        node, peer = make_node(config, nursery, leaving)
+        links = claim_links.connect(
+            config, node.claims, node.claims.store, node.clock
+        )
         await nursery.start(peer.run)
+        nursery.start_soon(node.path_keeper.run)
         nursery.start_soon(sharing.run, node, peer)
         nursery.start_soon(node.claims.run_batches)
         nursery.start_soon(links.run)
@@ -246,6 +258,9 @@
             credentials.server if credentials else None,
             send_stall_s=config.caller_stall_s,
         )
+        if peer.tunnel_server is not None:
+            with trio.move_on_after(node.grace.remaining_s()):
+                await peer.tunnel_server.wait_all_closed()
         await _flush_at_shutdown(node, config.store_timeout_s)
         nursery.cancel_scope.cancel()
 
--- a/gentianstair/entry/node.py
+++ b/gentianstair/entry/node.py
@@ -5,6 +5,7 @@
 from gentianstair.config import view as views
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
+from gentianstair.core import path_keeper
 from gentianstair.entry import admission
 from gentianstair.entry import claims as claimses
 from gentianstair.entry import explain
@@ -39,6 +40,7 @@
     usage: usages.UsageRecorder
     explanations: explain.Explanations
     transport: transport.Transport
+    path_keeper: path_keeper.PathKeeper
     grace: grace_period.GracePeriod
 
     @property
--- /dev/null
+++ b/gentianstair/entry/tunnel_directory.py
@@ -0,0 +1,79 @@
+"""Tell the connector which entry VMs carry tunnels to an upstream."""
+
+import random
+
+import httpx
+
+from gentianstair.config import view as views
+from gentianstair.core import peer_choice
+from gentianstair.core import upstream_connector
+from gentianstair.peers import membership
+from gentianstair.peers import node as peers
+from gentianstair.upstreams import connector
+from gentianstair.util import clock as clocks
+
+
+class TunnelDirectory(upstream_connector.TunnelDirectory):
+    """The upstreams of the view, and the members that are live."""
+
+    def __init__(
+        self,
+        view: views.View,
+        peer: peers.Node,
+        failure_domain: str,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._peer = peer
+        self._choice = peer_choice.PeerChoice(failure_domain, clock, rng)
+        self._names: dict[str, str] = {}
+        # The view's revision when the names were looked up.
+        self._revision = -1
+
+    def name_at(self, address: str) -> str | None:
+        """See upstream_connector.TunnelDirectory."""
+        if self._revision != self._view.revision:
+            self._revision = self._view.revision
+            self._names = {
+                upstream_address(value['url']): name
+                for name in self._view.valid_names('upstream')
+                if (value := self._view.upstream(name)) is not None
+            }
+        return self._names.get(address)
+
+    def choose_peers(self, upstream: str, limit: int) -> list[str]:
+        """See upstream_connector.TunnelDirectory."""
+        value = self._view.upstream(upstream)
+        domain = value['failure_domain'] if value else None
+        chosen = self._choice.choose(self._live_peers(), domain, limit)
+        return [peer.address for peer in chosen]
+
+    def record_refusal(self, peer: str) -> None:
+        """See upstream_connector.TunnelDirectory."""
+        self._choice.record_refusal(peer)
+
+    def carries(self, peer: str) -> bool:
+        """See upstream_connector.TunnelDirectory."""
+        return any(found.address == peer for found in self._live_peers())
+
+    def _live_peers(self) -> list[peer_choice.TunnelPeer]:
+        return [
+            peer_choice.TunnelPeer(member.failure_domain, member.address)
+            for member in self._peer.members()
+            if member.status == membership.LIVE
+            and member.name != self._peer.name
+        ]
+
+
+def upstream_address(url: str) -> str:
+    """Return the HOST:PORT of an upstream's URL.
+
+    >>> upstream_address('https://engine.example/v1')
+    'engine.example:443'
+    """
+    parsed = httpx.URL(url)
+    return f'{parsed.host}:{connector.port_of(parsed)}'
+
+
+__all__ = ['TunnelDirectory', 'upstream_address']
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -11,6 +11,7 @@
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
+from gentianstair.core import peer_choice
 from gentianstair.core import upstream_connector
 from gentianstair.core import upstream_paths
 from gentianstair.gateway import autoscaler
@@ -183,7 +184,7 @@
     draining = trio.Event()
     paths = upstream_paths.UpstreamPaths(now)
     peers = tunnel_peers.TunnelPeers(
-        tunnel_peers.TunnelPeer(own_vm.failure_domain, own_vm.peer_address),
+        peer_choice.TunnelPeer(own_vm.failure_domain, own_vm.peer_address),
         now,
         random.Random(vm_settings.vm),
     )
--- a/gentianstair/gateway/tunnel_peers.py
+++ b/gentianstair/gateway/tunnel_peers.py
@@ -5,43 +5,36 @@
 import typing
 
 from gentianstair import errors
+from gentianstair.core import peer_choice
 from gentianstair.gateway import hubs
 from gentianstair.util import clock as clocks
 
 # A report of a peer counts for this long; it reports several times a second.
 REPORT_TIMEOUT_S = 1.5
-# How long a peer that gave no tunnel is asked last.
-AVOIDED_S = 2.0
 # How many of its leaves a hub names to other hubs.
 SHARED_LEAVES = 4
 # How many VMs a hub names to a leaf, of its own failure domain and of others.
 NAMED_PEERS_OF_DOMAIN = 4
 
 
-class TunnelPeer(typing.NamedTuple):
-    """A VM that carries tunnels."""
-
-    failure_domain: str
-    # HOST:PORT of its links to peers.
-    address: str
-
-
 class TunnelPeers:
     """The VMs that carry tunnels, as they or a hub have reported."""
 
     def __init__(
-        self, own: TunnelPeer, clock: clocks.Clock, rng: random.Random
+        self,
+        own: peer_choice.TunnelPeer,
+        clock: clocks.Clock,
+        rng: random.Random,
     ) -> None:
         self._own = own
         self._clock = clock
-        self._rng = rng
         # When each peer reported last, by address.
         self._reported_s: dict[str, float] = {}
         # The failure domains of those that carry tunnels.
         self._domains: dict[str, str] = {}
         # Those that a hub has named, by the hub's address.
-        self._named: dict[str, list[TunnelPeer]] = {}
-        self._avoided_until_s: dict[str, float] = {}
+        self._named: dict[str, list[peer_choice.TunnelPeer]] = {}
+        self._choice = peer_choice.PeerChoice(own.failure_domain, clock, rng)
 
     def record_report(self, address: str, failure_domain: str | None) -> None:
         """Record a peer's report; it carries tunnels if it gives a domain."""
@@ -56,13 +49,15 @@
     ) -> None:
         """Record the VMs that a hub names; raise DecodeError."""
         try:
-            self._named[hub_address] = [TunnelPeer(*row) for row in rows]
+            self._named[hub_address] = [
+                peer_choice.TunnelPeer(*row) for row in rows
+            ]
         except TypeError as error:
             raise errors.DecodeError(f'bad tunnel peer: {error}') from error
 
     def record_refusal(self, address: str) -> None:
         """Record a peer that gave no tunnel."""
-        self._avoided_until_s[address] = self._clock() + AVOIDED_S
+        self._choice.record_refusal(address)
 
     def carries(self, address: str) -> bool:
         """Return whether a peer is known to carry tunnels."""
@@ -70,32 +65,9 @@
 
     def choose(
         self, replica_domain: str | None, limit: int
-    ) -> list[TunnelPeer]:
-        """Return peers to ask in turn, in random order among equals.
-
-        Those in this VM's failure domain come first, then those in the
-        replica's, as bytes between domains are charged; those that gave no
-        tunnel a while ago come last. Each is of another domain if there is
-        one, as a whole domain may have lost its paths and not know it yet.
-        """
-        now_s = self._clock()
-        peers = list(self._all())
-        self._rng.shuffle(peers)
-        peers.sort(
-            key=lambda peer: (
-                self._avoided_until_s.get(peer.address, 0.0) > now_s,
-                peer.failure_domain != self._own.failure_domain,
-                peer.failure_domain != replica_domain,
-            )
-        )
-        chosen: list[TunnelPeer] = []
-        while peers and len(chosen) < limit:
-            domains = {peer.failure_domain for peer in chosen}
-            other = (p for p in peers if p.failure_domain not in domains)
-            peer = next(other, peers[0])
-            peers.remove(peer)
-            chosen.append(peer)
-        return chosen
+    ) -> list[peer_choice.TunnelPeer]:
+        """Return peers to ask in turn; see peer_choice.PeerChoice."""
+        return self._choice.choose(self._all(), replica_domain, limit)
 
     def shared_leaves(self, leaves: set[str]) -> list[list[str]]:
         """Return rows of some leaves, by address, for other hubs."""
@@ -125,15 +97,15 @@
         reported_s = self._reported_s.get(address, -math.inf)
         return reported_s >= self._clock() - REPORT_TIMEOUT_S
 
-    def _reporting(self) -> list[TunnelPeer]:
+    def _reporting(self) -> list[peer_choice.TunnelPeer]:
         """Return the peers that have reported lately."""
         return [
-            TunnelPeer(domain, address)
+            peer_choice.TunnelPeer(domain, address)
             for address, domain in self._domains.items()
             if self._is_current(address)
         ]
 
-    def _all(self) -> set[TunnelPeer]:
+    def _all(self) -> set[peer_choice.TunnelPeer]:
         found = set(self._reporting())
         for address, named in self._named.items():
             if self._is_current(address):
@@ -143,15 +115,15 @@
 
 
 def _top_ranked(
-    peers: typing.Iterable[TunnelPeer], name: str, limit: int
-) -> list[TunnelPeer]:
+    peers: typing.Iterable[peer_choice.TunnelPeer], name: str, limit: int
+) -> list[peer_choice.TunnelPeer]:
     return sorted(
         peers, key=lambda peer: -hubs.rendezvous_score(name, peer.address)
     )[:limit]
 
 
-def _rows(peers: list[TunnelPeer]) -> list[list[str]]:
+def _rows(peers: list[peer_choice.TunnelPeer]) -> list[list[str]]:
     return sorted(list(peer) for peer in peers)
 
 
-__all__ = ['TunnelPeer', 'TunnelPeers']
+__all__ = ['TunnelPeers']
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -24,6 +24,7 @@
 from gentianstair.peers import summaries as summaries_module
 from gentianstair.peers import survey as survey_module
 from gentianstair.peers import topology
+from gentianstair.peers import tunnel
 from gentianstair.store import store as store_module
 from gentianstair.store import vm_list as vm_list_module
 from gentianstair.util import clock as clock_module
@@ -130,6 +131,8 @@
             clock,
             lambda: self._topology_changed.set(),
         )
+        # Carries tunnels to upstreams for other VMs; None carries none.
+        self.tunnel_server: tunnel.TunnelServer | None = None
         self._nursery: trio.Nursery
         self.started = trio.Event()
         self.address = ''
@@ -241,6 +244,9 @@
             with trio.fail_after(HELLO_TIMEOUT_S):
                 data = await channel.receive()
             hello = link.decode(data)
+            if hello is not None and hello['type'] == 'tunnel':
+                await self._serve_tunnel(channel, hello)
+                return
             if hello is None or hello['type'] != 'hello':
                 raise errors.DecodeError('first message is not a hello')
         except (link.LinkClosedError, errors.DecodeError, trio.TooSlowError):
@@ -273,6 +279,12 @@
         if not self._is_linked(peer.name):
             self._nursery.start_soon(self._prober.probe, peer.name)
 
+    async def _serve_tunnel(
+        self, channel: link.Channel, message: link.Message
+    ) -> None:
+        if self.tunnel_server is not None:
+            await self.tunnel_server.serve(channel, message)
+
     def _close_duplicate_link(self, name: str) -> None:
         """Keep one link when two nodes dialed each other at once.
 
--- a/test/entry/test_bad_input.py
+++ b/test/entry/test_bad_input.py
@@ -232,10 +232,11 @@
 async def open_entry():
     """Yield an entry with one engine and one service as upstreams."""
     values = settings.collect(generated.ENTRY, SETTINGS, {})
-    node, _ = main.make_node(generated.EntrySettings(**values))
-    node = node._replace(freshness=AlwaysFresh())
+    config = generated.EntrySettings(**values)
     upstream = Upstream()
     async with trio.open_nursery() as nursery:
+        node, _ = main.make_node(config, nursery, trio.Event())
+        node = node._replace(freshness=AlwaysFresh())
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listeners[0].socket.getsockname()[1]
         nursery.start_soon(trio.serve_listeners, upstream.serve, listeners)
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -3,6 +3,7 @@
 import random
 import types
 
+from gentianstair.core import peer_choice
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_records
@@ -41,7 +42,7 @@
 
 def make_tunnel_peers(vm, now):
     """Return the peers that a VM knows to carry tunnels: none yet."""
-    own = tunnel_peers.TunnelPeer(vm.failure_domain, vm.peer_address)
+    own = peer_choice.TunnelPeer(vm.failure_domain, vm.peer_address)
     return tunnel_peers.TunnelPeers(own, now, random.Random(1))
 
 
