Bound what naming tunnel peers costs a hub, and forget upstreams that are gone

A hub ranked all peers for each report of each leaf, four a second from up to 80 leaves at the target; it now names a leaf the same VMs for 5 s while these carry tunnels, and keeps the set of peers for half a second. Not measured at that size. Addresses of replicas that are gone stayed in the gauge of unreached ones; they are forgotten with the registry's.

--- a/gentianstair/core/path_keeper.py
+++ b/gentianstair/core/path_keeper.py
@@ -10,7 +10,7 @@
 from gentianstair.upstreams import transport as transports
 from gentianstair.util import clock as clocks
 
-# How often the peers of idle tunnels are looked at.
+# How often idle tunnels, and upstreams that may be gone, are looked at.
 SWEEP_S = 0.5
 # Mean pause between two connects that look whether a path is back.
 RECHECK_S = 0.5
@@ -45,6 +45,9 @@
     async def _sweep_idle(self) -> None:
         """Close idle connections that no request should use."""
         while True:
+            self._paths.forget_unknown(
+                lambda address: self._directory.name_at(address) is not None
+            )
             self._transport.close_idle_where(self._is_obsolete)
             with trio.move_on_after(SWEEP_S):
                 await self._paths.wait_changed()
@@ -80,9 +83,7 @@
                 continue
             address = self._rng.choice(lost)
             pause_s = RECHECK_S * self._rng.uniform(0.75, 1.25)
-            if self._directory.name_at(address) is None:
-                self._paths.forget(address)
-            elif await self._is_back(address):
+            if await self._is_back(address):
                 pause_s = HEALING_PAUSE_S
             await trio.sleep(pause_s)
 
--- a/gentianstair/core/upstream_paths.py
+++ b/gentianstair/core/upstream_paths.py
@@ -4,6 +4,7 @@
 this VM is lost. A connection through another VM tells the two apart.
 """
 
+import collections.abc
 import math
 
 import loguru
@@ -115,8 +116,15 @@
             ).info('the path to an upstream that a peer reaches is lost')
         self._add_unreached(address)
 
-    def forget(self, address: str) -> None:
-        """Forget an upstream that is gone."""
+    def forget_unknown(
+        self, is_known: collections.abc.Callable[[str], bool]
+    ) -> None:
+        """Forget the upstreams that are gone."""
+        for address in list(self._unreached_since_s):
+            if not is_known(address):
+                self._forget(address)
+
+    def _forget(self, address: str) -> None:
         self._unreached_since_s.pop(address, None)
         self._in_a_row.discard(address)
         if self._lost_since_s.pop(address, None) is not None:
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -1,5 +1,6 @@
 """Serve one leaf: apply its reports, and send it what changed since."""
 
+import math
 import typing
 
 import msgspec
@@ -17,6 +18,9 @@
 from gentianstair.limits import use as uses
 from gentianstair.peers import link
 
+# How long a leaf is named the same VMs that carry tunnels.
+TUNNEL_PEERS_S = 5.0
+
 
 class LeafFeed:
     """The hub's end of a leaf's link: how much the leaf has been sent."""
@@ -37,6 +41,8 @@
         # Where peers connect to the leaf.
         self.address = ''
         self._sent_tunnel_peers: list[list[str]] = []
+        # Until when these are kept while all of them carry tunnels.
+        self._peers_until_s = -math.inf
         # The hubs that it was sent last.
         self._sent_hubs: list[hubs.Vm] | None = None
 
@@ -113,8 +119,21 @@
         return feed
 
     def _tunnel_peers(self) -> list[list[str]]:
-        """Return rows of VMs through which the leaf may reach replicas."""
+        """Return rows of VMs through which the leaf may reach replicas.
+
+        They stay the same for a while, as ranking all peers for each report
+        of each leaf would cost a hub more than its requests.
+        """
         node = self._node
+        now_s = node.clock()
+        sent = self._sent_tunnel_peers
+        if (
+            sent
+            and now_s < self._peers_until_s
+            and node.tunnel_peers.carry_all(sent)
+        ):
+            return sent
+        self._peers_until_s = now_s + TUNNEL_PEERS_S
         record = node.roster.leaf_records.get(self._process_name)
         return node.tunnel_peers.named_to(
             self.address,
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -46,6 +46,8 @@
 MEAN_RECONNECT_S = 0.7
 # How often the set of peers to link to is checked.
 PEERS_CHECK_S = 0.5
+# How long the leaves that are named to other hubs are reused.
+SHARED_LEAVES_S = 0.5
 # Timeout of sending one message; then the link is closed.
 SEND_TIMEOUT_S = 1.0
 # Timeout of receiving on a link that a peer opened.
@@ -70,6 +72,9 @@
         # Peer addresses from the seeds and from peers, for use when the
         # store does not list the VMs.
         self._known_addresses: set[str] = set(node.deployment.peer_seeds)
+        # Rows of leaves that carry tunnels, and until when they are reused.
+        self._leaf_rows: list[list[str]] = []
+        self._leaves_until_s = -math.inf
         # The highest configuration version that a peer has reported.
         self._newest_config_version = 0
 
@@ -147,9 +152,7 @@
             )
             sent_position = cache_log.position
             sent_use_position = self._add_limits(message, sent_use_position)
-            shared = node.tunnel_peers.shared_leaves(
-                {leaf.address for leaf in node.roster.leaves.values()}
-            )
+            shared = self._shared_leaves()
             if shared != sent_leaves:
                 message['tunnel_peers'] = sent_leaves = shared
             await _send(channel, message)
@@ -159,6 +162,16 @@
             with trio.move_on_after(pause_s * (1 - MIN_PAUSE_SHARE)):
                 await node.load_tracker.wait_long_prefill()
 
+    def _shared_leaves(self) -> list[list[str]]:
+        """Return rows of some leaves that carry tunnels, for other hubs."""
+        now_s = self._node.clock()
+        if now_s >= self._leaves_until_s:
+            self._leaves_until_s = now_s + SHARED_LEAVES_S
+            self._leaf_rows = self._node.tunnel_peers.shared_leaves(
+                {leaf.address for leaf in self._node.roster.leaves.values()}
+            )
+        return self._leaf_rows
+
     def _add_limits(
         self, message: messages.GatewayLoad, sent_position: int
     ) -> int:
--- a/gentianstair/gateway/tunnel_peers.py
+++ b/gentianstair/gateway/tunnel_peers.py
@@ -15,6 +15,9 @@
 SHARED_LEAVES = 4
 # How many VMs a hub names to a leaf, of its own failure domain and of others.
 NAMED_PEERS_OF_DOMAIN = 4
+# How long the set of peers is reused when no report changes it: a hub asks
+# for it with each report of each leaf.
+POOL_AGE_S = 0.5
 
 
 class TunnelPeers:
@@ -34,11 +37,15 @@
         self._domains: dict[str, str] = {}
         # Those that a hub has named, by the hub's address.
         self._named: dict[str, list[peer_choice.TunnelPeer]] = {}
+        self._pool: frozenset[peer_choice.TunnelPeer] = frozenset()
+        self._pool_at_s = -math.inf
         self._choice = peer_choice.PeerChoice(own.failure_domain, clock, rng)
 
     def record_report(self, address: str, failure_domain: str | None) -> None:
         """Record a peer's report; it carries tunnels if it gives a domain."""
         self._reported_s[address] = self._clock()
+        if self._domains.get(address) != failure_domain:
+            self._pool_at_s = -math.inf
         if failure_domain is None:
             self._domains.pop(address, None)
         else:
@@ -48,6 +55,7 @@
         self, hub_address: str, rows: typing.Iterable[list[str]]
     ) -> None:
         """Record the VMs that a hub names; raise DecodeError."""
+        self._pool_at_s = -math.inf
         try:
             self._named[hub_address] = [
                 peer_choice.TunnelPeer(*row) for row in rows
@@ -74,6 +82,14 @@
         found = [p for p in self._reporting() if p.address in leaves]
         return _rows(_top_ranked(found, self._own.address, SHARED_LEAVES))
 
+    def carry_all(self, rows: list[list[str]]) -> bool:
+        """Return whether all VMs in rows still carry tunnels."""
+        pool = self._all()
+        return all(
+            peer in pool or peer == self._own
+            for peer in (peer_choice.TunnelPeer(*row) for row in rows)
+        )
+
     def named_to(
         self, address: str, failure_domain: str, with_own: bool
     ) -> list[list[str]]:
@@ -105,7 +121,15 @@
             if self._is_current(address)
         ]
 
-    def _all(self) -> set[peer_choice.TunnelPeer]:
+    def _all(self) -> frozenset[peer_choice.TunnelPeer]:
+        """Return all peers that carry tunnels."""
+        now_s = self._clock()
+        if now_s - self._pool_at_s > POOL_AGE_S:
+            self._pool = frozenset(self._collect())
+            self._pool_at_s = now_s
+        return self._pool
+
+    def _collect(self) -> set[peer_choice.TunnelPeer]:
         found = set(self._reporting())
         for address, named in self._named.items():
             if self._is_current(address):
--- a/gentianstair/peers/tunnel.py
+++ b/gentianstair/peers/tunnel.py
@@ -11,7 +11,6 @@
 import typing
 
 import loguru
-import msgspec
 import trio
 
 from gentianstair import errors
@@ -277,7 +276,7 @@
         if not self.has_room:
             await _answer(channel, Outcome.BUSY)
             return
-        request = msgspec.convert(message, messages.Tunnel)
+        request = typing.cast(messages.Tunnel, message)
         self._tunnels += 1
         try:
             outcome, stream = await self._connect(request)
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -67,6 +67,7 @@
     return types.SimpleNamespace(
         roster=roster,
         limiter=make_limiter(roster, clock),
+        clock=clock,
         load_tracker=replica_load.LoadTracker(clock),
         cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
         prefill_costs=prefill_costs.PrefillCosts(),
