Do not take attempts during an ejection for its probe

Callers of a VM that had just started while its paths were cut got 503 for all streams for six seconds and more, though peers reached every replica.

Cause: all replicas had been ejected at once, a connect each. Ejections are then ignored, and each attempt that was sent counted as the probe of its replica. As others answered, ejections held again; the answers of the model replicas came before theirs was over and readmitted nobody, and until the "probe" was 10 s old no other could be sent.

The test failed before for both outcomes. An attempt is now the probe only once the ejection is over.

--- a/gentianstair/core/ejection.py
+++ b/gentianstair/core/ejection.py
@@ -116,9 +116,14 @@
         }
 
     def record_start(self, upstream: str, now_s: float) -> None:
-        """Record a sent attempt; the probe if the upstream is ejected."""
+        """Record a sent attempt; the probe if an ejection is over.
+
+        One that is sent while ejections are ignored is no probe.
+        """
         state = self._states.get(upstream)
-        if state is not None and state.ejected_until_s is not None:
+        if state is None or state.ejected_until_s is None:
+            return
+        if now_s >= state.ejected_until_s:
             state.probe_started_s = now_s
 
     def record_outcome(
