Log which peer carries a request's connection to its replica

From a request's id the log led to a replica, not to the peer that carried the bytes: event through-peer, with the id, the replica and the peer's address.

--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -13,6 +13,7 @@
 from gentianstair.gateway import calls
 from gentianstair.gateway import node as nodes
 from gentianstair.generated import events
+from gentianstair.peers import tunnel
 from gentianstair.platform import http_codec
 from gentianstair.upstreams import transport
 
@@ -47,6 +48,7 @@
     """
     request = http_codec.encode_attempt(call, attempt, CONNECT_TIMEOUT_S)
     response = await node.transport.handle_async_request(request)
+    _log_peer(call, attempt, response)
     try:
         yield response
     finally:
@@ -54,6 +56,20 @@
             await response.stream.aclose()
 
 
+def _log_peer(
+    call: calls.Call, attempt: calls.Attempt, response: httpx.Response
+) -> None:
+    """Log the peer that carries the connection, if one does."""
+    found = tunnel.tunnel_of(response.extensions['connection'])
+    if found is not None:
+        loguru.logger.bind(
+            event=events.THROUGH_PEER,
+            request_id=call.request_id,
+            replica=attempt.replica.name,
+            peer=found.peer,
+        ).info('reached a replica through a peer')
+
+
 async def read_body(response: httpx.Response) -> bytes:
     """Return a whole body; raise UpstreamError if it is incomplete."""
     return await transport.read_all(response, MAX_RESPONSE_BYTES)
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -250,6 +250,8 @@
       is asked about the path.
     - ``ends_with_path``: whether the request is given up if its path is
       lost.
+
+    The response's extension ``connection`` is the one that it came on.
     """
 
     def __init__(self, connector: connectors.Connector, idle_s: float) -> None:
@@ -368,7 +370,10 @@
             lambda idle: self._keep_idle(request.url, idle, parser),
         )
         return httpx.Response(
-            parser.status, headers=parser.headers, stream=body
+            parser.status,
+            headers=parser.headers,
+            stream=body,
+            extensions={'connection': stream},
         )
 
     async def _receive_headers(
--- a/test/entry/test_lost_paths.py
+++ b/test/entry/test_lost_paths.py
@@ -98,7 +98,8 @@
         'GET', url, extensions={'connect_s': CONNECT_S, 'fresh': fresh}
     )
     response = await parts.transport.handle_async_request(request)
-    through_peer = tunnel.tunnel_of(response.stream._stream) is not None
+    connection = response.extensions['connection']
+    through_peer = tunnel.tunnel_of(connection) is not None
     try:
         body = b''.join([part async for part in response.stream])
     finally:
