Avoid a peer that hangs as it is asked for a tunnel

Cause: a peer that is cut and does not know it yet tries for half a second, and the whole connect has half a second. Its answer came when nobody waited, so it was never avoided and was asked first again and again. A peer now has 0.25 s, and one that was given up after that counts as refusing.

--- a/gentianstair/core/upstream_connector.py
+++ b/gentianstair/core/upstream_connector.py
@@ -21,6 +21,9 @@
 # How long a connect may take before the next way is tried beside it; some
 # times what it takes between distant failure domains.
 STAGGER_S = 0.15
+# How long a peer may take to connect for this VM. Less than a connect of this
+# VM's own, in which more than one peer has to answer.
+PEER_CONNECT_S = 0.25
 # How many peers are asked for one connection.
 MAX_PEERS_ASKED = 3
 # No path is checked while an upstream has been heard from so lately, nor
@@ -146,9 +149,16 @@
         self, url: httpx.URL, peer: str, upstream: str
     ) -> trio.abc.Stream:
         """Return a connection through a peer; raise UnreachableError."""
-        found = await tunnel.open_tunnel(
-            self._network, self._nursery, peer, upstream, CHECK_TIMEOUT_S
-        )
+        asked_s = self._clock()
+        found = None
+        try:
+            found = await tunnel.open_tunnel(
+                self._network, self._nursery, peer, upstream, PEER_CONNECT_S
+            )
+        finally:
+            # Given up for another way, or for want of time, while it hung.
+            if found is None and self._clock() - asked_s >= PEER_CONNECT_S:
+                self.directory.record_refusal(peer)
         if isinstance(found, tunnel.TunnelStream):
             return await _add_tls(url, found)
         # Also if it could not connect either: its own path may be lost.
