Log which limits replicas name, and count what was learned of them

Logs and metrics had no word of the header Server-Limit: an answer with it could not be told from another. Now each VM knows the limits that answers name, logs upstream-limit as one is named, changes or ends (value, replica, who told it, age) and upstream-limit-odd for a value that limits nothing; metrics gentianstair_limited_upstreams and gentianstair_upstream_limit_changes. Nothing goes by it yet. A limit holds in doubt: an answer without it ends it only if its request was sent after the limit was last named and was taken.

--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -10,8 +10,10 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import replicas
 from gentianstair.generated import events
 from gentianstair.peers import tunnel
 from gentianstair.platform import http_codec
@@ -47,7 +49,9 @@
     whether the request may have run.
     """
     request = http_codec.encode_attempt(call, attempt, CONNECT_TIMEOUT_S)
+    sent_s = node.clock()
     response = await node.transport.handle_async_request(request)
+    record_limit(node, attempt.replica, response, sent_s)
     _log_peer(call, attempt, response)
     try:
         yield response
@@ -70,6 +74,32 @@
         ).info('reached a replica through a peer')
 
 
+def record_limit(
+    node: nodes.Node,
+    replica: replicas.Replica,
+    response: httpx.Response,
+    sent_s: float,
+) -> None:
+    """Take what an answer says of the limit of its replica."""
+    if response.status_code == http_codec.HTTP_MISDIRECTED:
+        # Another replica answered.
+        return
+    run = upstream_limits.UpstreamRun(replica.name, replica.started_ms)
+    was_taken = (
+        http_codec.verdict_of(response) is verdicts.Verdict.RAN
+        and response.status_code < http_codec.MIN_FAILURE_STATUS
+    )
+    try:
+        rate_per_s = http_codec.named_limit(response)
+    except errors.DecodeError as error:
+        upstream_limits.log_odd_limit(run, error)
+        return
+    node.upstream_limits.record(
+        run,
+        upstream_limits.Answer(rate_per_s, sent_s, node.clock(), was_taken),
+    )
+
+
 async def read_body(response: httpx.Response) -> bytes:
     """Return a whole body; raise UpstreamError if it is incomplete."""
     return await transport.read_all(response, MAX_RESPONSE_BYTES)
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -7,6 +7,7 @@
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
+from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import catalog
@@ -60,6 +61,7 @@
     placement: placement.Placement
     retry_budget: retry_budget.RetryBudget
     limiter: limiter.Limiter
+    upstream_limits: upstream_limits.UpstreamLimits
     ejector: ejection.Ejector
     paths: upstream_paths.UpstreamPaths
     transport: transports.Transport
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -13,6 +13,7 @@
 from gentianstair.core import path_keeper
 from gentianstair.core import peer_choice
 from gentianstair.core import upstream_connector
+from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
 from gentianstair.gateway import autoscaler
 from gentianstair.gateway import cache_updates
@@ -223,6 +224,7 @@
             restarted=not vm_settings.whole_system_starts,
         ),
         limiter=_make_limiter(live, active_config, roster),
+        upstream_limits=upstream_limits.UpstreamLimits(now),
         ejector=ejection.Ejector(),
         paths=paths,
         transport=replica_transport,
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -9,6 +9,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 
 # Headers of a single connection, which are not forwarded.
@@ -47,8 +48,11 @@
 REQUEST_ID_HEADER = b'x-request-id'
 # Present if the replica did not run the request.
 NOT_EXECUTED_HEADER = b'x-not-executed'
+# Names the requests a second that a replica in need takes of all VMs.
+LIMIT_HEADER = 'server-limit'
 # Status if another replica now has the address; the request was not run.
 HTTP_MISDIRECTED = 421
+MIN_FAILURE_STATUS = 500
 PREFILL_STAGE = 'prefill'
 # Smallest deadline sent to a replica.
 MIN_DEADLINE_MS = 1
@@ -262,6 +266,19 @@
     return verdicts.Verdict.RAN
 
 
+def named_limit(response: httpx.Response) -> float | None:
+    """Return the requests a second that a replica takes of all VMs together.
+
+    None if it names no limit. Raise DecodeError for an odd value.
+    """
+    found = response.headers.get_list(LIMIT_HEADER)
+    if not found:
+        return None
+    if len(found) > 1:
+        raise errors.DecodeError(f'no limit: {found}')
+    return upstream_limits.decode_rate(found[0])
+
+
 class _PrefillResponse(msgspec.Struct):
     kv_handle: str
     tokens: int = 0
