--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -84,11 +84,23 @@
         self.forgotten = 0
         self.lists_read = 0
         self.headers: list[dict[str, str]] = []
-        # Requests that came, also those that it refused.
+        # Requests that came, also those that it refused, and when.
         self.arrivals = 0
+        self.arrivals_s: list[float] = []
+        # The limit that it names in its answers, if any, and the header for
+        # it, which may be odd or given twice.
+        self.limit_per_s: float | None = None
+        self.limit_headers: tuple[str, ...] = ()
+        self.limit_named_s: float | None = None
         # Parts of prompts that came from other replicas' memories.
         self.copied: list[str] = []
 
+    def name_limit(self, limit_per_s: float | None) -> None:
+        """Name a limit from the next answer on, or no longer any."""
+        self.limit_per_s = limit_per_s
+        self.limit_headers = () if limit_per_s is None else (f'{limit_per_s}',)
+        self.limit_named_s = None
+
     def entry(self) -> dict[str, typing.Any]:
         """Return what the replica registers of itself."""
         entry: dict[str, typing.Any] = {
@@ -229,6 +241,7 @@
     await quart.request.get_data()
     faults = replica.faults
     replica.arrivals += 1
+    replica.arrivals_s.append(trio.current_time())
     if faults.changed or headers.get('x-expect-instance') != replica.name:
         return quart.Response('', 421, {'x-instance-id': replica.name})
     if faults.full:
@@ -258,6 +271,14 @@
     """Return the application of a replica; the others hold KV caches."""
     app = quart_trio.QuartTrio(f'standins.site.{replica.name}')
 
+    @app.after_request
+    async def name_limit(response: quart.Response) -> quart.Response:
+        for value in replica.limit_headers:
+            response.headers.add('server-limit', value)
+            if replica.limit_named_s is None:
+                replica.limit_named_s = trio.current_time()
+        return response
+
     @app.get('/api/kv-events')
     async def kv_events():
         since = int(quart.request.args['since'])
