Keep the limit that a replica names by permits of one VM

What callers saw: nothing at first; a replica in need got more than it had said that it takes, and what was sent there was slow.

Cause: no VM read the header, and a VM that would keep to it alone keeps only its own part of a bound on the sum over all VMs. The replica that takes less looked idle, and placement sent it most of all.

Now a run, a prefill and a call that frees a KV cache need a permit, without which no attempt can be built. For a replica without a limit it is free; of one that names a limit, one hub keeps the permits of the whole fleet: the highest ranked of the hubs that are heard. It adds permits at the rate of the limit, times the part of the VMs that it hears of, from none at its start. A request that is denied goes to another replica; without one it waits for its turn for a part of its objective, and is then told at once that it was not run and when to return. What one VM learns of limits it tells the others. A retry in place of a late attempt goes only to a replica without a limit, as a denied permit would turn an answer into a failure.

Why it works: the bound stands at one place, and that place counts for all.

A stand-in of a hub in test_hub_client.py sent feeds that no report had asked for, without end; it now sends one for each report, as hubs do.

--- a/gentianstair/core/upstream_limits.py
+++ b/gentianstair/core/upstream_limits.py
@@ -20,6 +20,9 @@
 MAX_RATE_PER_S = 1e6
 # Limits that are remembered; those that changed longest ago are dropped.
 MAX_LIMITS = 20000
+# Limits of upstreams that are not listed are kept for this long: a VM that
+# has just started may hear of them before it knows the upstreams.
+FORGET_S = 30.0
 # How long what a peer reports may have been on its way.
 MAX_TRANSIT_S = 0.5
 # A row of a message in which no limit is named.
@@ -63,6 +66,9 @@
     at_s: float
 
 
+_Log = change_log.ChangeLog[UpstreamRun, _Known]
+
+
 def decode_rate(text: str) -> float:
     """Return the requests a second that an upstream names.
 
@@ -89,10 +95,11 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._known: dict[UpstreamRun, _Known] = {}
-        # What has changed, for peers.
-        self.log: change_log.ChangeLog[UpstreamRun, _Known] = (
-            change_log.ChangeLog(MAX_LIMITS)
-        )
+        # What has changed, for the leaves of this hub.
+        self.log: _Log = change_log.ChangeLog(MAX_LIMITS)
+        # What this VM and its leaves have learned, for the other hubs; on a
+        # leaf, for its hub.
+        self.hub_log: _Log = change_log.ChangeLog(MAX_LIMITS)
 
     def rate_per_s(self, run: UpstreamRun) -> float | None:
         """Return the limit of an upstream, None without one."""
@@ -112,7 +119,11 @@
             self._update(run, _Known(None, answer.sent_s))
 
     def _update(
-        self, run: UpstreamRun, new: _Known, source: str = 'answer'
+        self,
+        run: UpstreamRun,
+        new: _Known,
+        source: str = 'answer',
+        to_hubs: bool = True,
     ) -> None:
         known = self._known.get(run)
         if known is None and new.rate_per_s is None:
@@ -124,6 +135,8 @@
         if new.rate_per_s == before:
             return
         self.log.put(run, new)
+        if to_hubs:
+            self.hub_log.put(run, new)
         self._forget_old()
         self._report_change(run, before, new, source)
 
@@ -136,11 +149,18 @@
                 if run in self.log
             }
 
-    def forget(self, name: str) -> None:
-        """Forget the limits of an upstream that is gone."""
-        for run in [run for run in self._known if run.name == name]:
+    def forget_others(self, runs: typing.Container[UpstreamRun]) -> None:
+        """Forget the limits of upstreams that have long been gone."""
+        oldest_s = self._clock() - FORGET_S
+        gone = [
+            run
+            for run, known in self._known.items()
+            if known.at_s < oldest_s and run not in runs
+        ]
+        for run in gone:
             del self._known[run]
             self.log.drop(run)
+            self.hub_log.drop(run)
         self._count()
 
     def _count(self) -> None:
@@ -171,8 +191,11 @@
 
     # What VMs tell each other.
 
-    def rows_since(self, position: int) -> list[list[typing.Any]]:
-        """Return what has changed since a position of the log, as rows."""
+    def rows_since(
+        self, position: int, to_hubs: bool
+    ) -> list[list[typing.Any]]:
+        """Return what has changed since a position of a log, as rows."""
+        log = self.hub_log if to_hubs else self.log
         now_s = self._clock()
         return [
             [
@@ -181,11 +204,14 @@
                 NO_LIMIT_ROW if known.rate_per_s is None else known.rate_per_s,
                 max(0, round((now_s - known.at_s) * 1000)),
             ]
-            for run, known in self.log.since(position)
+            for run, known in log.since(position)
         ]
 
     def apply_rows(
-        self, rows: typing.Iterable[list[typing.Any]], source: str
+        self,
+        rows: typing.Iterable[list[typing.Any]],
+        source: str,
+        to_hubs: bool = False,
     ) -> None:
         """Take what a peer tells; raise DecodeError."""
         now_s = self._clock()
@@ -194,7 +220,7 @@
             at_s = now_s - age_s
             if rate_per_s is None:
                 at_s -= MAX_TRANSIT_S
-            self._update(run, _Known(rate_per_s, at_s), source)
+            self._update(run, _Known(rate_per_s, at_s), source, to_hubs)
 
 
 def _decode_row(
--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -77,7 +77,7 @@
                     forward.CONNECT_TIMEOUT_S,
                 )
                 changes = http_codec.decode_cache_events(
-                    await _call(node, request)
+                    await _call(node, replica, request)
                 )
                 if epoch is not None and changes.epoch != epoch:
                     node.cache_updates.forget(replica.name)
@@ -120,7 +120,9 @@
     they would be prefilled again on other replicas. The list is costly for
     the replica, so only a few VMs read it and forward it.
     """
-    lists_cache = node.roster.lists_cache(replica.name)
+    lists_cache = node.roster.lists_cache(
+        replica.name
+    ) and not node.replica_permits.is_limited(replica)
     loguru.logger.bind(
         event=events.CACHE_GAP, replica=replica.name, listed=lists_cache
     ).info('missed changes of a replica cache')
@@ -129,15 +131,21 @@
     request = http_codec.cache_list_request(
         replica.address, forward.CONNECT_TIMEOUT_S
     )
-    listing = http_codec.decode_cache_list(await _call(node, request))
+    listing = http_codec.decode_cache_list(await _call(node, replica, request))
     _apply(node, replica, listing, to_hubs=True)
     return listing.next_sequence
 
 
-async def _call(node: nodes.Node, request: httpx.Request) -> bytes:
+async def _call(
+    node: nodes.Node, replica: replicas.Replica, request: httpx.Request
+) -> bytes:
     """Return the body of a replica's response; raise DecodeError if none."""
+    sent_s = node.clock()
     with trio.move_on_after(POLL_TIMEOUT_S + RESPONSE_GRACE_S):
         response = await node.transport.handle_async_request(request)
+        forward.record_limit(
+            node, replica, response, sent_s, takes_requests=False
+        )
         try:
             body = await forward.read_body(response)
         finally:
--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 
 Headers = list[tuple[bytes, bytes]]
@@ -63,6 +64,8 @@
     """A call as it goes to one replica."""
 
     replica: replicas.Replica
+    # Nothing is sent to a replica without one.
+    permit: replica_permits.Permit
     customer: str | None
     remaining_s: float
     body: bytes
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -79,14 +79,20 @@
     replica: replicas.Replica,
     response: httpx.Response,
     sent_s: float,
+    takes_requests: bool = True,
 ) -> None:
-    """Take what an answer says of the limit of its replica."""
+    """Take what an answer says of the limit of its replica.
+
+    takes_requests is false for calls that the limit does not count; without
+    one they do not mean that there is none.
+    """
     if response.status_code == http_codec.HTTP_MISDIRECTED:
         # Another replica answered.
         return
     run = upstream_limits.UpstreamRun(replica.name, replica.started_ms)
     was_taken = (
-        http_codec.verdict_of(response) is verdicts.Verdict.RAN
+        takes_requests
+        and http_codec.verdict_of(response) is verdicts.Verdict.RAN
         and response.status_code < http_codec.MIN_FAILURE_STATUS
     )
     try:
@@ -128,6 +134,10 @@
     node: nodes.Node, replica: str, source: calls.KvSource
 ) -> None:
     """Free a prefilled KV cache that no replica will fetch."""
+    known = node.registry.get(replica)
+    if known and not await node.replica_permits.acquire(known):
+        _log_not_freed(replica, 'no permit')
+        return
     request = http_codec.release_kv_request(replica, source, CONNECT_TIMEOUT_S)
     reason = 'no answer in time'
     with trio.move_on_after(CONNECT_TIMEOUT_S * 2):
@@ -140,7 +150,11 @@
                 await response.stream.aclose()
         except errors.UpstreamError as error:
             reason = str(error)
-    # Harmless: the replica drops the cache when its hold expires.
+    _log_not_freed(replica, reason)
+
+
+def _log_not_freed(replica: str, reason: str) -> None:
+    """Log a KV cache that its replica drops when its hold expires."""
     loguru.logger.bind(event=events.KV_NOT_FREED, replica=replica).info(
         'a KV cache was not freed: {}', reason
     )
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -1,6 +1,7 @@
 """Keep a leaf's link to a hub: report load, and apply the hub's feed."""
 
 import math
+import typing
 
 import loguru
 import msgspec
@@ -136,11 +137,18 @@
         process = ''
         known_hubs: tuple[hubs.Vm, ...] = ()
         member = _MemberReports(node)
+        sent_limits_position = 0
         try:
+            node.permit_keepers.link_to_hub = channel
             while not node.roster.is_hub():
                 position = node.cache_updates.hub_log.position
                 use = node.limiter.pending()
                 report = self._make_report(sent_position)
+                limits = node.upstream_limits
+                report['limits'] = limits.rows_since(
+                    sent_limits_position, True
+                )
+                sent_limits_position = limits.hub_log.position
                 member.add_to(report)
                 if use:
                     report['use'] = uses.encode(use)
@@ -159,6 +167,9 @@
                         known_hubs = leaf_feed.decode_hubs(feed['hubs'])
                     age_s = self._apply_feed(feed, known_hubs)
                     self._record_tunnel_peers(feed, hub)
+                    node.upstream_limits.apply_rows(
+                        feed.get('limits', ()), process
+                    )
                     node.limiter.apply_hub_report(
                         use,
                         feed.get('reach', 0.0),
@@ -172,9 +183,10 @@
                 if all(known.name != hub.name for known in known_hubs):
                     # It would store nothing for this leaf any more.
                     return 'it is no hub any more'
-                await trio.sleep(REPORT_INTERVAL_S)
+                await self._receive_permits(channel)
             return ''
         finally:
+            node.permit_keepers.link_to_hub = None
             node.load_tracker.remove_peer(process)
 
     def _make_report(self, sent_position: int) -> messages.GatewayLoad:
@@ -195,8 +207,26 @@
                     return None
                 if message is not None and message['type'] == 'feed':
                     return message
+                self._handle_permit(message)
         return None
 
+    async def _receive_permits(self, channel: link.Channel) -> None:
+        """Take answers of the hub until the next report is due."""
+        with trio.move_on_after(REPORT_INTERVAL_S):
+            while True:
+                data = await channel.receive()
+                try:
+                    self._handle_permit(link.decode(data))
+                except errors.DecodeError as error:
+                    _log_unreadable(error)
+                    raise link.LinkClosedError('unreadable') from error
+
+    def _handle_permit(self, message: link.Message | None) -> None:
+        if message is not None and message['type'] == 'permit':
+            self._node.permit_keepers.handle_answer(
+                typing.cast(messages.Permit, message)
+            )
+
     def _max_store_age_s(self) -> float:
         return max_store_age_s(self._node.deployment.bounds.drain_s)
 
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -38,6 +38,8 @@
         # the replicas and the changes of caches (None: nothing yet).
         self._replicas_position: int | None = None
         self._cache_position: int | None = None
+        # The same of the limits that replicas name.
+        self._limits_position = 0
         # Where peers connect to the leaf.
         self.address = ''
         self._sent_tunnel_peers: list[list[str]] = []
@@ -72,6 +74,9 @@
             self.address, report.get('tunnels_from')
         )
         node.cache_updates.apply_rows(report.get('cache', ()), to_hubs=True)
+        node.upstream_limits.apply_rows(
+            report.get('limits', ()), report['process'], to_hubs=True
+        )
         node.limiter.apply_leaf(uses.decode(report.get('use', {})))
         return self._make_feed(report['config_version'])
 
@@ -104,6 +109,9 @@
         }
         feed['reach'], low = node.limiter.report_to_leaf()
         feed['low'] = levels.encode(low)
+        limits = node.upstream_limits
+        feed['limits'] = limits.rows_since(self._limits_position, False)
+        self._limits_position = limits.log.position
         current_hubs = node.roster.hubs()
         if self._knowledge is None or current_hubs != self._sent_hubs:
             feed['hubs'] = encode_hubs(current_hubs)
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -12,10 +12,12 @@
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
+from gentianstair.gateway import permit_keepers
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
+from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster
@@ -62,6 +64,8 @@
     retry_budget: retry_budget.RetryBudget
     limiter: limiter.Limiter
     upstream_limits: upstream_limits.UpstreamLimits
+    permit_keepers: permit_keepers.PermitKeepers
+    replica_permits: replica_permits.ReplicaPermits
     ejector: ejection.Ejector
     paths: upstream_paths.UpstreamPaths
     transport: transports.Transport
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -18,6 +18,7 @@
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import peer_updates
 from gentianstair.gateway import replica_load
+from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 from gentianstair.generated import messages
@@ -68,7 +69,7 @@
         self._network = network
         self._updates = updates
         self._rng = rng
-        self._open_channels: dict[str, link.Channel] = {}
+        self._open_channels = node.permit_keepers.hub_links
         # Peer addresses from the seeds and from peers, for use when the
         # store does not list the VMs.
         self._known_addresses: set[str] = set(node.deployment.peer_seeds)
@@ -93,8 +94,19 @@
                     nursery.start_soon(
                         self._keep_link, address, scopes[address]
                     )
+                self._forget_limits()
                 await trio.sleep(PEERS_CHECK_S)
 
+    def _forget_limits(self) -> None:
+        limits = self._node.upstream_limits
+        if not limits.is_empty():
+            limits.forget_others(
+                {
+                    replica_permits.run_of(replica)
+                    for replica in self._node.registry.all()
+                }
+            )
+
     def _wanted_peers(self) -> set[str]:
         roster = self._node.roster
         if not roster.is_hub():
@@ -143,7 +155,7 @@
 
     async def _send_loads(self, channel: link.Channel) -> None:
         node = self._node
-        sent_position = sent_use_position = 0
+        sent_position = sent_use_position = sent_limits_position = 0
         sent_leaves: list[list[str]] = []
         while True:
             cache_log = node.cache_updates.hub_log
@@ -152,6 +164,10 @@
             )
             sent_position = cache_log.position
             sent_use_position = self._add_limits(message, sent_use_position)
+            message['keeps_permits'] = node.permit_keepers.keeps
+            limits = node.upstream_limits
+            message['limits'] = limits.rows_since(sent_limits_position, True)
+            sent_limits_position = limits.hub_log.position
             shared = self._shared_leaves()
             if shared != sent_leaves:
                 message['tunnel_peers'] = sent_leaves = shared
@@ -239,9 +255,31 @@
             if self._node.is_synced():
                 reply = self._make_reply(message['config_version'])
                 await _send(channel, reply)
+        elif message['type'] == 'permit_ask':
+            question = typing.cast(messages.PermitAsk, message)
+            self._node.nursery.start_soon(self._answer_ask, channel, question)
+        elif message['type'] == 'permit':
+            self._node.permit_keepers.handle_answer(
+                typing.cast(messages.Permit, message)
+            )
         elif message['type'] == 'news':
             self._handle_reply(typing.cast(messages.GatewayNews, message))
 
+    async def _answer_ask(
+        self, channel: link.Channel, question: messages.PermitAsk
+    ) -> None:
+        """Answer a question, which may have to be passed on."""
+        try:
+            await _send(
+                channel, await self._node.permit_keepers.answer(question)
+            )
+        except link.LinkClosedError as error:
+            loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
+        except errors.DecodeError as error:
+            loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
+                '{}', error
+            )
+
     def _handle_load(self, message: messages.GatewayLoad) -> None:
         peer_loads = replica_load.decode(message['loads'])
         self._node.load_tracker.update_peer(message['process'], peer_loads)
@@ -254,6 +292,12 @@
             uses.decode(message.get('use', {})),
             levels.decode(message['low']) if 'low' in message else None,
         )
+        self._node.permit_keepers.record_report(
+            message['address'], message.get('keeps_permits', False)
+        )
+        self._node.upstream_limits.apply_rows(
+            message.get('limits', ()), message['process']
+        )
         peers = self._node.tunnel_peers
         peers.record_report(message['address'], message.get('tunnels_from'))
         if 'tunnel_peers' in message:
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -23,10 +23,12 @@
 from gentianstair.gateway import leader_tasks
 from gentianstair.gateway import members as memberships
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import permit_keepers
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
+from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster as rosters
@@ -199,6 +201,18 @@
     replica_transport = transport.make_transport(
         connector, REPLICA_IDLE_TIMEOUT_S
     )
+    limits = _make_limiter(live, active_config, roster)
+    known_limits = upstream_limits.UpstreamLimits(now)
+    keepers = permit_keepers.PermitKeepers(
+        permit_keepers.Fleet(
+            vm_settings.peer_address,
+            lambda: roster.is_hub() and not draining.is_set(),
+            limits.reach,
+            roster.vm_count,
+        ),
+        known_limits,
+        now,
+    )
     return nodes.Node(
         live_settings=live,
         clock=now,
@@ -223,8 +237,12 @@
             roster.vm_count,
             restarted=not vm_settings.whole_system_starts,
         ),
-        limiter=_make_limiter(live, active_config, roster),
-        upstream_limits=upstream_limits.UpstreamLimits(now),
+        limiter=limits,
+        upstream_limits=known_limits,
+        permit_keepers=keepers,
+        replica_permits=replica_permits.ReplicaPermits(
+            known_limits, keepers, now, random.Random(vm_settings.vm)
+        ),
         ejector=ejection.Ejector(),
         paths=paths,
         transport=replica_transport,
--- /dev/null
+++ b/gentianstair/gateway/replica_permits.py
@@ -0,0 +1,144 @@
+"""Give each request at a replica that names a limit a permit of its keeper."""
+
+import random
+import typing
+
+import loguru
+import prometheus_client
+import trio
+
+from gentianstair.core import permit_keeper
+from gentianstair.core import upstream_limits
+from gentianstair.gateway import permit_keepers
+from gentianstair.gateway import replicas
+from gentianstair.generated import events
+from gentianstair.util import clock as clocks
+
+# VMs that were denied together ask again at different times.
+RETRY_SPREAD = 0.3
+
+PERMITS = prometheus_client.Counter(
+    'gentianstair_replica_permits',
+    'Permits asked for at replicas that name a limit, by what was decided',
+    ['outcome'],
+)
+
+
+class Permit(typing.NamedTuple):
+    """Allows one request at a replica."""
+
+    replica: str
+    granted_s: float
+    # Whether the replica names a limit, so that this permit is one of few.
+    is_limited: bool
+
+
+class _Denial(typing.NamedTuple):
+    # Until when the keeper is not asked, and when there may be a permit.
+    until_s: float
+    available_s: float
+
+
+class ReplicaPermits:
+    """The permits of this VM's requests."""
+
+    def __init__(
+        self,
+        known: upstream_limits.UpstreamLimits,
+        keepers: permit_keepers.PermitKeepers,
+        clock: clocks.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._known = known
+        self._keepers = keepers
+        self._clock = clock
+        self._random = rng
+        self._denials: dict[upstream_limits.UpstreamRun, _Denial] = {}
+
+    def is_limited(self, replica: replicas.Replica) -> bool:
+        """Return whether a replica names a limit."""
+        return self._known.rate_per_s(run_of(replica)) is not None
+
+    def any_denied(self) -> bool:
+        """Return whether a permit was denied lately."""
+        return bool(self._denials)
+
+    def is_denied(self, replica: replicas.Replica) -> bool:
+        """Return whether a replica's keeper is not to be asked yet."""
+        run = run_of(replica)
+        denial = self._denials.get(run)
+        if denial is None:
+            return False
+        if self._clock() < denial.until_s and self.is_limited(replica):
+            return True
+        del self._denials[run]
+        return False
+
+    def wait_s(self, replica: replicas.Replica) -> float:
+        """Return how long there will be no permit of a replica, at least."""
+        denial = self._denials.get(run_of(replica))
+        if denial is None:
+            return 0.0
+        return max(0.0, denial.available_s - self._clock())
+
+    def return_in_s(self, found: typing.Iterable[replicas.Replica]) -> float:
+        """Return after how long a caller may return for a permit."""
+        spread = 1.0 + RETRY_SPREAD * self._random.random()
+        return spread * min(self.wait_s(replica) for replica in found)
+
+    async def acquire(
+        self,
+        replica: replicas.Replica,
+        patience_s: float = 0.0,
+        request_id: str = '',
+    ) -> Permit | None:
+        """Return a permit, after at most patience_s; None if it is denied."""
+        run = run_of(replica)
+        rate_per_s = self._known.rate_per_s(run)
+        if rate_per_s is None:
+            return Permit(replica.name, self._clock(), False)
+        grant = await self._keepers.ask(
+            permit_keeper.Ask(run, rate_per_s, patience_s)
+        )
+        self._log(replica, rate_per_s, grant, request_id)
+        if not grant.is_granted:
+            self._record_denial(run, grant)
+            return None
+        if grant.wait_s > 0:
+            await trio.sleep(grant.wait_s)
+        return Permit(replica.name, self._clock(), True)
+
+    def _record_denial(
+        self, run: upstream_limits.UpstreamRun, grant: permit_keeper.Grant
+    ) -> None:
+        now_s = self._clock()
+        spread = 1.0 + RETRY_SPREAD * self._random.random()
+        self._denials[run] = _Denial(
+            now_s + grant.retry_s * spread, now_s + grant.wait_s
+        )
+
+    def _log(
+        self,
+        replica: replicas.Replica,
+        rate_per_s: float,
+        grant: permit_keeper.Grant,
+        request_id: str,
+    ) -> None:
+        outcome = 'granted' if grant.is_granted else 'denied'
+        if grant is permit_keepers.UNANSWERED:
+            outcome = 'unanswered'
+        PERMITS.labels(outcome).inc()
+        loguru.logger.bind(
+            event=events.REPLICA_PERMIT,
+            request_id=request_id,
+            replica=replica.name,
+            outcome=outcome,
+            rate_per_s=rate_per_s,
+            wait_s=round(grant.wait_s, 3),
+            retry_s=round(grant.retry_s, 3),
+        ).info('permit for a limited replica: {}', outcome)
+
+
+def run_of(replica: replicas.Replica) -> upstream_limits.UpstreamRun:
+    """Return the start of a replica that its limit belongs to."""
+    return upstream_limits.UpstreamRun(replica.name, replica.started_ms)
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -12,6 +12,7 @@
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
+from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 
@@ -29,6 +30,11 @@
 DRAIN_NOTICE_DELAY_S = 0.8
 # Least time without an answer after which the path to a replica is checked.
 MIN_SILENCE_S = 0.3
+# A permit that is older is not used, as many such might come together.
+MAX_PERMIT_AGE_S = 1.0
+# Share of the time to its objective that a request waits for its turn at a
+# limited replica; the more urgent ones wait longer, so that they come first.
+TURN_SHARE = 0.5
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
 
@@ -70,6 +76,14 @@
         self.possible_runs = 0
         self.tried_replicas: set[str] = set()
         self._next_retry_is_paid = False
+        # Permits that no attempt has used yet, by replica.
+        self._permits: dict[str, replica_permits.Permit] = {}
+        # Replicas whose keeper denied this request a permit.
+        self._denied_replicas: set[str] = set()
+        # Whether this request has asked for a turn at a limited replica, and
+        # after how long there may be one.
+        self._has_asked_for_turn = False
+        self._turn_in_s: float | None = None
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
@@ -98,9 +112,13 @@
     def make_attempt(
         self, replica: replicas.Replica, **options: typing.Any
     ) -> calls.Attempt:
-        """Return an attempt at a replica with the time that remains."""
+        """Return an attempt at a replica with the time that remains.
+
+        has_permit must have returned true for the replica.
+        """
         return calls.Attempt(
             replica,
+            self._permits.pop(replica.name),
             self.customer_name,
             self.remaining_s(),
             self.body,
@@ -113,9 +131,10 @@
     def candidates(self) -> list[replicas.Replica]:
         """Return the replicas that this request has not tried yet.
 
-        Ejected replicas are left out while there are others.
+        Ejected replicas are left out while there are others, and always
+        those of which there is no permit.
         """
-        usable = self.node.registry.usable(self.service)
+        usable = self._permitted(self.node.registry.usable(self.service))
         excluded = self._ejected() | self.tried_replicas
         if not excluded:
             return usable
@@ -124,6 +143,88 @@
             r for r in usable if r.name not in self.tried_replicas
         ]
 
+    def _permitted(
+        self, found: list[replicas.Replica]
+    ) -> list[replicas.Replica]:
+        """Return the replicas of which there may be a permit."""
+        if not (self._denied_replicas or self._node_denies()):
+            return found
+        return [r for r in found if not self._is_denied(r)]
+
+    def _node_denies(self) -> bool:
+        return self.node.replica_permits.any_denied()
+
+    def _is_denied(self, replica: replicas.Replica) -> bool:
+        if replica.name in self._permits:
+            return False
+        return (
+            replica.name in self._denied_replicas
+            or self.node.replica_permits.is_denied(replica)
+        )
+
+    async def has_permit(
+        self, replica: replicas.Replica, patience_s: float = 0.0
+    ) -> bool:
+        """Acquire a permit of a replica within patience_s.
+
+        Return false if it is denied; then the replica is no candidate.
+        """
+        held = self._permits.pop(replica.name, None)
+        if held is None or self._is_stale(held):
+            held = await self.node.replica_permits.acquire(
+                replica, patience_s, self.call.request_id
+            )
+        if held is None:
+            self._denied_replicas.add(replica.name)
+            return False
+        self._permits[replica.name] = held
+        return True
+
+    def _is_stale(self, permit: replica_permits.Permit) -> bool:
+        age_s = self.node.clock() - permit.granted_s
+        return not permit.is_limited or age_s > MAX_PERMIT_AGE_S
+
+    def reserved_replica(self) -> replicas.Replica | None:
+        """Return a limited replica of which a permit is held."""
+        return next(
+            (
+                replica
+                for replica in self.candidates()
+                if replica.stage != prefill_costs.PREFILL
+                and replica.name in self._permits
+                and not self._is_stale(self._permits[replica.name])
+            ),
+            None,
+        )
+
+    async def wait_for_turn(self) -> bool:
+        """Wait for the next permit of a limited replica, once.
+
+        Return false if there is none in time, or there are other replicas.
+        """
+        if self._has_asked_for_turn:
+            return False
+        self._has_asked_for_turn = True
+        usable = self.node.registry.usable(self.service)
+        limited = [
+            replica
+            for replica in usable
+            if replica.stage != prefill_costs.PREFILL
+            and replica.name not in self.tried_replicas
+            and self._is_denied(replica)
+        ]
+        if not limited:
+            return False
+        permits = self.node.replica_permits
+        replica = min(limited, key=permits.wait_s)
+        patience_s = TURN_SHARE * self.objective_left_s()
+        patience_s /= 1 + self.priority()
+        if permits.wait_s(replica) <= patience_s:
+            if await self.has_permit(replica, patience_s):
+                return True
+        self._turn_in_s = permits.return_in_s(limited)
+        return False
+
     def kv_copy_sources(self) -> list[replicas.Replica]:
         """Return the replicas from which KV cache may be copied.
 
@@ -258,15 +359,19 @@
         """
         if not self.may_replace_attempt():
             return False
-        if not any(
-            r.stage != prefill_costs.PREFILL for r in self.candidates()
-        ):
+        if not any(self._is_sure(r) for r in self.candidates()):
             return False
         self._next_retry_is_paid = self.node.retry_budget.try_spend(
             self.service
         )
         return self._next_retry_is_paid
 
+    def _is_sure(self, replica: replicas.Replica) -> bool:
+        """Return whether a replica takes a retry without a permit."""
+        if replica.stage == prefill_costs.PREFILL:
+            return False
+        return not self.node.replica_permits.is_limited(replica)
+
     def record_event_sent(self) -> None:
         """Record that an event of a stream goes to the caller now."""
         now_s = self.node.clock()
@@ -312,9 +417,21 @@
             max(MIN_RETRY_AFTER_S, queued_s),
         )
 
+    def _no_turn_error(self, turn_in_s: float) -> errors.RequestError:
+        """Return the error of a request that no limited replica can take."""
+        return errors.RequestError(
+            503,
+            'replica-limits',
+            'the replicas take no more requests for now',
+            self.verdict,
+            max(MIN_RETRY_AFTER_S, turn_in_s),
+        )
+
     def final_error(self) -> errors.RequestError:
         """Return the error that ends the request, according to its verdict."""
         if self.verdict is verdicts.Verdict.NOT_RUN:
+            if self._turn_in_s is not None:
+                return self._no_turn_error(self._turn_in_s)
             return errors.RequestError(
                 503,
                 'no-replica',
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -66,11 +66,9 @@
         request = self._request
         try:
             while True:
-                plan = self._make_plan()
+                plan = await self._make_plan()
                 if plan is None:
                     break
-                if self._cannot_meet_deadline(plan):
-                    raise request.no_time_error(plan.queued_s)
                 if not request.spend_retry():
                     break
                 try:
@@ -102,31 +100,52 @@
             return True
         return plan.first_event_s > REFUSAL_FACTOR * request.remaining_s()
 
-    def _make_plan(self) -> plans.Plan | None:
+    async def _make_plan(self) -> plans.Plan | None:
+        """Return a plan with permits for its replicas, None without one.
+
+        Raise RequestError if there is too little time for it.
+        """
         request = self._request
-        plan = self._node.placement.plan_stream(
-            request.candidates(),
-            self._prompt,
-            self._engine,
-            len(request.body),
-            request.kv_copy_sources(),
-            request.objective_left_s(),
-        )
-        if plan is not None:
-            request.log(
-                events.ROUTE,
-                'chose replicas',
-                replica=plan.decode_replica.name,
-                reader=plan.prefill_replica.name
-                if plan.prefill_replica
-                else None,
-                unread_tokens=plan.uncached_tokens,
-                copied_tokens=plan.copy.tokens,
-                prompt_tokens=self._prompt.tokens,
-                expected_s=round(plan.first_event_s, 3),
-                left_s=round(request.remaining_s(), 3),
+        while True:
+            plan = self._node.placement.plan_stream(
+                request.candidates(),
+                self._prompt,
+                self._engine,
+                len(request.body),
+                request.kv_copy_sources(),
+                request.objective_left_s(),
             )
-        return plan
+            if plan is None:
+                if not await request.wait_for_turn():
+                    return None
+                continue
+            if self._cannot_meet_deadline(plan):
+                raise request.no_time_error(plan.queued_s)
+            if await self._has_permits(plan):
+                self._log_plan(plan)
+                return plan
+
+    async def _has_permits(self, plan: plans.Plan) -> bool:
+        """Acquire the permits of a plan; return false if one is denied."""
+        if not await self._request.has_permit(plan.decode_replica):
+            return False
+        if plan.prefill_replica is None or self._remote_prefill.source:
+            return True
+        return await self._request.has_permit(plan.prefill_replica)
+
+    def _log_plan(self, plan: plans.Plan) -> None:
+        request = self._request
+        request.log(
+            events.ROUTE,
+            'chose replicas',
+            replica=plan.decode_replica.name,
+            reader=plan.prefill_replica.name if plan.prefill_replica else None,
+            unread_tokens=plan.uncached_tokens,
+            copied_tokens=plan.copy.tokens,
+            prompt_tokens=self._prompt.tokens,
+            expected_s=round(plan.first_event_s, 3),
+            left_s=round(request.remaining_s(), 3),
+        )
 
     async def _run_plan(self, plan: plans.Plan) -> None:
         if (
@@ -143,7 +162,7 @@
             return
         try:
             await self._run_at_replica(
-                self._choose_decode_replica(), kv_source, None
+                await self._choose_decode_replica(), kv_source, None
             )
             self._remote_prefill.record_fetched()
         except errors.UpstreamError as error:
@@ -164,21 +183,27 @@
         assert direct_plan is not None
         return direct_plan
 
-    def _choose_decode_replica(self) -> replicas.Replica:
+    async def _choose_decode_replica(self) -> replicas.Replica:
         """Choose the decode replica once the prompt has been prefilled.
 
         Prefill may take seconds; by now the planned replica may be draining
-        or others may have less load.
+        or others may have less load. A permit of a limited replica is used,
+        as it is one of few.
         """
         request = self._request
-        decode_replica = self._node.placement.choose_decode_replica(
-            request.candidates(), len(request.body)
-        )
-        if decode_replica is None:
-            raise errors.UpstreamError(
-                'no decode replica is available', verdicts.Verdict.NOT_RUN
+        while True:
+            replica = request.reserved_replica()
+            if replica is not None:
+                return replica
+            replica = self._node.placement.choose_decode_replica(
+                request.candidates(), len(request.body)
             )
-        return decode_replica
+            if replica is None and not await request.wait_for_turn():
+                raise errors.UpstreamError(
+                    'no decode replica is available', verdicts.Verdict.NOT_RUN
+                )
+            if replica is not None and await request.has_permit(replica):
+                return replica
 
     def _priority(self) -> int:
         if self._event_buffer.event_count:
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -19,7 +19,7 @@
 ) -> forward.ReplicaResponse:
     """Return a replica's response; raise RequestError if there is none."""
     while True:
-        replica = request.node.placement.choose_unary(request.candidates())
+        replica = await _choose(request)
         if replica is None or not request.spend_retry():
             break
         started_s = request.begin_attempt(replica)
@@ -37,6 +37,19 @@
     raise request.final_error()
 
 
+async def _choose(
+    request: request_state.RequestState,
+) -> replicas.Replica | None:
+    """Return a replica of which there is a permit, None if there is none."""
+    while True:
+        replica = request.node.placement.choose_unary(request.candidates())
+        if replica is None:
+            if not await request.wait_for_turn():
+                return None
+        elif await request.has_permit(replica):
+            return replica
+
+
 def _reserve_retry(request: request_state.RequestState, late_s: float) -> bool:
     """Pay for a retry if it has as much time as the late attempt had."""
     return request.remaining_s() >= late_s and request.reserve_retry()
--- a/gentianstair/limits/limiter.py
+++ b/gentianstair/limits/limiter.py
@@ -154,7 +154,7 @@
 
     def is_informed(self) -> bool:
         """Return whether this VM knows of the other VMs' requests."""
-        return self._known_reach() >= MIN_REACH
+        return self.reach() >= MIN_REACH
 
     def must_wait(self, customer: str, token_count: int | None) -> bool:
         """Return whether a request had better wait for other VMs' reports."""
@@ -164,7 +164,7 @@
         credit = self._credit(customer, limit)
         return credit is None or credit.units < limit.cost(token_count)
 
-    def _known_reach(self) -> float:
+    def reach(self) -> float:
         """Return the part of the VMs whose requests are known here."""
         vm_count = self._fleet.vm_count()
         if vm_count:
@@ -185,7 +185,7 @@
     def _decide(
         self, customer: str, limit: rate_limit.RateLimit, cost: int
     ) -> Decision:
-        reach = self._known_reach()
+        reach = self.reach()
         if self._fleet.is_hub():
             self._flush_old()
         credit = self._credit(customer, limit)
@@ -345,7 +345,7 @@
 
     def report_to_leaf(self) -> tuple[float, dict[str, levels.Reported]]:
         """Return this hub's reach and the levels that leaves have to know."""
-        reach = self._known_reach()
+        reach = self.reach()
         self._levels.reach = max(reach, MIN_REACH)
         return reach, self._levels.low()
 
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -49,6 +49,8 @@
     'ask_news': messages.GatewayAsk,
     'news': messages.GatewayNews,
     'feed': messages.GatewayFeed,
+    'permit_ask': messages.PermitAsk,
+    'permit': messages.Permit,
     'tunnel': messages.Tunnel,
     'tunnel_answer': messages.TunnelAnswer,
     'tunnel_data': messages.TunnelData,
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -25,6 +25,13 @@
     first_event: int
 
 
+class Arrival(typing.NamedTuple):
+    """A request that came."""
+
+    at_s: float
+    request_id: str
+
+
 class Faults:
     """What the replica does wrong; all off at first."""
 
@@ -84,9 +91,8 @@
         self.forgotten = 0
         self.lists_read = 0
         self.headers: list[dict[str, str]] = []
-        # Requests that came, also those that it refused, and when.
-        self.arrivals = 0
-        self.arrivals_s: list[float] = []
+        # Requests that came, also those that it refused.
+        self.came: list[Arrival] = []
         # The limit that it names in its answers, if any, and the header for
         # it, which may be odd or given twice.
         self.limit_per_s: float | None = None
@@ -95,6 +101,11 @@
         # Parts of prompts that came from other replicas' memories.
         self.copied: list[str] = []
 
+    @property
+    def arrivals(self) -> int:
+        """Return how many requests came."""
+        return len(self.came)
+
     def name_limit(self, limit_per_s: float | None) -> None:
         """Name a limit from the next answer on, or no longer any."""
         self.limit_per_s = limit_per_s
@@ -240,8 +251,8 @@
     headers = quart.request.headers
     await quart.request.get_data()
     faults = replica.faults
-    replica.arrivals += 1
-    replica.arrivals_s.append(trio.current_time())
+    request_id = headers.get('x-request-id', '')
+    replica.came.append(Arrival(trio.current_time(), request_id))
     if faults.changed or headers.get('x-expect-instance') != replica.name:
         return quart.Response('', 421, {'x-instance-id': replica.name})
     if faults.full:
--- a/test/core/test_upstream_limits.py
+++ b/test/core/test_upstream_limits.py
@@ -88,9 +88,11 @@
     teller = upstream_limits.UpstreamLimits(clock)
     hearer = upstream_limits.UpstreamLimits(clock)
     teller.record(RUN, answer(3.0, 99))
-    hearer.apply_rows(teller.rows_since(0), 'peer')
+    hearer.apply_rows(teller.rows_since(0, to_hubs=True), 'peer')
     assert hearer.rate_per_s(RUN) == 3.0
-    assert teller.rows_since(teller.log.position) == []
+    assert teller.rows_since(teller.hub_log.position, True) == []
+    assert hearer.rows_since(0, to_hubs=True) == []
+    assert len(hearer.rows_since(0, to_hubs=False)) == 1
 
 
 @pytest.mark.parametrize(
@@ -104,12 +106,24 @@
         known.apply_rows([row], 'peer')
 
 
-def test_limit_of_a_replica_that_is_gone_is_forgotten():
-    known = upstream_limits.UpstreamLimits(Clock())
+GONE = [
+    pytest.param(60, {RESTARTED}, None, id='gone'),
+    pytest.param(60, {RUN}, 3.0, id='listed'),
+    pytest.param(5, set(), 3.0, id='not-listed-yet'),
+]
+
+
+@pytest.mark.parametrize(('after_s', 'listed', 'rate_per_s'), GONE)
+def test_limit_of_a_replica_that_is_gone_is_forgotten(
+    after_s, listed, rate_per_s
+):
+    clock = Clock()
+    known = upstream_limits.UpstreamLimits(clock)
     known.record(RUN, answer(3.0, 99))
-    known.forget('i-1')
-    assert known.rate_per_s(RUN) is None
-    assert known.rows_since(0) == []
+    clock.now_s += after_s
+    known.forget_others(listed)
+    assert known.rate_per_s(RUN) == rate_per_s
+    assert bool(known.rows_since(0, to_hubs=True)) == (rate_per_s is not None)
 
 
 HEADERS = [
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -4,12 +4,15 @@
 import types
 
 from gentianstair.core import peer_choice
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_records
+from gentianstair.gateway import permit_keepers
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
+from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import tunnel_peers
@@ -46,6 +49,26 @@
     return tunnel_peers.TunnelPeers(own, now, random.Random(1))
 
 
+def make_permits(roster, own_address, limits, now):
+    """Return the parts of a node that know of limited replicas."""
+    known = upstream_limits.UpstreamLimits(now)
+    keepers = permit_keepers.PermitKeepers(
+        permit_keepers.Fleet(
+            own_address, roster.is_hub, limits.reach, roster.vm_count
+        ),
+        known,
+        now,
+    )
+    permits = replica_permits.ReplicaPermits(
+        known, keepers, now, random.Random(1)
+    )
+    return {
+        'upstream_limits': known,
+        'permit_keepers': keepers,
+        'replica_permits': permits,
+    }
+
+
 def make_node():
     """Return the parts of a node that a hub's links use."""
     members = types.SimpleNamespace(
@@ -64,9 +87,11 @@
     roster = rosters.Roster(own, members, registry, clock)
     roster.hubs = list
     roster.assigned_replicas = lambda process: []
+    limits = make_limiter(roster, clock)
     return types.SimpleNamespace(
+        **make_permits(roster, own.peer_address, limits, clock),
         roster=roster,
-        limiter=make_limiter(roster, clock),
+        limiter=limits,
         clock=clock,
         load_tracker=replica_load.LoadTracker(clock),
         cache_updates=cache_updates.CacheUpdates(prefix_index.PrefixIndex()),
@@ -94,9 +119,11 @@
     own = hubs.Vm('leaf', 'a', '10.0.0.99:1', 0.5)
     roster = rosters.Roster(own, members, registry, now)
     roster.remember_hubs(195, [hubs.Vm('hub-0', 'a', 'hub-0:1', 0.0)])
+    limits = make_limiter(roster, now)
     return types.SimpleNamespace(
+        **make_permits(roster, own.peer_address, limits, now),
         roster=roster,
-        limiter=make_limiter(roster, now),
+        limiter=limits,
         clock=now,
         registry=registry,
         tunnel_peers=make_tunnel_peers(own, now),
--- a/test/gateway/test_hub_client.py
+++ b/test/gateway/test_hub_client.py
@@ -80,11 +80,16 @@
         self.name = name
         self.hub_names = hub_names
         self.reports = []
+        self.answered = 0
 
     async def send(self, data):
         self.reports.append(link.decode(data))
 
     async def receive(self):
+        # A hub sends a feed for each report only.
+        if self.answered == len(self.reports):
+            await trio.sleep_forever()
+        self.answered += 1
         return link.encode(
             {
                 'type': 'feed',
--- a/test/gateway/test_replica_limits.py
+++ b/test/gateway/test_replica_limits.py
@@ -90,7 +90,8 @@
 def most_arrivals(replica):
     """Return the most arrivals of a window, once VMs know the limit."""
     return limits.most_in_window(
-        replica.arrivals_s, replica.limit_named_s + NOTICE_S
+        [arrival.at_s for arrival in replica.came],
+        replica.limit_named_s + NOTICE_S,
     )
 
 
