Play replicas that name limits in the soak, with a floor of service

Plan limits: replicas name limits of 0 to 5 a second, several at once, beside stops, kills, pauses, reloads, changes and refusals of the store. Checks by what replicas saw: no window holds more than the users allow, of VMs that were not disturbed lately; and while a replica without a limit is left, two thirds are served.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -4,6 +4,7 @@
 import re
 import typing
 
+from standins import limits
 from standins.site import cloud as clouds
 from standins.site import replica as replicas
 from standins.soak import callers
@@ -36,6 +37,16 @@
     to_s: float
 
 
+class Limit(typing.NamedTuple):
+    """A time for which a replica named a limit in its answers."""
+
+    replica: str
+    limit_per_s: float
+    # From the first answer that named it.
+    from_s: float
+    to_s: float
+
+
 class Seen(typing.NamedTuple):
     """All that was seen of a run."""
 
@@ -52,6 +63,7 @@
     cuts: list[Cut] = []
     # When the process of a VM was stopped, killed or paused, to its start.
     disturbed: list[Break] = []
+    limits: list[Limit] = []
 
 
 def _runs(seen: Seen) -> dict[str, list[tuple[str, replicas.Run]]]:
@@ -220,6 +232,76 @@
     )
 
 
+def limits_kept(seen: Seen) -> list[str]:
+    """A replica that names a limit gets no more than it allows."""
+    vms = {sent.request_id: sent for sent in seen.sent}
+    breaches = []
+    for replica in seen.replicas:
+        for limit in seen.limits:
+            if limit.replica != replica.name:
+                continue
+            arrivals_s = [
+                arrival.at_s
+                for arrival in replica.came
+                if arrival.at_s < limit.to_s
+                and not _is_excused(seen, vms.get(arrival.request_id))
+            ]
+            most = limits.most_in_window(
+                arrivals_s, limit.from_s + limits.CONTACT_S
+            )
+            if most > limits.allowed(limit.limit_per_s):
+                breaches.append(
+                    f'{most} in {limits.WINDOW_S:g} s at {replica.name}, '
+                    f'which names {limit.limit_per_s:g} a second'
+                )
+    return breaches
+
+
+def _is_excused(seen: Seen, sent: callers.Sent | None) -> bool:
+    """Return whether a request came from a VM that was disturbed lately."""
+    return sent is not None and any(
+        found.who == sent.vm
+        and found.from_s <= sent.ended_s
+        and found.to_s + limits.CONTACT_S >= sent.at_s
+        for found in seen.disturbed
+    )
+
+
+def served_beside_limits(seen: Seen) -> list[str]:
+    """Requests are served while a replica without a limit has room."""
+    if not seen.limits:
+        return []
+    found = [
+        sent
+        for sent in seen.sent
+        if sent.key not in seen.revoked_s
+        and not sent.hung_up
+        and not _is_excused(seen, sent)
+        and not _are_all_limited(seen, sent)
+    ]
+    failed = len(found) - _served(found)
+    allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(found)
+    if failed <= allowed or _served(found) >= MIN_SERVICE_SHARE * len(found):
+        return []
+    return [f'{_served(found)} of {len(found)}, with room at other replicas']
+
+
+def _are_all_limited(seen: Seen, sent: callers.Sent) -> bool:
+    """Return whether all replicas for a request named a limit."""
+    service = 'models' if sent.kind in callers.STREAMS else 'desk'
+    limited = {
+        limit.replica
+        for limit in seen.limits
+        if limit.from_s <= sent.ended_s
+        and sent.at_s <= limit.to_s + limits.CONTACT_S
+    }
+    return all(
+        replica.name in limited
+        for replica in seen.replicas
+        if replica.service == service and replica.stage != 'prefill'
+    )
+
+
 CHECKS = (
     at_most_once,
     whole_answers,
@@ -228,6 +310,8 @@
     one_holder,
     lost,
     cut_vms_served,
+    limits_kept,
+    served_beside_limits,
 )
 
 
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -33,6 +33,21 @@
     ('replica', 'full'),
     ('change', 'config'),
 )
+# How long a replica names a limit, and between two that begin to.
+LIMIT_S = (5.0, 9.0)
+LIMITS_PER_S = ('0', '0.5', '1', '2', '5')
+LIMIT_GAP_S = (0.5, 2.5)
+# Between two faults beside limits.
+BESIDE_LIMIT_GAP_S = (0.5, 2.0)
+BESIDE_LIMIT = (
+    ('process', 'stop'),
+    ('process', 'kill'),
+    ('process', 'pause'),
+    ('process', 'hup'),
+    ('replica', 'drains'),
+    ('store', 'refuses'),
+    ('change', 'config'),
+)
 LINKS = ('store-link', 'replica-link')
 _MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
 # Where and what, each as likely as the others.
@@ -50,7 +65,7 @@
 
     at_s: float
     # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
-    # 'change', 'paths'.
+    # 'change', 'paths', 'limit'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
@@ -119,12 +134,43 @@
             Fault(at_s, 'paths', how, chance.randrange(1000), lasts_s)
         )
         at_s += lasts_s + chance.uniform(*CUT_GAP_S)
+    found += _draw_beside(chance, length_s, BESIDE_CUT, BESIDE_CUT_GAP_S)
+    return sorted(found)
+
+
+def _draw_beside(
+    chance: random.Random,
+    length_s: float,
+    kinds: tuple[tuple[str, str], ...],
+    gap_s: tuple[float, float],
+) -> list[Fault]:
+    """Return faults of some kinds, one after the other."""
+    found = []
     at_s = 1.0
     while at_s < length_s:
-        where, what = chance.choice(BESIDE_CUT)
+        where, what = chance.choice(kinds)
         lasts_s = min(chance.uniform(*LASTS_S), length_s - at_s)
         found.append(Fault(at_s, where, what, chance.randrange(1000), lasts_s))
-        at_s += chance.uniform(*BESIDE_CUT_GAP_S)
+        at_s += chance.uniform(*gap_s)
+    return found
+
+
+def draw_limits(seed: int, length_s: float) -> list[Fault]:
+    """Return replicas that name limits, several at once.
+
+    Planned stops, kills, pauses and changes come beside them.
+    """
+    chance = random.Random(f'limits/{seed}')
+    found = []
+    at_s = 0.5
+    while at_s < length_s:
+        what = chance.choice(LIMITS_PER_S)
+        lasts_s = min(chance.uniform(*LIMIT_S), length_s - at_s)
+        found.append(
+            Fault(at_s, 'limit', what, chance.randrange(1000), lasts_s)
+        )
+        at_s += chance.uniform(*LIMIT_GAP_S)
+    found += _draw_beside(chance, length_s, BESIDE_LIMIT, BESIDE_LIMIT_GAP_S)
     return sorted(found)
 
 
@@ -134,4 +180,5 @@
     'both': draw_both,
     'hubs': draw_hubs,
     'paths': draw_paths,
+    'limits': draw_limits,
 }
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -87,6 +87,7 @@
         # VMs cut from all replicas, and those whose process was disturbed.
         self.cuts: list[checks.Cut] = []
         self.disturbed: list[checks.Break] = []
+        self.limits: list[checks.Limit] = []
         # Each VM's own paths to replicas; none if they are never cut.
         self.paths: paths.Paths | None = None
         self._version = int(sites.CONFIG['version'])
@@ -126,6 +127,7 @@
             'replica-link': self._strike_link,
             'change': self._change,
             'paths': self._strike_paths,
+            'limit': self._strike_limit,
         }
         await strikes[fault.where](fault)
 
@@ -177,6 +179,24 @@
             checks.Cut(frozenset(cut), from_s, trio.current_time())
         )
 
+    async def _strike_limit(self, fault: plan.Fault) -> None:
+        """Have a replica name a limit for so long, unless it does."""
+        found = self.site.replicas[fault.whom % len(self.site.replicas)]
+        if found.limit_per_s is not None:
+            return
+        found.name_limit(float(fault.what))
+        await trio.sleep(fault.lasts_s)
+        if found.limit_named_s is not None:
+            self.limits.append(
+                checks.Limit(
+                    found.name,
+                    float(fault.what),
+                    found.limit_named_s,
+                    trio.current_time(),
+                )
+            )
+        found.name_limit(None)
+
     async def _signal(self, number: int, fault: plan.Fault) -> None:
         gateway = self.gateways[number]
         if fault.what == 'hup':
@@ -361,6 +381,7 @@
         soak.breaks,
         soak.cuts,
         soak.disturbed,
+        soak.limits,
     )
     found = soak.breaches + checks.all_breaches(seen)
     crossed = sum(sent.hung_up for sent in seen.sent)
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -39,6 +39,9 @@
     # A VM took its lost paths for replicas that are down for all.
     ('paths', 1),
     ('paths', 2),
+    # Each VM knew of no limit that a replica named.
+    ('limits', 1),
+    ('limits', 2),
 ]
 LENGTH_S = 8.0
 
@@ -138,6 +141,34 @@
     )
 
 
+def limit_play(arrivals, failed=0, at_s=5.0, **more):
+    """Return a history of a replica that named a limit of 1 a second."""
+    tries = [
+        sent(
+            f'l{number}',
+            'lookup',
+            at_s=at_s,
+            ended_s=at_s,
+            status=503 if number < failed else 200,
+        )
+        for number in range(arrivals + failed)
+    ]
+    ran = [one.request_id for one in tries if one.status == 200]
+    history = seen(tries, ran)
+    history.replicas[0].came = [
+        replicas.Arrival(at_s + 0.01 * number, request_id)
+        for number, request_id in enumerate(ran)
+    ]
+    other = replicas.Replica('r2', 'desk', 'a')
+    return history._replace(
+        **{
+            'limits': [checks.Limit('r1', 1.0, 1.0, 9.0)],
+            'replicas': [*history.replicas, other],
+            **more,
+        }
+    )
+
+
 def closed(**more):
     values = {
         'status': 0,
@@ -226,6 +257,28 @@
             cut_play(0, 30, disturbed=[checks.Break('entry-2', 1.0, 9.0)]),
             'cut_vms_served',
         ),
+        (limit_play(11), None),
+        (limit_play(12), 'limits_kept'),
+        # Before VMs had to know of it, or by one that was disturbed.
+        (limit_play(12, at_s=3.0), None),
+        (
+            limit_play(12, disturbed=[checks.Break('entry-0', 1.0, 2.5)]),
+            None,
+        ),
+        (limit_play(9, failed=20), 'served_beside_limits'),
+        (limit_play(9, failed=9), None),
+        # No replica is without a limit.
+        (
+            limit_play(
+                9,
+                failed=20,
+                limits=[
+                    checks.Limit('r1', 1.0, 1.0, 9.0),
+                    checks.Limit('r2', 1.0, 1.0, 9.0),
+                ],
+            ),
+            None,
+        ),
     ],
 )
 def test_checks_see_planted_breaches(history, breach):
