Serve as a last resort within what users let a limited replica get

What callers saw: where all replicas name limits, half of the requests were told to return, though the users' bound had room.

Cause: permits kept to the limit itself. The users allow one and a half times the limit and five requests besides in four seconds, 11 at a limit of 1.

Now a keeper has 0.6 spare permits a second, at most as many as the limit has, for requests that would be rejected otherwise. The bound holds with permits that are used half a second late and with a second keeper for a second: a new one has no spare ones for a window. Permits for decode replicas are acquired before a prefill only if none without a limit is left, and are then used.

--- a/gentianstair/core/permit_keeper.py
+++ b/gentianstair/core/permit_keeper.py
@@ -2,6 +2,9 @@
 
 One VM keeps the permits of an upstream. It starts with none and adds them at
 the rate of the limit, so that a change of the keeper gives no more of them.
+
+The users let an upstream get somewhat more than its limit. A part of that is
+spare: it goes to requests that would be rejected otherwise.
 """
 
 import typing
@@ -14,8 +17,15 @@
 # its limit has ended.
 MIN_RATE_PER_S = 0.1
 # Unused permits that are kept: so many, and those of this time.
-KEPT_PERMITS = 2.0
+KEPT_PERMITS = 1.0
 KEPT_S = 0.5
+# Spare permits a second, if the limit is not lower. They and what else may
+# come together stay within what the users allow: permits that are used late,
+# those that are kept, and a second keeper for a second.
+SPARE_RATE_PER_S = 0.6
+# A new keeper has no spare ones until what an earlier one granted lies
+# further back than the users' window.
+NO_SPARE_S = 4.0
 # Denied VMs ask again so late that a keeper gets this many of their asks a
 # second for each upstream.
 ASKS_PER_S = 100.0
@@ -31,7 +41,9 @@
     # The limit as the asking VM knows it.
     rate_per_s: float
     # How long the request would wait for its turn.
-    patience_s: float
+    patience_s: float = 0.0
+    # Whether the request is rejected if the permit is denied.
+    is_last_resort: bool = False
 
 
 class Grant(typing.NamedTuple):
@@ -42,11 +54,19 @@
     wait_s: float
     # After which a VM that was denied asks again.
     retry_s: float = 0.0
+    # Until there is a spare one for a last resort.
+    spare_wait_s: float = 0.0
+
 
+class _Permits:
+    """The permits of one upstream."""
 
-class _Permits(typing.NamedTuple):
-    bucket: token_bucket.TokenBucket
-    asked_s: float
+    def __init__(self, now_s: float) -> None:
+        self.regular = token_bucket.TokenBucket(0.0, now_s)
+        self.spare = token_bucket.TokenBucket(
+            -NO_SPARE_S * SPARE_RATE_PER_S, now_s
+        )
+        self.asked_s = now_s
 
 
 class PermitKeeper:
@@ -65,26 +85,29 @@
         """
         now_s = self._clock()
         rate_per_s = max(MIN_RATE_PER_S, ask.rate_per_s) * reach
-        bucket = self._bucket(ask.run, now_s)
-        bucket.refill(rate_per_s, KEPT_PERMITS + KEPT_S * rate_per_s, now_s)
-        wait_s = bucket.wait_s(1.0, rate_per_s)
+        spare_per_s = min(ask.rate_per_s, SPARE_RATE_PER_S) * reach
+        permits = self._of(ask.run, now_s)
+        regular, spare = permits.regular, permits.spare
+        regular.refill(rate_per_s, KEPT_PERMITS + KEPT_S * rate_per_s, now_s)
+        spare.refill(spare_per_s, 1.0, now_s)
+        wait_s = regular.wait_s(1.0, rate_per_s)
+        spare_wait_s = spare.wait_s(1.0, spare_per_s)
         if wait_s <= ask.patience_s:
-            bucket.take(1.0)
+            regular.take(1.0)
             return Grant(True, wait_s)
+        if ask.is_last_resort and spare_wait_s <= ask.patience_s:
+            spare.take(1.0)
+            return Grant(True, spare_wait_s)
         retry_s = min(MAX_RETRY_S, max(wait_s, vm_count / ASKS_PER_S))
-        return Grant(False, wait_s, retry_s)
+        return Grant(False, wait_s, retry_s, spare_wait_s)
 
-    def _bucket(
-        self, run: upstream_limits.UpstreamRun, now_s: float
-    ) -> token_bucket.TokenBucket:
-        known = self._permits.get(run)
+    def _of(self, run: upstream_limits.UpstreamRun, now_s: float) -> _Permits:
+        permits = self._permits.get(run) or _Permits(now_s)
+        permits.asked_s = now_s
         if now_s - self._cleaned_s >= FORGET_S:
             self._clean(now_s)
-        bucket = (
-            known.bucket if known else token_bucket.TokenBucket(0.0, now_s)
-        )
-        self._permits[run] = _Permits(bucket, now_s)
-        return bucket
+        self._permits[run] = permits
+        return permits
 
     def _clean(self, now_s: float) -> None:
         self._cleaned_s = now_s
--- a/gentianstair/gateway/permit_keepers.py
+++ b/gentianstair/gateway/permit_keepers.py
@@ -32,7 +32,9 @@
 # hub sees it, and to the keeper as this one sees it.
 MAX_HOPS = 3
 
-UNANSWERED = permit_keeper.Grant(False, ANSWER_TIMEOUT_S, UNANSWERED_RETRY_S)
+UNANSWERED = permit_keeper.Grant(
+    False, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S
+)
 
 
 class Fleet(typing.NamedTuple):
@@ -141,6 +143,7 @@
                 message['granted'],
                 message['wait_ms'] / 1000,
                 message['retry_ms'] / 1000,
+                message['spare_wait_ms'] / 1000,
             )
             pending.done.set()
 
@@ -152,6 +155,7 @@
             ),
             upstream_limits.decode_rate(str(message['rate_per_s'])),
             max(0, message['patience_ms']) / 1000,
+            message['last_resort'],
         )
         grant = await self.ask(ask, min(MAX_HOPS, max(0, message['hops'])))
         return {
@@ -161,6 +165,7 @@
             'granted': grant.is_granted,
             'wait_ms': round(grant.wait_s * 1000),
             'retry_ms': round(grant.retry_s * 1000),
+            'spare_wait_ms': round(grant.spare_wait_s * 1000),
         }
 
 
@@ -183,5 +188,6 @@
         'started_ms': ask.run.started_ms,
         'rate_per_s': ask.rate_per_s,
         'patience_ms': round(ask.patience_s * 1000),
+        'last_resort': ask.is_last_resort,
         'hops': hops,
     }
--- a/gentianstair/gateway/replica_permits.py
+++ b/gentianstair/gateway/replica_permits.py
@@ -34,8 +34,9 @@
 
 
 class _Denial(typing.NamedTuple):
-    # Until when the keeper is not asked, and when there may be a permit.
+    # Until when the keeper is not asked, but as a last resort.
     until_s: float
+    # When there may be a permit for a last resort.
     available_s: float
 
 
@@ -75,12 +76,19 @@
         return False
 
     def wait_s(self, replica: replicas.Replica) -> float:
-        """Return how long there will be no permit of a replica, at least."""
+        """Return how long there is no permit for a last resort, at least."""
         denial = self._denials.get(run_of(replica))
         if denial is None:
             return 0.0
         return max(0.0, denial.available_s - self._clock())
 
+    def soonest(
+        self, found: list[replicas.Replica], count: int
+    ) -> list[replicas.Replica]:
+        """Return those that may have a permit first, at most count."""
+        shuffled = self._random.sample(found, len(found))
+        return sorted(shuffled, key=self.wait_s)[:count]
+
     def return_in_s(self, found: typing.Iterable[replicas.Replica]) -> float:
         """Return after how long a caller may return for a permit."""
         spread = 1.0 + RETRY_SPREAD * self._random.random()
@@ -89,16 +97,25 @@
     async def acquire(
         self,
         replica: replicas.Replica,
-        patience_s: float = 0.0,
         request_id: str = '',
+        last_resort_s: float | None = None,
     ) -> Permit | None:
-        """Return a permit, after at most patience_s; None if it is denied."""
+        """Return a permit, None if it is denied.
+
+        If the request is rejected without one, last_resort_s says how long
+        it waits for it.
+        """
         run = run_of(replica)
         rate_per_s = self._known.rate_per_s(run)
         if rate_per_s is None:
             return Permit(replica.name, self._clock(), False)
         grant = await self._keepers.ask(
-            permit_keeper.Ask(run, rate_per_s, patience_s)
+            permit_keeper.Ask(
+                run,
+                rate_per_s,
+                last_resort_s or 0.0,
+                last_resort_s is not None,
+            )
         )
         self._log(replica, rate_per_s, grant, request_id)
         if not grant.is_granted:
@@ -114,7 +131,8 @@
         now_s = self._clock()
         spread = 1.0 + RETRY_SPREAD * self._random.random()
         self._denials[run] = _Denial(
-            now_s + grant.retry_s * spread, now_s + grant.wait_s
+            now_s + grant.retry_s * spread,
+            now_s + min(grant.wait_s, grant.spare_wait_s),
         )
 
     def _log(
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -31,7 +31,9 @@
 # Least time without an answer after which the path to a replica is checked.
 MIN_SILENCE_S = 0.3
 # A permit that is older is not used, as many such might come together.
-MAX_PERMIT_AGE_S = 1.0
+MAX_PERMIT_AGE_S = 0.5
+# Limited replicas that are asked for a turn.
+MAX_TURN_ASKS = 3
 # Share of the time to its objective that a request waits for its turn at a
 # limited replica; the more urgent ones wait longer, so that they come first.
 TURN_SHARE = 0.5
@@ -132,8 +134,20 @@
         """Return the replicas that this request has not tried yet.
 
         Ejected replicas are left out while there are others, and always
-        those of which there is no permit.
+        those of which there is no permit. Only the reserved one decodes, if
+        there is one.
         """
+        found = self._untried()
+        if not self._permits or not any(map(self._is_reserved, found)):
+            return found
+        return [
+            replica
+            for replica in found
+            if replica.stage == prefill_costs.PREFILL
+            or self._is_reserved(replica)
+        ]
+
+    def _untried(self) -> list[replicas.Replica]:
         usable = self._permitted(self.node.registry.usable(self.service))
         excluded = self._ejected() | self.tried_replicas
         if not excluded:
@@ -163,16 +177,19 @@
         )
 
     async def has_permit(
-        self, replica: replicas.Replica, patience_s: float = 0.0
+        self,
+        replica: replicas.Replica,
+        last_resort_s: float | None = None,
     ) -> bool:
-        """Acquire a permit of a replica within patience_s.
+        """Acquire a permit of a replica; return false if it is denied.
 
-        Return false if it is denied; then the replica is no candidate.
+        Then the replica is no candidate any more. last_resort_s is how long
+        a request waits that has no other replica.
         """
         held = self._permits.pop(replica.name, None)
         if held is None or self._is_stale(held):
             held = await self.node.replica_permits.acquire(
-                replica, patience_s, self.call.request_id
+                replica, self.call.request_id, last_resort_s
             )
         if held is None:
             self._denied_replicas.add(replica.name)
@@ -181,34 +198,44 @@
         return True
 
     def _is_stale(self, permit: replica_permits.Permit) -> bool:
+        """Return whether a permit is not to be kept any longer."""
         age_s = self.node.clock() - permit.granted_s
         return not permit.is_limited or age_s > MAX_PERMIT_AGE_S
 
     def reserved_replica(self) -> replicas.Replica | None:
-        """Return a limited replica of which a permit is held."""
-        return next(
-            (
-                replica
-                for replica in self.candidates()
-                if replica.stage != prefill_costs.PREFILL
-                and replica.name in self._permits
-                and not self._is_stale(self._permits[replica.name])
-            ),
-            None,
+        """Return a limited decode replica of which a permit is held."""
+        if not self._permits:
+            return None
+        return next(filter(self._is_reserved, self.candidates()), None)
+
+    def _is_reserved(self, replica: replicas.Replica) -> bool:
+        permit = self._permits.get(replica.name)
+        return (
+            permit is not None
+            and replica.stage != prefill_costs.PREFILL
+            and not self._is_stale(permit)
         )
 
+    def has_unlimited_candidate(self) -> bool:
+        """Return whether a candidate can run the request without a limit."""
+        return any(self._is_unlimited(r) for r in self.candidates())
+
+    def _is_unlimited(self, replica: replicas.Replica) -> bool:
+        if replica.stage == prefill_costs.PREFILL:
+            return False
+        return not self.node.replica_permits.is_limited(replica)
+
     async def wait_for_turn(self) -> bool:
-        """Wait for the next permit of a limited replica, once.
+        """Get a permit of a limited replica as a last resort, once.
 
-        Return false if there is none in time, or there are other replicas.
+        Return false if there is none in time, or no replica is limited.
         """
         if self._has_asked_for_turn:
             return False
         self._has_asked_for_turn = True
-        usable = self.node.registry.usable(self.service)
         limited = [
             replica
-            for replica in usable
+            for replica in self.node.registry.usable(self.service)
             if replica.stage != prefill_costs.PREFILL
             and replica.name not in self.tried_replicas
             and self._is_denied(replica)
@@ -216,10 +243,11 @@
         if not limited:
             return False
         permits = self.node.replica_permits
-        replica = min(limited, key=permits.wait_s)
         patience_s = TURN_SHARE * self.objective_left_s()
         patience_s /= 1 + self.priority()
-        if permits.wait_s(replica) <= patience_s:
+        for replica in permits.soonest(limited, MAX_TURN_ASKS):
+            if permits.wait_s(replica) > patience_s:
+                break
             if await self.has_permit(replica, patience_s):
                 return True
         self._turn_in_s = permits.return_in_s(limited)
@@ -359,19 +387,14 @@
         """
         if not self.may_replace_attempt():
             return False
-        if not any(self._is_sure(r) for r in self.candidates()):
+        if not self.has_unlimited_candidate():
+            # A denied permit would turn an answer into a failure.
             return False
         self._next_retry_is_paid = self.node.retry_budget.try_spend(
             self.service
         )
         return self._next_retry_is_paid
 
-    def _is_sure(self, replica: replicas.Replica) -> bool:
-        """Return whether a replica takes a retry without a permit."""
-        if replica.stage == prefill_costs.PREFILL:
-            return False
-        return not self.node.replica_permits.is_limited(replica)
-
     def record_event_sent(self) -> None:
         """Record that an event of a stream goes to the caller now."""
         now_s = self.node.clock()
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -126,12 +126,19 @@
                 return plan
 
     async def _has_permits(self, plan: plans.Plan) -> bool:
-        """Acquire the permits of a plan; return false if one is denied."""
-        if not await self._request.has_permit(plan.decode_replica):
-            return False
-        if plan.prefill_replica is None or self._remote_prefill.source:
-            return True
-        return await self._request.has_permit(plan.prefill_replica)
+        """Acquire the permits of a plan; return false if one is denied.
+
+        A decode replica is chosen again after a prefill elsewhere; its permit
+        is acquired before only if the prefill might be in vain otherwise.
+        """
+        request = self._request
+        prefill = plan.prefill_replica
+        if prefill is None or self._remote_prefill.source:
+            return await request.has_permit(plan.decode_replica)
+        if not request.has_unlimited_candidate():
+            if not await request.has_permit(plan.decode_replica):
+                return False
+        return await request.has_permit(prefill)
 
     def _log_plan(self, plan: plans.Plan) -> None:
         request = self._request
--- a/test/gateway/test_permit_keepers.py
+++ b/test/gateway/test_permit_keepers.py
@@ -197,6 +197,7 @@
         'started_ms': 1,
         'rate_per_s': float('nan'),
         'patience_ms': 0,
+        'last_resort': False,
         'hops': 1,
     }
     with pytest.raises(errors.DecodeError):
