Never send a prompt to a decode replica without a permit

What callers saw: nothing yet; found as the change was read again. When the retry budget leaves no prefill elsewhere, the decode replica prefills the prompt too, and its permit had not been acquired: 500 for the caller. And the last hub of a fleet, about to stop, found no keeper and denied all permits.

Both have a test that failed before.

--- a/gentianstair/gateway/permit_keepers.py
+++ b/gentianstair/gateway/permit_keepers.py
@@ -41,8 +41,9 @@
     """What a keeper asks about its own VM and the fleet."""
 
     own_address: str
-    # Whether this VM may keep permits now.
-    keeps: collections.abc.Callable[[], bool]
+    is_hub: collections.abc.Callable[[], bool]
+    # Whether this process is about to stop.
+    is_stopping: collections.abc.Callable[[], bool]
     # The part of the VMs that this hub hears of, and how many there are.
     reach: collections.abc.Callable[[], float]
     vm_count: collections.abc.Callable[[], int]
@@ -71,8 +72,8 @@
 
     @property
     def keeps(self) -> bool:
-        """Return whether this VM may keep permits now."""
-        return self._fleet.keeps()
+        """Return whether this VM keeps permits beside other hubs."""
+        return self._fleet.is_hub() and not self._fleet.is_stopping()
 
     def record_report(self, address: str, keeps: bool) -> None:
         """Record a hub's report, and whether it keeps permits."""
@@ -82,14 +83,17 @@
             self._heard_s.pop(address, None)
 
     def keeper_of(self, replica: str) -> str | None:
-        """Return the address of a replica's keeper as this hub sees it."""
+        """Return the address of a replica's keeper as this hub sees it.
+
+        A hub that hears of no other keeps them also while it stops.
+        """
         oldest_s = self._clock() - HUB_TIMEOUT_S
         heard = [
             address
             for address, heard_s in self._heard_s.items()
             if heard_s >= oldest_s
         ]
-        if self.keeps:
+        if self.keeps or (self._fleet.is_hub() and not heard):
             heard.append(self._fleet.own_address)
         ranked = hubs.top_ranked(heard, replica, 1)
         return ranked[0] if ranked else None
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -206,7 +206,8 @@
     keepers = permit_keepers.PermitKeepers(
         permit_keepers.Fleet(
             vm_settings.peer_address,
-            lambda: roster.is_hub() and not draining.is_set(),
+            roster.is_hub,
+            draining.is_set,
             limits.reach,
             roster.vm_count,
         ),
--- a/gentianstair/gateway/replica_permits.py
+++ b/gentianstair/gateway/replica_permits.py
@@ -16,6 +16,8 @@
 
 # VMs that were denied together ask again at different times.
 RETRY_SPREAD = 0.3
+# From so many denials on, those that are over are forgotten.
+MAX_DENIALS = 100
 
 PERMITS = prometheus_client.Counter(
     'gentianstair_replica_permits',
@@ -130,6 +132,12 @@
     ) -> None:
         now_s = self._clock()
         spread = 1.0 + RETRY_SPREAD * self._random.random()
+        if len(self._denials) >= MAX_DENIALS:
+            self._denials = {
+                one: denial
+                for one, denial in self._denials.items()
+                if now_s < denial.until_s
+            }
         self._denials[run] = _Denial(
             now_s + grant.retry_s * spread,
             now_s + min(grant.wait_s, grant.spare_wait_s),
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -162,7 +162,7 @@
             if self._remote_prefill.may_prefill():
                 await self._remote_prefill.prefill(plan, self._priority())
             else:
-                plan = self._without_prefill_replica(plan)
+                plan = await self._without_prefill_replica(plan)
         kv_source = self._remote_prefill.source
         if kv_source is None:
             await self._run_at_replica(plan.decode_replica, None, plan)
@@ -176,11 +176,16 @@
             self._remote_prefill.handle_decode_failure(error)
             raise
 
-    def _without_prefill_replica(self, plan: plans.Plan) -> plans.Plan:
+    async def _without_prefill_replica(self, plan: plans.Plan) -> plans.Plan:
         """Return a plan in which the decode replica prefills the prompt too.
 
-        It needs one attempt instead of two.
+        It needs one attempt instead of two. Raise UpstreamError if there is
+        no permit for it.
         """
+        if not await self._request.has_permit(plan.decode_replica):
+            raise errors.UpstreamError(
+                'no permit of the decode replica', verdicts.Verdict.NOT_RUN
+            )
         direct_plan = self._node.placement.plan_stream(
             [plan.decode_replica],
             self._prompt,
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -54,7 +54,11 @@
     known = upstream_limits.UpstreamLimits(now)
     keepers = permit_keepers.PermitKeepers(
         permit_keepers.Fleet(
-            own_address, roster.is_hub, limits.reach, roster.vm_count
+            own_address,
+            roster.is_hub,
+            lambda: False,
+            limits.reach,
+            roster.vm_count,
         ),
         known,
         now,
--- a/test/gateway/test_permit_keepers.py
+++ b/test/gateway/test_permit_keepers.py
@@ -54,11 +54,15 @@
             one.record_report(address, True)
         self.leaf.link_to_hub = Channel(self.leaf, self.hubs[0], nursery)
 
-    def _make(self, address, keeps):
+    def _make(self, address, is_hub):
         known = upstream_limits.UpstreamLimits(clocks.trio_time_s)
         keepers = permit_keepers.PermitKeepers(
             permit_keepers.Fleet(
-                address, lambda: keeps, lambda: 1.0, lambda: HUBS + 1
+                address,
+                lambda: is_hub,
+                lambda: False,
+                lambda: 1.0,
+                lambda: HUBS + 1,
             ),
             known,
             clocks.trio_time_s,
@@ -125,7 +129,7 @@
     fleet = Fleet(nursery)
     run = fleet.run_kept_by(fleet.hubs[0])
     for hub in fleet.hubs[:2]:
-        hub._fleet = hub._fleet._replace(keeps=lambda: False)
+        hub._fleet = hub._fleet._replace(is_stopping=lambda: True)
     fleet.hubs[0].record_report(fleet.hubs[2].address, False)
     fleet.hubs[1].record_report(fleet.hubs[2].address, False)
     grant = await fleet.hubs[0].ask(ask(run))
@@ -202,3 +206,18 @@
     }
     with pytest.raises(errors.DecodeError):
         await fleet.hubs[0].answer(question)
+
+
+async def test_stopping_hub_keeps_permits_only_if_it_hears_no_other(
+    autojump_clock, nursery
+):
+    # Guards against a last VM that rejects its callers while it stops.
+    fleet = Fleet(nursery)
+    stopping = fleet.hubs[0]
+    run = fleet.run_kept_by(stopping)
+    stopping._fleet = stopping._fleet._replace(is_stopping=lambda: True)
+    assert stopping.keeper_of(run.name) != stopping.address
+    for other in fleet.hubs[1:]:
+        stopping.record_report(other.address, False)
+    assert stopping.keeper_of(run.name) == stopping.address
+    assert (await stopping.ask(ask(run))).is_granted
--- a/test/gateway/test_replica_limits.py
+++ b/test/gateway/test_replica_limits.py
@@ -8,6 +8,7 @@
 import pytest
 import trio
 
+from gentianstair.gateway import remote_prefill
 from standins import limits
 from standins.site import site as sites
 from test.gateway import gateways
@@ -168,3 +169,29 @@
         await Load(found[1:], LOOKUPS, 18.0).run(6.0)
     for name in ('i-desk-1', 'i-desk-2'):
         assert most_arrivals(site.replica(name)) <= limits.allowed(1.0)
+
+
+async def test_prompt_that_may_not_be_prefilled_elsewhere_is_served(
+    tmp_path, monkeypatch
+):
+    # Guards against a decode replica that is sent a prompt without a permit
+    # when the retry budget leaves no prefill elsewhere.
+    monkeypatch.setattr(
+        remote_prefill.RemotePrefill, 'may_prefill', lambda self: False
+    )
+    async with running(tmp_path) as (site, found):
+        site.replica('i-maker-1').name_limit(1.0)
+        load = Load(found, STREAMS, 9.0)
+        await load.run(3.0)
+    assert load.statuses() == {200: len(load.outcomes)}
+
+
+async def test_vm_alone_keeps_the_permits_itself(tmp_path):
+    # Guards against a VM that finds no keeper and rejects all.
+    async with running(tmp_path, vms=1) as (site, found):
+        for name in ('i-desk-1', 'i-desk-2'):
+            site.replica(name).name_limit(5.0)
+        await Load(found, LOOKUPS, 9.0).run(3.0)
+        load = Load(found, LOOKUPS, 9.0)
+        await load.run(2.0)
+    assert load.statuses()[200] >= MIN_USED_SHARE * len(load.outcomes)
