Compare ways to keep replicas' limits at 8, 90, 300 and 3,000 VMs

scripts/bench replica_limits plays even parts, few senders, the shared level of customers' limits and permits.

--- a/gentianstair/bench/__main__.py
+++ b/gentianstair/bench/__main__.py
@@ -18,6 +18,7 @@
         'measures',
         'node',
         'plain_relay',
+        'replica_limits_world',
         'twins',
     }
 )
