Keep permits and the questions for them in core and peers

For both interfaces: what a VM knows of its permits is core/upstream_permits.py and goes by the start of an upstream, the question and its answer on a link are peers/permit_questions.py. No change of what is done; the tests of limits pass as before.

--- a/gentianstair/bench/replica_limits.py
+++ b/gentianstair/bench/replica_limits.py
@@ -18,11 +18,12 @@
 from gentianstair.bench import replica_limits_world
 from gentianstair.core import permit_keeper
 from gentianstair.core import upstream_limits
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import hubs
 from gentianstair.gateway import permit_keepers
-from gentianstair.gateway import replica_permits
 from gentianstair.gateway import request_state
 from gentianstair.limits import token_bucket
+from gentianstair.peers import permit_questions
 
 Case = replica_limits_world.Case
 # Beside the parts of the limit itself, VMs that send to a replica.
@@ -119,7 +120,7 @@
         grant = self._answer(vm, replica, is_last_resort)
         if not grant.is_granted:
             now_s = self._world.now()
-            spread = 1.0 + replica_permits.RETRY_SPREAD * self._rng.random()
+            spread = 1.0 + upstream_permits.RETRY_SPREAD * self._rng.random()
             self._denied[vm, replica] = (
                 now_s + grant.retry_s * spread,
                 now_s + min(grant.wait_s, grant.spare_wait_s),
@@ -132,7 +133,7 @@
         world = self._world
         known = self._known_hubs(vm)
         if not known:
-            return permit_keepers.UNANSWERED
+            return permit_questions.UNANSWERED
         names = {f'h{hub}': hub for hub in known}
         (name,) = hubs.top_ranked(names, replica, 1)
         keeper = names[name]
@@ -142,10 +143,10 @@
         self._messages += messages
         delivered = (1 - world.scenario.loss) ** messages
         if keeper != vm and world.is_cut(keeper):
-            return permit_keepers.UNANSWERED
+            return permit_questions.UNANSWERED
         grant = self._grant(keeper, replica, is_last_resort)
         if world.rng.random() >= delivered:
-            return permit_keepers.UNANSWERED
+            return permit_questions.UNANSWERED
         return grant
 
     def _known_hubs(self, vm: int) -> list[int]:
--- a/gentianstair/gateway/replica_permits.py
+++ b/gentianstair/core/upstream_permits.py
@@ -1,4 +1,4 @@
-"""Give each request at a replica that names a limit a permit of its keeper."""
+"""Acquire permits for requests at upstreams that name a limit."""
 
 import random
 import typing
@@ -9,9 +9,8 @@
 
 from gentianstair.core import permit_keeper
 from gentianstair.core import upstream_limits
-from gentianstair.gateway import permit_keepers
-from gentianstair.gateway import replicas
 from gentianstair.generated import events
+from gentianstair.peers import permit_questions
 from gentianstair.util import clock as clocks
 
 # VMs that were denied together ask again at different times.
@@ -21,17 +20,17 @@
 
 PERMITS = prometheus_client.Counter(
     'gentianstair_replica_permits',
-    'Permits asked for at replicas that name a limit, by what was decided',
+    'Permits asked for at upstreams that name a limit, by what was decided',
     ['outcome'],
 )
 
 
 class Permit(typing.NamedTuple):
-    """Allows one request at a replica."""
+    """Allows one request at an upstream."""
 
-    replica: str
+    upstream: str
     granted_s: float
-    # Whether the replica names a limit, so that this permit is one of few.
+    # Whether the upstream names a limit, so that this permit is one of few.
     is_limited: bool
 
 
@@ -42,13 +41,20 @@
     available_s: float
 
 
-class ReplicaPermits:
+class Keepers(typing.Protocol):
+    """The VMs that keep permits."""
+
+    async def ask(self, ask: permit_keeper.Ask) -> permit_keeper.Grant:
+        """Ask the keeper of an upstream for a permit."""
+
+
+class UpstreamPermits:
     """The permits of this VM's requests."""
 
     def __init__(
         self,
         known: upstream_limits.UpstreamLimits,
-        keepers: permit_keepers.PermitKeepers,
+        keepers: Keepers,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
@@ -58,47 +64,48 @@
         self._random = rng
         self._denials: dict[upstream_limits.UpstreamRun, _Denial] = {}
 
-    def is_limited(self, replica: replicas.Replica) -> bool:
-        """Return whether a replica names a limit."""
-        return self._known.rate_per_s(run_of(replica)) is not None
+    def is_limited(self, run: upstream_limits.UpstreamRun) -> bool:
+        """Return whether an upstream names a limit."""
+        return self._known.rate_per_s(run) is not None
 
     def any_denied(self) -> bool:
         """Return whether a permit was denied lately."""
         return bool(self._denials)
 
-    def is_denied(self, replica: replicas.Replica) -> bool:
-        """Return whether a replica's keeper is not to be asked yet."""
-        run = run_of(replica)
+    def is_denied(self, run: upstream_limits.UpstreamRun) -> bool:
+        """Return whether an upstream's keeper is not to be asked yet."""
         denial = self._denials.get(run)
         if denial is None:
             return False
-        if self._clock() < denial.until_s and self.is_limited(replica):
+        if self._clock() < denial.until_s and self.is_limited(run):
             return True
         del self._denials[run]
         return False
 
-    def wait_s(self, replica: replicas.Replica) -> float:
+    def wait_s(self, run: upstream_limits.UpstreamRun) -> float:
         """Return how long there is no permit for a last resort, at least."""
-        denial = self._denials.get(run_of(replica))
+        denial = self._denials.get(run)
         if denial is None:
             return 0.0
         return max(0.0, denial.available_s - self._clock())
 
     def soonest(
-        self, found: list[replicas.Replica], count: int
-    ) -> list[replicas.Replica]:
+        self, found: list[upstream_limits.UpstreamRun], count: int
+    ) -> list[upstream_limits.UpstreamRun]:
         """Return those that may have a permit first, at most count."""
         shuffled = self._random.sample(found, len(found))
         return sorted(shuffled, key=self.wait_s)[:count]
 
-    def return_in_s(self, found: typing.Iterable[replicas.Replica]) -> float:
+    def return_in_s(
+        self, found: typing.Iterable[upstream_limits.UpstreamRun]
+    ) -> float:
         """Return after how long a caller may return for a permit."""
         spread = 1.0 + RETRY_SPREAD * self._random.random()
-        return spread * min(self.wait_s(replica) for replica in found)
+        return spread * min(self.wait_s(run) for run in found)
 
     async def acquire(
         self,
-        replica: replicas.Replica,
+        run: upstream_limits.UpstreamRun,
         request_id: str = '',
         last_resort_s: float | None = None,
     ) -> Permit | None:
@@ -107,10 +114,9 @@
         If the request is rejected without one, last_resort_s says how long
         it waits for it.
         """
-        run = run_of(replica)
         rate_per_s = self._known.rate_per_s(run)
         if rate_per_s is None:
-            return Permit(replica.name, self._clock(), False)
+            return Permit(run.name, self._clock(), False)
         grant = await self._keepers.ask(
             permit_keeper.Ask(
                 run,
@@ -119,13 +125,13 @@
                 last_resort_s is not None,
             )
         )
-        self._log(replica, rate_per_s, grant, request_id)
+        self._log(run, rate_per_s, grant, request_id)
         if not grant.is_granted:
             self._record_denial(run, grant)
             return None
         if grant.wait_s > 0:
             await trio.sleep(grant.wait_s)
-        return Permit(replica.name, self._clock(), True)
+        return Permit(run.name, self._clock(), True)
 
     def _record_denial(
         self, run: upstream_limits.UpstreamRun, grant: permit_keeper.Grant
@@ -145,26 +151,21 @@
 
     def _log(
         self,
-        replica: replicas.Replica,
+        run: upstream_limits.UpstreamRun,
         rate_per_s: float,
         grant: permit_keeper.Grant,
         request_id: str,
     ) -> None:
         outcome = 'granted' if grant.is_granted else 'denied'
-        if grant is permit_keepers.UNANSWERED:
+        if grant is permit_questions.UNANSWERED:
             outcome = 'unanswered'
         PERMITS.labels(outcome).inc()
         loguru.logger.bind(
             event=events.REPLICA_PERMIT,
             request_id=request_id,
-            replica=replica.name,
+            replica=run.name,
             outcome=outcome,
             rate_per_s=rate_per_s,
             wait_s=round(grant.wait_s, 3),
             retry_s=round(grant.retry_s, 3),
-        ).info('permit for a limited replica: {}', outcome)
-
-
-def run_of(replica: replicas.Replica) -> upstream_limits.UpstreamRun:
-    """Return the start of a replica that its limit belongs to."""
-    return upstream_limits.UpstreamRun(replica.name, replica.started_ms)
+        ).info('permit for a limited upstream: {}', outcome)
--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -122,7 +122,7 @@
     """
     lists_cache = node.roster.lists_cache(
         replica.name
-    ) and not node.replica_permits.is_limited(replica)
+    ) and not node.upstream_permits.is_limited(replica.run)
     loguru.logger.bind(
         event=events.CACHE_GAP, replica=replica.name, listed=lists_cache
     ).info('missed changes of a replica cache')
--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -3,7 +3,7 @@
 import collections.abc
 import typing
 
-from gentianstair.gateway import replica_permits
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import replicas
 
 Headers = list[tuple[bytes, bytes]]
@@ -65,7 +65,7 @@
 
     replica: replicas.Replica
     # Nothing is sent to a replica without one.
-    permit: replica_permits.Permit
+    permit: upstream_permits.Permit
     customer: str | None
     remaining_s: float
     body: bytes
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -89,7 +89,7 @@
     if response.status_code == http_codec.HTTP_MISDIRECTED:
         # Another replica answered.
         return
-    run = upstream_limits.UpstreamRun(replica.name, replica.started_ms)
+    run = replica.run
     was_taken = (
         takes_requests
         and http_codec.verdict_of(response) is verdicts.Verdict.RAN
@@ -135,7 +135,7 @@
 ) -> None:
     """Free a prefilled KV cache that no replica will fetch."""
     known = node.registry.get(replica)
-    if known and not await node.replica_permits.acquire(known):
+    if known and not await node.upstream_permits.acquire(known.run):
         _log_not_freed(replica, 'no permit')
         return
     request = http_codec.release_kv_request(replica, source, CONNECT_TIMEOUT_S)
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -9,6 +9,7 @@
 from gentianstair.core import path_keeper
 from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
@@ -17,7 +18,6 @@
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster
@@ -65,7 +65,7 @@
     limiter: limiter.Limiter
     upstream_limits: upstream_limits.UpstreamLimits
     permit_keepers: permit_keepers.PermitKeepers
-    replica_permits: replica_permits.ReplicaPermits
+    upstream_permits: upstream_permits.UpstreamPermits
     ejector: ejection.Ejector
     paths: upstream_paths.UpstreamPaths
     transport: transports.Transport
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -18,7 +18,6 @@
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import peer_updates
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 from gentianstair.generated import messages
@@ -101,10 +100,7 @@
         limits = self._node.upstream_limits
         if not limits.is_empty():
             limits.forget_others(
-                {
-                    replica_permits.run_of(replica)
-                    for replica in self._node.registry.all()
-                }
+                {replica.run for replica in self._node.registry.all()}
             )
 
     def _wanted_peers(self) -> set[str]:
--- a/gentianstair/gateway/permit_keepers.py
+++ b/gentianstair/gateway/permit_keepers.py
@@ -6,36 +6,23 @@
 """
 
 import collections.abc
-import itertools
 import typing
 
-import loguru
-import trio
-
 from gentianstair.core import permit_keeper
 from gentianstair.core import upstream_limits
 from gentianstair.gateway import hubs
-from gentianstair.generated import events
 from gentianstair.generated import messages
 from gentianstair.peers import link
+from gentianstair.peers import permit_questions
 from gentianstair.util import clock as clocks
 
 # A hub that is silent for this long keeps no permits. Hubs report several
 # times a second.
 HUB_TIMEOUT_S = 1.2
-# How long an answer is waited for, and how long a VM without one does not
-# ask again.
-ANSWER_TIMEOUT_S = 0.2
-UNANSWERED_RETRY_S = 0.5
-
 # Links that a question passes: from a leaf to its hub, to the keeper as that
 # hub sees it, and to the keeper as this one sees it.
 MAX_HOPS = 3
 
-UNANSWERED = permit_keeper.Grant(
-    False, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S
-)
-
 
 class Fleet(typing.NamedTuple):
     """What a keeper asks about its own VM and the fleet."""
@@ -62,13 +49,12 @@
         self._known = known
         self._clock = clock
         self._own = permit_keeper.PermitKeeper(clock)
+        self._questions = permit_questions.Questions()
         # When each hub that keeps permits last reported, by address.
         self._heard_s: dict[str, float] = {}
         # Open links: a hub's to other hubs by address, a leaf's to its hub.
         self.hub_links: dict[str, link.Channel] = {}
         self.link_to_hub: link.Channel | None = None
-        self._numbers = itertools.count(1)
-        self._pending: dict[int, _Pending] = {}
 
     @property
     def keeps(self) -> bool:
@@ -103,14 +89,14 @@
     ) -> permit_keeper.Grant:
         """Ask the keeper of a replica, over at most so many links."""
         if self.link_to_hub is not None:
-            return await self._ask_on(self.link_to_hub, ask, hops - 1)
+            return await self._questions.ask(self.link_to_hub, ask, hops - 1)
         address = self.keeper_of(ask.run.name)
         if address == self._fleet.own_address:
             return self._grant(ask)
         channel = self.hub_links.get(address or '')
         if channel is None or not hops:
-            return UNANSWERED
-        return await self._ask_on(channel, ask, hops - 1)
+            return permit_questions.UNANSWERED
+        return await self._questions.ask(channel, ask, hops - 1)
 
     def _grant(self, ask: permit_keeper.Ask) -> permit_keeper.Grant:
         own_rate_per_s = self._known.rate_per_s(ask.run)
@@ -120,78 +106,10 @@
             ask, self._fleet.reach(), self._fleet.vm_count()
         )
 
-    async def _ask_on(
-        self,
-        channel: link.Channel,
-        ask: permit_keeper.Ask,
-        hops: int,
-    ) -> permit_keeper.Grant:
-        number = next(self._numbers)
-        pending = self._pending[number] = _Pending()
-        try:
-            with trio.move_on_after(ANSWER_TIMEOUT_S):
-                message = _encode_ask(number, ask, hops)
-                await channel.send(link.encode(message))
-                await pending.done.wait()
-        except link.LinkClosedError as error:
-            loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
-        finally:
-            del self._pending[number]
-        return pending.grant
-
     def handle_answer(self, message: messages.Permit) -> None:
-        """Take a keeper's answer; one that comes too late is passed over."""
-        pending = self._pending.get(message['id'])
-        if pending is not None:
-            pending.grant = permit_keeper.Grant(
-                message['granted'],
-                message['wait_ms'] / 1000,
-                message['retry_ms'] / 1000,
-                message['spare_wait_ms'] / 1000,
-            )
-            pending.done.set()
+        """Take a keeper's answer."""
+        self._questions.handle_answer(message)
 
     async def answer(self, message: messages.PermitAsk) -> messages.Permit:
         """Return the answer to another VM's question; raise DecodeError."""
-        ask = permit_keeper.Ask(
-            upstream_limits.UpstreamRun(
-                message['replica'], message['started_ms']
-            ),
-            upstream_limits.decode_rate(str(message['rate_per_s'])),
-            max(0, message['patience_ms']) / 1000,
-            message['last_resort'],
-        )
-        grant = await self.ask(ask, min(MAX_HOPS, max(0, message['hops'])))
-        return {
-            'version': link.PROTOCOL_VERSION,
-            'type': 'permit',
-            'id': message['id'],
-            'granted': grant.is_granted,
-            'wait_ms': round(grant.wait_s * 1000),
-            'retry_ms': round(grant.retry_s * 1000),
-            'spare_wait_ms': round(grant.spare_wait_s * 1000),
-        }
-
-
-class _Pending:
-    """A question that was sent, and its answer."""
-
-    def __init__(self) -> None:
-        self.done = trio.Event()
-        self.grant = UNANSWERED
-
-
-def _encode_ask(
-    number: int, ask: permit_keeper.Ask, hops: int
-) -> messages.PermitAsk:
-    return {
-        'version': link.PROTOCOL_VERSION,
-        'type': 'permit_ask',
-        'id': number,
-        'replica': ask.run.name,
-        'started_ms': ask.run.started_ms,
-        'rate_per_s': ask.rate_per_s,
-        'patience_ms': round(ask.patience_s * 1000),
-        'last_resort': ask.is_last_resort,
-        'hops': hops,
-    }
+        return await permit_questions.answer(message, self.ask, MAX_HOPS)
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -15,6 +15,7 @@
 from gentianstair.core import upstream_connector
 from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import autoscaler
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import deployment
@@ -28,7 +29,6 @@
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster as rosters
@@ -241,7 +241,7 @@
         limiter=limits,
         upstream_limits=known_limits,
         permit_keepers=keepers,
-        replica_permits=replica_permits.ReplicaPermits(
+        upstream_permits=upstream_permits.UpstreamPermits(
             known_limits, keepers, now, random.Random(vm_settings.vm)
         ),
         ejector=ejection.Ejector(),
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -5,6 +5,7 @@
 import loguru
 import trio
 
+from gentianstair.core import upstream_limits
 from gentianstair.generated import events
 from gentianstair.util import change_log
 from gentianstair.util import clock as clocks
@@ -37,6 +38,11 @@
     reclaimable: bool
     models: tuple[str, ...]
 
+    @property
+    def run(self) -> upstream_limits.UpstreamRun:
+        """Return the start that a limit of this replica belongs to."""
+        return upstream_limits.UpstreamRun(self.name, self.started_ms)
+
 
 class Registry:
     """The current replicas, by service and by name."""
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -7,12 +7,12 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
-from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 
@@ -79,7 +79,7 @@
         self.tried_replicas: set[str] = set()
         self._next_retry_is_paid = False
         # Permits that no attempt has used yet, by replica.
-        self._permits: dict[str, replica_permits.Permit] = {}
+        self._permits: dict[str, upstream_permits.Permit] = {}
         # Replicas whose keeper denied this request a permit.
         self._denied_replicas: set[str] = set()
         # Whether this request has asked for a turn at a limited replica, and
@@ -166,14 +166,14 @@
         return [r for r in found if not self._is_denied(r)]
 
     def _node_denies(self) -> bool:
-        return self.node.replica_permits.any_denied()
+        return self.node.upstream_permits.any_denied()
 
     def _is_denied(self, replica: replicas.Replica) -> bool:
         if replica.name in self._permits:
             return False
         return (
             replica.name in self._denied_replicas
-            or self.node.replica_permits.is_denied(replica)
+            or self.node.upstream_permits.is_denied(replica.run)
         )
 
     async def has_permit(
@@ -188,8 +188,8 @@
         """
         held = self._permits.pop(replica.name, None)
         if held is None or self._is_stale(held):
-            held = await self.node.replica_permits.acquire(
-                replica, self.call.request_id, last_resort_s
+            held = await self.node.upstream_permits.acquire(
+                replica.run, self.call.request_id, last_resort_s
             )
         if held is None:
             self._denied_replicas.add(replica.name)
@@ -197,7 +197,7 @@
         self._permits[replica.name] = held
         return True
 
-    def _is_stale(self, permit: replica_permits.Permit) -> bool:
+    def _is_stale(self, permit: upstream_permits.Permit) -> bool:
         """Return whether a permit is not to be kept any longer."""
         age_s = self.node.clock() - permit.granted_s
         return not permit.is_limited or age_s > MAX_PERMIT_AGE_S
@@ -223,7 +223,7 @@
     def _is_unlimited(self, replica: replicas.Replica) -> bool:
         if replica.stage == prefill_costs.PREFILL:
             return False
-        return not self.node.replica_permits.is_limited(replica)
+        return not self.node.upstream_permits.is_limited(replica.run)
 
     async def wait_for_turn(self) -> bool:
         """Get a permit of a limited replica as a last resort, once.
@@ -233,22 +233,22 @@
         if self._has_asked_for_turn:
             return False
         self._has_asked_for_turn = True
-        limited = [
-            replica
+        limited = {
+            replica.run: replica
             for replica in self.node.registry.usable(self.service)
             if replica.stage != prefill_costs.PREFILL
             and replica.name not in self.tried_replicas
             and self._is_denied(replica)
-        ]
+        }
         if not limited:
             return False
-        permits = self.node.replica_permits
+        permits = self.node.upstream_permits
         patience_s = TURN_SHARE * self.objective_left_s()
         patience_s /= 1 + self.priority()
-        for replica in permits.soonest(limited, MAX_TURN_ASKS):
-            if permits.wait_s(replica) > patience_s:
+        for run in permits.soonest(list(limited), MAX_TURN_ASKS):
+            if permits.wait_s(run) > patience_s:
                 break
-            if await self.has_permit(replica, patience_s):
+            if await self.has_permit(limited[run], patience_s):
                 return True
         self._turn_in_s = permits.return_in_s(limited)
         return False
--- /dev/null
+++ b/gentianstair/peers/permit_questions.py
@@ -0,0 +1,120 @@
+"""Ask a peer for a permit of an upstream that names a limit, and answer.
+
+Several questions may be under way on one link; answers may come in any order.
+"""
+
+import collections.abc
+import itertools
+
+import loguru
+import trio
+
+from gentianstair.core import permit_keeper
+from gentianstair.core import upstream_limits
+from gentianstair.generated import events
+from gentianstair.generated import messages
+from gentianstair.peers import link
+
+# How long an answer is waited for, and how long a VM without one does not
+# ask again.
+ANSWER_TIMEOUT_S = 0.2
+UNANSWERED_RETRY_S = 0.5
+
+UNANSWERED = permit_keeper.Grant(
+    False, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S
+)
+
+GrantPermit = collections.abc.Callable[
+    [permit_keeper.Ask, int], collections.abc.Awaitable[permit_keeper.Grant]
+]
+
+
+class _Pending:
+    """A question that was sent, and its answer."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.grant = UNANSWERED
+
+
+class Questions:
+    """The questions of this VM that have no answer yet."""
+
+    def __init__(self) -> None:
+        self._numbers = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+
+    async def ask(
+        self, channel: link.Channel, ask: permit_keeper.Ask, hops: int
+    ) -> permit_keeper.Grant:
+        """Ask on a link; hops is how often the question may be passed on."""
+        number = next(self._numbers)
+        pending = self._pending[number] = _Pending()
+        try:
+            with trio.move_on_after(ANSWER_TIMEOUT_S):
+                await channel.send(link.encode(_encode_ask(number, ask, hops)))
+                await pending.done.wait()
+        except link.LinkClosedError as error:
+            loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
+        finally:
+            del self._pending[number]
+        return pending.grant
+
+    def handle_answer(self, message: messages.Permit) -> None:
+        """Take an answer; one that comes too late is passed over."""
+        pending = self._pending.get(message['id'])
+        if pending is not None:
+            pending.grant = permit_keeper.Grant(
+                message['granted'],
+                message['wait_ms'] / 1000,
+                message['retry_ms'] / 1000,
+                message['spare_wait_ms'] / 1000,
+            )
+            pending.done.set()
+
+
+async def answer(
+    message: messages.PermitAsk, grant_permit: GrantPermit, max_hops: int
+) -> messages.Permit:
+    """Return the answer to a question of a peer; raise DecodeError."""
+    ask = permit_keeper.Ask(
+        upstream_limits.UpstreamRun(message['replica'], message['started_ms']),
+        upstream_limits.decode_rate(str(message['rate_per_s'])),
+        max(0, message['patience_ms']) / 1000,
+        message['last_resort'],
+    )
+    grant = await grant_permit(ask, min(max_hops, max(0, message['hops'])))
+    return {
+        'version': link.PROTOCOL_VERSION,
+        'type': 'permit',
+        'id': message['id'],
+        'granted': grant.is_granted,
+        'wait_ms': round(grant.wait_s * 1000),
+        'retry_ms': round(grant.retry_s * 1000),
+        'spare_wait_ms': round(grant.spare_wait_s * 1000),
+    }
+
+
+def _encode_ask(
+    number: int, ask: permit_keeper.Ask, hops: int
+) -> messages.PermitAsk:
+    return {
+        'version': link.PROTOCOL_VERSION,
+        'type': 'permit_ask',
+        'id': number,
+        'replica': ask.run.name,
+        'started_ms': ask.run.started_ms,
+        'rate_per_s': ask.rate_per_s,
+        'patience_ms': round(ask.patience_s * 1000),
+        'last_resort': ask.is_last_resort,
+        'hops': hops,
+    }
+
+
+__all__ = [
+    'ANSWER_TIMEOUT_S',
+    'UNANSWERED',
+    'UNANSWERED_RETRY_S',
+    'Questions',
+    'answer',
+]
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -5,6 +5,7 @@
 
 from gentianstair.core import peer_choice
 from gentianstair.core import upstream_limits
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_records
@@ -12,7 +13,6 @@
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
 from gentianstair.gateway import replica_load
-from gentianstair.gateway import replica_permits
 from gentianstair.gateway import replicas
 from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import tunnel_peers
@@ -63,13 +63,13 @@
         known,
         now,
     )
-    permits = replica_permits.ReplicaPermits(
+    permits = upstream_permits.UpstreamPermits(
         known, keepers, now, random.Random(1)
     )
     return {
         'upstream_limits': known,
         'permit_keepers': keepers,
-        'replica_permits': permits,
+        'upstream_permits': permits,
     }
 
 
--- a/test/gateway/test_permit_keepers.py
+++ b/test/gateway/test_permit_keepers.py
@@ -10,6 +10,7 @@
 from gentianstair.core import upstream_limits
 from gentianstair.gateway import permit_keepers
 from gentianstair.peers import link
+from gentianstair.peers import permit_questions
 from gentianstair.util import clock as clocks
 
 RATE_PER_S = 2.0
@@ -153,9 +154,9 @@
     vars(asker.hub_links[keeper.address]).update(fault)
     began_s = trio.current_time()
     grant = await asker.ask(ask(run))
-    assert grant == permit_keepers.UNANSWERED
+    assert grant == permit_questions.UNANSWERED
     took_s = trio.current_time() - began_s
-    assert took_s == pytest.approx(permit_keepers.ANSWER_TIMEOUT_S, abs=0.01)
+    assert took_s == pytest.approx(permit_questions.ANSWER_TIMEOUT_S, abs=0.01)
     # An answer that comes now is passed over.
     await trio.sleep(2.0)
 
@@ -177,7 +178,7 @@
     fleet = Fleet(nursery)
     fleet.leaf.link_to_hub = None
     run = fleet.run_kept_by(fleet.hubs[0])
-    assert await fleet.leaf.ask(ask(run)) == permit_keepers.UNANSWERED
+    assert await fleet.leaf.ask(ask(run)) == permit_questions.UNANSWERED
 
 
 async def test_hub_of_an_older_version_keeps_no_permits(
