Keep limits that upstreams name on the OpenAI-style interface too

Attempts and prefills now need a permit as in the gateway, from the same core. The live VM that ranks first for an upstream keeps it; the others ask on a link that is opened when it is needed. Calls of an attempt to move a KV cache are not counted by themselves.

--- a/gentianstair/core/upstream_limits.py
+++ b/gentianstair/core/upstream_limits.py
@@ -89,6 +89,16 @@
     return rate_per_s
 
 
+def decode_limit(values: typing.Sequence[str]) -> float | None:
+    """Return the limit in the values of a header, None without any.
+
+    Raise DecodeError for one that limits nothing, or for several.
+    """
+    if len(values) > 1:
+        raise errors.DecodeError(f'no limit: {list(values)}')
+    return decode_rate(values[0]) if values else None
+
+
 class UpstreamLimits:
     """The limits that upstreams name, as this VM knows them."""
 
--- a/gentianstair/entry/attempts.py
+++ b/gentianstair/entry/attempts.py
@@ -16,6 +16,8 @@
 
 NO_UPSTREAM_RETRY_AFTER_S = 1.0
 UPSTREAM_FAILED_RETRY_AFTER_S = 1.0
+# How long a request waits for its turn at an upstream that names a limit.
+MAX_TURN_WAIT_S = 0.5
 
 
 class Attempt(typing.NamedTuple):
@@ -44,19 +46,83 @@
 
 
 def _choose(
-    node: nodes.Node, request: requests.Request, failed: set[str]
+    node: nodes.Node,
+    request: requests.Request,
+    failed: set[str],
+    denied: set[str],
 ) -> routing.Choice | None:
+    """Return where to send a request; never to denied upstreams."""
     now_s = node.clock()
     names = node.router.subset(request.work.model)
-    exclude = _excluded(node, names, failed)
+    exclude = _excluded(node, names, failed | denied)
     choice = node.router.choose(request.work, now_s, exclude)
     if choice is None and failed:
         # No other is left, so allow those that already failed.
-        exclude = _excluded(node, names, set())
+        exclude = _excluded(node, names, denied)
         choice = node.router.choose(request.work, now_s, exclude)
     return choice
 
 
+async def _choose_permitted(
+    node: nodes.Node, request: requests.Request, failed: set[str]
+) -> routing.Choice | None:
+    """Return where to send a request, with permits for it.
+
+    Raise RequestError if only upstreams with a limit are left, and none of
+    them has a permit in time.
+    """
+    names = node.router.subset(request.work.model)
+    denied = node.permits.denied(names)
+    while True:
+        choice = _choose(node, request, failed, denied)
+        if choice is None:
+            break
+        refused = await _acquire_permits(node, request, choice)
+        if refused is None:
+            return choice
+        denied.add(refused)
+    denied -= failed
+    if not denied:
+        return None
+    return await _wait_for_turn(node, request, denied)
+
+
+async def _acquire_permits(
+    node: nodes.Node, request: requests.Request, choice: routing.Choice
+) -> str | None:
+    """Acquire the permits of a choice; return the upstream without one."""
+    for name in (choice.upstream, choice.prefill_upstream):
+        if name is not None:
+            if not await node.permits.acquire(name, request.request_id):
+                return name
+    return None
+
+
+async def _wait_for_turn(
+    node: nodes.Node, request: requests.Request, denied: set[str]
+) -> routing.Choice | None:
+    """Return the choice of a limited upstream once its permit has come."""
+    left_s = request.work.deadline_s - node.clock()
+    turn = await node.permits.wait_for_turn(
+        denied, request.request_id, min(MAX_TURN_WAIT_S, left_s / 2)
+    )
+    if turn is not None:
+        names = set(node.router.subset(request.work.model))
+        choice = node.router.choose(
+            request.work, node.clock(), frozenset(names - {turn})
+        )
+        if choice is not None:
+            return choice
+    raise errors.RequestError(
+        503,
+        'upstream-limits',
+        'the upstreams take no more requests for now',
+        retry_after_s=max(
+            NO_UPSTREAM_RETRY_AFTER_S, node.permits.return_in_s(denied)
+        ),
+    )
+
+
 async def _run_attempt(
     node: nodes.Node,
     request: requests.Request,
@@ -162,7 +228,11 @@
     in_use = set() if in_use is None else in_use
     attempt_count = 0
     while True:
-        choice = _choose(node, request, failed | in_use)
+        try:
+            choice = await _choose_permitted(node, request, failed | in_use)
+        except errors.RequestError as error:
+            error.verdict = verdict
+            raise
         if choice is None:
             _explain(node, request, 'no-upstream', failed=sorted(failed))
             raise _no_upstream_error(verdict)
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -86,6 +86,7 @@
         config, view, peer, nursery, leaving
     )
     peer.tunnel_server = parts.tunnel_server
+    peer.permit_server = parts.permit_keepers
     explanations = explain.make_explanations()
 
     def record(decision: admission_types.Decision) -> None:
@@ -129,6 +130,7 @@
         explanations=explanations,
         transport=parts.transport,
         path_keeper=parts.path_keeper,
+        permits=parts.permits,
         grace=grace_period.GracePeriod(),
     )
     return node, peer
--- a/gentianstair/entry/node.py
+++ b/gentianstair/entry/node.py
@@ -12,6 +12,7 @@
 from gentianstair.entry import limits
 from gentianstair.entry import retry_policy
 from gentianstair.entry import routing
+from gentianstair.entry import upstream_permits
 from gentianstair.entry import usage as usages
 from gentianstair.generated import settings
 from gentianstair.upstreams import transport
@@ -41,6 +42,7 @@
     explanations: explain.Explanations
     transport: transport.Transport
     path_keeper: path_keeper.PathKeeper
+    permits: upstream_permits.EntryPermits
     grace: grace_period.GracePeriod
 
     @property
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -101,9 +101,11 @@
     with trio.CancelScope() as scope:
         stall_timeout = StallTimeout(scope, stall_s)
         try:
+            sent_s = node.clock()
             response = await node.transport.handle_async_request(
                 upstream_request
             )
+            node.permits.record(response, upstream_request.url, sent_s)
             yield response, stall_timeout
         finally:
             if response is not None:
--- a/gentianstair/entry/tunnel_directory.py
+++ b/gentianstair/entry/tunnel_directory.py
@@ -2,14 +2,12 @@
 
 import random
 
-import httpx
-
 from gentianstair.config import view as views
 from gentianstair.core import peer_choice
 from gentianstair.core import upstream_connector
+from gentianstair.entry import upstream_names
 from gentianstair.peers import membership
 from gentianstair.peers import node as peers
-from gentianstair.upstreams import connector
 from gentianstair.util import clock as clocks
 
 
@@ -19,28 +17,20 @@
     def __init__(
         self,
         view: views.View,
+        names: upstream_names.UpstreamNames,
         peer: peers.Node,
         failure_domain: str,
         clock: clocks.Clock,
         rng: random.Random,
     ) -> None:
         self._view = view
+        self._names = names
         self._peer = peer
         self._choice = peer_choice.PeerChoice(failure_domain, clock, rng)
-        self._names: dict[str, str] = {}
-        # The view's revision when the names were looked up.
-        self._revision = -1
 
     def name_at(self, address: str) -> str | None:
         """See upstream_connector.TunnelDirectory."""
-        if self._revision != self._view.revision:
-            self._revision = self._view.revision
-            self._names = {
-                upstream_address(value['url']): name
-                for name in self._view.valid_names('upstream')
-                if (value := self._view.upstream(name)) is not None
-            }
-        return self._names.get(address)
+        return self._names.name_at(address)
 
     def choose_peers(self, upstream: str, limit: int) -> list[str]:
         """See upstream_connector.TunnelDirectory."""
@@ -66,14 +56,4 @@
         ]
 
 
-def upstream_address(url: str) -> str:
-    """Return the HOST:PORT of an upstream's URL.
-
-    >>> upstream_address('https://engine.example/v1')
-    'engine.example:443'
-    """
-    parsed = httpx.URL(url)
-    return f'{parsed.host}:{connector.port_of(parsed)}'
-
-
-__all__ = ['TunnelDirectory', 'upstream_address']
+__all__ = ['TunnelDirectory']
--- a/gentianstair/entry/upstream_parts.py
+++ b/gentianstair/entry/upstream_parts.py
@@ -10,6 +10,8 @@
 from gentianstair.core import upstream_connector
 from gentianstair.core import upstream_paths
 from gentianstair.entry import tunnel_directory
+from gentianstair.entry import upstream_names
+from gentianstair.entry import upstream_permits
 from gentianstair.generated import settings
 from gentianstair.peers import link
 from gentianstair.peers import node as peers
@@ -29,6 +31,8 @@
     transport: transport.Transport
     path_keeper: path_keeper.PathKeeper
     tunnel_server: tunnel.TunnelServer
+    permits: upstream_permits.EntryPermits
+    permit_keepers: upstream_permits.MemberKeepers
 
 
 def make_upstream_parts(
@@ -45,12 +49,14 @@
     """
     now = clock.boottime_s
     rng = random.Random(config.vm_name)
+    network = network or link.make_network(config)
+    names = upstream_names.UpstreamNames(view)
     connector = upstream_connector.UpstreamConnector(
         upstream_paths.UpstreamPaths(now),
         tunnel_directory.TunnelDirectory(
-            view, peer, config.failure_domain, now, rng
+            view, names, peer, config.failure_domain, now, rng
         ),
-        network or link.make_network(config),
+        network,
         nursery,
         now,
     )
@@ -59,17 +65,20 @@
         value = view.upstream(name)
         if value is None:
             raise KeyError(name)
-        address = tunnel_directory.upstream_address(value['url'])
+        address = upstream_names.upstream_address(value['url'])
         return await connector.connect_directly(
             address, min(limit_s, TUNNEL_CONNECT_TIMEOUT_S)
         )
 
+    permits = upstream_permits.make_parts(names, peer, network, nursery, now)
     upstream_transport = transport.make_transport(connector)
     return UpstreamParts(
         connector,
         upstream_transport,
         path_keeper.PathKeeper(connector, upstream_transport, now, rng),
         tunnel.TunnelServer(open_upstream, MAX_TUNNELS, leaving),
+        permits.permits,
+        permits.keepers,
     )
 
 
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -60,6 +60,13 @@
 )
 
 
+class PermitServer(typing.Protocol):
+    """Answers questions for permits of upstreams that name a limit."""
+
+    async def serve(self, channel: link.Channel, first: link.Message) -> None:
+        """Answer those on a link, the first included, until it ends."""
+
+
 class Node:
     """One VM among its peers; make it with make_node and run it once."""
 
@@ -133,6 +140,8 @@
         )
         # Carries tunnels to upstreams for other VMs; None carries none.
         self.tunnel_server: tunnel.TunnelServer | None = None
+        # Answers other VMs' questions for permits; None answers none.
+        self.permit_server: PermitServer | None = None
         self._nursery: trio.Nursery
         self.started = trio.Event()
         self.address = ''
@@ -247,6 +256,10 @@
             if hello is not None and hello['type'] == 'tunnel':
                 await self._serve_tunnel(channel, hello)
                 return
+            if hello is not None and hello['type'] == 'permit_ask':
+                if self.permit_server is not None:
+                    await self.permit_server.serve(channel, hello)
+                return
             if hello is None or hello['type'] != 'hello':
                 raise errors.DecodeError('first message is not a hello')
         except (link.LinkClosedError, errors.DecodeError, trio.TooSlowError):
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -271,12 +271,9 @@
 
     None if it names no limit. Raise DecodeError for an odd value.
     """
-    found = response.headers.get_list(LIMIT_HEADER)
-    if not found:
-        return None
-    if len(found) > 1:
-        raise errors.DecodeError(f'no limit: {found}')
-    return upstream_limits.decode_rate(found[0])
+    return upstream_limits.decode_limit(
+        response.headers.get_list(LIMIT_HEADER)
+    )
 
 
 class _PrefillResponse(msgspec.Struct):
--- a/test/entry/test_hedging.py
+++ b/test/entry/test_hedging.py
@@ -29,6 +29,16 @@
         return {'url': f'http://{name}'}
 
 
+class NoLimits:
+    """The permits of upstreams that name no limit."""
+
+    def denied(self, names):
+        return set()
+
+    async def acquire(self, name, request_id):
+        return True
+
+
 class FakeNode(typing.NamedTuple):
     """The parts of a node that a service call uses."""
 
@@ -37,6 +47,7 @@
     retries: retry_policy.RetryPolicy
     explanations: explain.Explanations
     clock: typing.Callable[[], float] = trio.current_time
+    permits: NoLimits = NoLimits()
 
     @property
     def ejector(self) -> ejection.Ejector:
