Check a permit just before its request is sent

Cause: a VM short of processor time sent, all at once, what it had chosen a replica for seconds before. Then the replica named no limit, or the permit was one of those seconds.

--- a/gentianstair/bench/replica_limits.py
+++ b/gentianstair/bench/replica_limits.py
@@ -21,6 +21,7 @@
 from gentianstair.core import upstream_permits
 from gentianstair.gateway import hubs
 from gentianstair.gateway import permit_keepers
+from gentianstair.gateway import request_permits
 from gentianstair.gateway import request_state
 from gentianstair.limits import token_bucket
 from gentianstair.peers import permit_questions
@@ -106,7 +107,7 @@
             if self._ask(vm, replica, False):
                 return replica_limits_world.Choice(replica)
         soonest = sorted(replicas, key=lambda name: self._denied[vm, name][1])
-        for replica in soonest[: request_state.MAX_TURN_ASKS]:
+        for replica in soonest[: request_permits.MAX_TURN_ASKS]:
             if self._denied[vm, replica][1] > now_s + PATIENCE_S:
                 break
             if self._ask(vm, replica, True):
--- a/gentianstair/core/upstream_permits.py
+++ b/gentianstair/core/upstream_permits.py
@@ -7,6 +7,7 @@
 import prometheus_client
 import trio
 
+from gentianstair import errors
 from gentianstair.core import permit_keeper
 from gentianstair.core import upstream_limits
 from gentianstair.generated import events
@@ -15,6 +16,8 @@
 
 # VMs that were denied together ask again at different times.
 RETRY_SPREAD = 0.3
+# A permit is held for half a second at most, and connecting takes its time.
+MAX_AGE_AT_SEND_S = 0.7
 # From so many denials on, those that are over are forgotten.
 MAX_DENIALS = 100
 
@@ -103,6 +106,21 @@
         spread = 1.0 + RETRY_SPREAD * self._random.random()
         return spread * min(self.wait_s(run) for run in found)
 
+    def check_usable(
+        self, run: upstream_limits.UpstreamRun, permit: Permit
+    ) -> None:
+        """Raise PermitLapsedError if a permit is not to be used any more.
+
+        Call it directly before the send, without an await between them. A
+        process that is short of processor time may send seconds after it
+        acquired a permit, together with others.
+        """
+        age_s = self._clock() - permit.granted_s
+        if permit.is_limited and age_s > MAX_AGE_AT_SEND_S:
+            raise errors.PermitLapsedError('the permit is too old to send')
+        if not permit.is_limited and self.is_limited(run):
+            raise errors.PermitLapsedError('the upstream names a limit now')
+
     async def acquire(
         self,
         run: upstream_limits.UpstreamRun,
--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -66,13 +66,21 @@
         self.verdict = verdict
 
 
-class UnreachableError(UpstreamError):
-    """Upstream to which no connection could be opened."""
+class NotSentError(UpstreamError):
+    """Attempt of which nothing reached an upstream."""
 
     def __init__(self, message: str) -> None:
         super().__init__(message, verdicts.Verdict.NOT_RUN)
 
 
+class UnreachableError(NotSentError):
+    """Upstream to which no connection could be opened."""
+
+
+class PermitLapsedError(NotSentError):
+    """Permit of a limited upstream that came too early to be used now."""
+
+
 class UpstreamRejectedError(UpstreamError):
     """Upstream that responded without running the request.
 
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import typing
 
 import httpx
@@ -48,6 +49,9 @@
     Closing it early cancels the work. Raise UpstreamError with a verdict on
     whether the request may have run.
     """
+    attempt = attempt._replace(
+        before_send=functools.partial(_check_send, node, attempt)
+    )
     request = http_codec.encode_attempt(call, attempt, CONNECT_TIMEOUT_S)
     sent_s = node.clock()
     response = await node.transport.handle_async_request(request)
@@ -60,6 +64,13 @@
             await response.stream.aclose()
 
 
+def _check_send(node: nodes.Node, attempt: calls.Attempt) -> None:
+    """Do what comes just before the first byte of an attempt."""
+    node.upstream_permits.check_usable(attempt.replica.run, attempt.permit)
+    if attempt.before_send is not None:
+        attempt.before_send()
+
+
 def _log_peer(
     call: calls.Call, attempt: calls.Attempt, response: httpx.Response
 ) -> None:
--- a/gentianstair/gateway/remote_prefill.py
+++ b/gentianstair/gateway/remote_prefill.py
@@ -113,7 +113,7 @@
         Only the first prefill that a replica accepts is free of charge.
         """
         request = self._request
-        if not isinstance(error, errors.UnreachableError):
+        if not isinstance(error, errors.NotSentError):
             request.failed_prefills += 1
             if not self._attempts:
                 request.node.retry_budget.spend(request.service)
@@ -133,7 +133,7 @@
         since, left the KV cache untouched. Keeping it saves a retry and the
         time of another prefill.
         """
-        if isinstance(error, errors.UnreachableError):
+        if isinstance(error, errors.NotSentError):
             return
         restarted = (
             isinstance(error, errors.UpstreamRejectedError)
@@ -160,7 +160,7 @@
     error: errors.UpstreamError, response: forward.ReplicaResponse | None
 ) -> errors.UpstreamError:
     """Return the error of a request whose prefill failed."""
-    if isinstance(error, errors.UnreachableError):
+    if isinstance(error, errors.NotSentError):
         return error
     if response is not None and response.verdict is verdicts.Verdict.NOT_RUN:
         return errors.UpstreamRejectedError(str(error), response.status)
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -7,13 +7,12 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
-from gentianstair.core import upstream_permits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
-from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_permits
 from gentianstair.generated import events
 
 # Attempts beyond the route's maximum. A replica that is full or draining
@@ -30,12 +29,8 @@
 DRAIN_NOTICE_DELAY_S = 0.8
 # Least time without an answer after which the path to a replica is checked.
 MIN_SILENCE_S = 0.3
-# A permit that is older is not used, as many such might come together.
-MAX_PERMIT_AGE_S = 0.5
-# Limited replicas that are asked for a turn.
-MAX_TURN_ASKS = 3
-# Share of the time to its objective that a request waits for its turn at a
-# limited replica; the more urgent ones wait longer, so that they come first.
+# Share of the time to its objective that the most urgent request waits for its
+# turn at a limited replica.
 TURN_SHARE = 0.5
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
@@ -78,14 +73,9 @@
         self.possible_runs = 0
         self.tried_replicas: set[str] = set()
         self._next_retry_is_paid = False
-        # Permits that no attempt has used yet, by replica.
-        self._permits: dict[str, upstream_permits.Permit] = {}
-        # Replicas whose keeper denied this request a permit.
-        self._denied_replicas: set[str] = set()
-        # Whether this request has asked for a turn at a limited replica, and
-        # after how long there may be one.
-        self._has_asked_for_turn = False
-        self._turn_in_s: float | None = None
+        self.permits = request_permits.RequestPermits(
+            node.upstream_permits, call.request_id, node.clock
+        )
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
@@ -116,11 +106,11 @@
     ) -> calls.Attempt:
         """Return an attempt at a replica with the time that remains.
 
-        has_permit must have returned true for the replica.
+        A permit for the replica must have been acquired.
         """
         return calls.Attempt(
             replica,
-            self._permits.pop(replica.name),
+            self.permits.use(replica),
             self.customer_name,
             self.remaining_s(),
             self.body,
@@ -134,21 +124,9 @@
         """Return the replicas that this request has not tried yet.
 
         Ejected replicas are left out while there are others, and always
-        those of which there is no permit. Only the reserved one decodes, if
-        there is one.
+        those of which there is no permit.
         """
-        found = self._untried()
-        if not self._permits or not any(map(self._is_reserved, found)):
-            return found
-        return [
-            replica
-            for replica in found
-            if replica.stage == prefill_costs.PREFILL
-            or self._is_reserved(replica)
-        ]
-
-    def _untried(self) -> list[replicas.Replica]:
-        usable = self._permitted(self.node.registry.usable(self.service))
+        usable = self.permits.choices(self.node.registry.usable(self.service))
         excluded = self._ejected() | self.tried_replicas
         if not excluded:
             return usable
@@ -157,101 +135,24 @@
             r for r in usable if r.name not in self.tried_replicas
         ]
 
-    def _permitted(
-        self, found: list[replicas.Replica]
-    ) -> list[replicas.Replica]:
-        """Return the replicas of which there may be a permit."""
-        if not (self._denied_replicas or self._node_denies()):
-            return found
-        return [r for r in found if not self._is_denied(r)]
-
-    def _node_denies(self) -> bool:
-        return self.node.upstream_permits.any_denied()
-
-    def _is_denied(self, replica: replicas.Replica) -> bool:
-        if replica.name in self._permits:
-            return False
-        return (
-            replica.name in self._denied_replicas
-            or self.node.upstream_permits.is_denied(replica.run)
-        )
-
-    async def has_permit(
-        self,
-        replica: replicas.Replica,
-        last_resort_s: float | None = None,
-    ) -> bool:
-        """Acquire a permit of a replica; return false if it is denied.
-
-        Then the replica is no candidate any more. last_resort_s is how long
-        a request waits that has no other replica.
-        """
-        held = self._permits.pop(replica.name, None)
-        if held is None or self._is_stale(held):
-            held = await self.node.upstream_permits.acquire(
-                replica.run, self.call.request_id, last_resort_s
-            )
-        if held is None:
-            self._denied_replicas.add(replica.name)
-            return False
-        self._permits[replica.name] = held
-        return True
-
-    def _is_stale(self, permit: upstream_permits.Permit) -> bool:
-        """Return whether a permit is not to be kept any longer."""
-        age_s = self.node.clock() - permit.granted_s
-        return not permit.is_limited or age_s > MAX_PERMIT_AGE_S
-
-    def reserved_replica(self) -> replicas.Replica | None:
-        """Return a limited decode replica of which a permit is held."""
-        if not self._permits:
-            return None
-        return next(filter(self._is_reserved, self.candidates()), None)
-
-    def _is_reserved(self, replica: replicas.Replica) -> bool:
-        permit = self._permits.get(replica.name)
-        return (
-            permit is not None
-            and replica.stage != prefill_costs.PREFILL
-            and not self._is_stale(permit)
-        )
-
     def has_unlimited_candidate(self) -> bool:
         """Return whether a candidate can run the request without a limit."""
-        return any(self._is_unlimited(r) for r in self.candidates())
-
-    def _is_unlimited(self, replica: replicas.Replica) -> bool:
-        if replica.stage == prefill_costs.PREFILL:
-            return False
-        return not self.node.upstream_permits.is_limited(replica.run)
+        return self.permits.any_unlimited(self.candidates())
 
     async def wait_for_turn(self) -> bool:
-        """Get a permit of a limited replica as a last resort, once.
+        """Wait for a permit of a limited replica; return false without one.
 
-        Return false if there is none in time, or no replica is limited.
+        The more urgent requests wait longer, so that they come first.
         """
-        if self._has_asked_for_turn:
-            return False
-        self._has_asked_for_turn = True
-        limited = {
-            replica.run: replica
+        untried = [
+            replica
             for replica in self.node.registry.usable(self.service)
-            if replica.stage != prefill_costs.PREFILL
-            and replica.name not in self.tried_replicas
-            and self._is_denied(replica)
-        }
-        if not limited:
-            return False
-        permits = self.node.upstream_permits
+            if replica.name not in self.tried_replicas
+        ]
         patience_s = TURN_SHARE * self.objective_left_s()
-        patience_s /= 1 + self.priority()
-        for run in permits.soonest(list(limited), MAX_TURN_ASKS):
-            if permits.wait_s(run) > patience_s:
-                break
-            if await self.has_permit(limited[run], patience_s):
-                return True
-        self._turn_in_s = permits.return_in_s(limited)
-        return False
+        return await self.permits.wait_for_turn(
+            untried, patience_s / (1 + self.priority())
+        )
 
     def kv_copy_sources(self) -> list[replicas.Replica]:
         """Return the replicas from which KV cache may be copied.
@@ -318,8 +219,11 @@
         """
         now_s = self.node.clock()
         key = self._ejector_key(replica)
-        if isinstance(error, errors.UnreachableError):
+        if isinstance(error, errors.NotSentError):
             self.attempts -= 1
+        if isinstance(error, errors.PermitLapsedError):
+            self.tried_replicas.discard(replica.name)
+        elif isinstance(error, errors.UnreachableError):
             self.unreachable_attempts += 1
             self.node.ejector.eject_unreachable(key, now_s)
             loguru.logger.bind(
@@ -453,8 +357,8 @@
     def final_error(self) -> errors.RequestError:
         """Return the error that ends the request, according to its verdict."""
         if self.verdict is verdicts.Verdict.NOT_RUN:
-            if self._turn_in_s is not None:
-                return self._no_turn_error(self._turn_in_s)
+            if self.permits.turn_in_s is not None:
+                return self._no_turn_error(self.permits.turn_in_s)
             return errors.RequestError(
                 503,
                 'no-replica',
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -134,11 +134,11 @@
         request = self._request
         prefill = plan.prefill_replica
         if prefill is None or self._remote_prefill.source:
-            return await request.has_permit(plan.decode_replica)
+            return await request.permits.acquire(plan.decode_replica)
         if not request.has_unlimited_candidate():
-            if not await request.has_permit(plan.decode_replica):
+            if not await request.permits.acquire(plan.decode_replica):
                 return False
-        return await request.has_permit(prefill)
+        return await request.permits.acquire(prefill)
 
     def _log_plan(self, plan: plans.Plan) -> None:
         request = self._request
@@ -182,7 +182,7 @@
         It needs one attempt instead of two. Raise UpstreamError if there is
         no permit for it.
         """
-        if not await self._request.has_permit(plan.decode_replica):
+        if not await self._request.permits.acquire(plan.decode_replica):
             raise errors.UpstreamError(
                 'no permit of the decode replica', verdicts.Verdict.NOT_RUN
             )
@@ -204,7 +204,7 @@
         """
         request = self._request
         while True:
-            replica = request.reserved_replica()
+            replica = request.permits.reserved(request.candidates())
             if replica is not None:
                 return replica
             replica = self._node.placement.choose_decode_replica(
@@ -214,7 +214,7 @@
                 raise errors.UpstreamError(
                     'no decode replica is available', verdicts.Verdict.NOT_RUN
                 )
-            if replica is not None and await request.has_permit(replica):
+            if replica is not None and await request.permits.acquire(replica):
                 return replica
 
     def _priority(self) -> int:
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -46,7 +46,7 @@
         if replica is None:
             if not await request.wait_for_turn():
                 return None
-        elif await request.has_permit(replica):
+        elif await request.permits.acquire(replica):
             return replica
 
 
--- a/test/gateway/test_replica_limits.py
+++ b/test/gateway/test_replica_limits.py
@@ -8,6 +8,8 @@
 import pytest
 import trio
 
+from gentianstair import errors
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import remote_prefill
 from standins import limits
 from standins.site import site as sites
@@ -186,6 +188,31 @@
     assert load.statuses() == {200: len(load.outcomes)}
 
 
+@pytest.mark.parametrize('path', [*RUN_ONCE, *STREAMS])
+async def test_request_whose_permit_lapsed_asks_for_another(
+    tmp_path, monkeypatch, path
+):
+    # Guards against a VM short of processor time that sends, all at once and
+    # seconds late, what it had permits for.
+    lapsed = []
+    check = upstream_permits.UpstreamPermits.check_usable
+
+    def lapse_once(self, run, permit):
+        if not lapsed:
+            lapsed.append(run.name)
+            raise errors.PermitLapsedError('too old')
+        check(self, run, permit)
+
+    monkeypatch.setattr(
+        upstream_permits.UpstreamPermits, 'check_usable', lapse_once
+    )
+    async with running(tmp_path, vms=1) as (site, found):
+        load = Load(found, (path,), 9.0)
+        await load.run(0.5)
+    assert lapsed
+    assert load.statuses() == {200: len(load.outcomes)}
+
+
 async def test_vm_alone_keeps_the_permits_itself(tmp_path):
     # Guards against a VM that finds no keeper and rejects all.
     async with running(tmp_path, vms=1) as (site, found):
