Check permits at the send on the OpenAI-style interface, and odd numbers

The same cause as in the gateway: an entry VM short of processor time would send, together and late, what it acquired permits for. The permit is checked just before the first byte; a lapsed one is no fault of the upstream.

A peer's limits and questions may hold any number: one beyond all floats ended the link's task with a fault, and in a question all tasks of the process. Both have rows in the tests, which failed before. Reports name limits and the keeping of permits only where there is something to tell.

--- a/gentianstair/core/upstream_limits.py
+++ b/gentianstair/core/upstream_limits.py
@@ -241,7 +241,7 @@
         name, started_ms, rate, age_ms = row
         run = UpstreamRun(str(name), int(started_ms))
         rate_per_s, age_s = float(rate), float(age_ms) / 1000
-    except (TypeError, ValueError) as error:
+    except (TypeError, ValueError, OverflowError) as error:
         raise errors.DecodeError(f'bad limit row: {row}') from error
     if rate_per_s == NO_LIMIT_ROW:
         return run, None, age_s
--- a/gentianstair/entry/attempts.py
+++ b/gentianstair/entry/attempts.py
@@ -1,6 +1,7 @@
 """Run one request's attempts until one succeeds or no retry is allowed."""
 
 import collections.abc
+import functools
 import typing
 
 import loguru
@@ -8,6 +9,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import upstream_permits
 from gentianstair.entry import node as nodes
 from gentianstair.entry import request as requests
 from gentianstair.entry import routing
@@ -23,13 +25,22 @@
 class Attempt(typing.NamedTuple):
     """One attempt at an upstream; call ``first_token`` at its first token.
 
-    ``prefill_upstream`` runs the prefill if ``upstream`` should not.
+    ``prefill_upstream`` runs the prefill if ``upstream`` should not. Call
+    ``check_send`` just before the first byte, with the upstream's permit.
     """
 
     upstream: messages.UpstreamValue
     name: str
     first_token: collections.abc.Callable[[], None]
     prefill_upstream: messages.UpstreamValue | None = None
+    check_send: collections.abc.Callable[[], None] | None = None
+
+
+class _PermittedChoice(typing.NamedTuple):
+    """Where to send a request, and the permit of the upstream."""
+
+    choice: routing.Choice
+    permit: upstream_permits.Permit
 
 
 RunAttempt = collections.abc.Callable[
@@ -65,7 +76,7 @@
 
 async def _choose_permitted(
     node: nodes.Node, request: requests.Request, failed: set[str]
-) -> routing.Choice | None:
+) -> _PermittedChoice | None:
     """Return where to send a request, with permits for it.
 
     Raise RequestError if only upstreams with a limit are left, and none of
@@ -77,42 +88,42 @@
         choice = _choose(node, request, failed, denied)
         if choice is None:
             break
-        refused = await _acquire_permits(node, request, choice)
-        if refused is None:
-            return choice
-        denied.add(refused)
+        prefill = choice.prefill_upstream
+        permit = await node.permits.acquire(
+            choice.upstream, request.request_id
+        )
+        if permit is None:
+            denied.add(choice.upstream)
+        elif prefill and not await node.permits.acquire(
+            prefill, request.request_id
+        ):
+            denied.add(prefill)
+        else:
+            return _PermittedChoice(choice, permit)
     denied -= failed
     if not denied:
         return None
     return await _wait_for_turn(node, request, denied)
 
 
-async def _acquire_permits(
-    node: nodes.Node, request: requests.Request, choice: routing.Choice
-) -> str | None:
-    """Acquire the permits of a choice; return the upstream without one."""
-    for name in (choice.upstream, choice.prefill_upstream):
-        if name is not None:
-            if not await node.permits.acquire(name, request.request_id):
-                return name
-    return None
-
-
 async def _wait_for_turn(
     node: nodes.Node, request: requests.Request, denied: set[str]
-) -> routing.Choice | None:
-    """Return the choice of a limited upstream once its permit has come."""
+) -> _PermittedChoice:
+    """Return the choice of a limited upstream once its permit has come.
+
+    Raise RequestError if none comes in time.
+    """
     left_s = request.work.deadline_s - node.clock()
-    turn = await node.permits.wait_for_turn(
+    permit = await node.permits.wait_for_turn(
         denied, request.request_id, min(MAX_TURN_WAIT_S, left_s / 2)
     )
-    if turn is not None:
+    if permit is not None:
         names = set(node.router.subset(request.work.model))
         choice = node.router.choose(
-            request.work, node.clock(), frozenset(names - {turn})
+            request.work, node.clock(), frozenset(names - {permit.upstream})
         )
         if choice is not None:
-            return choice
+            return _PermittedChoice(choice, permit)
     raise errors.RequestError(
         503,
         'upstream-limits',
@@ -126,10 +137,11 @@
 async def _run_attempt(
     node: nodes.Node,
     request: requests.Request,
-    choice: routing.Choice,
+    permitted: _PermittedChoice,
     run_attempt: RunAttempt,
 ) -> streams.Usage:
     """Run one attempt; report its outcome to the router and the ejector."""
+    choice = permitted.choice
     upstream = node.view.upstream(choice.upstream)
     if upstream is None:
         raise errors.UpstreamError('withdrawn', verdicts.Verdict.NOT_RUN)
@@ -150,8 +162,18 @@
         if choice.prefill_upstream:
             reader = node.view.upstream(choice.prefill_upstream)
         usage = await run_attempt(
-            Attempt(upstream, choice.upstream, first_token, reader)
+            Attempt(
+                upstream,
+                choice.upstream,
+                first_token,
+                reader,
+                functools.partial(node.permits.check_usable, permitted.permit),
+            )
         )
+    except errors.PermitLapsedError:
+        # Nothing was sent, and nothing is known of the upstream.
+        failed = True
+        raise
     except errors.UpstreamError:
         failed = True
         # The ejector treats timeouts and fast failures differently, so
@@ -229,20 +251,21 @@
     attempt_count = 0
     while True:
         try:
-            choice = await _choose_permitted(node, request, failed | in_use)
+            permitted = await _choose_permitted(node, request, failed | in_use)
         except errors.RequestError as error:
             error.verdict = verdict
             raise
-        if choice is None:
+        if permitted is None:
             _explain(node, request, 'no-upstream', failed=sorted(failed))
             raise _no_upstream_error(verdict)
+        choice = permitted.choice
         attempt_count += 1
         if attempt_count == 1:
             node.retries.budget.record_request(customer, choice.upstream)
         _explain(node, request, 'route', **choice._asdict())
         in_use.add(choice.upstream)
         try:
-            return await _run_attempt(node, request, choice, run_attempt)
+            return await _run_attempt(node, request, permitted, run_attempt)
         except errors.UpstreamError as error:
             verdict = verdicts.combine(verdict, error.verdict)
             failed.add(choice.upstream)
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -42,7 +42,13 @@
         (b'x-request-id', request.request_id.encode()),
     ]
     url = tried.upstream['url'] + path
-    return httpx.Request('POST', url, headers=headers, content=body)
+    return httpx.Request(
+        'POST',
+        url,
+        headers=headers,
+        content=body,
+        extensions={'before_send': tried.check_send},
+    )
 
 
 def check_status(response: httpx.Response) -> None:
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -1,5 +1,6 @@
 """Relay calls of plain services; run unrepeatable ones at most once."""
 
+import functools
 import hashlib
 import typing
 import urllib.parse
@@ -201,11 +202,13 @@
             content=call.body,
             extensions={
                 'fresh': not call.repeatable,
-                'before_send': self._check_claim,
+                'before_send': functools.partial(self._check_send, tried),
             },
         )
 
-    def _check_claim(self) -> None:
+    def _check_send(self, tried: attempts.Attempt) -> None:
+        if tried.check_send is not None:
+            tried.check_send()
         if self._claim is not None:
             self._node.claims.check_sendable(self._claim)
 
--- a/gentianstair/entry/upstream_permits.py
+++ b/gentianstair/entry/upstream_permits.py
@@ -192,23 +192,27 @@
 
     async def acquire(
         self, name: str, request_id: str, last_resort_s: float | None = None
-    ) -> bool:
-        """Acquire a permit of an upstream; return false if it is denied."""
-        permit = await self._permits.acquire(
+    ) -> upstream_permits.Permit | None:
+        """Acquire a permit of an upstream; return None if it is denied."""
+        return await self._permits.acquire(
             _run(name), request_id, last_resort_s
         )
-        return permit is not None
+
+    def check_usable(self, permit: upstream_permits.Permit) -> None:
+        """Raise PermitLapsedError just before a send that comes too late."""
+        self._permits.check_usable(_run(permit.upstream), permit)
 
     async def wait_for_turn(
         self, names: set[str], request_id: str, patience_s: float
-    ) -> str | None:
-        """Return an upstream whose permit came in time, None without one."""
+    ) -> upstream_permits.Permit | None:
+        """Return the first permit that came in time, None without one."""
         runs = [_run(name) for name in sorted(names)]
         for run in self._permits.soonest(runs, MAX_TURN_ASKS):
             if self._permits.wait_s(run) > patience_s:
                 break
-            if await self.acquire(run.name, request_id, patience_s):
-                return run.name
+            permit = await self.acquire(run.name, request_id, patience_s)
+            if permit is not None:
+                return permit
         return None
 
     def return_in_s(self, names: set[str]) -> float:
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -145,10 +145,11 @@
                 use = node.limiter.pending()
                 report = self._make_report(sent_position)
                 limits = node.upstream_limits
-                report['limits'] = limits.rows_since(
-                    sent_limits_position, True
-                )
-                sent_limits_position = limits.hub_log.position
+                if limits.hub_log.position != sent_limits_position:
+                    report['limits'] = limits.rows_since(
+                        sent_limits_position, to_hubs=True
+                    )
+                    sent_limits_position = limits.hub_log.position
                 member.add_to(report)
                 if use:
                     report['use'] = uses.encode(use)
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -110,8 +110,11 @@
         feed['reach'], low = node.limiter.report_to_leaf()
         feed['low'] = levels.encode(low)
         limits = node.upstream_limits
-        feed['limits'] = limits.rows_since(self._limits_position, False)
-        self._limits_position = limits.log.position
+        if limits.log.position != self._limits_position:
+            feed['limits'] = limits.rows_since(
+                self._limits_position, to_hubs=False
+            )
+            self._limits_position = limits.log.position
         current_hubs = node.roster.hubs()
         if self._knowledge is None or current_hubs != self._sent_hubs:
             feed['hubs'] = encode_hubs(current_hubs)
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -160,10 +160,14 @@
             )
             sent_position = cache_log.position
             sent_use_position = self._add_limits(message, sent_use_position)
-            message['keeps_permits'] = node.permit_keepers.keeps
+            if node.permit_keepers.keeps:
+                message['keeps_permits'] = True
             limits = node.upstream_limits
-            message['limits'] = limits.rows_since(sent_limits_position, True)
-            sent_limits_position = limits.hub_log.position
+            if limits.hub_log.position != sent_limits_position:
+                message['limits'] = limits.rows_since(
+                    sent_limits_position, to_hubs=True
+                )
+                sent_limits_position = limits.hub_log.position
             shared = self._shared_leaves()
             if shared != sent_leaves:
                 message['tunnel_peers'] = sent_leaves = shared
--- a/gentianstair/peers/permit_questions.py
+++ b/gentianstair/peers/permit_questions.py
@@ -20,6 +20,9 @@
 ANSWER_TIMEOUT_S = 0.2
 UNANSWERED_RETRY_S = 0.5
 
+# Longer times in a message mean this one.
+MAX_TIME_MS = 3600000
+
 UNANSWERED = permit_keeper.Grant(
     False, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S, UNANSWERED_RETRY_S
 )
@@ -66,9 +69,9 @@
         if pending is not None:
             pending.grant = permit_keeper.Grant(
                 message['granted'],
-                message['wait_ms'] / 1000,
-                message['retry_ms'] / 1000,
-                message['spare_wait_ms'] / 1000,
+                _seconds(message['wait_ms']),
+                _seconds(message['retry_ms']),
+                _seconds(message['spare_wait_ms']),
             )
             pending.done.set()
 
@@ -80,7 +83,7 @@
     ask = permit_keeper.Ask(
         upstream_limits.UpstreamRun(message['replica'], message['started_ms']),
         upstream_limits.decode_rate(str(message['rate_per_s'])),
-        max(0, message['patience_ms']) / 1000,
+        _seconds(message['patience_ms']),
         message['last_resort'],
     )
     grant = await grant_permit(ask, min(max_hops, max(0, message['hops'])))
@@ -95,6 +98,11 @@
     }
 
 
+def _seconds(time_ms: int) -> float:
+    """Return a time of a message, which may hold any number."""
+    return min(max(0, time_ms), MAX_TIME_MS) / 1000
+
+
 def _encode_ask(
     number: int, ask: permit_keeper.Ask, hops: int
 ) -> messages.PermitAsk:
--- a/test/entry/test_hedging.py
+++ b/test/entry/test_hedging.py
@@ -9,6 +9,7 @@
 from gentianstair import errors
 from gentianstair import verdict
 from gentianstair.core import ejection
+from gentianstair.core import upstream_permits
 from gentianstair.entry import callers
 from gentianstair.entry import explain
 from gentianstair.entry import request as requests
@@ -36,7 +37,10 @@
         return set()
 
     async def acquire(self, name, request_id):
-        return True
+        return upstream_permits.Permit(name, 0.0, False)
+
+    def check_usable(self, permit):
+        pass
 
 
 class FakeNode(typing.NamedTuple):
--- a/test/gateway/test_peer_messages.py
+++ b/test/gateway/test_peer_messages.py
@@ -91,6 +91,8 @@
     'known replicas of another shape': encoded(
         member=MEMBER, known={'i-1': ['x']}
     ),
+    'limit of another shape': encoded(limits=[['i-1', 1]]),
+    'limit beyond all numbers': encoded(limits=[['i-1', 1, 2**2000, 0]]),
     'member in the name of another process': encoded(
         member={**MEMBER, 'name': 'vm-3.ef'}
     ),
--- a/test/gateway/test_permit_keepers.py
+++ b/test/gateway/test_permit_keepers.py
@@ -194,19 +194,32 @@
     assert fleet.hubs[2].keeper_of(run.name) != old.address
 
 
+QUESTION = {
+    'id': 1,
+    'replica': 'i-1',
+    'started_ms': 1,
+    'rate_per_s': 1.0,
+    'patience_ms': 0,
+    'last_resort': False,
+    'hops': 1,
+}
+
+
 async def test_unreadable_rate_is_an_error(autojump_clock, nursery):
     fleet = Fleet(nursery)
-    question = {
-        'id': 1,
-        'replica': 'i-1',
-        'started_ms': 1,
-        'rate_per_s': float('nan'),
-        'patience_ms': 0,
-        'last_resort': False,
-        'hops': 1,
-    }
     with pytest.raises(errors.DecodeError):
-        await fleet.hubs[0].answer(question)
+        await fleet.hubs[0].answer({**QUESTION, 'rate_per_s': float('nan')})
+
+
+@pytest.mark.parametrize('number', [2**2000, -(2**2000)], ids=['high', 'low'])
+async def test_senseless_numbers_end_no_process(
+    autojump_clock, nursery, number
+):
+    # Guards against a peer whose question ends the tasks of all requests.
+    fleet = Fleet(nursery)
+    await fleet.hubs[0].answer(
+        {**QUESTION, 'patience_ms': number, 'hops': number}
+    )
 
 
 async def test_stopping_hub_keeps_permits_only_if_it_hears_no_other(
