Excuse disturbed VMs in the soak's limits also for requests without an end

The users excuse a VM after a restart, and so does the check, but it knew the VM only of requests that had ended before the run did. It now knows it of all.

--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -22,6 +22,14 @@
 CUSTOMERS = {'club-key-1': 'club', 'guild-key-1': 'guild'}
 
 
+class Asked(typing.NamedTuple):
+    """A request, from before it is sent."""
+
+    key: str
+    vm: str
+    at_s: float
+
+
 class Sent(typing.NamedTuple):
     """A request and what its caller got."""
 
@@ -105,12 +113,12 @@
     gateways: list[processes.Gateway],
     number: int,
     seed: int,
-    asked: dict[str, str],
+    asked: dict[str, Asked],
     sent: list[Sent],
 ) -> None:
     """Send request after request until cancelled.
 
-    asked has the key of each request from before it is sent: the last ones
+    asked has each request from before it is sent: the last ones
     are still under way when a run ends.
     """
     chance = random.Random(f'{seed}/{number}')
@@ -121,10 +129,12 @@
     ) as client:
         for count in range(1_000_000):
             request_id = f'{number:02x}{count:06x}'
-            key = asked[request_id] = chance.choice(list(CUSTOMERS))
+            key = chance.choice(list(CUSTOMERS))
+            gateway = chance.choice(gateways)
+            asked[request_id] = Asked(key, gateway.vm, trio.current_time())
             found = await call(
                 client,
-                chance.choice(gateways),
+                gateway,
                 chance.choice(list(KINDS)),
                 request_id,
                 key,
--- a/standins/soak/kept.py
+++ b/standins/soak/kept.py
@@ -150,7 +150,7 @@
         use: Use,
         seed: int,
         stopped_s: dict[str, float],
-        asked: dict[str, str],
+        asked: dict[str, callers.Asked],
         sent: list[callers.Sent],
     ) -> None:
         self._gateway = gateway
@@ -177,7 +177,9 @@
             kind = self._chance.choice(list(callers.KINDS))
             key = self._chance.choice(list(callers.CUSTOMERS))
             request_id = f'{self._name}{len(self._sent):06x}'
-            self._asked[request_id] = key
+            self._asked[request_id] = callers.Asked(
+                key, self._gateway.vm, trio.current_time()
+            )
             self._sent.append(
                 await connection.ask(kind, request_id, key, self._chance)
             )
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -76,7 +76,7 @@
             proxy.Proxy(int(replica.address.rpartition(':')[2]))
             for replica in site.replicas
         ]
-        self.asked: dict[str, str] = {}
+        self.asked: dict[str, callers.Asked] = {}
         self.sent: list[callers.Sent] = []
         self.sent_kept: list[callers.Sent] = []
         self.breaks: list[checks.Break] = []
