Give a spare permit to prompts that would be prefilled too late

What callers saw: where all prefill replicas name limits, streams that decode replicas prefilled beside others came late or were cut at their deadline.

Cause: spare permits went only to requests without any other replica; a prompt always has one, if a slow one.

--- a/gentianstair/gateway/request_permits.py
+++ b/gentianstair/gateway/request_permits.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_permits
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
@@ -29,7 +30,8 @@
         self._held: dict[str, upstream_permits.Permit] = {}
         # Replicas whose keeper denied this request a permit.
         self._denied: set[str] = set()
-        self._has_asked_for_turn = False
+        # For what a turn was asked: to run, or to prefill.
+        self._turns_asked: set[str] = set()
         # After how long there may be a turn at a limited replica; None if
         # none was asked for.
         self.turn_in_s: float | None = None
@@ -112,25 +114,46 @@
     async def wait_for_turn(
         self, found: typing.Iterable[replicas.Replica], patience_s: float
     ) -> bool:
-        """Get a permit of one of them as a last resort, once a request.
+        """Get a permit to run at one of them as a last resort, once.
 
         Return false if there is none in time, or none was denied.
         """
-        if self._has_asked_for_turn:
-            return False
-        self._has_asked_for_turn = True
-        limited = {
-            replica.run: replica
-            for replica in found
-            if replica.stage != prefill_costs.PREFILL
-            and self._is_denied(replica)
-        }
-        if not limited:
+        limited = self._denied_runs(
+            r for r in found if r.stage != prefill_costs.PREFILL
+        )
+        if await self._take_turn('run', limited, patience_s):
+            return True
+        if limited:
+            self.turn_in_s = self._permits.return_in_s(limited)
+        return False
+
+    async def take_prefill_turn(
+        self, found: typing.Iterable[replicas.Replica]
+    ) -> bool:
+        """Get a permit to prefill at one of them as a last resort, once."""
+        limited = self._denied_runs(
+            r for r in found if r.stage == prefill_costs.PREFILL
+        )
+        return await self._take_turn('prefill', limited, 0.0)
+
+    def _denied_runs(
+        self, found: typing.Iterable[replicas.Replica]
+    ) -> dict[upstream_limits.UpstreamRun, replicas.Replica]:
+        return {r.run: r for r in found if self._is_denied(r)}
+
+    async def _take_turn(
+        self,
+        what: str,
+        limited: dict[upstream_limits.UpstreamRun, replicas.Replica],
+        patience_s: float,
+    ) -> bool:
+        """Ask some of them, once for each purpose."""
+        if what in self._turns_asked:
             return False
+        self._turns_asked.add(what)
         for run in self._permits.soonest(list(limited), MAX_TURN_ASKS):
             if self._permits.wait_s(run) > patience_s:
                 break
             if await self.acquire(limited[run], patience_s):
                 return True
-        self.turn_in_s = self._permits.return_in_s(limited)
         return False
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -144,15 +144,24 @@
 
         The more urgent requests wait longer, so that they come first.
         """
-        untried = [
+        patience_s = TURN_SHARE * self.objective_left_s()
+        return await self.permits.wait_for_turn(
+            self._usable_untried(), patience_s / (1 + self.priority())
+        )
+
+    async def take_prefill_turn(self) -> bool:
+        """Get a permit of a limited prefill replica; say whether it came.
+
+        It is for a request that would be late without.
+        """
+        return await self.permits.take_prefill_turn(self._usable_untried())
+
+    def _usable_untried(self) -> list[replicas.Replica]:
+        return [
             replica
             for replica in self.node.registry.usable(self.service)
             if replica.name not in self.tried_replicas
         ]
-        patience_s = TURN_SHARE * self.objective_left_s()
-        return await self.permits.wait_for_turn(
-            untried, patience_s / (1 + self.priority())
-        )
 
     def kv_copy_sources(self) -> list[replicas.Replica]:
         """Return the replicas from which KV cache may be copied.
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -119,12 +119,26 @@
                 if not await request.wait_for_turn():
                     return None
                 continue
+            if await self._needs_prefill_turn(plan):
+                continue
             if self._cannot_meet_deadline(plan):
                 raise request.no_time_error(plan.queued_s)
             if await self._has_permits(plan):
                 self._log_plan(plan)
                 return plan
 
+    async def _needs_prefill_turn(self, plan: plans.Plan) -> bool:
+        """Get a spare prefill permit for a plan that is late without.
+
+        Return whether there is one, so that a better plan may be made.
+        """
+        request = self._request
+        if plan.prefill_replica is not None or self._remote_prefill.source:
+            return False
+        if plan.first_event_s <= request.objective_left_s():
+            return False
+        return await request.take_prefill_turn()
+
     async def _has_permits(self, plan: plans.Plan) -> bool:
         """Acquire the permits of a plan; return false if one is denied.
 
