--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -119,7 +119,7 @@
                 if not await request.wait_for_turn():
                     return None
                 continue
-            if await self._needs_prefill_turn(plan):
+            if await self._take_prefill_turn(plan):
                 continue
             if self._cannot_meet_deadline(plan):
                 raise request.no_time_error(plan.queued_s)
@@ -127,7 +127,7 @@
                 self._log_plan(plan)
                 return plan
 
-    async def _needs_prefill_turn(self, plan: plans.Plan) -> bool:
+    async def _take_prefill_turn(self, plan: plans.Plan) -> bool:
         """Get a spare prefill permit for a plan that is late without.
 
         Return whether there is one, so that a better plan may be made.
--- a/test/gateway/test_replica_limits.py
+++ b/test/gateway/test_replica_limits.py
@@ -90,6 +90,16 @@
             yield site, found
 
 
+async def play(tmp_path, paths, rate_per_s, named):
+    """Return the site and the load of a play with these limits."""
+    async with running(tmp_path) as (site, found):
+        for name, limit_per_s in named.items():
+            site.replica(name).name_limit(limit_per_s)
+        load = Load(found, paths, rate_per_s)
+        await load.run(PLAY_S)
+    return site, load
+
+
 def most_arrivals(replica):
     """Return the most arrivals of a window, once VMs know the limit."""
     return limits.most_in_window(
@@ -114,11 +124,7 @@
 ):
     # Guards against a replica in need that gets what each VM sends for
     # itself, while another replica has room.
-    async with running(tmp_path) as (site, found):
-        for name, limit_per_s in named.items():
-            site.replica(name).name_limit(limit_per_s)
-        load = Load(found, paths, rate_per_s)
-        await load.run(PLAY_S)
+    site, load = await play(tmp_path, paths, rate_per_s, named)
     for name, limit_per_s in named.items():
         assert most_arrivals(site.replica(name)) <= limits.allowed(limit_per_s)
     assert load.statuses() == {200: len(load.outcomes)}
@@ -143,11 +149,7 @@
 ):
     # Guards against limits that are broken, or left unused, where no replica
     # without one is left; what can't be served is told so at once.
-    async with running(tmp_path) as (site, found):
-        for name, limit_per_s in named.items():
-            site.replica(name).name_limit(limit_per_s)
-        load = Load(found, paths, rate_per_s)
-        await load.run(PLAY_S)
+    site, load = await play(tmp_path, paths, rate_per_s, named)
     for name, limit_per_s in named.items():
         assert most_arrivals(site.replica(name)) <= limits.allowed(limit_per_s)
     statuses = load.statuses()
