Count what limited replicas get when it came, not when the soak read it

Cause: the process that plays replicas, store and all callers takes the time of an arrival when it reads a request. Beside other work it reads them seconds after they came: it counted requests that had been sent before the limit was named, and whose callers had long had their 503.

A request that comes again counts from its last time, one held up on its way from when it was read.

test/standins/test_link_record.py fails without the kernel's times.

--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -4,6 +4,7 @@
 events, counts runs, and misbehaves as told.
 """
 
+import collections.abc
 import secrets
 import typing
 
@@ -30,6 +31,8 @@
 
     at_s: float
     request_id: str
+    # When a replica that is late read it.
+    read_s: float
 
 
 class Faults:
@@ -93,6 +96,10 @@
         self.headers: list[dict[str, str]] = []
         # Requests that came, also those that it refused.
         self.came: list[Arrival] = []
+        # When a request that is read now came, by its id.
+        self.received_s: collections.abc.Callable[[str], float] = lambda _: (
+            trio.current_time()
+        )
         # The limit that it names in its answers, if any, and the header for
         # it, which may be odd or given twice.
         self.limit_per_s: float | None = None
@@ -252,7 +259,11 @@
     await quart.request.get_data()
     faults = replica.faults
     request_id = headers.get('x-request-id', '')
-    replica.came.append(Arrival(trio.current_time(), request_id))
+    replica.came.append(
+        Arrival(
+            replica.received_s(request_id), request_id, trio.current_time()
+        )
+    )
     if faults.changed or headers.get('x-expect-instance') != replica.name:
         return quart.Response('', 421, {'x-instance-id': replica.name})
     if faults.full:
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -277,11 +277,18 @@
     """Few are refused while a replica without a limit has room."""
     if not seen.limits:
         return []
+    read_s = {
+        arrival.request_id: arrival.read_s
+        for replica in seen.replicas
+        for arrival in replica.came
+    }
     found = [
         sent
         for sent in seen.sent
         if sent.key not in seen.revoked_s
         and not sent.hung_up
+        # It came to a replica in time, which was late itself.
+        and read_s.get(sent.request_id, 0.0) <= sent.ended_s
         and not _is_excused(seen, sent.request_id, sent.ended_s)
         and not _are_all_limited(seen, sent)
     ]
--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -6,6 +6,7 @@
 
 from gentianstair.util import batch_listener
 from gentianstair.util import serving
+from standins.soak import link_record
 
 READ_BYTES = 65536
 DELAY_S = 0.3
@@ -30,6 +31,7 @@
     def __init__(self, target_port: int) -> None:
         self.target_port = target_port
         self.port = 0
+        self.record = link_record.LinkRecord()
         self._mode = Mode.PASS
         self._changed = trio.Event()
         self._streams: set[trio.SocketStream] = set()
@@ -70,8 +72,8 @@
         self._streams |= {near, far}
         try:
             async with near, far, trio.open_nursery() as nursery:
-                nursery.start_soon(self._copy, near, far, Mode.SILENT)
-                nursery.start_soon(self._copy, far, near, Mode.ONE_WAY)
+                nursery.start_soon(self._copy_requests, near, far)
+                nursery.start_soon(self._copy_answers, near, far)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # Either end broke off, or the mode did; both ends see it.
             _reset(near)
@@ -79,23 +81,34 @@
         finally:
             self._streams -= {near, far}
 
-    async def _copy(
-        self,
-        source: trio.SocketStream,
-        target: trio.SocketStream,
-        stops_at: Mode,
+    async def _copy_requests(
+        self, near: trio.SocketStream, far: trio.SocketStream
     ) -> None:
-        """Pass bytes on; held while the mode is SILENT or stops_at."""
-        while True:
-            data = await source.receive_some(READ_BYTES)
-            while self._mode in (Mode.SILENT, stops_at):
-                await self._changed.wait()
-            if self._mode is Mode.DELAY:
-                await trio.sleep(DELAY_S)
-            if not data:
-                await target.send_eof()
-                return
-            await target.send_all(data)
+        while data := await near.receive_some(READ_BYTES):
+            # Those that are held up here come to the replica later.
+            if self._mode is Mode.PASS:
+                self.record.note_requests(data, near)
+            await self._hold(Mode.SILENT)
+            await far.send_all(data)
+        await self._hold(Mode.SILENT)
+        await far.send_eof()
+
+    async def _copy_answers(
+        self, near: trio.SocketStream, far: trio.SocketStream
+    ) -> None:
+        while data := await far.receive_some(READ_BYTES):
+            await self._hold(Mode.ONE_WAY)
+            await near.send_all(data)
+            self.record.note_answers(data, near)
+        await self._hold(Mode.ONE_WAY)
+        await near.send_eof()
+
+    async def _hold(self, stops_at: Mode) -> None:
+        """Return when bytes may pass: not while SILENT or stops_at."""
+        while self._mode in (Mode.SILENT, stops_at):
+            await self._changed.wait()
+        if self._mode is Mode.DELAY:
+            await trio.sleep(DELAY_S)
 
 
 def _reset(stream: trio.SocketStream) -> None:
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -181,18 +181,20 @@
 
     async def _strike_limit(self, fault: plan.Fault) -> None:
         """Have a replica name a limit for so long, unless it does."""
-        found = self.site.replicas[fault.whom % len(self.site.replicas)]
+        number = fault.whom % len(self.site.replicas)
+        found = self.site.replicas[number]
+        record = self.replica_links[number].record
         if found.limit_per_s is not None:
             return
-        found.name_limit(float(fault.what))
+        limit_per_s = float(fault.what)
+        record.forget_limits()
+        found.name_limit(limit_per_s)
         await trio.sleep(fault.lasts_s)
-        if found.limit_named_s is not None:
+        named_s = record.limit_named_s(str(limit_per_s))
+        if named_s is not None:
             self.limits.append(
                 checks.Limit(
-                    found.name,
-                    float(fault.what),
-                    found.limit_named_s,
-                    trio.current_time(),
+                    found.name, limit_per_s, named_s, trio.current_time()
                 )
             )
         found.name_limit(None)
@@ -353,6 +355,7 @@
         pairs = zip(site.replicas, soak.replica_links, strict=True)
         for replica, link in pairs:
             replica.address = f'127.0.0.1:{link.port}'
+            replica.received_s = link.record.received_s
         faults = draw(seed, length_s)
         if any(fault.where == 'paths' for fault in faults):
             soak.paths = paths.Paths(site)
--- /dev/null
+++ b/test/standins/test_link_record.py
@@ -0,0 +1,94 @@
+"""Test that a late process tells when requests and limits really passed."""
+
+import contextlib
+import socket
+import time
+
+import pytest
+import trio
+
+from standins.soak import proxy
+
+LATE_S = 0.4
+# The kernel counts the age of data in ticks.
+TICK_S = 0.02
+REQUEST = (
+    b'POST /ask HTTP/1.1\r\nHost: x\r\nX-Request-Id: r1\r\n'
+    b'Content-Length: 0\r\n\r\n'
+)
+ANSWER = b'HTTP/1.1 200 OK\r\nserver-limit: 0.5\r\ncontent-length: 0\r\n\r\n'
+
+
+@contextlib.asynccontextmanager
+async def passing():
+    """Yield a link, a caller's socket and the other end's stream."""
+    async with trio.open_nursery() as nursery:
+        accepted, wait = trio.open_memory_channel(1)
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+
+        async def accept(stream):
+            await accepted.send(stream)
+            await trio.sleep_forever()
+
+        nursery.start_soon(trio.serve_listeners, accept, [listener])
+        link = proxy.Proxy(listener.socket.getsockname()[1])
+        await nursery.start(link.run)
+        with socket.create_connection(('127.0.0.1', link.port)) as caller:
+            yield link, caller, await wait.receive()
+        nursery.cancel_scope.cancel()
+
+
+def be_late():
+    time.sleep(LATE_S)
+
+
+async def test_request_counts_from_when_it_came_not_when_it_is_read():
+    async with passing() as (link, caller, far):
+        caller.sendall(REQUEST)
+        sent_s = trio.current_time()
+        be_late()
+        assert await far.receive_some() == REQUEST
+        came_s = link.record.received_s('r1')
+        assert came_s == pytest.approx(sent_s, abs=TICK_S)
+        # Nothing is known of others.
+        now_s = trio.current_time()
+        assert link.record.received_s('r2') == pytest.approx(now_s, abs=0.1)
+
+
+async def test_request_that_comes_again_counts_from_its_last_time():
+    async with passing() as (link, caller, far):
+        caller.sendall(REQUEST)
+        await far.receive_some()
+        be_late()
+        caller.sendall(REQUEST)
+        sent_s = trio.current_time()
+        await far.receive_some()
+        came_s = link.record.received_s('r1')
+        assert came_s == pytest.approx(sent_s, abs=TICK_S)
+
+
+async def test_request_that_is_held_up_counts_from_when_it_is_read():
+    async with passing() as (link, caller, far):
+        link.set(proxy.Mode.DELAY)
+        caller.sendall(REQUEST)
+        await far.receive_some()
+        now_s = trio.current_time()
+        assert link.record.received_s('r1') == pytest.approx(now_s, abs=0.1)
+
+
+@pytest.mark.parametrize(
+    ('gives_up', 'is_named'), [(False, True), (True, False)]
+)
+async def test_limit_is_named_to_a_caller_that_has_not_given_up(
+    gives_up, is_named
+):
+    async with passing() as (link, caller, far):
+        if gives_up:
+            # The kernel knows at once, the link has not read it yet.
+            caller.close()
+        await far.send_all(ANSWER)
+        await trio.sleep(0.1)
+        assert (link.record.limit_named_s('0.5') is not None) == is_named
+        assert link.record.limit_named_s('5') is None
+        link.record.forget_limits()
+        assert link.record.limit_named_s('0.5') is None
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -144,7 +144,7 @@
     )
 
 
-def limit_play(arrivals, failed=0, at_s=5.0, **more):
+def limit_play(arrivals, failed=0, at_s=5.0, read_s=None, **more):
     """Return a history of a replica that named a limit of 1 a second."""
     tries = [
         sent(
@@ -159,9 +159,13 @@
     ran = [one.request_id for one in tries if one.status == 200]
     history = seen(tries, ran)
     history.replicas[0].came = [
-        replicas.Arrival(at_s + 0.01 * number, request_id)
+        replicas.Arrival(at_s + 0.01 * number, request_id, at_s)
         for number, request_id in enumerate(ran)
     ]
+    history.replicas[0].came += [
+        replicas.Arrival(at_s, f'l{arrivals + number}', read_s)
+        for number in range(failed if read_s else 0)
+    ]
     other = replicas.Replica('r2', 'desk', 'a')
     return history._replace(
         **{
@@ -278,6 +282,9 @@
         (limit_play(12, sent=[]), 'limits_kept'),
         (limit_play(9, failed=20), 'not_refused_beside_limits'),
         (limit_play(9, failed=9), None),
+        # They came in time, to a replica that read them too late, or not.
+        (limit_play(0, failed=11, read_s=5.1), None),
+        (limit_play(0, failed=11, read_s=5.0), 'not_refused_beside_limits'),
         # No replica is without a limit.
         (
             limit_play(
