Ask for the end of a limit of 0 once in two seconds, not in ten

What callers saw: 503 replica-limits for up to ten seconds after all replicas of a service had stopped naming a limit of 0, and less where one was left.

Cause: only an answer to a request shows that a limit has ended, and a keeper granted one permit in ten seconds for a limit of 0.

Why it is safe: with a permit kept, one used late and a second keeper for a second, the most in a window stays within the allowance for 0, 0.1 and 0.3 a second (test_end_of_a_low_limit_is_asked_for_within_what_users_allow, in place of one that wanted 5 to 11 permits in 100 s, the old rate; it now holds the users' bound and a higher floor). From 0.5 a second on nothing changes.

test_replicas_whose_limit_of_nothing_ended_serve_again_soon failed before.

--- a/gentianstair/core/permit_keeper.py
+++ b/gentianstair/core/permit_keeper.py
@@ -14,8 +14,8 @@
 from gentianstair.util import clock as clocks
 
 # What an upstream is asked however little it takes: only an answer shows that
-# its limit has ended.
-MIN_RATE_PER_S = 0.1
+# its limit has ended, and callers are rejected until then.
+MIN_RATE_PER_S = 0.5
 # Unused permits that are kept: so many, and those of this time.
 KEPT_PERMITS = 1.0
 KEPT_S = 0.5
--- a/test/core/test_permit_keeper.py
+++ b/test/core/test_permit_keeper.py
@@ -107,10 +107,16 @@
     assert not keeper.grant(ask(5.0), 1.0, VMS).is_granted
 
 
-def test_limit_of_nothing_is_asked_rarely():
+@pytest.mark.parametrize('rate_per_s', [0.0, 0.1, 0.3])
+def test_end_of_a_low_limit_is_asked_for_within_what_users_allow(rate_per_s):
     # Guards against a limit whose end nobody notices.
-    used_s = play(0.0, 20.0, 100.0)
-    assert 5 <= len(used_s) <= 11
+    length_s, least_per_s = 100.0, permit_keeper.MIN_RATE_PER_S
+    used_s = play(rate_per_s, 20.0, length_s, last=True)
+    most = limits.most_in_window(used_s, from_s=0.0)
+    # Permits used half a second late, and a second keeper for a second.
+    late = 0.5 * (least_per_s + rate_per_s)
+    assert most + late + least_per_s <= limits.allowed(rate_per_s) + 1
+    assert len(used_s) >= 0.9 * least_per_s * length_s
 
 
 def test_idle_time_gives_no_large_burst():
--- a/test/gateway/test_replica_limits.py
+++ b/test/gateway/test_replica_limits.py
@@ -215,6 +215,23 @@
     assert load.statuses() == {200: len(load.outcomes)}
 
 
+async def test_replicas_whose_limit_of_nothing_ended_serve_again_soon(
+    tmp_path,
+):
+    # Guards against replicas that take requests again and get none.
+    async with running(tmp_path) as (site, found):
+        desks = [site.replica(name) for name in ('i-desk-1', 'i-desk-2')]
+        for desk in desks:
+            desk.name_limit(0.0)
+        await Load(found, LOOKUPS, 18.0).run(3.0)
+        for desk in desks:
+            desk.name_limit(None)
+        await Load(found, LOOKUPS, 18.0).run(limits.CONTACT_S)
+        load = Load(found, LOOKUPS, 18.0)
+        await load.run(2.0)
+    assert load.statuses() == {200: len(load.outcomes)}
+
+
 async def test_vm_alone_keeps_the_permits_itself(tmp_path):
     # Guards against a VM that finds no keeper and rejects all.
     async with running(tmp_path, vms=1) as (site, found):
