Send SIGHUP at a start from the program's first lines on, not after 0.15 s

The test sent its first SIGHUP 0.15 s after the start, before which any signal ends an interpreter that has not come to the program's own code; it then waited 15 s for the process that had ended (sent at 0.02 s: exit code -1). How long until the first line, 30 starts each, five at once: at most 0.027 s alone, 0.150 s beside 20 endless loops, 0.406 s beside 40, where 28 are over 0.15 s.

Now the interpreter tells its imports, and SIGHUP comes every 0.02 s from the first import behind the handled signals on, which is earlier than before on a quiet machine; a process that ended is told at once. Without the line that ignores SIGHUP the test fails.

--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -138,9 +138,9 @@
         Before its interpreter has come to the program's own code, which is
         half a second on a busy machine, any signal ends it.
         """
-        return b'"event": "started"' in self._told()
+        return b'"event": "started"' in self.told()
 
-    def _told(self) -> bytes:
+    def told(self) -> bytes:
         """Return what this start of the process has written so far."""
         return self.log.read_bytes()[self._log_bytes :]
 
@@ -164,7 +164,7 @@
             f'{self.vm} is not ready after {START_S:g} s: exit code '
             f'{self.process.poll() if self.process else None}, '
             f'{self._spent_s():.2f} s of processor time, '
-            f'last told: {self._told()[-TOLD_BYTES:]!r}'
+            f'last told: {self.told()[-TOLD_BYTES:]!r}'
         )
 
     def _spent_s(self) -> float:
--- a/test/gateway/test_signals_at_start.py
+++ b/test/gateway/test_signals_at_start.py
@@ -9,6 +9,9 @@
 from standins.site import processes
 from standins.site import site as sites
 
+# Of the modules that the program imports once it has handled its signals.
+FIRST_IMPORT = b'gentianstair.gateway.deferred\n'
+
 
 @pytest.fixture
 def gateway(tmp_path):
@@ -22,20 +25,24 @@
 
 
 @pytest.mark.process
-async def test_sighup_during_the_start_does_not_end_the_process(gateway):
+async def test_sighup_during_the_start_does_not_end_the_process(
+    gateway, monkeypatch
+):
     """Guard against a SIGHUP that terminates a process during its imports.
 
     Its handler is not installed by then, and the default action terminates.
     """
+    # The interpreter then tells each import.
+    monkeypatch.setenv('PYTHONPROFILEIMPORTTIME', '1')
     async with sites.running() as site:
         start(gateway, site)
-        # Wait until the interpreter runs the first lines of the package.
-        await trio.sleep(0.15)
         with trio.fail_after(processes.START_S):
+            while FIRST_IMPORT not in gateway.told():
+                await trio.sleep(0.002)
             while not await gateway.is_ready():
+                assert gateway.is_running()
                 gateway.signal(signal.SIGHUP)
                 await trio.sleep(0.02)
-        assert gateway.is_running()
 
 
 @pytest.mark.process
