--- a/standins/lateness.py
+++ b/standins/lateness.py
@@ -12,7 +12,7 @@
 
 
 class Lateness(typing.NamedTuple):
-    """How late short sleeps ended."""
+    """How late short sleeps ended, or something else was done."""
 
     median_s: float
     p99_s: float
@@ -33,11 +33,18 @@
             self._late_s.append(trio.current_time() - due_s)
 
     def result(self) -> Lateness:
-        """Return what was recorded so far.
-
-        >>> Recorder().result()
-        Lateness(median_s=0.0, p99_s=0.0, most_s=0.0)
-        """
-        found = sorted(self._late_s) or [0.0]
-        picked = (found[int(share * len(found))] for share in (0.5, 0.99))
-        return Lateness(*(round(late_s, 3) for late_s in (*picked, found[-1])))
+        """Return what was recorded so far."""
+        return summary(self._late_s)
+
+
+def summary(late_s: typing.Iterable[float]) -> Lateness:
+    """Return how late all these were.
+
+    >>> summary([0.1, 0.3, 0.2])
+    Lateness(median_s=0.2, p99_s=0.3, most_s=0.3)
+    >>> summary([])
+    Lateness(median_s=0.0, p99_s=0.0, most_s=0.0)
+    """
+    found = sorted(late_s) or [0.0]
+    picked = (found[int(share * len(found))] for share in (0.5, 0.99))
+    return Lateness(*(round(late, 3) for late in (*picked, found[-1])))
--- a/standins/soak/__main__.py
+++ b/standins/soak/__main__.py
@@ -46,6 +46,8 @@
             f'{result.served_kept} of {result.sent_kept} on kept connections, '
             f'{result.crossed} crossed a close, '
             f'late by {result.late.median_s} s, at most {result.late.most_s}, '
+            f'read requests {result.read_late.median_s} s late, '
+            f'at most {result.read_late.most_s}, '
             f'{len(result.breaches)} breaches',
             flush=True,
         )
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -51,8 +51,10 @@
     served_kept: int
     # Requests on kept connections that were closed with no answer.
     crossed: int
-    # Of this process, which plays replicas, store and callers.
+    # Of this process, which plays replicas, store and callers: its turns, and
+    # its replicas' reading of requests.
     late: lateness.Lateness
+    read_late: lateness.Lateness
 
 
 async def play(
@@ -115,6 +117,11 @@
         _count_served(soak.sent_kept),
         sum(sent.hung_up for sent in seen.sent),
         late,
+        lateness.summary(
+            arrival.read_s - arrival.at_s
+            for replica in seen.replicas
+            for arrival in replica.came
+        ),
     )
 
 
