--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -287,7 +287,7 @@
         for sent in seen.sent
         if sent.key not in seen.revoked_s
         and not sent.hung_up
-        # It came to a replica in time, which was late itself.
+        # Not one that a late replica read only after its caller's answer.
         and read_s.get(sent.request_id, 0.0) <= sent.ended_s
         and not _is_excused(seen, sent.request_id, sent.ended_s)
         and not _are_all_limited(seen, sent)
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -282,7 +282,7 @@
         (limit_play(12, sent=[]), 'limits_kept'),
         (limit_play(9, failed=20), 'not_refused_beside_limits'),
         (limit_play(9, failed=9), None),
-        # They came in time, to a replica that read them too late, or not.
+        # Read by a late replica after the callers' answers, or before.
         (limit_play(0, failed=11, read_s=5.1), None),
         (limit_play(0, failed=11, read_s=5.0), 'not_refused_beside_limits'),
         # No replica is without a limit.
