Log the parts of a prompt at a failed attempt, and whether it broke

The incident's hypotheses can't be told apart by the logs: they name neither the parts of a prompt nor whether a replica's connection broke or the replica answered with a failure, nor which start of it that was. A failed attempt now logs them. The names of all parts but the last are read from the header by themselves, also where it is odd or repeated. No decision is changed.

--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -81,6 +81,16 @@
     """Permit of a limited upstream that came too early to be used now."""
 
 
+class ConnectionBrokenError(UpstreamError):
+    """Connection that an upstream ended before its whole answer.
+
+    The upstream may have ended, or only the connection.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdicts.Verdict.MAY_HAVE_RUN)
+
+
 class UpstreamRejectedError(UpstreamError):
     """Upstream that responded without running the request.
 
--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -50,6 +50,9 @@
     # The id of the request that brought the first event of the stream which
     # this one resumes, None if the caller names none.
     resumed_id: str | None = None
+    # The parts of its prompt that others may share: all but the last, also
+    # where the prompt cannot be read otherwise.
+    part_names: tuple[str, ...] = ()
     # Tokens of the prompt and at most of the output; None if not stated.
     token_count: int | None = None
     # Whether the statement of tokens could not be read.
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -33,6 +33,9 @@
 # Share of the time to its objective that the most urgent request waits for its
 # turn at a limited replica.
 TURN_SHARE = 0.5
+# Parts of a prompt in a log line, and characters of each.
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_NAME = 32
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
 
@@ -287,11 +290,19 @@
             events.TRY_FAILED,
             f'a try failed: {error}',
             replica=replica.name,
+            started_ms=replica.started_ms,
             verdict=error.verdict.name,
+            broke=isinstance(error, errors.ConnectionBrokenError),
+            parts=self._logged_parts(),
             took_s=round(now_s - started_s, 3),
             **log_fields,
         )
 
+    def _logged_parts(self) -> list[str]:
+        """Return the names of the prompt's first parts, for a log line."""
+        names = self.call.part_names[:MAX_LOGGED_PARTS]
+        return [name[:MAX_LOGGED_NAME] for name in names]
+
     def record_verdict(self, verdict: verdicts.Verdict) -> None:
         """Combine an attempt's verdict with that of earlier ones."""
         self.verdict = verdicts.combine(self.verdict, verdict)
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -97,6 +97,12 @@
     return None if value is None else value.decode('latin-1')
 
 
+def _joined_text(headers: calls.Headers, name: bytes) -> str | None:
+    """Return the values of a list header that may be repeated, as one."""
+    values = [value for found, value in headers if found == name]
+    return b','.join(values).decode('latin-1') if values else None
+
+
 def _timeout_s(fields: dict[bytes, bytes]) -> float | None:
     text = _header_text(fields, b'x-request-deadline-ms')
     if text is None:
@@ -139,6 +145,25 @@
         return None
 
 
+def decode_part_names(parts: str | None) -> tuple[str, ...]:
+    """Return the names of a prompt's parts but for the last, each once.
+
+    Others may share these. An odd entry is a name, too, so that nobody hides
+    a part behind it.
+
+    >>> decode_part_names('5C:800,91:650,5c:800,e4:10')
+    ('5c', '91')
+    >>> decode_part_names('5c:many,,91,e4:10'), decode_part_names(None)
+    (('5c', '91'), ())
+    """
+    entries = [entry.strip() for entry in (parts or '').split(',')]
+    names = [
+        (entry.rpartition(':')[0] or entry).lower()
+        for entry in filter(None, entries)
+    ]
+    return tuple(dict.fromkeys(names[:-1]))
+
+
 def decode_token_count(counts: str | None) -> int | None:
     """Return the tokens of prompt and output together, None if not stated.
 
@@ -168,6 +193,7 @@
     host = host.rpartition(':')[0] or host
     path = raw_path.decode('latin-1')
     counts = _header_text(fields, b'x-token-count')
+    parts = _joined_text(headers, b'x-prefix-hash')
     token_count, has_bad_token_count = None, False
     try:
         token_count = decode_token_count(counts)
@@ -191,8 +217,9 @@
         prompt=decode_prompt(
             _header_text(fields, b'x-model'),
             counts,
-            _header_text(fields, b'x-prefix-hash'),
+            parts,
         ),
+        part_names=decode_part_names(parts),
         token_count=token_count,
         has_bad_token_count=has_bad_token_count,
     )
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -199,9 +199,13 @@
     try:
         data = await _receive(stream)
     except (OSError, trio.BrokenResourceError) as error:
-        raise _may_have_run(f'{type(error).__name__} while reading') from error
+        raise errors.ConnectionBrokenError(
+            f'{type(error).__name__} while reading'
+        ) from error
     if not data and not parser.on_close():
-        raise _may_have_run('the upstream closed the connection')
+        raise errors.ConnectionBrokenError(
+            'the upstream closed the connection'
+        )
     try:
         if data:
             parser.httptools_parser.feed_data(data)
@@ -356,7 +360,7 @@
         try:
             await stream.send_all(_encode_head(request) + request.content)
         except trio.BrokenResourceError as error:
-            raise _may_have_run(
+            raise errors.ConnectionBrokenError(
                 'the connection broke while sending'
             ) from error
         parser = _ResponseParser(request.extensions.get('answer_id'))
