Play prompts with a part that ends replicas, in tests that fail

The stand-in replica ends as it begins to write an answer on a told part, or after some events of it, and turns requests away for 2 s. Callers at three to five VMs send such requests beside sound ones with the same customer and other parts. Replicas that end by themselves are the counterpart, which has to hold with the fix, too.

--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -16,6 +16,8 @@
 EVENT_S = 0.005
 PLAIN_S = 0.01
 WAIT_LIMIT_S = 1.0
+# How long a replica that has ended turns requests away.
+DOWN_S = 2.0
 
 
 class Run(typing.NamedTuple):
@@ -38,6 +40,13 @@
     read_s: float
 
 
+class End(typing.NamedTuple):
+    """An end of the replica, and the request that caused it, if any."""
+
+    at_s: float
+    request_id: str
+
+
 # When a request came, by its id.
 ArrivalTime = collections.abc.Callable[[str], float]
 
@@ -67,6 +76,10 @@
         self.breaks_each_after: int | None = None
         # Reads prompts but then has lost what it read.
         self.loses_handles = False
+        # Ends as it begins to write an answer to a prompt with one of these
+        # parts, or after so many events of it.
+        self.ends_under: set[str] = set()
+        self.ends_after_events = 0
 
 
 class Replica:
@@ -127,6 +140,9 @@
         self.limit_named_s: float | None = None
         # Parts of prompts that came from other replicas' memories.
         self.copied: list[str] = []
+        # When it ended, and until when it turns requests away since.
+        self.ends: list[End] = []
+        self.down_until_s = 0.0
 
     @property
     def arrivals(self) -> int:
@@ -147,6 +163,13 @@
         self.kept.clear()
         self.changes.clear()
 
+    def end(self, request_id: str = '') -> None:
+        """End, and be back with nothing of before after DOWN_S."""
+        now_s = trio.current_time()
+        self.ends.append(End(now_s, request_id))
+        self.down_until_s = now_s + DOWN_S
+        self.restart(self.version)
+
     def entry(self) -> dict[str, typing.Any]:
         """Return what the replica registers of itself."""
         entry: dict[str, typing.Any] = {
@@ -272,6 +295,10 @@
 async def _stream(replica: Replica, first: int) -> typing.Any:
     read_s = replica.read_s()
     born_ms, version = replica.born_ms, replica.version
+    request_id = quart.request.headers.get('x-request-id', '')
+    ends_at = None
+    if replica.faults.ends_under.intersection(_parts()):
+        ends_at = first + replica.faults.ends_after_events
 
     async def events():
         try:
@@ -282,6 +309,9 @@
                     raise ConnectionAbortedError('told to break off')
                 if replica.born_ms != born_ms:
                     raise ConnectionAbortedError('started again')
+                if number == ends_at:
+                    replica.end(request_id)
+                    raise ConnectionAbortedError('ended')
                 await trio.sleep(EVENT_S)
                 if first == 1 and number == replica.events // 2:
                     await trio.sleep(replica.faults.late_s)
@@ -310,7 +340,7 @@
     )
     if faults.changed or headers.get('x-expect-instance') != replica.name:
         return quart.Response('', 421, {'x-instance-id': replica.name})
-    if faults.full:
+    if faults.full or trio.current_time() < replica.down_until_s:
         return _not_run(503)
     _fetch(replica, replicas)
     if headers.get('x-stage') == 'prefill':
--- /dev/null
+++ b/test/gateway/test_parts_that_end_replicas.py
@@ -0,0 +1,271 @@
+"""Test prompts with a part under which each replica ends that runs it."""
+
+import contextlib
+import random
+import typing
+
+import httpx
+import pytest
+import trio
+
+from gentianstair.gateway import forward
+from standins.site import replica as replicas
+from standins.site import site as sites
+from test.gateway import gateways
+
+MAKERS = 6
+EVENTS = 20
+# The users' bounds: requests with a part that ends replicas which may reach
+# one later than CONTACT_S after the fifth end.
+ENDS, LATER_REQUESTS, CONTACT_S = 5, 3, 3.0
+# From twice that on, sound requests are served nearly as before.
+LEAST_SHARE = 0.9
+WARM_S, PLAY_S = 2.0, 14.0
+SOUND_PER_S = 12.0
+# A caller is told at once that its request is rejected.
+AT_ONCE_S = 0.6
+PATIENCE_S = 2.5
+LINKED_S = 2.0
+BAD = 'bad0'
+SHARED = ('5c1e', '91bd', 'e440')
+
+
+@pytest.fixture(autouse=True)
+def patient_vms(monkeypatch):
+    """Let VMs wait longer for replicas, as all share one event loop."""
+    monkeypatch.setattr(forward, 'CONNECT_TIMEOUT_S', PATIENCE_S)
+
+
+class Row(typing.NamedTuple):
+    """What one play is like."""
+
+    parts: tuple[str, ...] = (*SHARED[:2], BAD)
+    events: int = 0
+    bad_per_s: float = 3.0
+    vms: int = 3
+    killed: int = 0
+
+
+class Asked(typing.NamedTuple):
+    """A caller's request, and what it got."""
+
+    at_s: float
+    vm: int
+    status: int
+    events: int
+    took_s: float
+    retry_after_s: float | None
+
+    @property
+    def begun(self):
+        """Return whether events came."""
+        return self.status == 200 and self.events > 0
+
+
+class Play:
+    """Callers of several VMs, and what they got, by kind of request."""
+
+    def __init__(self, site, vms):
+        self.site = site
+        self.vms = vms
+        self.began_s = trio.current_time()
+        self.asked = {}
+        self._chance = random.Random(1)
+        self._count = 0
+
+    async def ask(self, kind, parts, vm=None):
+        """Send one request; nothing that can happen to it is an error."""
+        self._count += 1
+        request_id = f'{kind}-{self._count}'
+        vm = self._chance.randrange(len(self.vms)) if vm is None else vm
+        names = [f'{part}:300' for part in (*parts, f'f{self._count:07x}')]
+        headers = {
+            'x-model': 'm',
+            'x-token-count': f'{300 * len(names)},80',
+            'x-prefix-hash': ','.join(names),
+        }
+        gateway = self.vms[vm]
+        at_s, status, text, back_s = trio.current_time(), 0, '', None
+        with contextlib.suppress(httpx.HTTPError):
+            async with gateway.client.stream(
+                'POST',
+                '/ask/rule',
+                headers=gateway.headers(request_id, **headers),
+            ) as answer:
+                status = answer.status_code
+                if 'retry-after' in answer.headers:
+                    back_s = float(answer.headers['retry-after'])
+                async for data in answer.aiter_text():
+                    text += data
+        took_s = trio.current_time() - at_s
+        found = Asked(at_s, vm, status, text.count('data:'), took_s, back_s)
+        self.asked.setdefault(kind, []).append(found)
+        return found
+
+    async def keep_asking(self, kind, parts, per_s, length_s):
+        """Send requests of a kind for so long, at any VM."""
+        end_s = trio.current_time() + length_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end_s:
+                nursery.start_soon(self.ask, kind, parts)
+                await trio.sleep(self._chance.uniform(0.5, 1.5) / per_s)
+
+    def ends(self):
+        """Return when replicas ended, in order."""
+        return sorted(e.at_s for r in self.site.replicas for e in r.ends)
+
+    def arrived(self, kind, after_s):
+        """Return the requests of a kind that reached replicas later."""
+        return [
+            arrival.request_id
+            for replica in self.site.replicas
+            for arrival in replica.came
+            if arrival.request_id.startswith(f'{kind}-')
+            and arrival.at_s > after_s
+        ]
+
+    def share_begun(self, kind, from_s, to_s=float('inf')):
+        """Return the share of a kind's requests that began."""
+        found = [
+            one.begun
+            for one in self.asked.get(kind, [])
+            if from_s <= one.at_s < to_s
+        ]
+        assert len(found) >= 10, f'{len(found)} requests'
+        return sum(found) / len(found)
+
+
+def makers(site):
+    return [r for r in site.replicas if r.stage == 'decode']
+
+
+def site_of_makers():
+    """Return the replicas of a site, six of which decode."""
+    found = [r for r in sites.default_replicas() if r.stage != 'decode']
+    for number in range(MAKERS):
+        found.append(
+            replicas.Replica(
+                f'i-maker-{number}',
+                'models',
+                'ab'[number % 2],
+                'decode',
+                events=EVENTS,
+            )
+        )
+    return found
+
+
+@contextlib.asynccontextmanager
+async def running(tmp_path, vms=3):
+    """Yield a play: a site, and gateways before it that know each other."""
+    async with sites.running(site_of_makers()) as site:
+        async with gateways.running(
+            site, tmp_path, count=vms, retry_slack=500
+        ) as found:
+            await trio.sleep(LINKED_S)
+            yield Play(site, list(found))
+
+
+def spoil(site, events=0):
+    """Let replicas end under a part, which may be taken back."""
+    parts = {BAD}
+    for replica in makers(site):
+        replica.faults.ends_under = parts
+        replica.faults.ends_after_events = events
+    return parts
+
+
+async def replace_vms(play, tmp_path, killed):
+    """Kill some VMs, and have a fresh one in the place of the first."""
+    seed = play.vms[-1].values['control']
+    for gateway in play.vms[:killed]:
+        gateway.scope.cancel()
+    play.vms = play.vms[killed:]
+    values = gateways.values_for(play.site)
+    async with gateways.one_more(tmp_path, values, 'new', seed) as fresh:
+        assert (await fresh.first_answer()).status_code == 200
+        play.vms.append(fresh)
+        await trio.sleep_forever()
+
+
+ROWS = {
+    'third-of-four': Row(),
+    'after-an-event': Row(events=1),
+    'first': Row((BAD, *SHARED[1:])),
+    'second-of-three': Row((SHARED[0], BAD)),
+    'rare-at-five-vms': Row(bad_per_s=1.4, vms=5),
+    'vms-killed': Row(vms=4, killed=2),
+}
+
+
+@pytest.mark.parametrize('row', ROWS.values(), ids=ROWS)
+async def test_part_that_ends_replicas_is_known_to_all_vms(tmp_path, row):
+    # Guards against requests with one part that end replica after replica.
+    async with running(tmp_path, row.vms) as play, trio.open_nursery() as all_:
+        spoil(play.site, row.events)
+        began_s = play.began_s + WARM_S
+        all_.start_soon(
+            play.keep_asking, 'sound', SHARED, SOUND_PER_S, WARM_S + PLAY_S
+        )
+        await trio.sleep(WARM_S)
+        all_.start_soon(
+            play.keep_asking, 'bad', row.parts, row.bad_per_s, PLAY_S
+        )
+        if row.killed:
+            await trio.sleep(2.0)
+            all_.start_soon(replace_vms, play, tmp_path, row.killed)
+        await trio.sleep_until(began_s + PLAY_S + 1.0)
+        all_.cancel_scope.cancel()
+    ends = play.ends()
+    assert ends, 'no replica ended'
+    bound_s = ends[min(len(ends), ENDS) - 1]
+    later = play.arrived('bad', bound_s + CONTACT_S)
+    assert len(later) <= LATER_REQUESTS, f'{len(later)}, {len(ends)} ended'
+    share = play.share_begun('sound', bound_s + 2 * CONTACT_S)
+    before = play.share_begun('sound', play.began_s, began_s)
+    assert share >= LEAST_SHARE * before, f'{share} served'
+
+
+async def test_part_that_ends_replicas_is_rejected_at_once(tmp_path):
+    # Guards against callers that wait for, or are sent to, what can't run.
+    async with running(tmp_path) as play:
+        spoil(play.site)
+        await play.keep_asking('bad', (*SHARED[:2], BAD), 3.0, 8.0)
+        before = len(play.arrived('bad', 0.0))
+        found = [await play.ask('late', (BAD,), vm) for vm in (0, 1, 2)]
+        assert len(play.arrived('bad', 0.0)) == before
+    assert [one.status for one in found] == [503] * 3
+    assert max(one.took_s for one in found) < AT_ONCE_S
+    assert not play.arrived('late', 0.0)
+
+
+async def test_request_under_which_replicas_end_ends_few(tmp_path):
+    # Guards against one request that is sent on from end to end, by its VM
+    # and by its caller.
+    async with running(tmp_path) as play:
+        spoil(play.site)
+        for turn in range(6):
+            await play.ask('bad', (SHARED[0], BAD), turn % 3)
+    assert len(play.ends()) <= 4
+
+
+@pytest.mark.parametrize('at_once', [False, True], ids=['in-turn', 'at-once'])
+async def test_replicas_that_end_by_themselves_have_no_part_blamed(
+    tmp_path, at_once
+):
+    # Guards against sound requests that are rejected for what ran beside
+    # them when replicas ended.
+    async with running(tmp_path) as play, trio.open_nursery() as all_:
+        all_.start_soon(play.keep_asking, 'sound', SHARED, SOUND_PER_S, 12.0)
+        for one in range(6):
+            parts = (SHARED[0], f'ab{one}')
+            all_.start_soon(play.keep_asking, 'rare', parts, 1.5, 12.0)
+        await trio.sleep(WARM_S)
+        for number in range(12):
+            makers(play.site)[number % MAKERS].end()
+            if not at_once or number == MAKERS // 2:
+                await trio.sleep(0.25 if not at_once else 3.0)
+        ended_s = trio.current_time()
+    for kind in ('sound', 'rare'):
+        share = play.share_begun(kind, ended_s + replicas.DOWN_S + 0.5)
+        assert share >= LEAST_SHARE, f'{kind}: {share}'
