Hold back parts of prompts under which replicas end, known to all VMs

Cause: a fault that travels with a request was taken for the fault of the replica at which it ran. A VM sent the request on to the next one, and nobody related the ends of replicas to the prompts that ran there, so the next request with the part was placed like any other, at each VM.

Now each VM records under which parts a replica ended (confirmed by a new connection to it: one that lives on has only broken an answer off), and of which parts requests are answered. VMs merge what they know over the links that they have. A part is held back after two ends in turn with no answer since, or four if it was answered lately. One request at a time, of all VMs, tries it, granted by the hub that ranks highest for the part: after 0.5, 1 and 2 s, then after 60 s and ever more rarely; an answer lifts the hold everywhere. Ends that another held part explains do not count against one that stood beside it. All attempts pass one check just before they are sent: first ones, retries, late ones, prefills, decodes after them, resumed ones. Hubs store held parts in their records, so that a restart of all VMs forgets nothing; operators list and lift them (gentianstair part).

Why it works: a part that ends replicas is never answered, a sound one beside it is; what several VMs saw counts together within some tenths of a second.

--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -53,6 +53,8 @@
     # The parts of its prompt that others may share: all but the last, also
     # where the prompt cannot be read otherwise.
     part_names: tuple[str, ...] = ()
+    # The model that it names, empty without one.
+    model: str = ''
     # Tokens of the prompt and at most of the output; None if not stated.
     token_count: int | None = None
     # Whether the statement of tokens could not be read.
@@ -66,6 +68,13 @@
     handle: str
 
 
+class Report(typing.NamedTuple):
+    """What a replica reports of itself, not decoded."""
+
+    status: int
+    body: bytes
+
+
 class Attempt(typing.NamedTuple):
     """A call as it goes to one replica."""
 
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -148,16 +148,30 @@
 
     Raise UpstreamError or DecodeError if it does not tell in limit_s.
     """
+    report = await fetch_report(node.transport, replica, limit_s)
+    return http_codec.decode_report(report.status, report.body)
+
+
+async def fetch_report(
+    replica_transport: transport.Transport,
+    replica: replicas.Replica,
+    limit_s: float,
+    fresh: bool = False,
+) -> calls.Report:
+    """Return what the process at a replica's address reports of itself.
+
+    Raise UpstreamError, or DecodeError if nothing comes in limit_s.
+    """
     request = http_codec.report_request(
-        replica.address, replica.name, CONNECT_TIMEOUT_S
+        replica.address, replica.name, CONNECT_TIMEOUT_S, fresh
     )
     with trio.move_on_after(limit_s):
-        response = await node.transport.handle_async_request(request)
+        response = await replica_transport.handle_async_request(request)
         try:
             body = await read_body(response)
         finally:
             await response.stream.aclose()
-        return http_codec.decode_report(response.status_code, body)
+        return calls.Report(response.status_code, body)
     raise errors.DecodeError('no report in time')
 
 
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -375,6 +375,7 @@
         service: catalog.Service | None,
     ) -> None:
         response: forward.ReplicaResponse | None
+        await request.parts.enter()
         if request.route.kind is catalog.CallKind.STREAM:
             engine = service.engine if service else None
             response = await streaming.StreamingResponse(
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -1,18 +1,19 @@
 """Keep a leaf's link to a hub: report load, and apply the hub's feed."""
 
 import math
-import typing
 
 import loguru
 import msgspec
 import trio
 
 from gentianstair import errors
+from gentianstair.core import prompt_fault_rows
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_feed
 from gentianstair.gateway import leaf_knowledge
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import peer_questions
 from gentianstair.gateway import peer_updates
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replica_load
@@ -27,6 +28,8 @@
 
 # How often a leaf sends its load and gets the feed in return.
 REPORT_INTERVAL_S = 0.25
+# Shortest pause between two reports, also if something is to be told at once.
+MIN_PAUSE_S = 0.03
 # Timeout of the hub's feed in response to a report.
 RESPONSE_TIMEOUT_S = 0.5
 OPEN_TIMEOUT_S = 0.6
@@ -65,6 +68,10 @@
         self._node = node
         self._network = network
         self._updates = updates
+        self._questions = peer_questions.PeerQuestions(node)
+        # The pause before the next report.
+        self._pause = trio.CancelScope()
+        node.prompt_faults.listeners.append(self._shorten_pause)
         # Until when each hub is avoided, by VM name.
         self._avoided_until_s: dict[str, float] = {}
         # Whether the cost estimates of a hub have been taken over; later
@@ -138,6 +145,9 @@
         known_hubs: tuple[hubs.Vm, ...] = ()
         member = _MemberReports(node)
         sent_limits_position = 0
+        part_faults = prompt_fault_rows.Feed(
+            node.prompt_faults, node.clock, to_hubs=True
+        )
         try:
             node.permit_keepers.link_to_hub = channel
             while not node.roster.is_hub():
@@ -150,6 +160,7 @@
                         sent_limits_position, to_hubs=True
                     )
                     sent_limits_position = limits.hub_log.position
+                report['part_faults'] = part_faults.take()
                 member.add_to(report)
                 if use:
                     report['use'] = uses.encode(use)
@@ -168,14 +179,7 @@
                         known_hubs = leaf_feed.decode_hubs(feed['hubs'])
                     age_s = self._apply_feed(feed, known_hubs)
                     self._record_tunnel_peers(feed, hub)
-                    node.upstream_limits.apply_rows(
-                        feed.get('limits', ()), process
-                    )
-                    node.limiter.apply_hub_report(
-                        use,
-                        feed.get('reach', 0.0),
-                        levels.decode(feed.get('low', {})),
-                    )
+                    self._apply_limits(feed, use)
                 except errors.DecodeError as error:
                     _log_unreadable(error)
                     return 'invalid feed'
@@ -190,6 +194,27 @@
             node.permit_keepers.link_to_hub = None
             node.load_tracker.remove_peer(process)
 
+    def _apply_limits(
+        self, feed: messages.GatewayFeed, use: dict[str, uses.Use]
+    ) -> None:
+        """Apply what a hub says of requests that may not be served now.
+
+        use is what the last report said of this leaf. Raise DecodeError.
+        """
+        node, process = self._node, feed['process']
+        node.upstream_limits.apply_rows(feed.get('limits', ()), process)
+        prompt_fault_rows.apply(
+            node.prompt_faults,
+            feed.get('part_faults', ()),
+            node.clock(),
+            process,
+        )
+        node.limiter.apply_hub_report(
+            use,
+            feed.get('reach', 0.0),
+            levels.decode(feed.get('low', {})),
+        )
+
     def _make_report(self, sent_position: int) -> messages.GatewayLoad:
         node = self._node
         return load_message(
@@ -208,31 +233,30 @@
                     return None
                 if message is not None and message['type'] == 'feed':
                     return message
-                self._handle_answer(message)
+                if message is not None:
+                    self._questions.handle(channel, message)
         return None
 
     async def _receive_answers(self, channel: link.Channel) -> None:
         """Take answers of the hub until the next report is due."""
-        with trio.move_on_after(REPORT_INTERVAL_S):
-            while True:
-                data = await channel.receive()
-                try:
-                    self._handle_answer(link.decode(data))
-                except errors.DecodeError as error:
-                    _log_unreadable(error)
-                    raise link.LinkClosedError('unreadable') from error
+        with trio.move_on_after(REPORT_INTERVAL_S) as self._pause:
+            await self._receive_until_cancelled(channel)
 
-    def _handle_answer(self, message: link.Message | None) -> None:
-        if message is None:
-            return
-        if message['type'] == 'permit':
-            self._node.permit_keepers.handle_answer(
-                typing.cast(messages.Permit, message)
-            )
-        elif message['type'] == 'stream_answer':
-            self._node.origin_keepers.handle_answer(
-                typing.cast(messages.StreamAnswer, message)
-            )
+    def _shorten_pause(self) -> None:
+        """Send the next report soon, as the hub may not know something."""
+        soon_s = trio.current_time() + MIN_PAUSE_S
+        self._pause.deadline = min(self._pause.deadline, soon_s)
+
+    async def _receive_until_cancelled(self, channel: link.Channel) -> None:
+        while True:
+            data = await channel.receive()
+            try:
+                message = link.decode(data)
+                if message is not None:
+                    self._questions.handle(channel, message)
+            except errors.DecodeError as error:
+                _log_unreadable(error)
+                raise link.LinkClosedError('unreadable') from error
 
     def _max_store_age_s(self) -> float:
         return max_store_age_s(self._node.deployment.bounds.drain_s)
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from gentianstair import errors
+from gentianstair.core import prompt_fault_rows
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_knowledge
@@ -42,6 +43,9 @@
         self._cache_position: int | None = None
         # The same of the limits that replicas name.
         self._limits_position = 0
+        self._part_faults = prompt_fault_rows.Feed(
+            node.prompt_faults, node.clock, to_hubs=False
+        )
         # Where peers connect to the leaf.
         self.address = ''
         self._sent_tunnel_peers: list[list[str]] = []
@@ -79,6 +83,13 @@
         node.upstream_limits.apply_rows(
             report.get('limits', ()), report['process'], to_hubs=True
         )
+        prompt_fault_rows.apply(
+            node.prompt_faults,
+            report.get('part_faults', ()),
+            node.clock(),
+            report['process'],
+            to_hubs=True,
+        )
         node.limiter.apply_leaf(uses.decode(report.get('use', {})))
         return self._make_feed(report['config_version'])
 
@@ -119,6 +130,9 @@
                 self._limits_position, to_hubs=False
             )
             self._limits_position = limits.log.position
+        part_faults = self._part_faults.take()
+        if part_faults:
+            feed['part_faults'] = part_faults
         current_hubs = node.roster.hubs()
         if self._knowledge is None or current_hubs != self._sent_hubs:
             feed['hubs'] = encode_hubs(current_hubs)
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -94,7 +94,7 @@
             sock = serving.listen(
                 f'{vm_settings.ip}:{env_settings.metrics_port}'
             )
-            apps.append((monitoring.make_metrics_app(), sock))
+            apps.append((monitoring.make_metrics_app(node), sock))
         for app, sock in apps:
             nursery.start_soon(
                 functools.partial(
--- a/gentianstair/gateway/members.py
+++ b/gentianstair/gateway/members.py
@@ -13,6 +13,8 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.core import prompt_fault_rows
+from gentianstair.core import prompt_faults
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import usage_counter
@@ -69,6 +71,10 @@
     cores: float = 0.0
     # Its estimates of prefill costs, for processes that start later.
     costs: list[prefill_costs.FittedCosts] = []
+    # The parts of prompts that it holds back, for the same.
+    held_parts: prompt_fault_rows.Stored = msgspec.field(
+        default_factory=prompt_fault_rows.Stored
+    )
     # The leaves of a hub.
     leaves: list[leaf_records.LeafRecord] = []
 
@@ -128,6 +134,7 @@
         clock: clocks.Clock,
         writes_per_s: float,
         costs: prefill_costs.PrefillCosts | None = None,
+        held_parts: prompt_fault_rows.HeldParts | None = None,
     ) -> None:
         self._store = store
         self._name = name
@@ -136,6 +143,9 @@
         self._clock = clock
         self._writes_per_s = writes_per_s
         self._costs = costs or prefill_costs.PrefillCosts()
+        self._held_parts = held_parts or prompt_fault_rows.HeldParts(
+            prompt_faults.PromptFaults(clock), clock, clock
+        )
         self.leaves = leaf_records.LeafRecords(counter)
         self._version = 0
         self._members: dict[str, Member] = {}
@@ -278,6 +288,7 @@
             for window, counts in self._usage_counter.windows().items()
         }
         self._record.costs = self._costs.export()
+        self._record.held_parts = self._held_parts.export()
         self._record.leaves = self.leaves.export()
         try:
             self._version = await self._store.put(
@@ -353,12 +364,16 @@
                 event=events.MEMBERS, new=sorted(new), gone=sorted(gone)
             ).info('{} processes are listed', len(members))
         if not self._members:
-            # A process that has just started adopts the others' estimates.
-            others = [m for m in members if m.name != self._name]
-            self._costs.seed(c for m in others for c in m.record.costs)
+            self._adopt([m for m in members if m.name != self._name])
         self._members = {member.name: member for member in members}
         self._listed_at_s = self._clock()
 
+    def _adopt(self, others: list[Member]) -> None:
+        """Adopt what others know, in a process that has just started."""
+        self._costs.seed(c for m in others for c in m.record.costs)
+        for other in others:
+            self._held_parts.seed(other.record.held_parts, other.name)
+
     async def delete_expired(self) -> None:
         """Delete expired objects of processes; raise StoreError."""
         oldest_s = self._clock() - RECORD_RETENTION_S
--- a/gentianstair/gateway/monitoring.py
+++ b/gentianstair/gateway/monitoring.py
@@ -1,4 +1,4 @@
-"""Serve the readiness check and the metrics."""
+"""Serve the readiness check, the metrics and operators."""
 
 import msgspec
 import prometheus_client
@@ -7,6 +7,7 @@
 from gentianstair.core import asgi
 from gentianstair.core import exchange as exchanges
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import operator_parts
 
 READY_PATH = '/api/ready'
 METRICS_PATH = '/metrics'
@@ -42,10 +43,14 @@
     return asgi.make_app(serve)
 
 
-def make_metrics_app() -> asgi.App:
-    """Return the application that serves the metrics."""
+def make_metrics_app(node: nodes.Node) -> asgi.App:
+    """Return the application that serves the metrics and operators."""
 
     async def serve(exchange: exchanges.Exchange) -> None:
+        if await operator_parts.serve(
+            exchange, node.prompt_faults, node.clock
+        ):
+            return
         if exchange.path != METRICS_PATH:
             await _not_found(exchange)
             return
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -7,13 +7,16 @@
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
+from gentianstair.core import prompt_faults
 from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
 from gentianstair.core import upstream_permits
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
+from gentianstair.gateway import end_checks
 from gentianstair.gateway import origin_keepers
+from gentianstair.gateway import part_trials
 from gentianstair.gateway import permit_keepers
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
@@ -70,6 +73,9 @@
     permit_keepers: permit_keepers.PermitKeepers
     upstream_permits: upstream_permits.UpstreamPermits
     origin_keepers: origin_keepers.OriginKeepers
+    prompt_faults: prompt_faults.PromptFaults
+    part_trials: part_trials.PartTrials
+    end_checks: end_checks.EndChecks
     ejector: ejection.Ejector
     paths: upstream_paths.UpstreamPaths
     transport: transports.Transport
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -4,7 +4,6 @@
 answers others, queries its peers for the configuration and the replicas.
 """
 
-import collections.abc
 import math
 import random
 import typing
@@ -13,9 +12,11 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.core import prompt_fault_rows
 from gentianstair.gateway import hub_client
 from gentianstair.gateway import leaf_feed
 from gentianstair.gateway import node as nodes
+from gentianstair.gateway import peer_questions
 from gentianstair.gateway import peer_updates
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replica_rows
@@ -70,6 +71,7 @@
         # Peer addresses from the seeds and from peers, for use when the
         # store does not list the VMs.
         self._known_addresses: set[str] = set(node.deployment.peer_seeds)
+        self._questions = peer_questions.PeerQuestions(node)
         # Rows of leaves that carry tunnels, and until when they are reused.
         self._leaf_rows: list[list[str]] = []
         self._leaves_until_s = -math.inf
@@ -151,6 +153,9 @@
         node = self._node
         sent_position = sent_use_position = sent_limits_position = 0
         sent_leaves: list[list[str]] = []
+        part_faults = prompt_fault_rows.Feed(
+            node.prompt_faults, node.clock, to_hubs=True
+        )
         while True:
             cache_log = node.cache_updates.hub_log
             message = hub_client.load_message(
@@ -166,6 +171,9 @@
                     sent_limits_position, to_hubs=True
                 )
                 sent_limits_position = limits.hub_log.position
+            rows = part_faults.take()
+            if rows:
+                message['part_faults'] = rows
             shared = self._shared_leaves()
             if shared != sent_leaves:
                 message['tunnel_peers'] = sent_leaves = shared
@@ -174,7 +182,7 @@
             pause_s = LOAD_INTERVAL_S * max(1.0, slowdown)
             await trio.sleep(pause_s * MIN_PAUSE_SHARE)
             with trio.move_on_after(pause_s * (1 - MIN_PAUSE_SHARE)):
-                await node.load_tracker.wait_long_prefill()
+                await node.load_tracker.wait_early_report()
 
     def _shared_leaves(self) -> list[list[str]]:
         """Return rows of some leaves that carry tunnels, for other hubs."""
@@ -253,55 +261,13 @@
             if self._node.is_synced():
                 reply = self._make_reply(message['config_version'])
                 await link.send_in_time(channel, reply)
-        elif message['type'] == 'permit_ask':
-            question = typing.cast(messages.PermitAsk, message)
-            self._node.nursery.start_soon(
-                self._answer,
-                channel,
-                self._node.permit_keepers.answer,
-                question,
-            )
-        elif message['type'] == 'permit':
-            self._node.permit_keepers.handle_answer(
-                typing.cast(messages.Permit, message)
-            )
-        elif message['type'].startswith('stream_'):
-            await self._handle_stream_message(channel, message)
+        elif message['type'] == 'stream_origins':
+            origins = typing.cast(messages.StreamOrigins, message)
+            await self._node.origin_keepers.handle_origins(origins)
         elif message['type'] == 'news':
             self._handle_reply(typing.cast(messages.GatewayNews, message))
-
-    async def _handle_stream_message(
-        self, channel: link.Channel, message: link.Message
-    ) -> None:
-        keepers = self._node.origin_keepers
-        if message['type'] == 'stream_origins':
-            origins = typing.cast(messages.StreamOrigins, message)
-            await keepers.handle_origins(origins)
-        elif message['type'] == 'stream_ask':
-            question = typing.cast(messages.StreamAsk, message)
-            self._node.nursery.start_soon(
-                self._answer, channel, keepers.answer, question
-            )
         else:
-            keepers.handle_answer(typing.cast(messages.StreamAnswer, message))
-
-    async def _answer(
-        self,
-        channel: link.Channel,
-        answer: collections.abc.Callable[
-            [typing.Any], collections.abc.Awaitable[typing.Any]
-        ],
-        question: typing.Any,
-    ) -> None:
-        """Answer a question, which may have to be passed on."""
-        try:
-            await link.send_in_time(channel, await answer(question))
-        except link.LinkClosedError as error:
-            loguru.logger.bind(event=events.LINK_LOST).debug('{}', error)
-        except errors.DecodeError as error:
-            loguru.logger.bind(event=events.PEER_UNREADABLE).warning(
-                '{}', error
-            )
+            self._questions.handle(channel, message)
 
     def _handle_load(self, message: messages.GatewayLoad) -> None:
         peer_loads = replica_load.decode(message['loads'])
@@ -321,6 +287,12 @@
         self._node.upstream_limits.apply_rows(
             message.get('limits', ()), message['process']
         )
+        prompt_fault_rows.apply(
+            self._node.prompt_faults,
+            message.get('part_faults', ()),
+            self._node.clock(),
+            message['process'],
+        )
         peers = self._node.tunnel_peers
         peers.record_report(message['address'], message.get('tunnels_from'))
         if 'tunnel_peers' in message:
--- a/gentianstair/gateway/permit_keepers.py
+++ b/gentianstair/gateway/permit_keepers.py
@@ -68,8 +68,8 @@
         else:
             self._heard_s.pop(address, None)
 
-    def keeper_of(self, replica: str) -> str | None:
-        """Return the address of a replica's keeper as this hub sees it.
+    def keeper_of(self, name: str) -> str | None:
+        """Return the address of a keeper as this hub sees it.
 
         A hub that hears of no other keeps them also while it stops.
         """
@@ -81,19 +81,29 @@
         ]
         if self.keeps or (self._fleet.is_hub() and not heard):
             heard.append(self._fleet.own_address)
-        ranked = hubs.top_ranked(heard, replica, 1)
+        ranked = hubs.top_ranked(heard, name, 1)
         return ranked[0] if ranked else None
 
+    def is_own(self, name: str) -> bool:
+        """Return whether this VM keeps what is known by a name."""
+        return (
+            self.link_to_hub is None
+            and self.keeper_of(name) == self._fleet.own_address
+        )
+
+    def link_towards(self, name: str) -> link.Channel | None:
+        """Return the link on which to ask the keeper of a name, or None."""
+        if self.link_to_hub is not None:
+            return self.link_to_hub
+        return self.hub_links.get(self.keeper_of(name) or '')
+
     async def ask(
         self, ask: permit_keeper.Ask, hops: int = MAX_HOPS
     ) -> permit_keeper.Grant:
         """Ask the keeper of a replica, over at most so many links."""
-        if self.link_to_hub is not None:
-            return await self._questions.ask(self.link_to_hub, ask, hops - 1)
-        address = self.keeper_of(ask.run.name)
-        if address == self._fleet.own_address:
+        if self.is_own(ask.run.name):
             return self._grant(ask)
-        channel = self.hub_links.get(address or '')
+        channel = self.link_towards(ask.run.name)
         if channel is None or not hops:
             return permit_questions.UNANSWERED
         return await self._questions.ask(channel, ask, hops - 1)
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -12,6 +12,8 @@
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
 from gentianstair.core import peer_choice
+from gentianstair.core import prompt_fault_rows
+from gentianstair.core import prompt_faults
 from gentianstair.core import upstream_connector
 from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
@@ -19,12 +21,14 @@
 from gentianstair.gateway import autoscaler
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import deployment
+from gentianstair.gateway import end_checks
 from gentianstair.gateway import forward
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leader_tasks
 from gentianstair.gateway import members as memberships
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import origin_keepers
+from gentianstair.gateway import part_trials
 from gentianstair.gateway import permit_keepers
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
@@ -88,6 +92,7 @@
         cores=vm_settings.cores,
     )
     costs = prefill_costs.PrefillCosts()
+    faults = prompt_faults.PromptFaults(now)
     members = memberships.Members(
         store,
         name,
@@ -96,8 +101,11 @@
         now,
         vm_settings.store_writes_per_s,
         costs,
+        prompt_fault_rows.HeldParts(faults, now, wall_clock),
+    )
+    node = _make_node(
+        live, store, counts, members, costs, faults, wall_clock, nursery
     )
-    node = _make_node(live, store, counts, members, costs, wall_clock, nursery)
     lease_manager = lease.make_lease_manager(
         store, name, now, leader_tasks.lease_timing(bounds.lease_s)
     )
@@ -171,6 +179,7 @@
     counts: usage_counter.UsageCounter,
     members: memberships.Members,
     costs: prefill_costs.PrefillCosts,
+    faults: prompt_faults.PromptFaults,
     wall_clock: clock.Clock,
     nursery: trio.Nursery,
 ) -> nodes.Node:
@@ -217,6 +226,7 @@
         known_limits,
         now,
     )
+    faults.listeners.append(load_tracker.ask_early_report)
     return nodes.Node(
         live_settings=live,
         clock=now,
@@ -256,6 +266,14 @@
                 hub.peer_address: hub.failure_domain for hub in roster.hubs()
             },
         ),
+        prompt_faults=faults,
+        part_trials=part_trials.PartTrials(faults, keepers, now),
+        end_checks=end_checks.EndChecks(
+            functools.partial(
+                forward.fetch_report, replica_transport, fresh=True
+            ),
+            now,
+        ),
         ejector=ejection.Ejector(),
         paths=paths,
         transport=replica_transport,
--- a/gentianstair/gateway/replica_load.py
+++ b/gentianstair/gateway/replica_load.py
@@ -117,8 +117,8 @@
         self._clock = clock
         self._own: dict[str, set[ActiveRequest]] = {}
         self._peers: dict[str, _PeerLoad] = {}
-        # Set, and replaced, when a long prefill begins.
-        self._long_prefill = trio.Event()
+        # Set, and replaced, when peers should hear of something at once.
+        self._early_report = trio.Event()
         # The sum over peers, kept up to date with each report: a hub gets
         # some tens of reports several times a second.
         self._peer_totals: dict[str, Load] = {}
@@ -139,14 +139,18 @@
         """
         request = ActiveRequest(replica, work_s, prefill_end_s, miss_penalty_s)
         if work_s >= LONG_PREFILL_S:
-            self._long_prefill.set()
-            self._long_prefill = trio.Event()
+            self.ask_early_report()
         self._own.setdefault(replica, set()).add(request)
         return request
 
-    async def wait_long_prefill(self) -> None:
-        """Return when a long prefill begins."""
-        await self._long_prefill.wait()
+    def ask_early_report(self) -> None:
+        """Have the next report to other hubs sent at once."""
+        self._early_report.set()
+        self._early_report = trio.Event()
+
+    async def wait_early_report(self) -> None:
+        """Return when a report to other hubs is not to wait."""
+        await self._early_report.wait()
 
     def end(self, request: ActiveRequest) -> None:
         """Remove a request that has ended."""
--- /dev/null
+++ b/gentianstair/gateway/request_parts.py
@@ -0,0 +1,117 @@
+"""Hold a request back whose prompt has a part under which replicas end.
+
+Each attempt of a request passes ``check_send``, whatever chose its replica.
+"""
+
+import typing
+
+from gentianstair import errors
+from gentianstair.core import prompt_faults
+from gentianstair.gateway import calls
+from gentianstair.gateway import part_trials
+from gentianstair.gateway import replicas
+from gentianstair.util import clock as clocks
+
+# A run that goes on for so long after its first event counts as answered.
+ANSWERED_AFTER_S = 1.0
+# Least Retry-After of a request that is held back.
+MIN_RETRY_AFTER_S = 0.4
+
+
+def parts_of(service: str, call: calls.Call) -> list[prompt_faults.Part]:
+    """Return the parts of a call's prompt that other requests may share."""
+    return [
+        prompt_faults.Part(service, call.model, name)
+        for name in call.part_names
+    ]
+
+
+class RequestParts:
+    """The parts of one request's prompt, and what its runs say of them."""
+
+    def __init__(
+        self,
+        faults: prompt_faults.PromptFaults,
+        ask_trial: part_trials.AskTrial,
+        parts: list[prompt_faults.Part],
+        clock: clocks.Clock,
+    ) -> None:
+        self._faults = faults
+        self._ask_trial = ask_trial
+        self._parts = parts
+        self._keys = [part.key for part in parts]
+        self._clock = clock
+        # Whether this request tries a part that is held back, which it may
+        # do with one run.
+        self.is_trial = False
+        self._sent_s = 0.0
+        self._is_answered = False
+
+    @property
+    def is_held(self) -> bool:
+        """Return whether no further attempt may be made."""
+        return not self.is_trial and self._faults.is_any_held(self._keys)
+
+    async def enter(self) -> None:
+        """Let the request pass; raise RequestError if it is held back.
+
+        One whose turn it is tries the part.
+        """
+        holds = self._faults.holds(self._keys)
+        if not holds:
+            return
+        last = max(holds, key=lambda hold: hold.next_trial_s)
+        wait_s = last.next_trial_s - self._clock()
+        if wait_s <= 0:
+            grant = await self._ask_trial(last.key, last.interval_s)
+            self.is_trial, wait_s = grant.is_granted, grant.wait_s
+        if not self.is_trial:
+            raise _held_error(holds, wait_s)
+
+    def check_send(self) -> None:
+        """Record that an attempt is sent now; raise NotSentError if held."""
+        if self.is_held:
+            raise errors.NotSentError('a part of the prompt is held back')
+        self._sent_s = self._clock()
+
+    def record_possible_run(self) -> None:
+        """Record that a replica may have run the request."""
+        self.is_trial = False
+
+    def end_of(self, replica: replicas.Replica) -> prompt_faults.End | None:
+        """Return the end of a replica whose connection broke now.
+
+        None if that says nothing of the prompt's parts.
+        """
+        if self._is_answered or not self._parts:
+            return None
+        return prompt_faults.End(
+            replica.name, replica.started_ms, self._sent_s, self._clock()
+        )
+
+    def record_end(self, end: prompt_faults.End) -> None:
+        """Record that a replica has ended under this request."""
+        self._faults.record_end(self._parts, end)
+
+    def record_progress(self, since_first_event_s: float) -> None:
+        """Record for how long a run has gone on since its first event."""
+        if since_first_event_s >= ANSWERED_AFTER_S:
+            self.record_answer()
+
+    def record_answer(self) -> None:
+        """Record that the request got its answer, or much of it."""
+        if not self._is_answered:
+            self._is_answered = True
+            self._faults.record_answer(self._parts)
+
+
+def _held_error(
+    holds: typing.Sequence[prompt_faults.Hold], wait_s: float
+) -> errors.RequestError:
+    names = ', '.join(hold.part.name for hold in holds)
+    return errors.RequestError(
+        503,
+        'prompt-part-held',
+        f'replicas ended under a part of the prompt: {names}',
+        retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
+    )
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -7,12 +7,14 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import prompt_faults
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_parts
 from gentianstair.gateway import request_permits
 from gentianstair.generated import events
 
@@ -87,6 +89,12 @@
         self.permits = request_permits.RequestPermits(
             node.upstream_permits, call.request_id, node.clock
         )
+        self.parts = request_parts.RequestParts(
+            node.prompt_faults,
+            node.part_trials.ask,
+            request_parts.parts_of(service, call),
+            node.clock,
+        )
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
@@ -119,6 +127,13 @@
 
         A permit for the replica must have been acquired.
         """
+        before_send = options.pop('before_send', None)
+
+        def check_send() -> None:
+            self.parts.check_send()
+            if before_send is not None:
+                before_send()
+
         return calls.Attempt(
             replica,
             self.permits.use(replica),
@@ -128,6 +143,7 @@
             silence_s=max(MIN_SILENCE_S, self.route.objective_s),
             ends_with_path=self.route.retryable
             or options.get('prefill_only', False),
+            before_send=check_send,
             **options,
         )
 
@@ -138,6 +154,9 @@
         those of which there is no permit.
         """
         usable = self.permits.choices(self._usable())
+        if self.parts.is_trial:
+            # A trial reaches one replica only.
+            usable = list(filter(_can_answer, usable))
         excluded = self._ejected() | self.tried_replicas
         if not excluded:
             return usable
@@ -285,6 +304,8 @@
             self.node.ejector.record_outcome(
                 key, False, now_s - started_s, now_s
             )
+        if isinstance(error, errors.ConnectionBrokenError):
+            self._record_end(replica)
         self.record_verdict(error.verdict)
         self.log(
             events.TRY_FAILED,
@@ -298,6 +319,22 @@
             **log_fields,
         )
 
+    def _record_end(self, replica: replicas.Replica) -> None:
+        """Record that a replica may have ended under this request.
+
+        One that drains or has no entry was stopped.
+        """
+        listed = self.node.registry.get(replica.name)
+        end = self.parts.end_of(replica)
+        if end is not None and listed is not None and not listed.draining:
+            self.node.nursery.start_soon(self._confirm_end, replica, end)
+
+    async def _confirm_end(
+        self, replica: replicas.Replica, end: prompt_faults.End
+    ) -> None:
+        if await self.node.end_checks.has_ended(replica):
+            self.parts.record_end(end)
+
     def _logged_parts(self) -> list[str]:
         """Return the names of the prompt's first parts, for a log line."""
         names = self.call.part_names[:MAX_LOGGED_PARTS]
@@ -308,6 +345,7 @@
         self.verdict = verdicts.combine(self.verdict, verdict)
         if verdict is not verdicts.Verdict.NOT_RUN:
             self.possible_runs += 1
+            self.parts.record_possible_run()
 
     def may_retry(self, last_verdict: verdicts.Verdict) -> bool:
         """Return whether another attempt may follow a failed one."""
@@ -320,7 +358,7 @@
 
     def _may_retry_after(self, runs: int) -> bool:
         """Return whether an attempt may follow so many possible runs."""
-        if self.remaining_s() < MIN_REMAINING_S:
+        if self.remaining_s() < MIN_REMAINING_S or self.parts.is_held:
             return False
         max_runs = self.route.max_attempts
         if runs >= max_runs or self.attempts >= max_runs + EXTRA_ATTEMPTS:
--- a/gentianstair/gateway/run_record.py
+++ b/gentianstair/gateway/run_record.py
@@ -97,6 +97,12 @@
             )
         return True
 
+    def since_first_event_s(self) -> float:
+        """Return how long ago the first event came, 0 without one."""
+        if self.first_event_s is None:
+            return 0.0
+        return self._request.node.clock() - self.first_event_s
+
     def record_waiting(self) -> None:
         """Record that more data of a stream that has begun is waited for."""
         if self.first_event_s is not None:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -346,6 +346,7 @@
                     self._version.record_first_event(run.replica)
                     await self._start_response(response)
                 request.record_event_sent()
+                request.parts.record_progress(run.since_first_event_s())
                 await request.exchange.write(complete_events)
             run.record_waiting()
         if (
@@ -357,6 +358,7 @@
                 verdicts.Verdict.RAN,
             )
         request.record_verdict(verdicts.Verdict.RAN)
+        request.parts.record_answer()
         await request.exchange.end()
 
     async def _start_response(self, response: httpx.Response) -> None:
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -12,6 +12,7 @@
 # An attempt is late after this many times the route's objective. It is then
 # retried elsewhere, if a retry is possible and had as much time at the start.
 LATE_OBJECTIVES = 3.0
+MIN_FAILURE_STATUS = 400
 
 
 async def serve(
@@ -99,6 +100,8 @@
     (response,) = found
     if response.verdict is verdicts.Verdict.RAN:
         node.usage_counter.count_start(request.customer_name)
+        if response.status < MIN_FAILURE_STATUS:
+            request.parts.record_answer()
     return _check_response(request, response)
 
 
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -193,6 +193,7 @@
     host = host.rpartition(':')[0] or host
     path = raw_path.decode('latin-1')
     counts = _header_text(fields, b'x-token-count')
+    model = _header_text(fields, b'x-model')
     parts = _joined_text(headers, b'x-prefix-hash')
     token_count, has_bad_token_count = None, False
     try:
@@ -215,11 +216,12 @@
         last_event_id=_header_text(fields, b'last-event-id'),
         resumed_id=_header_text(fields, RESUMED_ID_HEADER) or None,
         prompt=decode_prompt(
-            _header_text(fields, b'x-model'),
+            model,
             counts,
             parts,
         ),
         part_names=decode_part_names(parts),
+        model=model or '',
         token_count=token_count,
         has_bad_token_count=has_bad_token_count,
     )
@@ -349,14 +351,17 @@
 
 
 def report_request(
-    address: str, replica_name: str, connect_s: float
+    address: str, replica_name: str, connect_s: float, fresh: bool = False
 ) -> httpx.Request:
-    """Return the request for what a replica reports of itself."""
+    """Return the request for what a replica reports of itself.
+
+    With fresh it goes on a new connection.
+    """
     return httpx.Request(
         'GET',
         f'http://{address}/api/report',
         headers=[(b'x-expect-instance', replica_name.encode())],
-        extensions={'connect_s': connect_s},
+        extensions={'connect_s': connect_s, 'fresh': fresh},
     )
 
 
--- a/gentianstair/ui/entries.py
+++ b/gentianstair/ui/entries.py
@@ -42,9 +42,28 @@
 
     Raise StoreUnavailableError when it cannot be had.
     """
+    return await _fetch_json('GET', url)
+
+
+async def post_json(url: str, value: store.Value) -> store.Value:
+    """Return the answer to an object that is posted to a URL.
+
+    Raise StoreUnavailableError when there is none.
+    """
+    body = await _fetch_json('POST', url, value)
+    if body is None:
+        raise errors.StoreUnavailableError(f'{url}: no such path')
+    return body
+
+
+async def _fetch_json(
+    method: str, url: str, value: store.Value | None = None
+) -> store.Value | None:
     try:
         async with httpx.AsyncClient(trust_env=False) as client:
-            response = await client.get(url, timeout=TIMEOUT_S)
+            response = await client.request(
+                method, url, json=value, timeout=TIMEOUT_S
+            )
         if response.status_code == httpx.codes.NOT_FOUND:
             return None
         response.raise_for_status()
--- a/gentianstair/ui/main.py
+++ b/gentianstair/ui/main.py
@@ -21,6 +21,7 @@
 from gentianstair.ui.commands import key
 from gentianstair.ui.commands import lease
 from gentianstair.ui.commands import losses
+from gentianstair.ui.commands import part
 from gentianstair.ui.commands import settings
 from gentianstair.ui.commands import snapshot
 from gentianstair.ui.commands import upstream
@@ -47,6 +48,7 @@
     | audit.Audit
     | explain.Explain
     | losses.Losses
+    | part.Part
     | settings.Settings
     | snapshot.Snapshot
 )
--- a/test/gateway/gateways.py
+++ b/test/gateway/gateways.py
@@ -5,6 +5,7 @@
 import httpx
 import trio
 
+from gentianstair.gateway import environment
 from gentianstair.gateway import main
 from gentianstair.platform import settings_file
 from standins import ports
@@ -77,13 +78,19 @@
 
 
 @contextlib.asynccontextmanager
-async def running(site, tmp_path, count=1, **changed):
-    """Yield gateways that are ready; cancel them at the end."""
+async def running(site, tmp_path, count=1, metrics=False, **changed):
+    """Yield gateways that are ready; cancel them at the end.
+
+    With metrics, each serves operators at the port of that name.
+    """
     gateways = []
     async with trio.open_nursery() as nursery:
         control = None
         for number in range(count):
             values = values_for(site, **changed)
+            if metrics:
+                values['metrics'] = ports.free_port()
+            own = environment.EnvironmentSettings(values.get('metrics'))
             control = control or values['control']
             text = samples.settings(**values)
             seeds = f'seeds = ["127.0.0.1:{values["control"]}"]'
@@ -94,9 +101,9 @@
             scope = trio.CancelScope()
             gateways.append(Gateway(values, scope))
 
-            async def run(file=file, scope=scope):
+            async def run(file=file, scope=scope, own=own):
                 with scope:
-                    await main.run(file, settings_file.read(file))
+                    await main.run(file, settings_file.read(file), own)
 
             nursery.start_soon(run)
         with trio.fail_after(START_S):
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -4,12 +4,14 @@
 import types
 
 from gentianstair.core import peer_choice
+from gentianstair.core import prompt_faults
 from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_permits
 from gentianstair.gateway import cache_updates
 from gentianstair.gateway import hubs
 from gentianstair.gateway import leaf_records
 from gentianstair.gateway import origin_keepers
+from gentianstair.gateway import part_trials
 from gentianstair.gateway import permit_keepers
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
@@ -67,7 +69,11 @@
     permits = upstream_permits.UpstreamPermits(
         known, keepers, now, random.Random(1)
     )
+    faults = prompt_faults.PromptFaults(now)
     return {
+        'nursery': None,
+        'prompt_faults': faults,
+        'part_trials': part_trials.PartTrials(faults, keepers, now),
         'origin_keepers': origin_keepers.OriginKeepers(
             keepers, registry.versions, now
         ),
--- a/test/gateway/test_hub_client.py
+++ b/test/gateway/test_hub_client.py
@@ -1,7 +1,6 @@
 """Test how a leaf fails over between hubs, without a network."""
 
 import contextlib
-import types
 
 import pytest
 import trio
@@ -57,7 +56,8 @@
 ):
     # Otherwise a leaf opens hundreds of links a second.
     failing = FailingHubs(count)
-    node = types.SimpleNamespace(roster=failing, clock=clock.trio_time_s)
+    node = hub_nodes.make_leaf()
+    node.roster = failing
     leaf = hub_client.HubClient(node, failing, None)
     started_s = trio.current_time()
     with trio.move_on_after(RUN_S):
--- a/test/gateway/test_parts_that_end_replicas.py
+++ b/test/gateway/test_parts_that_end_replicas.py
@@ -1,6 +1,7 @@
 """Test prompts with a part under which each replica ends that runs it."""
 
 import contextlib
+import io
 import random
 import typing
 
@@ -8,7 +9,11 @@
 import pytest
 import trio
 
+from gentianstair.core import prompt_faults
 from gentianstair.gateway import forward
+from gentianstair.ui import output
+from gentianstair.ui import session as sessions
+from gentianstair.ui.commands import part
 from standins.site import replica as replicas
 from standins.site import site as sites
 from test.gateway import gateways
@@ -21,6 +26,8 @@
 # From twice that on, sound requests are served nearly as before.
 LEAST_SHARE = 0.9
 WARM_S, PLAY_S = 2.0, 14.0
+# A part is held back at all VMs after this time.
+HELD_BACK_S = 5.0
 SOUND_PER_S = 12.0
 # A caller is told at once that its request is rejected.
 AT_ONCE_S = 0.6
@@ -156,11 +163,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(tmp_path, vms=3):
+async def running(tmp_path, vms=3, metrics=False):
     """Yield a play: a site, and gateways before it that know each other."""
     async with sites.running(site_of_makers()) as site:
         async with gateways.running(
-            site, tmp_path, count=vms, retry_slack=500
+            site, tmp_path, count=vms, metrics=metrics, retry_slack=500
         ) as found:
             await trio.sleep(LINKED_S)
             yield Play(site, list(found))
@@ -221,15 +228,26 @@
     bound_s = ends[min(len(ends), ENDS) - 1]
     later = play.arrived('bad', bound_s + CONTACT_S)
     assert len(later) <= LATER_REQUESTS, f'{len(later)}, {len(ends)} ended'
-    share = play.share_begun('sound', bound_s + 2 * CONTACT_S)
+    share = play.share_begun('sound', ends[1] + 2 * CONTACT_S)
     before = play.share_begun('sound', play.began_s, began_s)
     assert share >= LEAST_SHARE * before, f'{share} served'
 
 
-async def test_part_that_ends_replicas_is_rejected_at_once(tmp_path):
+@pytest.fixture
+def no_trials(monkeypatch):
+    """Let no request try a part that is held back."""
+    never = dict.fromkeys(prompt_faults.TRIAL_INTERVALS_S, 600.0)
+    monkeypatch.setattr(prompt_faults, 'TRIAL_INTERVALS_S', never)
+
+
+async def test_part_that_ends_replicas_is_rejected_at_once(
+    tmp_path, no_trials
+):
     # Guards against callers that wait for, or are sent to, what can't run.
-    async with running(tmp_path) as play:
+    async with running(tmp_path) as play, trio.open_nursery() as all_:
         spoil(play.site)
+        # What only bad requests have cannot be told apart from what is bad.
+        all_.start_soon(play.keep_asking, 'sound', SHARED, 6.0, 9.0)
         await play.keep_asking('bad', (*SHARED[:2], BAD), 3.0, 8.0)
         before = len(play.arrived('bad', 0.0))
         found = [await play.ask('late', (BAD,), vm) for vm in (0, 1, 2)]
@@ -269,3 +287,101 @@
     for kind in ('sound', 'rare'):
         share = play.share_begun(kind, ended_s + replicas.DOWN_S + 0.5)
         assert share >= LEAST_SHARE, f'{kind}: {share}'
+
+
+async def hold_back(play):
+    """Have a part held back at all VMs."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            play.keep_asking, 'sound', SHARED, SOUND_PER_S, HELD_BACK_S
+        )
+        await play.keep_asking('bad', (SHARED[0], BAD), 4.0, HELD_BACK_S)
+
+
+async def test_part_that_is_mended_is_served_again(tmp_path, monkeypatch):
+    # Guards against a part that is rejected for ever, and callers with it.
+    monkeypatch.setattr(prompt_faults, 'MIN_RARE_TRIAL_S', 2.0)
+    async with running(tmp_path) as play:
+        bad = spoil(play.site)
+        await hold_back(play)
+        bad.clear()
+        ended = len(play.ends())
+        mended_s = trio.current_time()
+        with trio.fail_after(10.0):
+            while not (await play.ask('mended', (SHARED[0], BAD))).begun:
+                await trio.sleep(0.2)
+        await trio.sleep(0.5)
+        found = [await play.ask('after', (BAD,), vm) for vm in (0, 1, 2)]
+    assert all(one.begun for one in found)
+    assert len(play.ends()) == ended
+    assert len(set(play.arrived('mended', mended_s))) <= 2
+
+
+async def test_part_is_still_known_after_a_restart_of_all_vms(
+    tmp_path, no_trials
+):
+    # Guards against a fleet that forgets what ends replicas with its VMs.
+    async with sites.running(site_of_makers()) as site:
+        async with gateways.running(site, tmp_path, count=3) as vms:
+            await trio.sleep(LINKED_S)
+            play = Play(site, list(vms))
+            spoil(site)
+            await hold_back(play)
+            await trio.sleep(2.5)
+        ended = len(play.ends())
+        assert ended
+        async with gateways.running(site, tmp_path, count=3) as vms:
+            play.vms = list(vms)
+            await trio.sleep(LINKED_S)
+            found = [await play.ask('bad', (BAD,), vm) for vm in (0, 1, 2)]
+    assert [one.status for one in found] == [503] * 3
+    assert len(play.ends()) == ended
+
+
+async def test_operator_lifts_a_part_at_all_vms(tmp_path, no_trials):
+    # Guards against callers who wait for a trial when the cause is mended.
+    async with running(tmp_path, metrics=True) as play:
+        bad = spoil(play.site)
+        await hold_back(play)
+        bad.clear()
+        rejected = await play.ask('bad', (BAD,), 0)
+        shown = io.StringIO()
+        session = sessions.Session(
+            None,
+            None,
+            (f'http://127.0.0.1:{play.vms[1].values["metrics"]}',),
+            'operator',
+            output.Output(True, shown),
+        )
+        await sessions.run(part.List(), session)
+        assert f'"{BAD}"' in shown.getvalue()
+        await sessions.run(part.Lift(BAD), session)
+        await trio.sleep(0.5)
+        found = [await play.ask('after', (BAD,), vm) for vm in (0, 1, 2)]
+    assert rejected.status == 503
+    assert all(one.begun for one in found)
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers'),
+    [
+        ('/ask/rule', {'resumes': 'gone-1', 'last-event-id': '3'}),
+        ('/draft/one', {}),
+        ('/ask/rule', {'x-token-count': 'many'}),
+    ],
+    ids=['resumed', 'runs-once', 'odd-token-count'],
+)
+async def test_each_way_to_a_replica_is_held_back(
+    tmp_path, no_trials, path, headers
+):
+    # Guards against requests with the part that come in another form.
+    async with running(tmp_path) as play:
+        spoil(play.site)
+        await hold_back(play)
+        prefix = f'{SHARED[0]}:300,{BAD.upper()}:300,ff00:10'
+        headers = {'x-model': 'm', 'x-token-count': '610,80', **headers}
+        answer = await play.vms[0].call(
+            'POST', path, 'other-1', **{**headers, 'x-prefix-hash': prefix}
+        )
+        assert answer.status_code == 503
+        assert not play.arrived('other', 0.0)
