--- a/gentianstair/bench/__main__.py
+++ b/gentianstair/bench/__main__.py
@@ -18,6 +18,7 @@
         'measures',
         'node',
         'plain_relay',
+        'prompt_faults_world',
         'replica_limits_world',
         'stream_versions_world',
         'twins',
--- a/gentianstair/core/prompt_faults.py
+++ b/gentianstair/core/prompt_faults.py
@@ -247,6 +247,9 @@
         # Called when others may not know of something.
         self.listeners: list[collections.abc.Callable[[], None]] = []
 
+    def __len__(self) -> int:
+        return len(self._known)
+
     def get(self, key: bytes) -> Knowledge | None:
         """Return what is known of a part with ends, or was."""
         return self._known.get(key)
