Play parts of prompts that end replicas in the soak

Two parts, one after the other, begin to end replicas; bad requests come at all VMs beside sound ones with the same customer and other parts, while VMs stop, are killed and paused and replicas drain, break streams off or end by themselves. At most three bad requests of VMs in touch may reach replicas later than 3 s after the fifth end, and sound ones are served half as often as before at least.

--- a/gentianstair/bench/prompt_faults_world.py
+++ b/gentianstair/bench/prompt_faults_world.py
@@ -134,6 +134,9 @@
         return not FAULT_S[0] <= at_s < FAULT_S[1] + CONTACT_S
 
     def _passes(self, sender: int, receiver: int) -> bool:
+        """Return whether a message arrives."""
+        if sender == receiver:
+            return True
         in_fault = FAULT_S[0] <= self.now_s < FAULT_S[1]
         if in_fault and (sender in self._cut or receiver in self._cut):
             return False
@@ -197,9 +200,9 @@
         if self.now_s < last.next_trial_s:
             return False
         keeper = self._keeper(last.key) if self.way.tells else vm
-        self.messages += 2 * (keeper != vm)
-        if keeper != vm and not self._passes(vm, keeper):
+        if keeper is None or not self._passes(vm, keeper):
             return False
+        self.messages += 2 * (keeper != vm)
         known = faults.get(last.key)
         assert known is not None
         self.vms[keeper].faults.learn(last.key, known)
@@ -209,9 +212,11 @@
             .is_granted
         )
 
-    def _keeper(self, key: bytes) -> int:
+    def _keeper(self, key: bytes) -> int | None:
+        """Return the hub that ranks highest for a part, None without one."""
         up = [str(n) for n in range(self.hub_count) if self.is_up(n)]
-        return int(hubs.top_ranked(up, key.hex(), 1)[0])
+        ranked = hubs.top_ranked(up, key.hex(), 1)
+        return int(ranked[0]) if ranked else None
 
     def _end_replicas(self) -> None:
         due = [run for run in self._runs if run[0] <= self.now_s]
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -58,7 +58,7 @@
 class Faults:
     """What the replica does wrong; all off at first."""
 
-    def __init__(self) -> None:
+    def __init__(self, ends_under: set[str] | None = None) -> None:
         # Answers with this status though healthy.
         self.fails_with = 0
         # Says that it is full.
@@ -78,7 +78,7 @@
         self.loses_handles = False
         # Ends as it begins to write an answer to a prompt with one of these
         # parts, or after so many events of it.
-        self.ends_under: set[str] = set()
+        self.ends_under = set() if ends_under is None else ends_under
         self.ends_after_events = 0
 
 
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -8,6 +8,7 @@
 from standins.site import cloud as clouds
 from standins.site import replica as replicas
 from standins.soak import callers
+from standins.soak import parts
 from standins.soak import versions
 
 # Statuses that say: it has not run, and never will.
@@ -70,6 +71,8 @@
     # Streams that callers resume, and who served which version.
     streams: list[versions.Stream] = []
     served: list[versions.Served] = []
+    # Requests with parts under which replicas end, and without.
+    asked_parts: list[parts.Asked] = []
     # VMs that the store refused, and times at which it was disturbed.
     out_of_touch: list[Break] = []
 
@@ -338,16 +341,31 @@
     """Resumed streams go on while replicas of their version serve."""
 
     def is_in_touch(part: versions.Part) -> bool:
-        return not any(
-            found.who in (part.vm, STORE)
-            and found.from_s <= part.ended_s
-            and found.to_s + CONTACT_S >= part.at_s
-            for found in seen.disturbed + seen.out_of_touch
-        )
+        return _was_in_touch(seen, part.vm, part.at_s, part.ended_s)
 
     return versions.too_few_go_on(seen.streams, seen.served, is_in_touch)
 
 
+def _was_in_touch(seen: Seen, vm: str, at_s: float, ended_s: float) -> bool:
+    """Return whether a VM was undisturbed for a request and before it."""
+    return not any(
+        found.who in (vm, STORE)
+        and found.from_s <= ended_s
+        and found.to_s + CONTACT_S >= at_s
+        for found in seen.disturbed + seen.out_of_touch
+    )
+
+
+def bad_parts_held(seen: Seen) -> list[str]:
+    """Parts under which replicas end reach few, and cost nobody else."""
+
+    def is_in_touch(asked: parts.Asked) -> bool:
+        return _was_in_touch(seen, asked.vm, asked.at_s, asked.ended_s)
+
+    found = seen.asked_parts, seen.replicas, is_in_touch
+    return parts.too_many_sent(*found) + parts.too_few_served(*found)
+
+
 CHECKS = (
     at_most_once,
     whole_answers,
@@ -360,6 +378,7 @@
     not_refused_beside_limits,
     one_version,
     streams_go_on,
+    bad_parts_held,
 )
 
 
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from standins.soak import parts
 from standins.soak import paths
 from standins.soak import proxy
 from standins.soak import versions
@@ -63,6 +64,20 @@
     ('store', 'down'),
     ('change', 'config'),
 )
+# When each bad part begins to end replicas, and between faults beside it.
+SPOILED_AT_S = ((1.5, 3.0), (3.0, 8.0))
+BESIDE_PARTS_GAP_S = (0.5, 2.5)
+BESIDE_PARTS = (
+    ('process', 'stop'),
+    ('process', 'kill'),
+    ('process', 'pause'),
+    ('process', 'hup'),
+    ('replica', 'drains'),
+    ('replica', 'breaks'),
+    ('replica', 'ends'),
+    ('store', 'refuses'),
+    ('change', 'config'),
+)
 LINKS = ('store-link', 'replica-link')
 _MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
 # Where and what, each as likely as the others.
@@ -80,7 +95,7 @@
 
     at_s: float
     # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
-    # 'change', 'paths', 'limit', 'version'.
+    # 'change', 'paths', 'limit', 'version', 'part'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
@@ -207,6 +222,21 @@
     return sorted(found)
 
 
+def draw_parts(seed: int, length_s: float) -> list[Fault]:
+    """Return parts of prompts that begin to end replicas.
+
+    Stops, kills and pauses of VMs, and replicas that drain, break streams off
+    or end by themselves, come beside them.
+    """
+    chance = random.Random(f'parts/{seed}')
+    found = [
+        Fault(chance.uniform(*at_s), 'part', part, 0, 0.0)
+        for part, at_s in zip(parts.BAD, SPOILED_AT_S, strict=True)
+    ]
+    found += _draw_beside(chance, length_s, BESIDE_PARTS, BESIDE_PARTS_GAP_S)
+    return sorted(found)
+
+
 PLANS = {
     'faults': draw,
     'stops': draw_stops,
@@ -215,4 +245,5 @@
     'paths': draw_paths,
     'limits': draw_limits,
     'versions': draw_versions,
+    'parts': draw_parts,
 }
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -14,6 +14,7 @@
 from standins.soak import callers
 from standins.soak import checks
 from standins.soak import kept
+from standins.soak import parts
 from standins.soak import paths
 from standins.soak import plan
 from standins.soak import strikes
@@ -74,6 +75,8 @@
     found = None
     if _has(faults, 'version'):
         found = versions.make_replicas()
+    if _has(faults, 'part'):
+        found = parts.make_replicas()
     async with sites.running(found) as site, trio.open_nursery() as nursery:
         nursery.start_soon(recorder.run)
         soak = strikes.Soak(site, folder, vms)
@@ -121,6 +124,7 @@
         soak.limits,
         soak.streams,
         soak.timeline.all(),
+        soak.asked_parts,
         soak.out_of_touch,
     )
     return Result(
@@ -153,8 +157,12 @@
         _start_callers(soak, seed, nursery)
         if _has(faults, 'version'):
             _start_resuming(soak, seed, nursery)
+        if _has(faults, 'part'):
+            _start_with_parts(soak, seed, nursery)
         async with trio.open_nursery() as kept_nursery:
-            if soak.paths is None and not _has(faults, 'version'):
+            if soak.paths is None and not (
+                _has(faults, 'version') or _has(faults, 'part')
+            ):
                 _start_kept(soak, seed, kept_nursery)
             async with trio.open_nursery() as fault_nursery:
                 for fault in faults:
@@ -189,6 +197,18 @@
         nursery.start_soon(caller.run)
 
 
+def _start_with_parts(
+    soak: strikes.Soak, seed: int, nursery: trio.Nursery
+) -> None:
+    kinds = [(f'b{part[-1]}', part) for part in parts.BAD]
+    kinds += [(f'f{number}', '') for number in range(parts.SOUND_CALLERS)]
+    for name, part in kinds:
+        caller = parts.Caller(
+            soak.gateways, name, seed, part, soak.asked, soak.asked_parts
+        )
+        nursery.start_soon(caller.run, soak.bad_parts)
+
+
 def _start_kept(soak: strikes.Soak, seed: int, nursery: trio.Nursery) -> None:
     for gateway in soak.gateways[:VMS]:
         for use, number in KEPT.items():
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -16,6 +16,7 @@
 from standins.soak import callers
 from standins.soak import checks
 from standins.soak import kept
+from standins.soak import parts
 from standins.soak import paths
 from standins.soak import plan
 from standins.soak import proxy
@@ -70,6 +71,11 @@
         # Streams that callers resume, and who served which version.
         self.streams: list[versions.Stream] = []
         self.timeline = versions.Timeline(site.replicas)
+        # Parts under which replicas end, and requests with and without.
+        self.bad_parts: set[str] = set()
+        for replica in site.replicas:
+            replica.faults.ends_under = self.bad_parts
+        self.asked_parts: list[parts.Asked] = []
         # Each VM's own paths to replicas; none if they are never cut.
         self.paths: paths.Paths | None = None
         self._version = int(sites.CONFIG['version'])
@@ -111,6 +117,7 @@
             'paths': self._strike_paths,
             'limit': self._strike_limit,
             'version': self._restart_replica,
+            'part': self._spoil_part,
         }
         await strikes[fault.where](fault)
 
@@ -191,6 +198,15 @@
         self.timeline.restart(found, fault.what)
         self._note_break(found.name, trio.current_time() - versions.CONTACT_S)
 
+    async def _spoil_part(self, fault: plan.Fault) -> None:
+        """Have replicas end under a part of prompts from now on."""
+        self.bad_parts.add(fault.what)
+
+    def _end_replica(self, found: replicas.Replica) -> None:
+        """End a replica by itself, whatever runs there."""
+        found.end()
+        self._note_break(found.name, trio.current_time() - parts.CONTACT_S)
+
     async def _signal(self, number: int, fault: plan.Fault) -> None:
         gateway = self.gateways[number]
         if fault.what == 'hup':
@@ -250,12 +266,15 @@
             await trio.sleep(fault.lasts_s)
             found.draining = False
             return
+        if fault.what == 'ends':
+            self._end_replica(found)
+            return
         vars(found.faults).update(_REPLICA_FAULTS[fault.what])
         from_s = trio.current_time()
         await trio.sleep(fault.lasts_s)
         if fault.what == 'breaks':
             self._note_break(found.name, from_s)
-        found.faults = replicas.Faults()
+        found.faults = replicas.Faults(self.bad_parts)
 
     async def _strike_store(self, fault: plan.Fault) -> None:
         faults = self.site.faults
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -46,8 +46,13 @@
     # Nobody kept a stream to the software version that began it.
     ('versions', 1),
     ('versions', 2),
+    # Nobody related the ends of replicas to the prompts that ran there.
+    ('parts', 1),
+    ('parts', 2),
 ]
 LENGTH_S = 8.0
+# What holds later than some seconds after the fifth end takes longer.
+LONG_S = 16.0
 
 
 @pytest.mark.process
@@ -55,12 +60,13 @@
 def test_no_promise_is_broken(name, seed, tmp_path):
     draw = plan.PLANS[name]
     vms = run.default_vms(name)
-    result = trio.run(run.play, seed, LENGTH_S, tmp_path, draw, vms)
+    length_s = LONG_S if name == 'parts' else LENGTH_S
+    result = trio.run(run.play, seed, length_s, tmp_path, draw, vms)
     assert result.breaches == []
     assert result.served
     # A run of stops that no request crosses would see nothing; the callers
     # of cuts keep no connections until they are closed.
-    assert result.crossed or name in ('faults', 'paths', 'versions')
+    assert result.crossed or name in ('faults', 'paths', 'versions', 'parts')
     assert result.resumed >= versions.MIN_COUNTED or name != 'versions'
 
 
