--- a/gentianstair/entry/attempts.py
+++ b/gentianstair/entry/attempts.py
@@ -20,6 +20,8 @@
 UPSTREAM_FAILED_RETRY_AFTER_S = 1.0
 # How long a request waits for its turn at an upstream that names a limit.
 MAX_TURN_WAIT_S = 0.5
+# How long after its first token an attempt may still have ended its upstream.
+MIN_PROGRESS_S = 1.0
 
 
 class Attempt(typing.NamedTuple):
@@ -174,7 +176,7 @@
         # Nothing was sent, and nothing is known of the upstream.
         failed = True
         raise
-    except errors.UpstreamError:
+    except errors.UpstreamError as error:
         failed = True
         # The ejector treats timeouts and fast failures differently, so
         # record the real duration.
@@ -182,6 +184,9 @@
         node.ejector.record_outcome(
             choice.upstream, False, now_s - started_s, now_s
         )
+        if first_token_s and now_s - first_token_s >= MIN_PROGRESS_S:
+            # An upstream that wrote for so long did not end by this request.
+            raise errors.UpstreamError(str(error), error.verdict) from error
         raise
     finally:
         node.router.finished(
@@ -248,7 +253,7 @@
     failed: set[str] = set()
     customer = request.caller.customer
     in_use = set() if in_use is None else in_use
-    attempt_count = 0
+    attempt_count = ended_upstreams = 0
     while True:
         try:
             permitted = await _choose_permitted(node, request, failed | in_use)
@@ -269,6 +274,7 @@
         except errors.UpstreamError as error:
             verdict = verdicts.combine(verdict, error.verdict)
             failed.add(choice.upstream)
+            ended_upstreams += isinstance(error, errors.ConnectionBrokenError)
             decision = node.retries.decide(
                 error,
                 customer,
@@ -276,6 +282,7 @@
                 attempt_count,
                 request.work.repeatable,
                 request.work.deadline_s - node.clock(),
+                ended_upstreams,
             )
             _explain(
                 node, request, 'failed', why=str(error), **decision._asdict()
--- a/gentianstair/entry/retry_policy.py
+++ b/gentianstair/entry/retry_policy.py
@@ -18,6 +18,9 @@
 BASE_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 5.0
 MAX_ATTEMPTS = 4
+# Upstreams that may end under one request. One that loses its upstream twice
+# has most likely ended both.
+MAX_ENDED_UPSTREAMS = 2
 # A call is hedged once it has taken longer than this quantile of the last
 # HEDGE_MAX_SAMPLES latencies. With fewer than HEDGE_MIN_SAMPLES, none is.
 HEDGE_QUANTILE = 0.95
@@ -145,11 +148,13 @@
         attempt: int,
         repeatable: bool,
         left_s: float,
+        ended_upstreams: int = 0,
     ) -> RetryDecision:
         """Decide whether to retry after an error of the given upstream.
 
-        attempt is the number of attempts made. A request that is not
-        repeatable is retried only if it has certainly not run.
+        attempt is the number of attempts made, ended_upstreams of those at
+        which the connection broke. A request that is not repeatable is
+        retried only if it has certainly not run.
         """
         wait_s = self.backoff_s(attempt)
         not_run = error.verdict is verdicts.Verdict.NOT_RUN
@@ -158,6 +163,8 @@
             reason = 'may-have-run'
         elif attempt >= MAX_ATTEMPTS:
             reason = 'attempts'
+        elif ended_upstreams >= MAX_ENDED_UPSTREAMS:
+            reason = 'ended-upstreams'
         elif wait_s >= left_s:
             reason = 'deadline'
         elif not self.budget.try_spend(customer, upstream):
