Split what is concluded of parts, the errors of requests and a client apart

core/part_knowledge.py concludes from ends and answers, core/prompt_faults.py is the VM's table; gateway/request_errors.py makes the errors that request_state.py made; the soak's callers open their client in one place. A silent replica is waited for longer than a connection, so that one that cannot be connected to counts as ended.

--- a/gentianstair/core/prompt_fault_rows.py
+++ b/gentianstair/core/prompt_fault_rows.py
@@ -11,8 +11,10 @@
 import msgspec
 
 from gentianstair import errors
+from gentianstair.core import part_knowledge
 from gentianstair.core import prompt_faults
 from gentianstair.generated import events
+from gentianstair.generated import messages
 from gentianstair.util import clock as clocks
 
 # Rows in one message; the rest goes with the next.
@@ -96,7 +98,7 @@
                 _time_s(end.sent_age_ms, now_s),
                 _time_s(end.ended_age_ms, now_s),
             )
-            for end in row.ends[-prompt_faults.MAX_ENDS :]
+            for end in row.ends[-part_knowledge.MAX_ENDS :]
         ),
         _time_s(row.answered_age_ms, now_s),
         _time_s(row.trial_age_ms, now_s),
@@ -127,6 +129,14 @@
         self._position = 0
         self._untold = dict.fromkeys(faults.all_held())
 
+    def add_to(
+        self, message: messages.GatewayLoad | messages.GatewayFeed
+    ) -> None:
+        """Add the next rows to a message, if there are any."""
+        rows = self.take()
+        if rows:
+            message['part_faults'] = rows
+
     def take(self) -> list[list[typing.Any]]:
         """Return the rows of the next message."""
         changed = self._log.since(self._position)
--- a/gentianstair/gateway/end_checks.py
+++ b/gentianstair/gateway/end_checks.py
@@ -16,8 +16,8 @@
 from gentianstair.platform import http_codec
 from gentianstair.util import clock as clocks
 
-# How long a report is waited for.
-REPORT_LIMIT_S = 0.5
+# How long a report is waited for; longer than for a connection.
+REPORT_LIMIT_S = 1.0
 # A replica that lives is asked again when a connection breaks later.
 KEPT_S = 1.0
 MAX_CHECKS = 1000
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -160,7 +160,7 @@
                         sent_limits_position, to_hubs=True
                     )
                     sent_limits_position = limits.hub_log.position
-                report['part_faults'] = part_faults.take()
+                part_faults.add_to(report)
                 member.add_to(report)
                 if use:
                     report['use'] = uses.encode(use)
--- a/gentianstair/gateway/leaf_feed.py
+++ b/gentianstair/gateway/leaf_feed.py
@@ -130,9 +130,7 @@
                 self._limits_position, to_hubs=False
             )
             self._limits_position = limits.log.position
-        part_faults = self._part_faults.take()
-        if part_faults:
-            feed['part_faults'] = part_faults
+        self._part_faults.add_to(feed)
         current_hubs = node.roster.hubs()
         if self._knowledge is None or current_hubs != self._sent_hubs:
             feed['hubs'] = encode_hubs(current_hubs)
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -171,9 +171,7 @@
                     sent_limits_position, to_hubs=True
                 )
                 sent_limits_position = limits.hub_log.position
-            rows = part_faults.take()
-            if rows:
-                message['part_faults'] = rows
+            part_faults.add_to(message)
             shared = self._shared_leaves()
             if shared != sent_leaves:
                 message['tunnel_peers'] = sent_leaves = shared
--- a/gentianstair/gateway/request_parts.py
+++ b/gentianstair/gateway/request_parts.py
@@ -3,19 +3,16 @@
 Each attempt of a request passes ``check_send``, whatever chose its replica.
 """
 
-import typing
-
 from gentianstair import errors
 from gentianstair.core import prompt_faults
 from gentianstair.gateway import calls
 from gentianstair.gateway import part_trials
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_errors
 from gentianstair.util import clock as clocks
 
 # A run that goes on for so long after its first event counts as answered.
 ANSWERED_AFTER_S = 1.0
-# Least Retry-After of a request that is held back.
-MIN_RETRY_AFTER_S = 0.4
 
 
 def parts_of(service: str, call: calls.Call) -> list[prompt_faults.Part]:
@@ -60,7 +57,7 @@
         holds = self._faults.holds(self._keys)
         if not holds:
             return
-        last = max(holds, key=lambda hold: hold.next_trial_s)
+        last = _last(holds)
         wait_s = last.next_trial_s - self._clock()
         if wait_s <= 0:
             grant = await self._ask_trial(last.key, last.interval_s)
@@ -68,6 +65,11 @@
         if not self.is_trial:
             raise _held_error(holds, wait_s)
 
+    def held_error(self) -> errors.RequestError:
+        """Return the error of a request that is held back by now."""
+        holds = self._faults.holds(self._keys)
+        return _held_error(holds, _last(holds).next_trial_s - self._clock())
+
     def check_send(self) -> None:
         """Record that an attempt is sent now; raise NotSentError if held."""
         if self.is_held:
@@ -105,13 +107,12 @@
             self._faults.record_answer(self._parts)
 
 
+def _last(holds: list[prompt_faults.Hold]) -> prompt_faults.Hold:
+    """Return the hold that ends last."""
+    return max(holds, key=lambda hold: hold.next_trial_s)
+
+
 def _held_error(
-    holds: typing.Sequence[prompt_faults.Hold], wait_s: float
+    holds: list[prompt_faults.Hold], wait_s: float
 ) -> errors.RequestError:
-    names = ', '.join(hold.part.name for hold in holds)
-    return errors.RequestError(
-        503,
-        'prompt-part-held',
-        f'replicas ended under a part of the prompt: {names}',
-        retry_after_s=max(MIN_RETRY_AFTER_S, wait_s),
-    )
+    return request_errors.part_held([hold.part.name for hold in holds], wait_s)
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -14,6 +14,7 @@
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_errors
 from gentianstair.gateway import request_parts
 from gentianstair.gateway import request_permits
 from gentianstair.generated import events
@@ -24,9 +25,6 @@
 # Most replicas that one request may fail to connect to. Each failure may take
 # the whole connect timeout.
 MAX_UNREACHABLE_ATTEMPTS = 4
-# Least Retry-After when no replica could take a request. By then some
-# running requests have ended and the list of replicas is up to date.
-MIN_RETRY_AFTER_S = 0.4
 # How long a replica may have been draining before this VM learns of it, plus
 # the time to copy KV cache from it.
 DRAIN_NOTICE_DELAY_S = 0.8
@@ -429,60 +427,24 @@
         ).info(message)
 
     def no_time_error(self, queued_s: float) -> errors.RequestError:
-        """Return the error of a request that can't meet its deadline.
-
-        queued_s is the estimated queueing time; an earlier retry would be
-        refused too.
-        """
-        return errors.RequestError(
-            503,
-            'no-time',
-            'the queue is longer than the time to the deadline',
-            self.verdict,
-            max(MIN_RETRY_AFTER_S, queued_s),
-        )
-
-    def _no_turn_error(self, turn_in_s: float) -> errors.RequestError:
-        """Return the error of a request that no limited replica can take."""
-        return errors.RequestError(
-            503,
-            'replica-limits',
-            'the replicas take no more requests for now',
-            self.verdict,
-            max(MIN_RETRY_AFTER_S, turn_in_s),
-        )
-
-    def _no_replica_error(self) -> errors.RequestError:
-        """Return the error of a request that no listed replica can serve.
-
-        A bound stream has nothing to come back for.
-        """
-        return errors.RequestError(
-            503,
-            'no-replica' if self.version is None else 'version-gone',
-            'no replica can serve the request',
-            self.verdict,
-            MIN_RETRY_AFTER_S if self.version is None else None,
-        )
+        """Return the error of a request that can't meet its deadline."""
+        return request_errors.no_time(self.verdict, queued_s)
 
     def final_error(self) -> errors.RequestError:
         """Return the error that ends the request, according to its verdict."""
         if self.verdict is verdicts.Verdict.NOT_RUN:
-            if self.permits.turn_in_s is not None:
-                return self._no_turn_error(self.permits.turn_in_s)
-            if not any(map(_can_answer, self._usable())):
-                return self._no_replica_error()
-            return errors.RequestError(
-                503,
-                'no-replica',
-                'no replica could take the request',
-                self.verdict,
-                MIN_RETRY_AFTER_S,
-            )
+            return self._not_run_error()
         if self.remaining_s() < MIN_REMAINING_S:
-            return errors.RequestError(
-                504, 'deadline-passed', 'no answer in time', self.verdict
-            )
-        return errors.RequestError(
-            502, 'replica-failed', 'the replica failed', self.verdict
-        )
+            return request_errors.deadline_passed(self.verdict)
+        return request_errors.replica_failed(self.verdict)
+
+    def _not_run_error(self) -> errors.RequestError:
+        if self.parts.is_held:
+            return self.parts.held_error()
+        if self.permits.turn_in_s is not None:
+            return request_errors.no_turn(self.permits.turn_in_s)
+        if any(map(_can_answer, self._usable())):
+            return request_errors.none_could_take()
+        if self.version is not None:
+            return request_errors.version_gone()
+        return request_errors.none_listed()
--- a/standins/soak/callers.py
+++ b/standins/soak/callers.py
@@ -52,6 +52,18 @@
     hung_up: bool = False
 
 
+def open_client() -> httpx.AsyncClient:
+    """Return a client that waits a little longer than a deadline.
+
+    It has no certificates, which take tens of milliseconds to load.
+    """
+    return httpx.AsyncClient(
+        trust_env=False,
+        verify=False,
+        timeout=httpx.Timeout(DEADLINE_MS / 1000 + 1),
+    )
+
+
 def headers_of(
     kind: str, request_id: str, key: str, chance: random.Random
 ) -> dict[str, str]:
@@ -122,11 +134,7 @@
     are still under way when a run ends.
     """
     chance = random.Random(f'{seed}/{number}')
-    limit = httpx.Timeout(DEADLINE_MS / 1000 + 1)
-    # Without the certificates, which take tens of milliseconds to load.
-    async with httpx.AsyncClient(
-        trust_env=False, verify=False, timeout=limit
-    ) as client:
+    async with open_client() as client:
         for count in range(1_000_000):
             request_id = f'{number:02x}{count:06x}'
             key = chance.choice(list(CUSTOMERS))
--- a/standins/soak/parts.py
+++ b/standins/soak/parts.py
@@ -82,11 +82,7 @@
 
         One of bad requests begins once its part is among the bad ones.
         """
-        limit = httpx.Timeout(callers.DEADLINE_MS / 1000 + 1)
-        # Without the certificates, which take tens of milliseconds to load.
-        async with httpx.AsyncClient(
-            trust_env=False, verify=False, timeout=limit
-        ) as client:
+        async with callers.open_client() as client:
             for count in range(1_000_000):
                 if not self._part or self._part in bad_parts:
                     await self._ask(client, f'{self._name}{count:06x}')
--- a/standins/soak/versions.py
+++ b/standins/soak/versions.py
@@ -124,11 +124,7 @@
 
     async def run(self) -> None:
         """Begin stream after stream until cancelled."""
-        limit = httpx.Timeout(callers.DEADLINE_MS / 1000 + 1)
-        # Without the certificates, which take tens of milliseconds to load.
-        async with httpx.AsyncClient(
-            trust_env=False, verify=False, timeout=limit
-        ) as client:
+        async with callers.open_client() as client:
             while True:
                 self._found.append(await self._play_one(client))
                 await trio.sleep(self._chance.uniform(*PAUSE_S))
--- a/test/core/test_prompt_fault_rows.py
+++ b/test/core/test_prompt_fault_rows.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gentianstair import errors
+from gentianstair.core import part_knowledge
 from gentianstair.core import prompt_fault_rows
 from gentianstair.core import prompt_faults
 
@@ -151,4 +152,4 @@
     row = [b'k' * 12, 'models', 'm', 'bad0', ends, -1, 5, 10**9]
     (found,) = prompt_fault_rows.decode([row], 100.0)
     assert found.known.answered_s == -math.inf
-    assert found.known.trial_interval_s == prompt_faults.MAX_RARE_TRIAL_S
+    assert found.known.trial_interval_s == part_knowledge.MAX_RARE_TRIAL_S
--- a/test/core/test_prompt_faults.py
+++ b/test/core/test_prompt_faults.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gentianstair.core import part_knowledge
 from gentianstair.core import prompt_faults
 
 BAD = prompt_faults.Part('models', 'm', 'bad0')
@@ -198,7 +199,7 @@
         for one in seen:
             before = by_part.get(one.part)
             by_part[one.part] = (
-                prompt_faults.merge(before, one) if before else one
+                part_knowledge.merge(before, one) if before else one
             )
         merged.append(by_part)
     for first, second in itertools.pairwise(merged):
--- a/test/gateway/test_parts_that_end_replicas.py
+++ b/test/gateway/test_parts_that_end_replicas.py
@@ -9,7 +9,7 @@
 import pytest
 import trio
 
-from gentianstair.core import prompt_faults
+from gentianstair.core import part_knowledge
 from gentianstair.gateway import forward
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
@@ -236,8 +236,8 @@
 @pytest.fixture
 def no_trials(monkeypatch):
     """Let no request try a part that is held back."""
-    never = dict.fromkeys(prompt_faults.TRIAL_INTERVALS_S, 600.0)
-    monkeypatch.setattr(prompt_faults, 'TRIAL_INTERVALS_S', never)
+    never = dict.fromkeys(part_knowledge.TRIAL_INTERVALS_S, 600.0)
+    monkeypatch.setattr(part_knowledge, 'TRIAL_INTERVALS_S', never)
 
 
 async def test_part_that_ends_replicas_is_rejected_at_once(
@@ -300,7 +300,7 @@
 
 async def test_part_that_is_mended_is_served_again(tmp_path, monkeypatch):
     # Guards against a part that is rejected for ever, and callers with it.
-    monkeypatch.setattr(prompt_faults, 'MIN_RARE_TRIAL_S', 2.0)
+    monkeypatch.setattr(part_knowledge, 'MIN_RARE_TRIAL_S', 2.0)
     async with running(tmp_path) as play:
         bad = spoil(play.site)
         await hold_back(play)
