--- a/gentianstair/bench/prompt_faults_world.py
+++ b/gentianstair/bench/prompt_faults_world.py
@@ -316,6 +316,7 @@
         )
 
     def _goes_to(self, vm: Vm, row: list[typing.Any], receiver: int) -> bool:
-        """Return whether only one keeper tells a part to all."""
-        keeper = self._keeper(row[0])
-        return vm.number in (keeper, receiver) or receiver == keeper
+        """Return whether a hub tells another, if only keepers tell them."""
+        if receiver >= self.hub_count or vm.number >= self.hub_count:
+            return True
+        return self._keeper(row[0]) in (vm.number, receiver)
