--- a/gentianstair/core/part_knowledge.py
+++ b/gentianstair/core/part_knowledge.py
@@ -107,7 +107,7 @@
         return max(self.trial_s, self.ends[-1].ended_s) + interval_s
 
     @property
-    def is_forgotten_s(self) -> float:
+    def forget_at_s(self) -> float:
         """Return from when on this is too old to matter."""
         latest_s = max(
             self.answered_s, self.trial_s, *(end.ended_s for end in self.ends)
--- a/gentianstair/core/prompt_faults.py
+++ b/gentianstair/core/prompt_faults.py
@@ -224,7 +224,7 @@
         while len(self._known) > MAX_PARTS:
             self._forget(self._least_needed())
         oldest_key, oldest = next(iter(self._known.items()))
-        if oldest.is_forgotten_s <= self._clock():
+        if oldest.forget_at_s <= self._clock():
             self._forget(oldest_key)
 
     def _least_needed(self) -> bytes:
