--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -376,6 +376,10 @@
     ) -> None:
         response: forward.ReplicaResponse | None
         await request.parts.enter()
+        if request.parts.is_trial:
+            request.log(
+                events.PROMPT_PART_TRIAL, 'tries a part that is held back'
+            )
         if request.route.kind is catalog.CallKind.STREAM:
             engine = service.engine if service else None
             response = await streaming.StreamingResponse(
