Tell at once of an end that comes right after a report

Cause: a wakeup that is asked for while nobody waits is lost. A hub waits 0.03 s after each report and only then for what is to be told at once; what it learned in these 0.03 s was told with the regular report, up to 0.2 s later. A leaf shortens the pause that runs; what it saw while its report was under way to the hub or its feed back got the whole pause of 0.25 s. The second end of a request comes some milliseconds after the first, so it was mostly told late. And each VM sent a report at once after news that others had told it, with nothing in it, so its own next end came too soon after a report.

The fix: a hub counts what is to be told at once, and waits only if the count is that of its last report; a leaf remembers that its report is urgent. News from others is passed on with regular reports.

The same cause elsewhere: the other events that are set and replaced (upstream_paths, summaries, sessions, origin keepers, usage) are either kept until taken, or their waiters look at the state before they wait.

--- a/gentianstair/core/prompt_faults.py
+++ b/gentianstair/core/prompt_faults.py
@@ -106,7 +106,7 @@
         self.log: _Log = change_log.ChangeLog(MAX_PARTS)
         # What the other hubs may not know; on a leaf, its hub.
         self.hub_log: _Log = change_log.ChangeLog(MAX_PARTS)
-        # Called when others may not know of something.
+        # Called when other hubs, or this leaf's, have to be told of something.
         self.listeners: list[collections.abc.Callable[[], None]] = []
 
     def __len__(self) -> int:
@@ -211,11 +211,13 @@
         if matters:
             self.log.put(key, None)
             self._report(after, was_held, source)
+        is_own_news = to_hubs or knows_better
         # What matters is passed on by each hub, as some may lack links.
-        if to_hubs or matters or knows_better:
+        if is_own_news or matters:
             self.hub_log.put(key, None)
-        for tell in self.listeners:
-            tell()
+        if is_own_news:
+            for tell in self.listeners:
+                tell()
 
     def _keep(self, key: bytes, known: Knowledge) -> None:
         self._known[key] = known
--- a/gentianstair/gateway/hub_client.py
+++ b/gentianstair/gateway/hub_client.py
@@ -69,8 +69,10 @@
         self._network = network
         self._updates = updates
         self._questions = peer_questions.PeerQuestions(node)
-        # The pause before the next report.
+        # The pause before the next report, and whether it is short, also
+        # when it has not begun.
         self._pause = trio.CancelScope()
+        self._is_report_urgent = False
         node.prompt_faults.listeners.append(self._shorten_pause)
         # Until when each hub is avoided, by VM name.
         self._avoided_until_s: dict[str, float] = {}
@@ -153,6 +155,7 @@
             while not node.roster.is_hub():
                 position = node.cache_updates.hub_log.position
                 use = node.limiter.pending()
+                self._is_report_urgent = False
                 report = self._make_report(sent_position)
                 limits = node.upstream_limits
                 if limits.hub_log.position != sent_limits_position:
@@ -239,11 +242,13 @@
 
     async def _receive_answers(self, channel: link.Channel) -> None:
         """Take answers of the hub until the next report is due."""
-        with trio.move_on_after(REPORT_INTERVAL_S) as self._pause:
+        pause_s = MIN_PAUSE_S if self._is_report_urgent else REPORT_INTERVAL_S
+        with trio.move_on_after(pause_s) as self._pause:
             await self._receive_until_cancelled(channel)
 
     def _shorten_pause(self) -> None:
         """Send the next report soon, as the hub may not know something."""
+        self._is_report_urgent = True
         soon_s = trio.current_time() + MIN_PAUSE_S
         self._pause.deadline = min(self._pause.deadline, soon_s)
 
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -157,6 +157,7 @@
             node.prompt_faults, node.clock, to_hubs=True
         )
         while True:
+            told = node.load_tracker.early_reports
             cache_log = node.cache_updates.hub_log
             message = hub_client.load_message(
                 node, node.load_tracker.subtree(), sent_position, is_leaf=False
@@ -180,7 +181,7 @@
             pause_s = LOAD_INTERVAL_S * max(1.0, slowdown)
             await trio.sleep(pause_s * MIN_PAUSE_SHARE)
             with trio.move_on_after(pause_s * (1 - MIN_PAUSE_SHARE)):
-                await node.load_tracker.wait_early_report()
+                await node.load_tracker.wait_early_report(told)
 
     def _shared_leaves(self) -> list[list[str]]:
         """Return rows of some leaves that carry tunnels, for other hubs."""
--- a/gentianstair/gateway/replica_load.py
+++ b/gentianstair/gateway/replica_load.py
@@ -117,7 +117,9 @@
         self._clock = clock
         self._own: dict[str, set[ActiveRequest]] = {}
         self._peers: dict[str, _PeerLoad] = {}
-        # Set, and replaced, when peers should hear of something at once.
+        # How often something was to be told to peers at once; the event is
+        # set, and replaced, each time.
+        self.early_reports = 0
         self._early_report = trio.Event()
         # The sum over peers, kept up to date with each report: a hub gets
         # some tens of reports several times a second.
@@ -145,12 +147,17 @@
 
     def ask_early_report(self) -> None:
         """Have the next report to other hubs sent at once."""
+        self.early_reports += 1
         self._early_report.set()
         self._early_report = trio.Event()
 
-    async def wait_early_report(self) -> None:
-        """Return when a report to other hubs is not to wait."""
-        await self._early_report.wait()
+    async def wait_early_report(self, told: int) -> None:
+        """Return when a report to other hubs is not to wait.
+
+        The one before told of so many early_reports.
+        """
+        if self.early_reports == told:
+            await self._early_report.wait()
 
     def end(self, request: ActiveRequest) -> None:
         """Remove a request that has ended."""
