Wait a moment for the check of an end before the next attempt

What callers saw: a request under which a replica ended was sent to the next one while the VM was still finding out whether the first had ended. Where one end was known already, the second replica ended for nothing, with all streams on it.

Cause: the check of an end (one new connection) ran beside the next attempt, which is sent within a millisecond; whether a part is held back was asked before the end was known.

The next attempt of a stream now waits for the check, 0.05 s at most. A replica that has ended refuses the connection at once, so a caller waits some milliseconds.

--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -3,6 +3,7 @@
 import typing
 
 import loguru
+import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
@@ -38,6 +39,9 @@
 MAX_LOGGED_NAME = 32
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
+# How long an attempt waits to know whether the replica before it has ended.
+# One that has ended mostly refuses a connection at once.
+MAX_END_CHECK_WAIT_S = 0.05
 
 
 def _can_answer(replica: replicas.Replica) -> bool:
@@ -72,6 +76,9 @@
         # Attempts that reached a replica, or may have.
         self.attempts = 0
         self.unreachable_attempts = 0
+        # Set when it is known whether the last replica has ended.
+        self._end_check = trio.Event()
+        self._end_check.set()
         # Times at which the first and the latest event went to the caller.
         self.first_event_s: float | None = None
         self.last_event_s: float | None = None
@@ -325,13 +332,28 @@
         listed = self.node.registry.get(replica.name)
         end = self.parts.end_of(replica)
         if end is not None and listed is not None and not listed.draining:
-            self.node.nursery.start_soon(self._confirm_end, replica, end)
+            self._end_check = trio.Event()
+            self.node.nursery.start_soon(
+                self._confirm_end, replica, end, self._end_check
+            )
 
     async def _confirm_end(
-        self, replica: replicas.Replica, end: prompt_faults.End
+        self,
+        replica: replicas.Replica,
+        end: prompt_faults.End,
+        check: trio.Event,
     ) -> None:
         if await self.node.end_checks.has_ended(replica):
             self.parts.record_end(end)
+        check.set()
+
+    async def wait_for_end_check(self) -> None:
+        """Wait a moment until it is known whether a replica has ended.
+
+        If so, the next attempt may have to be held back.
+        """
+        with trio.move_on_after(MAX_END_CHECK_WAIT_S):
+            await self._end_check.wait()
 
     def _logged_parts(self) -> list[str]:
         """Return the names of the prompt's first parts, for a log line."""
--- a/test/gateway/test_parts_that_end_replicas.py
+++ b/test/gateway/test_parts_that_end_replicas.py
@@ -11,6 +11,7 @@
 import trio
 
 from gentianstair.core import part_knowledge
+from gentianstair.gateway import end_checks
 from gentianstair.gateway import forward
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
@@ -30,6 +31,8 @@
 # A part is held back at all VMs after this time.
 HELD_BACK_S = 5.0
 SOUND_PER_S = 12.0
+# How long it takes to find out whether a replica has ended.
+CHECK_S = 0.03
 # A caller is told at once that its request is rejected.
 AT_ONCE_S = 0.6
 PATIENCE_S = 2.5
@@ -280,6 +283,35 @@
     assert len(play.ends()) <= 4
 
 
+async def test_attempt_waits_until_the_end_before_is_known(
+    tmp_path, monkeypatch
+):
+    # Guards against a second attempt that ends a replica, too, while it is
+    # being looked up whether the first one's has ended.
+    ask = end_checks.EndChecks._ask
+
+    async def ask_slowly(checks, replica):
+        await trio.sleep(CHECK_S)
+        return await ask(checks, replica)
+
+    monkeypatch.setattr(end_checks.EndChecks, '_ask', ask_slowly)
+    prompt = f'{SHARED[0]}:300,{BAD}:300,ff00:10'
+    headers = {'x-model': 'm', 'x-token-count': '610,80'}
+    async with running(tmp_path, vms=1) as play:
+        spoil(play.site)
+        for number, path in enumerate(['/draft/one', '/ask/rule']):
+            answer = await play.vms[0].call(
+                'POST',
+                path,
+                f'bad-{number}',
+                **headers,
+                **{'x-prefix-hash': prompt},
+            )
+            assert answer.status_code == 502
+            await trio.sleep(2 * CHECK_S)
+    assert len(play.ends()) == 2
+
+
 @pytest.mark.parametrize('at_once', [False, True], ids=['in-turn', 'at-once'])
 async def test_replicas_that_end_by_themselves_have_no_part_blamed(
     tmp_path, at_once
