Publish no list of hubs in a fleet without leaves, and take one back

Cause: the list of hubs in the store named one VM of three, and was never corrected. A selection of hubs is reused for 0.3 s. A VM that had just listed the other two still had itself as the only hub, so a fleet of three looked like one with leaves, and if it became the holder of the duties in that moment it published the list. From then on the fleet looked like what it is, and the publisher left the list alone. Processes that start go by the list: they take themselves for leaves of a VM that is gone, and neither list the VMs nor learn what is held back for the first four seconds.

Two tests failed before: test_mesh_that_has_just_grown_is_still_a_mesh and test_list_is_taken_back_in_a_fleet_without_leaves.

Whether all VMs are hubs is now decided by their number, not by two views of different ages.

Left: in a fleet with leaves all of whose hubs are gone, with their addresses, fresh VMs do not know what is held for up to four seconds.

--- a/gentianstair/gateway/hub_list.py
+++ b/gentianstair/gateway/hub_list.py
@@ -76,14 +76,15 @@
 
     async def run(self, authority: lease.Authority) -> None:
         """Publish changes until authority ends."""
-        published, version = None, 0
+        published, version, is_read = None, 0, False
         while True:
             authority.check()
             current = self._current()
             try:
-                if current is not None and published is None:
+                if current is not None and not is_read:
                     item = await self._store.get(KIND, NAME, purpose=PURPOSE)
                     published, version = decode(item.value), item.version
+                    is_read = True
                 if current is not None and _differs(current, published):
                     version = await self._store.put(
                         KIND,
@@ -92,17 +93,22 @@
                         version,
                         purpose=PURPOSE,
                     )
-                    published = current
+                    published = current if current.hubs else None
             except errors.StoreError as error:
                 # Reads the object again before the next write.
-                published = None
+                is_read = False
                 loguru.logger.bind(event=events.HUBS_FAILED).info('{}', error)
             await trio.sleep(CHECK_INTERVAL_S)
 
     def _current(self) -> HubList | None:
-        """Return the hubs as seen now; None in a fleet without leaves."""
-        if self._roster.is_mesh():
+        """Return the hubs as seen now; None before the fleet is known.
+
+        In a fleet without leaves the list is empty.
+        """
+        if not self._roster.knows_fleet():
             return None
+        if self._roster.is_mesh():
+            return HubList(self._roster.vm_count(), [])
         rows = [
             HubRow(hub.name, hub.failure_domain, hub.peer_address)
             for hub in self._roster.hubs()
@@ -111,7 +117,9 @@
 
 
 def _differs(current: HubList, published: HubList | None) -> bool:
-    if published is None or current.hubs != published.hubs:
+    if published is None or not current.hubs:
+        return bool(published) != bool(current.hubs)
+    if current.hubs != published.hubs:
         return True
     change = abs(current.vm_count - published.vm_count)
     return change > VM_COUNT_CHANGE_SHARE * published.vm_count
--- a/gentianstair/gateway/roster.py
+++ b/gentianstair/gateway/roster.py
@@ -191,7 +191,8 @@
         """Return whether all VMs are hubs, so that there are no leaves."""
         if self._newest_feed() is not None:
             return False
-        return len(self.hubs()) == len(self.vms())
+        vm_count = len(self.vms())
+        return hubs.hub_count(vm_count) == vm_count
 
     def lists_cache(self, replica: str) -> bool:
         """Return whether this VM lists a replica's cache for all others.
--- a/test/gateway/test_joining.py
+++ b/test/gateway/test_joining.py
@@ -109,9 +109,13 @@
 class Holder:
     """The roster of the holder of the duties."""
 
-    def __init__(self, names, mesh=False):
+    def __init__(self, names, mesh=False, knows=True):
         self.names = names
         self.mesh = mesh
+        self.knows = knows
+
+    def knows_fleet(self):
+        return self.knows
 
     def is_mesh(self):
         return self.mesh
@@ -151,6 +155,25 @@
     assert await hub_list.read(memory_store.MemoryStore(table)) is None
 
 
+async def test_holder_that_knows_no_fleet_leaves_the_list(autojump_clock):
+    # Guards against a whole fleet that lists itself as it starts.
+    table = objects.ObjectTable()
+    await publish(table, Holder(['vm-0']))
+    await publish(table, Holder(['vm-7'], mesh=True, knows=False))
+    found = await hub_list.read(memory_store.MemoryStore(table))
+    assert [row.vm for row in found.hubs] == ['vm-0']
+
+
+async def test_list_is_taken_back_in_a_fleet_without_leaves(autojump_clock):
+    # Guards against processes that start as leaves of hubs that are gone.
+    table = objects.ObjectTable()
+    await publish(table, Holder(['vm-0']))
+    await publish(table, Holder(['vm-1', 'vm-2'], mesh=True))
+    process = Process(table, 3, 0.5)
+    await process.learn()
+    assert not process.roster.remembers_hubs()
+
+
 @pytest.mark.parametrize(
     'value',
     [{}, {'vm_count': 'many', 'hubs': []}, {'vm_count': 3, 'hubs': []}],
--- a/test/gateway/test_roster.py
+++ b/test/gateway/test_roster.py
@@ -65,6 +65,17 @@
     assert fleet.roster.vm_count() == 1
 
 
+def test_mesh_that_has_just_grown_is_still_a_mesh():
+    # Guards against a list of hubs that names one of three VMs.
+    fleet = Fleet()
+    assert fleet.roster.is_mesh()
+    record = types.SimpleNamespace(
+        failure_domain='b', peer_address='10.0.0.2:1', cores=0.5
+    )
+    fleet.members.alive_vms = lambda: {'vm-1': record, 'vm-2': record}
+    assert fleet.roster.is_mesh()
+
+
 def test_leaf_without_any_hub_acts_on_its_own_view_in_the_end():
     # All hubs of the last feed may be gone for good.
     fleet = Fleet()
