--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -3,18 +3,17 @@
 import typing
 
 import loguru
-import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
-from gentianstair.core import prompt_faults
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_ends
 from gentianstair.gateway import request_errors
 from gentianstair.gateway import request_parts
 from gentianstair.gateway import request_permits
@@ -39,9 +38,6 @@
 MAX_LOGGED_NAME = 32
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
-# How long an attempt waits to know whether the replica before it has ended.
-# One that has ended mostly refuses a connection at once.
-MAX_END_CHECK_WAIT_S = 0.05
 
 
 def _can_answer(replica: replicas.Replica) -> bool:
@@ -76,9 +72,6 @@
         # Attempts that reached a replica, or may have.
         self.attempts = 0
         self.unreachable_attempts = 0
-        # Set when it is known whether the last replica has ended.
-        self._end_check = trio.Event()
-        self._end_check.set()
         # Times at which the first and the latest event went to the caller.
         self.first_event_s: float | None = None
         self.last_event_s: float | None = None
@@ -100,6 +93,7 @@
             request_parts.parts_of(service, call),
             node.clock,
         )
+        self.ends = request_ends.RequestEnds(node, self.parts)
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
@@ -310,7 +304,7 @@
                 key, False, now_s - started_s, now_s
             )
         if isinstance(error, errors.ConnectionBrokenError):
-            self._record_end(replica)
+            self.ends.record_broken(replica)
         self.record_verdict(error.verdict)
         self.log(
             events.TRY_FAILED,
@@ -324,37 +318,6 @@
             **log_fields,
         )
 
-    def _record_end(self, replica: replicas.Replica) -> None:
-        """Record that a replica may have ended under this request.
-
-        One that drains or has no entry was stopped.
-        """
-        listed = self.node.registry.get(replica.name)
-        end = self.parts.end_of(replica)
-        if end is not None and listed is not None and not listed.draining:
-            self._end_check = trio.Event()
-            self.node.nursery.start_soon(
-                self._confirm_end, replica, end, self._end_check
-            )
-
-    async def _confirm_end(
-        self,
-        replica: replicas.Replica,
-        end: prompt_faults.End,
-        check: trio.Event,
-    ) -> None:
-        if await self.node.end_checks.has_ended(replica):
-            self.parts.record_end(end)
-        check.set()
-
-    async def wait_for_end_check(self) -> None:
-        """Wait a moment until it is known whether a replica has ended.
-
-        If so, the next attempt may have to be held back.
-        """
-        with trio.move_on_after(MAX_END_CHECK_WAIT_S):
-            await self._end_check.wait()
-
     def _logged_parts(self) -> list[str]:
         """Return the names of the prompt's first parts, for a log line."""
         names = self.call.part_names[:MAX_LOGGED_PARTS]
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -81,7 +81,7 @@
                     await self._run_plan(plan)
                     return self.response
                 except errors.UpstreamError as error:
-                    await request.wait_for_end_check()
+                    await request.ends.wait_for_check()
                     if not request.may_retry(error.verdict):
                         break
                 self._event_buffer.discard_partial()
