--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -125,6 +125,27 @@
     ]
 
 
+def replicas_of_makers(
+    versions: typing.Iterable[str], events: int
+) -> list[replicas.Replica]:
+    """Return replicas of a small site with a maker for each of versions.
+
+    A maker decodes, and writes so many events in an answer.
+    """
+    kept = [r for r in default_replicas() if r.stage != 'decode']
+    return kept + [
+        replicas.Replica(
+            f'i-maker-{number}',
+            'models',
+            'ab'[number % 2],
+            'decode',
+            events=events,
+            version=version,
+        )
+        for number, version in enumerate(versions)
+    ]
+
+
 class Site:
     """A running site; ports are free ones of the loopback."""
 
--- a/standins/soak/parts.py
+++ b/standins/soak/parts.py
@@ -45,17 +45,7 @@
 
 def make_replicas() -> list[replicas.Replica]:
     """Return the replicas of a site with enough makers to lose some."""
-    kept = [r for r in sites.default_replicas() if r.stage != 'decode']
-    return kept + [
-        replicas.Replica(
-            f'i-maker-{number}',
-            'models',
-            'ab'[number % 2],
-            'decode',
-            events=EVENTS,
-        )
-        for number in range(MAKERS)
-    ]
+    return sites.replicas_of_makers(['v1'] * MAKERS, EVENTS)
 
 
 class Caller:
--- a/standins/soak/versions.py
+++ b/standins/soak/versions.py
@@ -90,18 +90,9 @@
 
 def make_replicas() -> list[replicas.Replica]:
     """Return the replicas of a site, of whose makers half are at each."""
-    kept = [r for r in sites.default_replicas() if r.stage != 'decode']
-    return kept + [
-        replicas.Replica(
-            f'i-maker-{number}',
-            'models',
-            'ab'[number % 2],
-            'decode',
-            events=EVENTS,
-            version=VERSIONS[number % 2],
-        )
-        for number in range(MAKERS)
-    ]
+    return sites.replicas_of_makers(
+        (VERSIONS[number % 2] for number in range(MAKERS)), EVENTS
+    )
 
 
 class Caller:
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -154,3 +154,20 @@
             bounds=types.SimpleNamespace(drain_s=2.0),
         ),
     )
+
+
+def make_feed(process, hub_rows):
+    """Return the message with which a hub feeds a leaf, with nothing new."""
+    return {
+        'type': 'feed',
+        'process': process,
+        'age_ms': 10,
+        'loads': {},
+        'cache': [],
+        'replicas': [],
+        'gone': [],
+        'whole': True,
+        'vms': 195,
+        'hubs': hub_rows,
+        'follow': [],
+    }
--- a/test/gateway/test_hub_client.py
+++ b/test/gateway/test_hub_client.py
@@ -90,23 +90,8 @@
         if self.answered == len(self.reports):
             await trio.sleep_forever()
         self.answered += 1
-        return link.encode(
-            {
-                'type': 'feed',
-                'process': f'{self.name}.1',
-                'age_ms': 10,
-                'loads': {},
-                'cache': [],
-                'replicas': [],
-                'gone': [],
-                'whole': True,
-                'vms': 195,
-                'hubs': [
-                    [n, 'a', f'{n}:1'] if n else [] for n in self.hub_names
-                ],
-                'follow': [],
-            }
-        )
+        rows = [[n, 'a', f'{n}:1'] if n else [] for n in self.hub_names]
+        return link.encode(hub_nodes.make_feed(f'{self.name}.1', rows))
 
     async def aclose(self):
         pass
--- a/test/gateway/test_news_of_parts.py
+++ b/test/gateway/test_news_of_parts.py
@@ -21,19 +21,7 @@
 # When the VM sees ends, after it has sent its first report.
 FIRST_S = 1.0
 GAPS_S = (0.0, 0.001, 0.01, 0.02, 0.029, 0.031, 0.1)
-REPORT = {
-    'type': 'feed',
-    'process': 'hub-0.1',
-    'age_ms': 10,
-    'loads': {},
-    'cache': [],
-    'replicas': [],
-    'gone': [],
-    'whole': True,
-    'vms': 195,
-    'hubs': [['hub-0', 'a', 'hub-0:1']],
-    'follow': [],
-}
+HUB_ROWS = [['hub-0', 'a', 'hub-0:1']]
 
 
 class Reader(link.Channel):
@@ -51,7 +39,7 @@
     async def receive(self):
         await self._have_feed.receive()
         await trio.sleep(FEED_S)
-        return link.encode(REPORT)
+        return link.encode(hub_nodes.make_feed('hub-0.1', HUB_ROWS))
 
     async def aclose(self):
         pass
--- a/test/gateway/test_parts_that_end_replicas.py
+++ b/test/gateway/test_parts_that_end_replicas.py
@@ -155,30 +155,19 @@
         return sum(found) / len(found)
 
 
-def makers(site):
-    return [r for r in site.replicas if r.stage == 'decode']
+def make_replicas():
+    """Return the replicas of a site, six of which decode."""
+    return sites.replicas_of_makers(['v1'] * MAKERS, EVENTS)
 
 
-def site_of_makers():
-    """Return the replicas of a site, six of which decode."""
-    found = [r for r in sites.default_replicas() if r.stage != 'decode']
-    for number in range(MAKERS):
-        found.append(
-            replicas.Replica(
-                f'i-maker-{number}',
-                'models',
-                'ab'[number % 2],
-                'decode',
-                events=EVENTS,
-            )
-        )
-    return found
+def makers(site):
+    return [r for r in site.replicas if r.stage == 'decode']
 
 
 @contextlib.asynccontextmanager
 async def running(tmp_path, vms=3, metrics=False):
     """Yield a play: a site, and gateways before it that know each other."""
-    async with sites.running(site_of_makers()) as site:
+    async with sites.running(make_replicas()) as site:
         async with gateways.running(
             site, tmp_path, count=vms, metrics=metrics, retry_slack=500
         ) as found:
@@ -366,7 +355,7 @@
     tmp_path, no_trials
 ):
     # Guards against a fleet that forgets what ends replicas with its VMs.
-    async with sites.running(site_of_makers()) as site:
+    async with sites.running(make_replicas()) as site:
         async with gateways.running(site, tmp_path, count=3) as vms:
             await trio.sleep(LINKED_S)
             play = Play(site, list(vms))
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -10,7 +10,6 @@
 
 from gentianstair.gateway import forward
 from gentianstair.gateway import origin_keepers
-from standins.site import replica as replicas
 from standins.site import site as sites
 from standins.soak import versions
 from test.gateway import gateways
@@ -117,20 +116,7 @@
 
 def two_versions(of_each=2):
     """Return the replicas of a site whose decode replicas differ."""
-    found = sites.default_replicas()
-    kept = [replica for replica in found if replica.stage != 'decode']
-    for number in range(2 * of_each):
-        kept.append(
-            replicas.Replica(
-                f'i-maker-{number}',
-                'models',
-                'ab'[number % 2],
-                'decode',
-                events=EVENTS,
-                version=(OLD, NEW)[number // of_each],
-            )
-        )
-    return kept
+    return sites.replicas_of_makers([OLD] * of_each + [NEW] * of_each, EVENTS)
 
 
 @contextlib.asynccontextmanager
