--- a/gentianstair/gateway/hub_list.py
+++ b/gentianstair/gateway/hub_list.py
@@ -117,8 +117,8 @@
 
 
 def _differs(current: HubList, published: HubList | None) -> bool:
-    if published is None or not current.hubs:
-        return bool(published) != bool(current.hubs)
+    if published is None:
+        return bool(current.hubs)
     if current.hubs != published.hubs:
         return True
     change = abs(current.vm_count - published.vm_count)
--- a/gentianstair/gateway/request_ends.py
+++ b/gentianstair/gateway/request_ends.py
@@ -21,8 +21,8 @@
         self._node = node
         self._parts = parts
         # Set unless the last replica is being checked.
-        self._is_checked = trio.Event()
-        self._is_checked.set()
+        self._checked = trio.Event()
+        self._checked.set()
 
     def record_broken(self, replica: replicas.Replica) -> None:
         """Record that the connection to a replica broke during an attempt.
@@ -32,20 +32,20 @@
         listed = self._node.registry.get(replica.name)
         end = self._parts.end_of(replica)
         if end is not None and listed is not None and not listed.draining:
-            self._is_checked = trio.Event()
+            self._checked = trio.Event()
             self._node.nursery.start_soon(
-                self._check, replica, end, self._is_checked
+                self._check, replica, end, self._checked
             )
 
     async def _check(
         self,
         replica: replicas.Replica,
         end: prompt_faults.End,
-        is_checked: trio.Event,
+        checked: trio.Event,
     ) -> None:
         if await self._node.end_checks.has_ended(replica):
             self._parts.record_end(end)
-        is_checked.set()
+        checked.set()
 
     async def wait_for_check(self) -> None:
         """Wait a moment until it is known whether the last one has ended.
@@ -53,4 +53,4 @@
         If so, the next attempt may have to be held back.
         """
         with trio.move_on_after(MAX_CHECK_WAIT_S):
-            await self._is_checked.wait()
+            await self._checked.wait()
