--- /dev/null
+++ b/test/gateway/test_request_ends.py
@@ -0,0 +1,91 @@
+"""Test what a request learns of replicas whose connections broke."""
+
+import types
+
+import pytest
+import trio
+
+from gentianstair.core import prompt_faults
+from gentianstair.gateway import replicas
+from gentianstair.gateway import request_ends
+
+REPLICA = replicas.Replica(
+    'i-1', 'models', '10.0.0.1:1', 'a', 64, False, '', 1, 0, False, ()
+)
+END = prompt_faults.End('i-1', 1, 0.0, 0.1)
+CHECK_S = 0.01
+
+
+class Checks:
+    """The checks of a VM, which all take some time and find an end."""
+
+    def __init__(self, took_s):
+        self.took_s = took_s
+
+    async def has_ended(self, replica):
+        await trio.sleep(self.took_s)
+        return True
+
+
+class Parts:
+    """The parts of a request, and the ends recorded under them."""
+
+    def __init__(self, end):
+        self.end = end
+        self.ends = []
+
+    def end_of(self, replica):
+        return self.end
+
+    def record_end(self, end):
+        self.ends.append(end)
+
+
+def make_ends(nursery, parts, listed=REPLICA, took_s=CHECK_S):
+    node = types.SimpleNamespace(
+        nursery=nursery,
+        end_checks=Checks(took_s),
+        registry=types.SimpleNamespace(get=lambda name: listed),
+    )
+    return request_ends.RequestEnds(node, parts)
+
+
+@pytest.mark.parametrize(
+    ('listed', 'end', 'expected'),
+    [
+        (REPLICA, END, [END]),
+        (REPLICA, None, []),
+        (REPLICA._replace(draining=True), END, []),
+        (None, END, []),
+    ],
+    ids=['ended', 'says-nothing', 'draining', 'not-listed'],
+)
+async def test_end_is_recorded_before_the_next_attempt(
+    autojump_clock, nursery, listed, end, expected
+):
+    # Guards against attempts that end a replica while an end is not known,
+    # and against ends of replicas that were stopped.
+    parts = Parts(end)
+    ends = make_ends(nursery, parts, listed)
+    ends.record_broken(REPLICA)
+    began_s = trio.current_time()
+    await ends.wait_for_check()
+    assert parts.ends == expected
+    waited_s = trio.current_time() - began_s
+    assert waited_s == pytest.approx(CHECK_S if expected else 0.0)
+
+
+async def test_attempt_waits_for_a_long_check_for_a_moment_only(
+    autojump_clock, nursery
+):
+    # Guards against callers who wait for a replica that does not answer.
+    parts = Parts(END)
+    ends = make_ends(nursery, parts, took_s=1.0)
+    ends.record_broken(REPLICA)
+    began_s = trio.current_time()
+    await ends.wait_for_check()
+    waited_s = trio.current_time() - began_s
+    assert waited_s == pytest.approx(request_ends.MAX_CHECK_WAIT_S)
+    assert not parts.ends
+    await trio.sleep(1.0)
+    assert parts.ends == [END]
