--- a/review/build.sh
+++ b/review/build.sh
@@ -7,6 +7,6 @@
 
 if sys.version_info < (3, 11):
     sys.exit('Python 3.11 is needed')
-for file in sorted(pathlib.Path('.').glob('*/*.py')):
+for file in sorted(pathlib.Path('.').glob('**/*.py')):
     ast.parse(file.read_text(), str(file))
 PY
--- a/review/lib/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and a runner for the scripts of the review."""
--- a/review/lib/replica.py
+++ b/review/standin_replica.py
@@ -6,8 +6,8 @@
 import time
 import typing
 
-from lib import http1
-from lib import store as stores
+import standin_http1 as http1
+import standin_store as stores
 
 HEARTBEAT_S = 1.2
 MISSED_HEARTBEATS = 3
--- a/review/lib/site.py
+++ b/review/standin_site.py
@@ -14,11 +14,11 @@
 import time
 import typing
 
-from lib import http1
-from lib import replica as replicas
-from lib import store as stores
+import standin_http1 as http1
+import standin_replica as replicas
+import standin_store as stores
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 # No longer than a script may run.
 LIMIT_S = 105.0
 READY_LIMIT_S = 20.0
@@ -250,7 +250,6 @@
         self.gateways = [
             Gateway(self, number, zone) for number, zone in enumerate(zones)
         ]
-        self.trouble = os.environ.get('TROUBLE', '1') != '0'
         self._began_s = time.monotonic()
         self._lines: list[str] = []
         self._next_id = 0
@@ -375,21 +374,29 @@
             return 2
         finally:
             site.end()
-            kept = os.environ.get('KEEP_LOGS')
-            if kept:
-                for gateway in site.gateways:
-                    if gateway.log.exists():
-                        target = pathlib.Path(kept) / gateway.log.name
-                        target.write_text(gateway.log.read_text())
             with contextlib.suppress(OSError):
                 site.write_record(record)
     print(broken or 'the rule held')
     return 1 if broken else 0
 
 
+async def _run_unless_told(run: typing.Coroutine) -> int:
+    """Run a case; end it, and what it started, when this process has to."""
+    task = asyncio.ensure_future(run)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    try:
+        return await task
+    except asyncio.CancelledError:
+        print('told to end', file=sys.stderr)
+        return 2
+
+
 def main(
     play: Play, case: str, zones: list[str], retry_slack: int = 52
 ) -> typing.NoReturn:
     """Play a case; exit with 1 if its rule broke, 0 if not, 2 if unclear."""
     record = pathlib.Path(case).resolve().parent / 'record.txt'
-    sys.exit(asyncio.run(_run(play, zones, retry_slack, record)))
+    run = _run(play, zones, retry_slack, record)
+    sys.exit(asyncio.run(_run_unless_told(run)))
--- a/review/lib/store.py
+++ b/review/standin_store.py
@@ -7,7 +7,7 @@
 import typing
 import urllib.parse
 
-from lib import http1
+import standin_http1 as http1
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1024 * 1024
