Review: keep the spoiled answers within the dose while they are spoiled

The share of 5 in 100 was counted over all answers of the faulty replica, the calm ones before among them, so that up to a tenth was spoiled for a time. It is counted over the time of the disruption now.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,24 +7,27 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import sys
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
-from lib import http1  # noqa: E402
-from lib import replica as replicas  # noqa: E402
-from lib import site as sites  # noqa: E402
+import standin_http1 as http1  # noqa: E402
+import standin_replica as replicas  # noqa: E402
+import standin_site as sites  # noqa: E402
 
+# Without it the case is played without its disruption, and has to pass.
+TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 ZONES = ['ne-north', 'ne-central', 'ne-coast']
 SERVICE = 'showdesk'
 MODELS = 'lathe-models'
-CALLERS_PER_GATEWAY = 8
+CALLERS_PER_GATEWAY = 12
 STREAMS_PER_GATEWAY = 4
-WORK_S = 0.15
+WORK_S = 0.09
 CALM_S = 5.0
-TROUBLE_S = 5.5
+GARBLE_S = 5.5
 PAUSE_S = 4.0
 EPISODES = 3
 # The rule allows so many requests that are lost at sound replicas.
@@ -50,20 +53,26 @@
     def __init__(self, site: sites.Site, replica: replicas.Replica) -> None:
         self._site = site
         self._replica = replica
-        self.spoiled = 0
+        # Of the answers while this is on.
+        self.answers = self.spoiled = 0
         self.is_on = False
         self._next_at_s = 0.0
 
     def spoil(self, request: http1.Request) -> bytes | None:
         """Return what goes out in place of an answer, or None."""
-        share = (self.spoiled + 1) / max(1, self._replica.answers)
-        if not self.is_on or share > MOST_SPOILED_SHARE:
+        if not self.is_on:
+            return None
+        self.answers += 1
+        left = MOST_SPOILED_SHARE * self.answers - self.spoiled
+        if left < 1:
             return None
         if request.path == '/api/report':
             self._note(request, 'sends no response to')
             return NO_RESPONSE
         is_callers = 'x-request-id' in request.headers
-        if is_callers and time.monotonic() >= self._next_at_s:
+        # The report that is asked for next is to be spoiled, too.
+        is_due = left >= 2 and time.monotonic() >= self._next_at_s
+        if is_callers and is_due:
             self._next_at_s = time.monotonic() + 0.3
             self._note(request, 'truncates its answer to')
             return TRUNCATED
@@ -185,16 +194,16 @@
     garble = Garble(site, faulty)
     faulty.spoil = garble.spoil
     for _ in range(EPISODES):
-        garble.is_on = site.trouble
+        garble.is_on = TROUBLE
         site.note(f'garble begins: {faulty.name}, one of {len(ZONES)}')
-        await asyncio.sleep(TROUBLE_S)
+        await asyncio.sleep(GARBLE_S)
         garble.is_on = False
         site.note('garble ends')
         await asyncio.sleep(PAUSE_S)
     callers.stopping = True
     await asyncio.gather(*tasks)
     restarts.cancel()
-    share = garble.spoiled / max(1, faulty.answers)
+    share = garble.spoiled / max(1, garble.answers)
     ran = {
         arrival.request_id
         for one in models
@@ -204,7 +213,7 @@
     lost = callers.cut & ran
     site.note(
         f'{callers.sent} sent, {callers.whole} answered whole; '
-        f'{garble.spoiled} of {faulty.answers} answers of {faulty.name} '
+        f'{garble.spoiled} of {garble.answers} answers of {faulty.name} '
         f'spoiled ({share:.1%}); own ends of processes: {dict(ends)}; '
         f'{len(lost)} streams at sound replicas cut on kept channels'
     )
