Take an upgrade of an upstream for bytes that are no response

Callers saw: streams at sound replicas cut in the middle, requests answered 500 and new connections refused, at all VMs, as the gateway processes ended again and again.

Cause: httptools raises HttpParserUpgrade for a response with status 101 and both headers of an upgrade. That is no HttpParserError, the one exception that the transport turned into an error of ours. So it went through every caller of the transport; the check of an end runs in the nursery of the process, which ended with it.

Change: what httptools raises is named in one place, ResponseParser.feed, which turns it into InvalidResponseError, an UpstreamError that says MAY_HAVE_RUN. A request fails its attempt at that replica and goes on elsewhere; the connection is closed. What comes after a whole response leaves it whole, as before.

--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -110,6 +110,16 @@
         super().__init__(message, verdicts.Verdict.MAY_HAVE_RUN)
 
 
+class InvalidResponseError(UpstreamError):
+    """Bytes of an upstream that are no response to what it was sent.
+
+    The upstream, or whoever has its address, runs.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, verdicts.Verdict.MAY_HAVE_RUN)
+
+
 class UpstreamRejectedError(UpstreamError):
     """Upstream that responded without running the request.
 
--- a/gentianstair/upstreams/response_parser.py
+++ b/gentianstair/upstreams/response_parser.py
@@ -19,6 +19,9 @@
 MAX_IDLE_BYTES = 65536
 # Bytes of responses that are skipped before the one that is waited for.
 MAX_SKIPPED_BYTES = 8 * 1024 * 1024
+# All that httptools raises for what it reads. An upgrade (101) is no
+# HttpParserError of it; nobody here asks for one.
+_PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
 
 def may_have_run(message: str) -> errors.UpstreamError:
@@ -53,22 +56,33 @@
         self.keep_alive = False
 
     def feed(self, data: bytes) -> None:
-        """Parse what came; raise HttpParserError.
+        """Parse what came.
 
-        Raise UpstreamError if it goes on without becoming a response, as the
-        parser keeps what is not complete.
+        Raise InvalidResponseError for bytes that are no response, and if
+        they go on without becoming one, as the parser keeps what is not
+        complete. Such bytes after a whole response do not make it invalid.
         """
         had_headers = self.headers_done
         self._idle_bytes += len(data)
-        self.httptools_parser.feed_data(data)
+        self._parse(data)
         if self.done:
             return
         if not had_headers:
             self._skipped_bytes += len(data)
         if self._idle_bytes > MAX_IDLE_BYTES + READ_BYTES:
-            raise may_have_run('bytes that are no response')
+            raise errors.InvalidResponseError('bytes that are no response')
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
-            raise may_have_run('too much before the response')
+            raise errors.InvalidResponseError('too much before the response')
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self.httptools_parser.feed_data(data)
+        except _PARSER_ERRORS as error:
+            self.keep_alive = False
+            if not self.done:
+                raise errors.InvalidResponseError(
+                    f'{type(error).__name__} while reading'
+                ) from error
 
     @property
     def headers_done(self) -> bool:
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -12,7 +12,6 @@
 import re
 import typing
 
-import httptools
 import httpx
 import trio
 
@@ -108,16 +107,8 @@
         raise errors.ConnectionBrokenError(
             'the upstream closed the connection'
         )
-    try:
-        if data:
-            parser.feed(data)
-    except httptools.HttpParserError as error:
-        # Invalid bytes after a whole response do not make it invalid.
-        parser.keep_alive = False
-        if not parser.done:
-            raise response_parser.may_have_run(
-                f'{type(error).__name__} while reading'
-            ) from error
+    if data:
+        parser.feed(data)
 
 
 async def _receive_headers(
--- /dev/null
+++ b/test/gateway/test_odd_answers.py
@@ -0,0 +1,94 @@
+"""Test what odd answers of one replica do to a VM and its other requests."""
+
+import contextlib
+import typing
+
+import pytest
+import trio
+
+from standins.site import site as sites
+from test.gateway import gateways
+from test.gateway import odd_wire
+
+SWITCHING = (
+    b'HTTP/1.1 101 Switching Protocols\r\n'
+    b'Connection: Upgrade\r\nUpgrade: none\r\n\r\n'
+)
+TRUNCATED = b'HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\nthe first bytes'
+NO_HTTP = b'\0\1\2\3 hello\r\n\r\n'
+REQUESTS = 8
+LOOKUP, PROMPT = 'lookup', 'prompt'
+
+
+class Row(typing.NamedTuple):
+    """What is sent, the replica that is odd, and the call that it spoils."""
+
+    sends: str
+    replica: str
+    odd: dict[bytes, bytes]
+    # Replicas that take no request, so that KV caches are freed.
+    full: tuple[str, ...] = ()
+
+
+def rows_of(name, data):
+    """Return the calls of a VM that a replica may answer with some bytes."""
+    report = {b'POST /lookup': TRUNCATED, b'GET /api/report': data}
+    makers = ('i-maker-1', 'i-maker-2')
+    rows = {
+        'report': Row(LOOKUP, 'i-desk-1', report),
+        'request': Row(LOOKUP, 'i-desk-1', {b'POST /lookup': data}),
+        'stream': Row(PROMPT, 'i-maker-1', {b'POST /ask': data}),
+        'prefill': Row(PROMPT, 'i-reader', {b'POST /ask': data}),
+        'free': Row(
+            PROMPT, 'i-reader', {b'DELETE /api/kv-handle': data}, makers
+        ),
+        'cache-events': Row(
+            PROMPT, 'i-maker-1', {b'GET /api/kv-events': data}
+        ),
+    }
+    return [pytest.param(row, id=f'{key}-{name}') for key, row in rows.items()]
+
+
+async def send(gateway, what, number):
+    """Send one request; return the status of its answer."""
+    if what == LOOKUP:
+        answer = await gateway.call('POST', f'/lookup/{number}', f'r{number}')
+    else:
+        prompt = {
+            'x-model': 'm',
+            'x-token-count': '2000,80',
+            'x-prefix-hash': f'{number + 0xA00:x}:2000',
+        }
+        answer = await gateway.call(
+            'POST', '/ask/rule', f'r{number}', **prompt
+        )
+    return answer.status_code
+
+
+async def play(site, tmp_path, row):
+    """Play a row; return the wire, and the statuses of all requests."""
+    replica = site.replica(row.replica)
+    for name in row.full:
+        site.replica(name).faults.full = True
+    statuses = []
+    async with odd_wire.before(site, replica, row.odd) as wire:
+        async with gateways.running(site, tmp_path) as (gateway,):
+            with contextlib.suppress(TimeoutError), trio.fail_after(20.0):
+                for number in range(REQUESTS):
+                    statuses.append(await send(gateway, row.sends, number))
+            await trio.sleep(0.3)
+            assert await gateway.ready()
+    return wire, statuses
+
+
+@pytest.mark.parametrize(
+    'row', [*rows_of('101', SWITCHING), *rows_of('no-http', NO_HTTP)]
+)
+async def test_bytes_that_are_no_response_end_one_attempt_alone(tmp_path, row):
+    # Guards against one replica that ends the processes of all VMs, and
+    # against callers who get no answer though others serve.
+    async with sites.running() as site:
+        wire, statuses = await play(site, tmp_path, row)
+    assert min(wire.sent.values()) > 0
+    expected = 503 if row.full else 200
+    assert statuses == [expected] * REQUESTS
