Don't take a replica that sends no response for ended

What callers could see: a sound request rejected as one that ends replicas. A replica broke an answer off and sent to the report asked for next bytes that are no response. The check took any UpstreamError for an end, which counts against the request and the parts of its prompt; after three, or five, it is rejected.

Cause: an error that says that nobody listens and one that says that somebody sends nonsense were one.

Change: InvalidResponseError is told apart; nothing is concluded from it. A connection that breaks again before its answer still counts as an end, also after a part of one.

Test: row sends-no-response of test_end_checks.py: True before, False now.

--- a/gentianstair/gateway/end_checks.py
+++ b/gentianstair/gateway/end_checks.py
@@ -70,6 +70,9 @@
             if report.status == http_codec.HTTP_MISDIRECTED:
                 return True
             started_ms = http_codec.decode_report(report.status, report.body)
+        except errors.InvalidResponseError:
+            # Somebody answers, and nothing tells that the replica has ended.
+            return False
         except errors.UpstreamError:
             # Nobody listens, or the next connection broke, too.
             return True
--- a/test/gateway/test_end_checks.py
+++ b/test/gateway/test_end_checks.py
@@ -44,6 +44,7 @@
         (report(born=0), False),
         (report(503), False),
         (errors.DecodeError('no report in time'), False),
+        (errors.InvalidResponseError('no response'), False),
     ],
     ids=[
         'refused',
@@ -54,6 +55,7 @@
         'hides-its-start',
         'no-report',
         'silent',
+        'sends-no-response',
     ],
 )
 async def test_end_is_told_from_a_broken_connection(
