Keep a fault in a task to the task

Cause: an exception that nobody expected, in a task whose nursery is the process's, cancels all tasks beside it. Only the readers of the store had a guard; checks of ends, frees of KV caches and answers to other VMs were started in the process's nursery without one, and so were the reader of the settings, the campaign for the duties and the readiness server. On the OpenAI-style programs nothing had one but the connections: a report of an engine, a link to a peer, a shard of claims or a lease object ended entry or control.

Change: util/tasks.py has one guard. The process's nursery is no longer handed out; Node has `tasks`. Each start belongs to the smallest thing that may fail with it: one cache, one engine, one link, one duty are restarted alone, where one of them restarted all. What waits learns of a fault: a check of an end sets its event in any case, a fault in a shard refuses the claims that wait for it and takes up the next, the link of a VM whose question failed is closed.

--- a/gentianstair/control/duties.py
+++ b/gentianstair/control/duties.py
@@ -19,6 +19,7 @@
 from gentianstair.generated import settings
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks
 
 USAGE_SCOPE = 'usage'
 CAPACITY_SCOPE = 'capacity'
@@ -159,8 +160,10 @@
     context: Context, duties: list[Duty], authority: lease.Authority
 ) -> None:
     async with trio.open_nursery() as nursery:
+        running = tasks.Tasks(nursery)
         for duty in duties:
-            nursery.start_soon(
+            running.keep_running(
+                'duty',
                 run_periodically,
                 context,
                 authority,
--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -16,6 +16,7 @@
 from gentianstair.store import era as eras
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks
 
 KIND = 'lease'
 PURPOSE = 'lease'
@@ -151,12 +152,12 @@
             while True:
                 self._tasks = get_tasks()
                 if self._tasks or self._cancel_scopes:
-                    await self._poll_leases(nursery)
+                    await self._poll_leases(tasks.Tasks(nursery))
                 await trio.sleep(
                     self._timing.duration_s / RENEWALS_PER_DURATION
                 )
 
-    async def _poll_leases(self, nursery: trio.Nursery) -> None:
+    async def _poll_leases(self, running: tasks.Tasks) -> None:
         """List the leases, acquire vacant ones and release excess ones."""
         try:
             listing = await self._store.list(KIND, purpose=PURPOSE)
@@ -175,8 +176,12 @@
             ):
                 continue
             if self._may_acquire(observed, preferred):
-                nursery.start_soon(
-                    self._acquire_and_hold, observed, listing.revision
+                running.start_soon(
+                    'hold-lease',
+                    self._acquire_and_hold,
+                    observed,
+                    listing.revision,
+                    scope=scope,
                 )
         self._release_excess(preferred)
 
--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -30,6 +30,7 @@
 from gentianstair.util import clock
 from gentianstair.util import serving
 from gentianstair.util import stop_signals
+from gentianstair.util import tasks
 
 # Time that open HTTP requests have at a stop; also the interval at which the
 # candidates are updated.
@@ -155,13 +156,22 @@
         config.lease_duration_s,
     )
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(config_watch.run, context.store, context.view)
-        nursery.start_soon(candidates.run)
-        nursery.start_soon(
-            _update_candidates, candidates, lease_manager, SHUTDOWN_GRACE_S
+        running = tasks.Tasks(nursery)
+        running.keep_running(
+            'config', config_watch.run, context.store, context.view
         )
-        nursery.start_soon(
-            lease_manager.run, lambda: duties.make_holder_tasks(context)
+        running.keep_running('candidates', candidates.run)
+        running.keep_running(
+            'update-candidates',
+            _update_candidates,
+            candidates,
+            lease_manager,
+            SHUTDOWN_GRACE_S,
+        )
+        running.keep_running(
+            'lease',
+            lease_manager.run,
+            lambda: duties.make_holder_tasks(context),
         )
         print(f'listening {host}:{port}', flush=True)
         await serving.serve(
--- a/gentianstair/core/path_keeper.py
+++ b/gentianstair/core/path_keeper.py
@@ -9,6 +9,7 @@
 from gentianstair.peers import tunnel
 from gentianstair.upstreams import transport as transports
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks
 
 # How often idle tunnels, and upstreams that may be gone, are looked at.
 SWEEP_S = 0.5
@@ -39,8 +40,9 @@
     async def run(self) -> None:
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._sweep_idle)
-            nursery.start_soon(self._recheck)
+            running = tasks.Tasks(nursery)
+            running.keep_running('sweep-idle', self._sweep_idle)
+            running.keep_running('recheck-paths', self._recheck)
 
     async def _sweep_idle(self) -> None:
         """Close idle connections that no request should use."""
--- a/gentianstair/core/upstream_connector.py
+++ b/gentianstair/core/upstream_connector.py
@@ -17,6 +17,7 @@
 from gentianstair.upstreams import connector
 from gentianstair.upstreams import staggered
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks as tasks_module
 
 # How long a connect may take before the next way is tried beside it; some
 # times what it takes between distant failure domains.
@@ -75,14 +76,14 @@
         paths: upstream_paths.UpstreamPaths,
         directory: TunnelDirectory,
         network: link.Network,
-        nursery: trio.Nursery,
+        tasks: tasks_module.Tasks,
         clock: clocks.Clock,
     ) -> None:
         self.paths = paths
         self.directory = directory
         self._direct = connector.DirectConnector()
         self._network = network
-        self._nursery = nursery
+        self._tasks = tasks
         self._clock = clock
         self._heard_s = 0.0
         self._checked_s = 0.0
@@ -153,7 +154,7 @@
         found = None
         try:
             found = await tunnel.open_tunnel(
-                self._network, self._nursery, peer, upstream, PEER_CONNECT_S
+                self._network, self._tasks, peer, upstream, PEER_CONNECT_S
             )
         finally:
             # Given up for another way, or for want of time, while it hung.
--- a/gentianstair/entry/claim_links.py
+++ b/gentianstair/entry/claim_links.py
@@ -19,6 +19,7 @@
 from gentianstair.store import presence
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks
 
 KIND = 'claim-owner'
 VERSION = 1
@@ -159,19 +160,22 @@
     async def run(self) -> None:
         """Accept links and keep links to all other VMs, until cancelled."""
         async with trio.open_nursery() as nursery:
-            address = await nursery.start(
-                self._network.serve, self._serve_peer
-            )
+            running = tasks.Tasks(nursery)
+            address = await nursery.start(self._network.serve, self._accept)
             self._presence = self._make_presence(address)
-            nursery.start_soon(self._presence.run)
+            running.keep_running('claim-presence', self._presence.run)
             self._claims.owners = self
             while True:
                 self._owner_cache = {}
                 for name, owner_address in self._presence.addresses.items():
                     if name != self._vm_name and name not in self._dialed:
                         self._dialed[name] = owner_address
-                        nursery.start_soon(
-                            self._keep_link, name, owner_address
+                        running.start_soon(
+                            'claim-link',
+                            self._keep_link,
+                            name,
+                            owner_address,
+                            peer=owner_address,
                         )
                 await trio.sleep(RECONNECT_S)
 
@@ -187,6 +191,10 @@
             self._links.pop(name, None)
             del self._dialed[name]
 
+    async def _accept(self, channel: link.Channel) -> None:
+        """Serve one VM; a fault closes its link, so that it does not wait."""
+        await tasks.run_guarded('claim-server', self._serve_peer, channel)
+
     async def _serve_peer(self, channel: link.Channel) -> None:
         """Serve the requests of one VM concurrently."""
         try:
--- a/gentianstair/entry/claims.py
+++ b/gentianstair/entry/claims.py
@@ -14,6 +14,7 @@
 from gentianstair.entry import shard_writer
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks
 
 # Time for which a shard collects changes for one conditional update.
 LINGER_S = 0.005
@@ -176,8 +177,11 @@
     async def run_batches(self) -> None:
         """Write pending changes until cancelled."""
         async with trio.open_nursery() as nursery:
+            running = tasks.Tasks(nursery)
             async for shard in self._receive:
-                nursery.start_soon(self._run_shard, shard)
+                running.start_soon(
+                    'claim-shard', self._run_shard, shard, shard=shard.name
+                )
 
     async def claim(self, customer: str, key: str, digest: str) -> ClaimResult:
         """Claim a key for the request with this digest.
@@ -280,7 +284,21 @@
                 await shard.pending[-1].done.wait()
 
     async def _run_shard(self, shard: shard_writer.Shard) -> None:
-        """Write or forward a shard's pending changes until none is left."""
+        """Write or forward a shard's pending changes until none is left.
+
+        After a fault those that wait are refused, and the next change begins
+        anew.
+        """
+        try:
+            await self._write_pending(shard)
+        except Exception:
+            shard.is_current = False
+            self._refuse_pending_claims(shard)
+            raise
+        finally:
+            shard.is_scheduled = False
+
+    async def _write_pending(self, shard: shard_writer.Shard) -> None:
         while shard.pending:
             shard.pending = [
                 pending
@@ -312,7 +330,6 @@
             del shard.pending[: len(batch)]
             for pending, found in zip(batch, results, strict=True):
                 self._complete(pending, found)
-        shard.is_scheduled = False
 
     def _abandon(self, pending: shard_writer.PendingChange) -> None:
         """Release an unused claim, now or once its result is known."""
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -1,6 +1,6 @@
 """Run the program gentianstair-entry."""
 
-import functools
+import socket
 import time
 import typing
 
@@ -35,6 +35,7 @@
 from gentianstair.util import clock
 from gentianstair.util import serving
 from gentianstair.util import stop_signals
+from gentianstair.util import tasks
 from gentianstair.util import tls
 
 # How long the operator listener waits for its requests at shutdown.
@@ -67,13 +68,13 @@
 
 def make_node(
     config: generated.EntrySettings,
-    nursery: trio.Nursery,
+    running: tasks.Tasks,
     leaving: trio.Event,
 ) -> tuple[nodes.Node, peers.Node]:
     """Return the components of an entry process; none is running yet.
 
-    The nursery is that of tasks which outlive a request; leaving is set when
-    a planned stop begins.
+    What outlives a request is started in running; leaving is set when a
+    planned stop begins.
     """
     view = views.View(config.bundle_public_key)
     now = clock.boottime_s
@@ -84,7 +85,7 @@
     )
     peer = peers.make_node(config, view, store, now)
     parts = upstream_parts.make_upstream_parts(
-        config, view, peer, nursery, leaving
+        config, view, peer, running, leaving
     )
     peer.tunnel_server = parts.tunnel_server
     peer.permit_server = parts.permit_keepers
@@ -198,6 +199,18 @@
             loguru.logger.error('usage was not stored at shutdown: {}', error)
 
 
+async def _serve_operators(
+    app: quart_trio.QuartTrio, address: str, sock: socket.socket
+) -> None:
+    """Serve operators until cancelled."""
+    if sock.fileno() < 0:
+        # A server that failed has closed it.
+        sock = serving.listen(address)
+    await serving.serve(
+        app, sock, trio.sleep_forever, OPERATOR_DRAIN_TIMEOUT_S
+    )
+
+
 async def run(config: generated.EntrySettings) -> None:
     """Serve until stopped, then drain requests in flight."""
     stop_requested = stop_signals.watch_stop_signals()
@@ -231,29 +244,29 @@
     host, port = sock.getsockname()[:2]
     operator_port = operator_sock.getsockname()[1]
     async with trio.open_nursery() as nursery:
-        node, peer = make_node(config, nursery, leaving)
+        running = tasks.Tasks(nursery)
+        node, peer = make_node(config, running, leaving)
         links = claim_links.connect(
             config, node.claims, node.claims.store, node.clock
         )
-        await nursery.start(peer.run)
-        nursery.start_soon(node.path_keeper.run)
-        nursery.start_soon(sharing.run, node, peer)
-        nursery.start_soon(node.claims.run_batches)
-        nursery.start_soon(links.run)
-        nursery.start_soon(node.usage.run)
-        nursery.start_soon(upstream_monitor.run, node)
-        nursery.start_soon(
-            functools.partial(
-                serving.serve,
-                create_operator_app(node, peer, leaving),
-                operator_sock,
-                trio.sleep_forever,
-                OPERATOR_DRAIN_TIMEOUT_S,
-            )
+        running.keep_running('peers', peer.run)
+        await peer.started.wait()
+        running.keep_running('path-keeper', node.path_keeper.run)
+        running.keep_running('sharing', sharing.run, node, peer)
+        running.keep_running('claims', node.claims.run_batches)
+        running.keep_running('claim-links', links.run)
+        running.keep_running('usage', node.usage.run)
+        running.keep_running('upstreams', upstream_monitor.run, node)
+        running.keep_running(
+            'operators',
+            _serve_operators,
+            create_operator_app(node, peer, leaving),
+            config.operator_listen,
+            operator_sock,
         )
         print(f'listening {host}:{port} {operator_port}', flush=True)
         if credentials:
-            nursery.start_soon(credentials.watch_files)
+            running.keep_running('certificates', credentials.watch_files)
         await serving.serve(
             apps.create_app(node, leaving),
             sock,
--- a/gentianstair/entry/upstream_monitor.py
+++ b/gentianstair/entry/upstream_monitor.py
@@ -14,6 +14,7 @@
 from gentianstair.entry import routing
 from gentianstair.entry import services
 from gentianstair.generated import messages
+from gentianstair.util import tasks
 
 LOAD_POLL_INTERVAL_S = 0.5
 LOAD_TIMEOUT_S = 2.0
@@ -168,19 +169,15 @@
 async def run(node: nodes.Node) -> None:
     """Apply each change of upstreams and poll the engines' reports."""
     scopes: dict[tuple[str, str], trio.CancelScope] = {}
-
-    async def poll_until_cancelled(
-        name: str, url: str, scope: trio.CancelScope
-    ) -> None:
-        with scope:
-            await _poll_engine(node, name, url)
-
     async with trio.open_nursery() as nursery:
+        running = tasks.Tasks(nursery)
         while True:
             wanted = set(_select_engines(node, apply_upstreams(node)).items())
             for gone in set(scopes) - wanted:
                 scopes.pop(gone).cancel()
             for name, url in wanted - set(scopes):
                 scope = scopes[(name, url)] = trio.CancelScope()
-                nursery.start_soon(poll_until_cancelled, name, url, scope)
+                running.keep_running(
+                    'engine', _poll_engine, node, name, url, until=scope
+                )
             await node.view.wait_for_change()
--- a/gentianstair/entry/upstream_parts.py
+++ b/gentianstair/entry/upstream_parts.py
@@ -18,6 +18,7 @@
 from gentianstair.peers import tunnel
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
+from gentianstair.util import tasks as tasks_module
 
 # Tunnels of peers that an entry process carries.
 MAX_TUNNELS = 256
@@ -39,7 +40,7 @@
     config: settings.EntrySettings,
     view: views.View,
     peer: peers.Node,
-    nursery: trio.Nursery,
+    tasks: tasks_module.Tasks,
     leaving: trio.Event,
     network: link.Network | None = None,
 ) -> UpstreamParts:
@@ -57,7 +58,7 @@
             view, names, peer, config.failure_domain, now, rng
         ),
         network,
-        nursery,
+        tasks,
         now,
     )
 
@@ -70,7 +71,7 @@
             address, min(limit_s, TUNNEL_CONNECT_TIMEOUT_S)
         )
 
-    permits = upstream_permits.make_parts(names, peer, network, nursery, now)
+    permits = upstream_permits.make_parts(names, peer, network, tasks, now)
     upstream_transport = transport.make_transport(connector)
     return UpstreamParts(
         connector,
--- a/gentianstair/entry/upstream_permits.py
+++ b/gentianstair/entry/upstream_permits.py
@@ -24,6 +24,7 @@
 from gentianstair.peers import node as peers
 from gentianstair.peers import permit_questions
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks as tasks_module
 
 # Names the requests a second that an upstream in need takes of all VMs.
 LIMIT_HEADER = 'server-limit'
@@ -55,13 +56,13 @@
         self,
         peer: peers.Node,
         network: link.Network,
-        nursery: trio.Nursery,
+        tasks: tasks_module.Tasks,
         known: upstream_limits.UpstreamLimits,
         clock: clocks.Clock,
     ) -> None:
         self._peer = peer
         self._network = network
-        self._nursery = nursery
+        self._tasks = tasks
         self._known = known
         self._own = permit_keeper.PermitKeeper(clock)
         self._questions = permit_questions.Questions()
@@ -75,7 +76,13 @@
         found = self._links.get(keeper.address)
         if found is None:
             found = self._links[keeper.address] = _Link()
-            self._nursery.start_soon(self._run_link, keeper.address, found)
+            self._tasks.start_soon(
+                'permit-link',
+                self._run_link,
+                keeper.address,
+                found,
+                peer=keeper.address,
+            )
         found.asked_s = trio.current_time()
         with trio.move_on_after(permit_questions.ANSWER_TIMEOUT_S):
             await found.opened.wait()
@@ -281,12 +288,12 @@
     names: upstream_names.UpstreamNames,
     peer: peers.Node,
     network: link.Network,
-    nursery: trio.Nursery,
+    tasks: tasks_module.Tasks,
     clock: clocks.Clock,
 ) -> Parts:
     """Return the permits of one entry process."""
     known = upstream_limits.UpstreamLimits(clock)
-    keepers = MemberKeepers(peer, network, nursery, known, clock)
+    keepers = MemberKeepers(peer, network, tasks, known, clock)
     permits = upstream_permits.UpstreamPermits(
         known, keepers, clock, random.Random(peer.name)
     )
--- a/gentianstair/gateway/background.py
+++ b/gentianstair/gateway/background.py
@@ -1,12 +1,10 @@
 """Run the tasks of a gateway process that serve no request by themselves."""
 
-import collections.abc
 import functools
 
 import loguru
 import trio
 
-from gentianstair import errors
 from gentianstair.control import lease
 from gentianstair.gateway import cache_watch
 from gentianstair.gateway import catalog
@@ -24,9 +22,8 @@
 from gentianstair.generated import events
 from gentianstair.platform import configuration
 from gentianstair.platform import registry_entries
+from gentianstair.util import tasks
 
-# Pause before failed background work is restarted.
-FAULT_BACKOFF_S = 1.0
 # How long a leaf's last report to its hub may take.
 LAST_REPORT_S = 0.1
 
@@ -48,24 +45,24 @@
 
 def _watch_sources(
     process: process_parts.ProcessParts,
-) -> list[store_watch.Source]:
+) -> dict[str, store_watch.Source]:
     node = process.node
     bounds = node.deployment.bounds
-    return [
-        store_watch.config_source(
+    return {
+        'watch-config': store_watch.config_source(
             configuration.decode,
             configuration.NAME,
             configuration.KIND,
             functools.partial(_apply_catalog, node),
             bounds.config_apply_s,
         ),
-        store_watch.replica_source(
+        'watch-replicas': store_watch.replica_source(
             registry_entries.decode,
             registry_entries.KIND,
             node.registry,
             bounds.drain_s,
         ),
-    ]
+    }
 
 
 async def run(
@@ -86,60 +83,40 @@
         process.store_health,
     )
     async with trio.open_nursery() as nursery:
-        links = functools.partial(peer_links.run, node, updates)
-        nursery.start_soon(restart_on_fault, links)
+        running = tasks.Tasks(nursery)
+        running.keep_running('links', peer_links.run, node, updates)
         await joining.wait_for_feed(node.roster)
-        for work in _store_readers(process):
-            nursery.start_soon(restart_on_fault, work)
+        for name, work in _store_readers(process).items():
+            running.keep_running(name, work)
 
 
 def _store_readers(
     process: process_parts.ProcessParts,
-) -> list[collections.abc.Callable[[], collections.abc.Awaitable[None]]]:
+) -> dict[str, tasks.Work]:
     """Return the tasks that read the store unless a hub feeds this VM."""
     node = process.node
     roster = node.roster
     policy = store_watch.ReadPolicy(
         roster.has_hub_feed, roster.store_reader_count
     )
-    watches = [
-        functools.partial(
+    watches = {
+        name: functools.partial(
             store_watch.follow,
             node.store,
             source,
             process.store_health,
             policy,
         )
-        for source in _watch_sources(process)
-    ]
+        for name, source in _watch_sources(process).items()
+    }
     role = memberships.Role(
         roster.has_hub_feed, roster.is_hub, roster.remembers_hubs
     )
-    return [
-        *watches,
-        functools.partial(process.members.run, role),
-        functools.partial(cache_watch.run, node),
-    ]
-
-
-async def restart_on_fault(
-    work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
-) -> None:
-    """Run background work and restart it after an unexpected exception.
-
-    Otherwise a fault in it would end the process and cut off all requests.
-    """
-    while True:
-        try:
-            await work()
-            return
-        except errors.LeaseLostError:
-            raise
-        except Exception:
-            loguru.logger.bind(event=events.FAULT).exception(
-                'background work failed, restarting it'
-            )
-        await trio.sleep(FAULT_BACKOFF_S)
+    return {
+        **watches,
+        'members': functools.partial(process.members.run, role),
+        'cache-watch': functools.partial(cache_watch.run, node),
+    }
 
 
 async def _run_duties(
@@ -147,14 +124,12 @@
 ) -> None:
     async with trio.open_nursery() as nursery:
         publisher = hub_list.Publisher(process.node.store, process.node.roster)
-        for duty in (
-            process.usage_reporter.run,
-            process.autoscaler.run,
-            publisher.run,
-        ):
-            nursery.start_soon(
-                restart_on_fault, functools.partial(duty, authority)
-            )
+        duties = tasks.Tasks(nursery)
+        duties.keep_running(
+            'report-usage', process.usage_reporter.run, authority
+        )
+        duties.keep_running('scale', process.autoscaler.run, authority)
+        duties.keep_running('publish-hubs', publisher.run, authority)
 
 
 async def campaign_for_duties(process: process_parts.ProcessParts) -> None:
@@ -173,7 +148,9 @@
         return scopes if roster.is_duty_candidate() else {}
 
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(process.lease_manager.run, offered_scopes)
+        tasks.Tasks(nursery).keep_running(
+            'lease', process.lease_manager.run, offered_scopes
+        )
         while True:
             process.lease_manager.candidates = (
                 process.members.lease_candidates(
--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -13,6 +13,7 @@
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 from gentianstair.platform import cache_codec
+from gentianstair.util import tasks
 
 # Long-poll timeout at the replica. The platform counts shorter ones as
 # probes.
@@ -42,6 +43,7 @@
     await node.registry.loaded.wait()
     scopes: dict[_ReplicaStart, trio.CancelScope] = {}
     async with trio.open_nursery() as nursery:
+        running = tasks.Tasks(nursery)
         known: set[_ReplicaStart] = set()
         while True:
             starts = {
@@ -58,45 +60,45 @@
                 scopes.pop(start).cancel()
             for start in wanted - set(scopes):
                 scopes[start] = trio.CancelScope()
-                nursery.start_soon(_follow, node, starts[start], scopes[start])
+                running.keep_running(
+                    'cache-events',
+                    _follow,
+                    node,
+                    starts[start],
+                    until=scopes[start],
+                )
             await trio.sleep(ASSIGNMENT_CHECK_S)
 
 
-async def _follow(
-    node: nodes.Node, replica: replicas.Replica, scope: trio.CancelScope
-) -> None:
+async def _follow(node: nodes.Node, replica: replicas.Replica) -> None:
+    """Apply the changes of one replica's cache until cancelled."""
     since = 0
     epoch: str | None = None
-    with scope:
-        while True:
-            try:
-                request = cache_codec.cache_events_request(
-                    replica.address,
-                    since,
-                    POLL_TIMEOUT_S,
-                    forward.CONNECT_TIMEOUT_S,
-                )
-                changes = cache_codec.decode_cache_events(
-                    await _call(node, replica, request)
-                )
-                if epoch is not None and changes.epoch != epoch:
-                    node.cache_updates.forget(replica.name)
-                epoch, since = changes.epoch, changes.next_sequence
-                _apply(
-                    node, replica, changes, node.roster.shares_cache_updates()
-                )
-                if changes.lost:
-                    since = await _resync(node, replica, since)
-            except (errors.UpstreamError, errors.DecodeError) as error:
-                loguru.logger.bind(
-                    event=events.CACHE_WATCH_FAILED, replica=replica.name
-                ).debug('{}', error)
-                await trio.sleep(RETRY_PAUSE_S)
-                continue
-            is_shared = node.roster.shares_cache_updates()
-            await trio.sleep(
-                SHARED_BATCH_PAUSE_S if is_shared else BATCH_PAUSE_S
+    while True:
+        try:
+            request = cache_codec.cache_events_request(
+                replica.address,
+                since,
+                POLL_TIMEOUT_S,
+                forward.CONNECT_TIMEOUT_S,
+            )
+            changes = cache_codec.decode_cache_events(
+                await _call(node, replica, request)
             )
+            if epoch is not None and changes.epoch != epoch:
+                node.cache_updates.forget(replica.name)
+            epoch, since = changes.epoch, changes.next_sequence
+            _apply(node, replica, changes, node.roster.shares_cache_updates())
+            if changes.lost:
+                since = await _resync(node, replica, since)
+        except (errors.UpstreamError, errors.DecodeError) as error:
+            loguru.logger.bind(
+                event=events.CACHE_WATCH_FAILED, replica=replica.name
+            ).debug('{}', error)
+            await trio.sleep(RETRY_PAUSE_S)
+            continue
+        is_shared = node.roster.shares_cache_updates()
+        await trio.sleep(SHARED_BATCH_PAUSE_S if is_shared else BATCH_PAUSE_S)
 
 
 def _apply(
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -3,6 +3,7 @@
 import functools
 import os
 import pathlib
+import socket
 import sys
 import time
 
@@ -10,6 +11,7 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.core import asgi
 from gentianstair.core import grace_period
 from gentianstair.gateway import background
 from gentianstair.gateway import deployment
@@ -26,6 +28,7 @@
 from gentianstair.util import logs
 from gentianstair.util import serving
 from gentianstair.util import stop_signals
+from gentianstair.util import tasks
 
 # How long new connections are accepted after a stop is requested. The load
 # balancer checks readiness each second and needs two failures to notice.
@@ -74,6 +77,18 @@
     await trio.sleep(BALANCER_DRAIN_S)
 
 
+async def _serve_platform(
+    app: asgi.App, address: str, sock: socket.socket
+) -> None:
+    """Serve the readiness check or the metrics until cancelled."""
+    if sock.fileno() < 0:
+        # A server that failed has closed it.
+        sock = serving.listen(address)
+    await serving.serve(
+        app, sock, monitoring.serve_until_cancelled, READY_GRACE_S
+    )
+
+
 async def run(
     file: pathlib.Path,
     vm_settings: deployment.Deployment,
@@ -85,31 +100,37 @@
     callers = serving.listen(vm_settings.callers_address)
     ready_sock = serving.listen(vm_settings.ready_address)
     async with trio.open_nursery() as nursery:
-        process = process_parts.make_process_parts(live, nursery)
+        running = tasks.Tasks(nursery)
+        process = process_parts.make_process_parts(live, running)
         node = process.node
         reloader = reload.Reloader(file, live, settings_file.read)
-        nursery.start_soon(reloader.run)
-        apps = [(monitoring.make_readiness_app(node), ready_sock)]
+        running.keep_running('reload', reloader.run)
+        running.keep_running(
+            'readiness',
+            _serve_platform,
+            monitoring.make_readiness_app(node),
+            vm_settings.ready_address,
+            ready_sock,
+        )
         if env_settings.metrics_port is not None:
-            sock = serving.listen(
-                f'{vm_settings.ip}:{env_settings.metrics_port}'
-            )
-            apps.append((monitoring.make_metrics_app(node), sock))
-        for app, sock in apps:
-            nursery.start_soon(
-                functools.partial(
-                    serving.serve,
-                    app,
-                    sock,
-                    monitoring.serve_until_cancelled,
-                    READY_GRACE_S,
-                )
+            address = f'{vm_settings.ip}:{env_settings.metrics_port}'
+            running.keep_running(
+                'metrics',
+                _serve_platform,
+                monitoring.make_metrics_app(node),
+                address,
+                serving.listen(address),
             )
-        nursery.start_soon(
-            background.run, process, env_settings.first_start_spread_s
+        running.keep_running(
+            'background',
+            background.run,
+            process,
+            env_settings.first_start_spread_s,
         )
         async with trio.open_nursery() as duty_nursery:
-            duty_nursery.start_soon(background.campaign_for_duties, process)
+            tasks.Tasks(duty_nursery).keep_running(
+                'campaign', background.campaign_for_duties, process
+            )
             loguru.logger.bind(event=events.STARTED).info('serving')
             await serving.serve(
                 handler.make_app(node),
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -34,6 +34,7 @@
 from gentianstair.store import store as stores
 from gentianstair.upstreams import transport as transports
 from gentianstair.util import clock as clocks
+from gentianstair.util import tasks
 
 
 class ActiveConfig:
@@ -91,8 +92,8 @@
     # Set when a shutdown begins; responses then close their connections.
     draining: trio.Event
     grace_period: grace_period.GracePeriod
-    # Runs tasks that outlive a request, such as freeing a KV cache.
-    nursery: trio.Nursery
+    # Runs what outlives a request, such as freeing a KV cache.
+    tasks: tasks.Tasks
 
     def is_synced(self) -> bool:
         """Return whether configuration and replicas have been read."""
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -26,6 +26,7 @@
 from gentianstair.limits import levels
 from gentianstair.limits import use as uses
 from gentianstair.peers import link
+from gentianstair.util import tasks
 
 # How often a hub sends its load to each other hub. Loads older than a
 # typical prefill, some 0.2 s, lead to wrong choices of replicas.
@@ -82,8 +83,9 @@
     async def run(self) -> None:
         """Keep a link to each peer until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._network.serve, self._accept)
-            nursery.start_soon(self._query_peers)
+            running = tasks.Tasks(nursery)
+            running.keep_running('peer-server', self._serve)
+            running.keep_running('query-peers', self._query_peers)
             scopes: dict[str, trio.CancelScope] = {}
             while True:
                 wanted = self._wanted_peers()
@@ -91,8 +93,11 @@
                     scopes.pop(address).cancel()
                 for address in wanted - set(scopes):
                     scopes[address] = trio.CancelScope()
-                    nursery.start_soon(
-                        self._keep_link, address, scopes[address]
+                    running.keep_running(
+                        'hub-link',
+                        self._keep_link,
+                        address,
+                        until=scopes[address],
                     )
                 self._forget_gone_replicas()
                 await trio.sleep(PEERS_CHECK_S)
@@ -130,20 +135,17 @@
     def _store_is_down(self) -> bool:
         return self._updates.store_health.age_s > STORE_OUTAGE_S
 
-    async def _keep_link(self, address: str, scope: trio.CancelScope) -> None:
+    async def _keep_link(self, address: str) -> None:
         """Keep a link to one peer open and send it this VM's load."""
-        with scope:
-            while True:
-                try:
-                    async with self._network.open(address) as channel:
-                        await self._use_link(address, channel)
-                except link.LinkClosedError as error:
-                    loguru.logger.bind(
-                        event=events.LINK_LOST, peer=address
-                    ).debug('{}', error)
-                await trio.sleep(
-                    MEAN_RECONNECT_S * self._rng.uniform(0.7, 1.3)
+        while True:
+            try:
+                async with self._network.open(address) as channel:
+                    await self._use_link(address, channel)
+            except link.LinkClosedError as error:
+                loguru.logger.bind(event=events.LINK_LOST, peer=address).debug(
+                    '{}', error
                 )
+            await trio.sleep(MEAN_RECONNECT_S * self._rng.uniform(0.7, 1.3))
 
     async def _use_link(self, address: str, channel: link.Channel) -> None:
         self._open_channels[address] = channel
@@ -223,7 +225,14 @@
             message['low'] = levels.encode(low)
         return limiter.hub_use.log.position
 
+    async def _serve(self) -> None:
+        await self._network.serve(self._accept)
+
     async def _accept(self, channel: link.Channel) -> None:
+        """Serve a link that a peer opened; a fault ends this one alone."""
+        await tasks.run_guarded('peer-link', self._serve_link, channel)
+
+    async def _serve_link(self, channel: link.Channel) -> None:
         """Serve a link that a peer opened, a hub or a leaf."""
         leaf = leaf_feed.LeafFeed(self._node, self._updates.store_health)
         try:
@@ -414,10 +423,11 @@
     links = PeerLinks(node, network, updates, random.Random(deployment.vm))
     client = hub_client.HubClient(node, network, updates)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(links.run)
-        nursery.start_soon(node.path_keeper.run)
-        nursery.start_soon(client.run)
-        nursery.start_soon(node.origin_keepers.run)
+        running = tasks.Tasks(nursery)
+        running.keep_running('hub-links', links.run)
+        running.keep_running('path-keeper', node.path_keeper.run)
+        running.keep_running('hub-client', client.run)
+        running.keep_running('tell-streams', node.origin_keepers.run)
 
 
 __all__ = ['PeerLinks', 'run']
--- a/gentianstair/gateway/peer_questions.py
+++ b/gentianstair/gateway/peer_questions.py
@@ -20,7 +20,7 @@
     """What answers each kind of question, and takes each kind of answer."""
 
     def __init__(self, node: nodes.Node) -> None:
-        self._nursery = node.nursery
+        self._tasks = node.tasks
         self._answers: dict[str, _Answer] = {
             'permit_ask': node.permit_keepers.answer,
             'stream_ask': node.origin_keepers.answer,
@@ -43,8 +43,8 @@
             return True
         if kind not in self._answers:
             return False
-        self._nursery.start_soon(
-            _answer, channel, self._answers[kind], message
+        self._tasks.start_soon(
+            f'answer-{kind}', _answer, channel, self._answers[kind], message
         )
         return True
 
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -56,6 +56,7 @@
 from gentianstair.upstreams import transport
 from gentianstair.util import clock
 from gentianstair.util import steady_wall_clock
+from gentianstair.util import tasks as tasks_module
 
 # How long idle connections to replicas are kept; shorter than the keep-alive
 # timeout of any replica that does not announce one.
@@ -77,7 +78,7 @@
 
 
 def make_process_parts(
-    live: deployment.LiveSettings, nursery: trio.Nursery
+    live: deployment.LiveSettings, tasks: tasks_module.Tasks
 ) -> ProcessParts:
     """Return the components of a process for a deployment."""
     vm_settings = live.current
@@ -108,7 +109,7 @@
         prompt_fault_rows.HeldParts(faults, now, wall_clock),
     )
     node = _make_node(
-        live, store, counts, members, costs, faults, wall_clock, nursery
+        live, store, counts, members, costs, faults, wall_clock, tasks
     )
     lease_manager = lease.make_lease_manager(
         store, name, now, leader_tasks.lease_timing(bounds.lease_s)
@@ -203,7 +204,7 @@
     costs: prefill_costs.PrefillCosts,
     faults: prompt_faults.PromptFaults,
     wall_clock: clock.Clock,
-    nursery: trio.Nursery,
+    tasks: tasks_module.Tasks,
 ) -> nodes.Node:
     now = clock.boottime_s
     vm_settings = live.current
@@ -229,7 +230,7 @@
         paths,
         tunnel_directory.TunnelDirectory(registry, peers),
         link.WebsocketNetwork(vm_settings.peer_address, None),
-        nursery,
+        tasks,
         now,
     )
     replica_transport = transport.make_transport(
@@ -326,5 +327,5 @@
         usage_counter=counts,
         draining=draining,
         grace_period=grace_period.GracePeriod(),
-        nursery=nursery,
+        tasks=tasks,
     )
--- a/gentianstair/gateway/remote_prefill.py
+++ b/gentianstair/gateway/remote_prefill.py
@@ -146,11 +146,14 @@
         """Free the KV cache that no replica will fetch, if there is one."""
         if self._held is None:
             return
-        self._node.nursery.start_soon(
+        self._node.tasks.start_soon(
+            'free-kv',
             forward.release_kv,
             self._node,
             self._held.replica,
             self._held.source,
+            request_id=self._request.call.request_id,
+            replica=self._held.replica,
         )
         self._held = None
 
--- a/gentianstair/gateway/request_ends.py
+++ b/gentianstair/gateway/request_ends.py
@@ -20,10 +20,14 @@
     """The replicas that one request lost, and whether they have ended."""
 
     def __init__(
-        self, node: nodes.Node, parts: request_parts.RequestParts
+        self,
+        node: nodes.Node,
+        parts: request_parts.RequestParts,
+        request_id: str,
     ) -> None:
         self._node = node
         self._parts = parts
+        self._request_id = request_id
         self._breaks = 0
         # Set unless the last replica is being checked.
         self._checked = trio.Event()
@@ -39,8 +43,14 @@
         if listed is not None and not listed.draining:
             self._breaks += 1
             self._checked = trio.Event()
-            self._node.nursery.start_soon(
-                self._check, replica, end, self._checked
+            self._node.tasks.start_soon(
+                'check-end',
+                self._check,
+                replica,
+                end,
+                self._checked,
+                request_id=self._request_id,
+                replica=replica.name,
             )
 
     async def _check(
@@ -49,9 +59,12 @@
         end: prompt_faults.End,
         checked: trio.Event,
     ) -> None:
-        if await self._node.end_checks.has_ended(replica):
-            self._parts.record_end(end)
-        checked.set()
+        try:
+            if await self._node.end_checks.has_ended(replica):
+                self._parts.record_end(end)
+        finally:
+            # The request waits for this, whatever has become of the check.
+            checked.set()
 
     async def wait_for_check(self) -> None:
         """Wait a moment until it is known whether the last one has ended.
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -112,7 +112,7 @@
             request_parts.parts_of(service, call),
             node.clock,
         )
-        self.ends = request_ends.RequestEnds(node, self.parts)
+        self.ends = request_ends.RequestEnds(node, self.parts, call.request_id)
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
--- a/gentianstair/peers/node.py
+++ b/gentianstair/peers/node.py
@@ -28,6 +28,7 @@
 from gentianstair.store import store as store_module
 from gentianstair.store import vm_list as vm_list_module
 from gentianstair.util import clock as clock_module
+from gentianstair.util import tasks
 
 # Links at which further incoming ones are refused.
 MAX_LINKS = 64
@@ -142,7 +143,7 @@
         self.tunnel_server: tunnel.TunnelServer | None = None
         # Answers other VMs' questions for permits; None answers none.
         self.permit_server: PermitServer | None = None
-        self._nursery: trio.Nursery
+        self._tasks: tasks.Tasks
         self.started = trio.Event()
         self.address = ''
 
@@ -203,7 +204,7 @@
     ) -> None:
         """Serve and keep links to peers until cancelled."""
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
+            self._tasks = running = tasks.Tasks(nursery)
             self.address = await nursery.start(
                 self._network.serve, self._accept
             )
@@ -211,17 +212,19 @@
                 self._members.set_address(self.address)
             task_status.started()
             self.started.set()
-            nursery.start_soon(self._heartbeat_loop)
-            nursery.start_soon(self._watch_loop)
-            nursery.start_soon(self._summary_loop)
+            running.keep_running('heartbeats', self._heartbeat_loop)
+            running.keep_running('watch-store', self._watch_loop)
+            running.keep_running('summaries', self._summary_loop)
             if self._vm_list is not None:
-                nursery.start_soon(self._vm_list_loop, self._vm_list)
+                running.keep_running(
+                    'vm-list', self._vm_list_loop, self._vm_list
+                )
 
     async def _accept(self, channel: link.Channel) -> None:
         if len(self._sessions) >= MAX_LINKS:
             link.DROPPED_MESSAGES.labels('too many links').inc()
             return
-        await self._run_session(channel, dialed=False)
+        await tasks.run_guarded('peer-link', self._run_session, channel, False)
 
     async def _dial(self, name: str, address: str) -> None:
         """Open a link and run it to its end."""
@@ -238,7 +241,7 @@
             if not connected:
                 self._backoff.record_failure(name)
         if not connected and name in self._members.by_name:
-            self._nursery.start_soon(self._prober.probe, name)
+            self._tasks.start_soon('probe', self._prober.probe, name)
 
     async def _run_session(
         self, channel: link.Channel, dialed: bool, dialed_name: str = ''
@@ -290,7 +293,7 @@
             survey_module.answer_for_lost_link(session)
             LINK_COUNT.set(len(self._sessions))
         if not self._is_linked(peer.name):
-            self._nursery.start_soon(self._prober.probe, peer.name)
+            self._tasks.start_soon('probe', self._prober.probe, peer.name)
 
     async def _serve_tunnel(
         self, channel: link.Channel, message: link.Message
@@ -408,7 +411,9 @@
             return
         if self._is_linked(name) or self._backoff.is_waiting(name, now_s):
             return
-        self._nursery.start_soon(self._dial, name, address)
+        self._tasks.start_soon(
+            'peer-link', self._dial, name, address, peer=address
+        )
 
     def _close_surplus_link(self, position: topology.Position) -> None:
         """Close one link that this node dialed and no longer needs."""
@@ -544,7 +549,7 @@
             is_first_watcher
             or self._rng.random() < BACKUP_SURVEYORS / self._voter_count
         ):
-            self._nursery.start_soon(self._run_survey)
+            self._tasks.start_soon('survey', self._run_survey)
 
     async def _run_survey(self) -> None:
         self._surveying = True
@@ -696,7 +701,9 @@
     def _handle_survey(
         self, session: session_module.Session, message: messages.PeerSurvey
     ) -> None:
-        self._nursery.start_soon(self._surveys.answer, session, message)
+        self._tasks.start_soon(
+            'answer-survey', self._surveys.answer, session, message
+        )
 
     def _handle_survey_answer(
         self,
@@ -711,8 +718,11 @@
         if 'heard' in message:
             self._prober.handle_answer(message)
         else:
-            self._nursery.start_soon(
-                self._prober.answer_probe, session, message['name']
+            self._tasks.start_soon(
+                'answer-probe',
+                self._prober.answer_probe,
+                session,
+                message['name'],
             )
 
     _handlers: typing.ClassVar[dict[str, typing.Any]] = {
--- a/gentianstair/peers/tunnel.py
+++ b/gentianstair/peers/tunnel.py
@@ -10,14 +10,13 @@
 import functools
 import typing
 
-import loguru
 import trio
 
 from gentianstair import errors
-from gentianstair.generated import events
 from gentianstair.generated import messages
 from gentianstair.peers import link
 from gentianstair.upstreams import connector
+from gentianstair.util import tasks as tasks_module
 
 MAX_FRAME_BYTES = 65536
 # Received frames that may wait to be read.
@@ -176,16 +175,16 @@
 
 async def open_tunnel(
     network: link.Network,
-    nursery: trio.Nursery,
+    tasks: tasks_module.Tasks,
     peer: str,
     upstream: str,
     limit_s: float,
 ) -> TunnelStream | Refusal:
     """Return a tunnel to an upstream, or why a peer gives none.
 
-    Its task runs in the nursery until the tunnel is closed.
+    A task of its own runs until the tunnel is closed.
     """
-    return await nursery.start(_run, network, peer, upstream, limit_s)
+    return await tasks.start('tunnel', _run, network, peer, upstream, limit_s)
 
 
 async def _run(
@@ -213,12 +212,9 @@
         if not is_open:
             task_status.started(Refusal(None, str(error)))
     except Exception:
-        # One tunnel's fault must not end the process and all its requests.
-        loguru.logger.bind(event=events.FAULT, peer=peer).exception(
-            'unexpected error in a tunnel'
-        )
         if not is_open:
             task_status.started(Refusal(None, 'unexpected error'))
+        raise
 
 
 async def _ask(
--- a/test/core/test_upstream_connector.py
+++ b/test/core/test_upstream_connector.py
@@ -13,6 +13,7 @@
 from gentianstair.peers import link
 from gentianstair.peers import tunnel
 from gentianstair.upstreams import connector
+from gentianstair.util import tasks
 from standins import memory_network
 
 URL = httpx.URL('http://10.0.0.1:80/')
@@ -79,7 +80,7 @@
             upstream_paths.UpstreamPaths(trio.current_time),
             directory,
             memory_network.MemoryNetwork(hub, 'own:1'),
-            nursery,
+            tasks.Tasks(nursery),
             trio.current_time,
         )
         found._direct = HangingConnector()
--- a/test/entry/test_bad_input.py
+++ b/test/entry/test_bad_input.py
@@ -23,6 +23,7 @@
 from gentianstair.generated import settings as generated
 from gentianstair.store import store
 from gentianstair.util import serving
+from gentianstair.util import tasks
 
 KEY = 'gst_ours0123456789'
 CHAT_PATH = '/v1/chat/completions'
@@ -235,7 +236,7 @@
     config = generated.EntrySettings(**values)
     upstream = Upstream()
     async with trio.open_nursery() as nursery:
-        node, _ = main.make_node(config, nursery, trio.Event())
+        node, _ = main.make_node(config, tasks.Tasks(nursery), trio.Event())
         node = node._replace(freshness=AlwaysFresh())
         listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listeners[0].socket.getsockname()[1]
--- a/test/entry/test_lost_paths.py
+++ b/test/entry/test_lost_paths.py
@@ -12,6 +12,7 @@
 from gentianstair.generated import settings as generated
 from gentianstair.peers import tunnel
 from gentianstair.upstreams import connector
+from gentianstair.util import tasks
 from standins import memory_network
 from test.peers import fleet as fleets
 
@@ -62,7 +63,7 @@
             generated.EntrySettings(**values),
             running.view,
             running.node,
-            self.nursery,
+            tasks.Tasks(self.nursery),
             trio.Event(),
             memory_network.MemoryNetwork(self.fleet.hub, f'{name}:1'),
         )
--- a/test/entry/test_upstream_permits.py
+++ b/test/entry/test_upstream_permits.py
@@ -19,6 +19,7 @@
 from gentianstair.entry import upstream_parts
 from gentianstair.entry import work as works
 from gentianstair.generated import settings as generated
+from gentianstair.util import tasks
 from standins import limits
 from standins import memory_network
 from test.peers import fleet as fleets
@@ -94,7 +95,7 @@
             config,
             running.view,
             running.node,
-            self.nursery,
+            tasks.Tasks(self.nursery),
             trio.Event(),
             memory_network.MemoryNetwork(self.fleet.hub, f'{name}:1'),
         )
--- a/test/gateway/hub_nodes.py
+++ b/test/gateway/hub_nodes.py
@@ -71,7 +71,7 @@
     )
     faults = prompt_faults.PromptFaults(now)
     return {
-        'nursery': None,
+        'tasks': None,
         'prompt_faults': faults,
         'part_trials': part_trials.PartTrials(faults, keepers, now),
         'origin_keepers': origin_keepers.OriginKeepers(
--- a/test/gateway/test_request_ends.py
+++ b/test/gateway/test_request_ends.py
@@ -8,6 +8,7 @@
 from gentianstair.core import prompt_faults
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_ends
+from gentianstair.util import tasks
 
 REPLICA = replicas.Replica(
     'i-1', 'models', '10.0.0.1:1', 'a', 64, False, '', 1, 0, False, ()
@@ -43,11 +44,11 @@
 
 def make_ends(nursery, parts, listed=REPLICA, took_s=CHECK_S):
     node = types.SimpleNamespace(
-        nursery=nursery,
+        tasks=tasks.Tasks(nursery),
         end_checks=Checks(took_s),
         registry=types.SimpleNamespace(get=lambda name: listed),
     )
-    return request_ends.RequestEnds(node, parts)
+    return request_ends.RequestEnds(node, parts, 'r1')
 
 
 @pytest.mark.parametrize(
@@ -101,3 +102,21 @@
         ends.record_broken(REPLICA)
         await ends.wait_for_check()
     assert len(parts.ends) == 2
+
+
+async def test_request_learns_of_a_check_that_failed(autojump_clock, nursery):
+    # Guards against requests that wait for a check that has ended by a fault.
+    parts = Parts(END)
+    ends = make_ends(nursery, parts)
+
+    async def fail(replica):
+        await trio.sleep(CHECK_S)
+        raise RuntimeError('planted')
+
+    ends._node.end_checks.has_ended = fail
+    began_s = trio.current_time()
+    for _ in range(2):
+        ends.record_broken(REPLICA)
+        await ends.wait_for_check()
+    assert trio.current_time() - began_s == pytest.approx(2 * CHECK_S)
+    assert not parts.ends
--- a/test/gateway/test_unexpected_exit.py
+++ b/test/gateway/test_unexpected_exit.py
@@ -18,13 +18,13 @@
 import trio
 from gentianstair.gateway import handler, main
 
-async def fail(_):
+async def fail(*_):
     while not handler.RUNNING.collect()[0].samples[0].value:
         await trio.sleep(0.01)
     await trio.sleep(0.3)
     raise RuntimeError('planted')
 
-main.background.campaign_for_duties = fail
+main._drain = fail
 main.main()
 """
 
--- a/test/peers/test_tunnel.py
+++ b/test/peers/test_tunnel.py
@@ -10,6 +10,7 @@
 from gentianstair.peers import link
 from gentianstair.peers import tunnel
 from gentianstair.upstreams import connector
+from gentianstair.util import tasks
 from standins import memory_network
 
 PEER = 'peer:1'
@@ -79,7 +80,7 @@
     async def open(self, name='replica'):
         network = memory_network.MemoryNetwork(self.hub, 'vm:1')
         return await tunnel.open_tunnel(
-            network, self.nursery, PEER, name, LIMIT_S
+            network, tasks.Tasks(self.nursery), PEER, name, LIMIT_S
         )
 
 
