Let no fresh fleet take the version that it sees for the only one

Callers saw: a stream that broke as all VMs were killed, resumed with Last-Event-Id alone, was answered 200 and ran to its end, its first part from one software version and the rest from another.

Cause: StreamVersion.resolve, without Resumes, took a version that alone serves now for the only one, though nobody had watched for the stream's whole life. A fresh fleet sees one version and knows nothing of the time before; replicas of the old one had just left.

Change: what nobody names is held to what is asked for with Resumes. It goes on where one version served for the stream's whole life, as this VM or one that it asks has seen, and else is rejected at once, truly not run (503 stream-version-unknown). That also ends a guess while this VM has seen one version and others a second. So that a new system does not reject for a while all that is resumed: at its first start, which the platform's settings tell, nothing served before, and the history is whole from the start.

What it costs: after a kill of all, none of the streams begun before it goes on for the route's timeout and five seconds, also where one version served all the while; with Resumes that was so before.

--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -118,7 +118,9 @@
         vm_settings.duties_address, vm_settings.vm
     )
     store_health = store_watch.StoreHealth(now)
-    node.registry.versions.age_s = lambda: store_health.age_s
+    versions = node.registry.versions
+    versions.age_s = lambda: store_health.age_s
+    versions.is_of_first_start = live.current.whole_system_starts
     usage_reporter = leader_tasks.UsageReporter(
         store,
         members,
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -230,8 +230,10 @@
             if not _is_unchanged(self._replicas.get(name), replica):
                 self.changes.put(name, replica)
         self._replicas = found
-        if after_outage or not self.loaded.is_set():
+        if after_outage:
             self.versions.begin()
+        elif not self.loaded.is_set():
+            self.versions.begin_at_start()
         self.loaded.set()
         self._index()
 
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -54,10 +54,7 @@
         """
         if not self._is_resumed:
             return
-        call, versions = self._request.call, self._versions()
-        if call.resumed_id is None and versions.is_settled:
-            self._bind(versions.only_one, 'only-version')
-            return
+        call = self._request.call
         knowledge = await self._node.origin_keepers.ask(
             origin_messages.Question(
                 self._key(call.resumed_id) if call.resumed_id else b'',
@@ -69,9 +66,7 @@
             self._bind_to_origin(knowledge.origin)
             return
         versions = knowledge.versions
-        if versions.is_settled or (
-            versions.only_one and call.resumed_id is None
-        ):
+        if versions.is_settled:
             self._bind(versions.only_one, 'only-version')
         elif call.last_event_id is not None:
             raise self._unknown(f'{len(versions.found)} versions serve')
--- a/gentianstair/gateway/version_history.py
+++ b/gentianstair/gateway/version_history.py
@@ -45,6 +45,8 @@
         self._gone_s: dict[str, dict[str, float]] = {}
         # Since when no change can have been missed.
         self._complete_since_s = math.inf
+        # Whether nothing served before this process started.
+        self.is_of_first_start = False
         # How long ago the store last told this VM, or another told it.
         self.age_s: clocks.Clock = lambda: 0.0
         # Called when a service has a version that it did not have before.
@@ -54,6 +56,12 @@
         """Record that changes before now may have been missed."""
         self._complete_since_s = self._clock()
 
+    def begin_at_start(self) -> None:
+        """Record that this process learns of versions from now on."""
+        self.begin()
+        if self.is_of_first_start:
+            self._complete_since_s = -math.inf
+
     def record(self, versions: dict[str, frozenset[str]]) -> None:
         """Record the versions that serve now, by service."""
         if versions == self._current:
--- a/test/gateway/gateways.py
+++ b/test/gateway/gateways.py
@@ -78,10 +78,13 @@
 
 
 @contextlib.asynccontextmanager
-async def running(site, tmp_path, count=1, metrics=False, **changed):
+async def running(
+    site, tmp_path, count=1, metrics=False, restarted=False, **changed
+):
     """Yield gateways that are ready; cancel them at the end.
 
-    With metrics, each serves operators at the port of that name.
+    With metrics, each serves operators at the port of that name. Restarted
+    ones are told that the system has run before.
     """
     gateways = []
     async with trio.open_nursery() as nursery:
@@ -96,6 +99,8 @@
             seeds = f'seeds = ["127.0.0.1:{values["control"]}"]'
             text = text.replace(seeds, f'seeds = ["127.0.0.1:{control}"]')
             text = text.replace('front-a-1', f'front-a-{number}')
+            if restarted:
+                text = text.replace('bootstrap = true', 'bootstrap = false')
             file = tmp_path / f'settings-{number}.toml'
             file.write_text(text)
             scope = trio.CancelScope()
--- a/test/gateway/test_version_history.py
+++ b/test/gateway/test_version_history.py
@@ -115,3 +115,23 @@
     assert registry.starts_ms('0') == [1, 5, 9]
     registry.remove('0')
     assert registry.starts_ms('0') == []
+
+
+@pytest.mark.parametrize(
+    ('is_first', 'listed', 'expected'),
+    [
+        (True, replicas.Listed.ALL, True),
+        (False, replicas.Listed.ALL, False),
+        (True, replicas.Listed.AFTER_OUTAGE, False),
+    ],
+    ids=['first-start', 'later-start', 'store-was-down'],
+)
+def test_nothing_served_before_the_first_start_of_all(
+    is_first, listed, expected
+):
+    # Guards against a fresh fleet that takes what it sees for all there was,
+    # and against streams of a new fleet that are rejected.
+    registry = replicas.Registry(Clock())
+    registry.versions.is_of_first_start = is_first
+    registry.replace([replica('0', 'v1')], listed)
+    assert within(registry).is_settled is expected
