Reach a minute further back for the versions of a resumed stream

Callers saw: a stream that broke as all VMs were killed, resumed 11 s after they were back, with or without Resumes, joined two versions.

Cause: a stream was taken for no older than the route's timeout and five seconds. A fresh fleet that has seen one version for that long took its history for whole, and the stream for one of its own time. Nothing on the users' pages says how late a caller may resume.

Change: what served counts for a minute more than that, in what is concluded of a stream that nobody knows and in when streams are told to other VMs. Where a stream began is kept for as long as before: a VM's memory does not grow. So the streams that a fresh fleet begins itself are told for that minute, and go on.

What it costs: streams are told to other VMs, and replicas asked for their start for resumed ones, for 69 s in place of 9 s (timeout of 4 s) after a release has ended, after an outage of the store and after a start of all VMs; an unknown stream from before a kill of all is rejected for so long. A caller that comes back later than that is not held to anything.

test_origin_keepers.py waits until one version has served for as long as is looked back; what it checks is unchanged.

--- a/gentianstair/gateway/origin_keepers.py
+++ b/gentianstair/gateway/origin_keepers.py
@@ -118,7 +118,8 @@
             self._untold.popitem(last=False)
 
     def _is_settled(self, service: str, lifetime_s: float) -> bool:
-        return self._history.within(service, lifetime_s).is_settled
+        reach_s = lifetime_s + version_history.LATE_RESUME_S
+        return self._history.within(service, reach_s).is_settled
 
     async def run(self) -> None:
         """Tell other VMs of streams, until cancelled."""
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -40,6 +40,8 @@
         self._request = request
         self._node = request.node
         self._lifetime_s = request.route.timeout_s + RESUME_S
+        # How long ago its first event may have come.
+        self._reach_s = self._lifetime_s + version_history.LATE_RESUME_S
         # Where the last events came from, until its start is confirmed.
         self._unconfirmed: stream_origins.Origin | None = None
         call = request.call
@@ -59,7 +61,7 @@
             origin_messages.Question(
                 self._key(call.resumed_id) if call.resumed_id else b'',
                 self._request.service,
-                self._lifetime_s,
+                self._reach_s,
             )
         )
         if knowledge.origin is not None:
@@ -78,7 +80,7 @@
 
     def _versions(self) -> version_history.Versions:
         return self._node.registry.versions.within(
-            self._request.service, self._lifetime_s
+            self._request.service, self._reach_s
         )
 
     def _bind_to_origin(self, origin: stream_origins.Origin) -> None:
--- a/gentianstair/gateway/version_history.py
+++ b/gentianstair/gateway/version_history.py
@@ -8,6 +8,8 @@
 
 # A version that serves for longer may be unknown here.
 MAX_AGE_S = 2.5
+# So long after the time that a stream lasts it may still be resumed.
+LATE_RESUME_S = 60.0
 # No stream lasts for longer.
 FORGET_S = 3600.0
 
--- a/test/gateway/test_origin_keepers.py
+++ b/test/gateway/test_origin_keepers.py
@@ -15,6 +15,8 @@
 from gentianstair.util import clock as clocks
 
 LIFETIME_S = 9.0
+# One version that has served for so long is the only one for all streams.
+SETTLED_S = LIFETIME_S + version_history.LATE_RESUME_S + 1.0
 HUBS = 9
 STREAMS = 40
 ORIGIN = stream_origins.Origin('models', 'v1', 'i-1', 17, 1000)
@@ -175,7 +177,7 @@
 
 async def test_nothing_is_told_while_one_version_serves(autojump_clock):
     async with running(ONE) as fleet:
-        await trio.sleep(LIFETIME_S + 1)
+        await trio.sleep(SETTLED_S)
         for key in keys():
             fleet.hubs[0].record(key)
         await trio.sleep(0.5)
@@ -185,7 +187,7 @@
 async def test_streams_are_told_when_a_second_version_comes(autojump_clock):
     # Guards against streams that began just before a release.
     async with running(ONE) as fleet:
-        await trio.sleep(LIFETIME_S + 1)
+        await trio.sleep(SETTLED_S)
         for key in keys():
             fleet.hubs[0].record(key)
         await trio.sleep(1.0)
@@ -200,7 +202,7 @@
 async def test_second_version_that_another_vm_sees_counts(autojump_clock):
     # Guards against a VM that has not heard of a second version yet.
     async with running(ONE) as fleet:
-        await trio.sleep(LIFETIME_S + 1)
+        await trio.sleep(SETTLED_S)
         fleet.hubs[0].history.record(TWO)
         fleet.hubs[0].record(b'x', ORIGIN._replace(version='v2'))
         await trio.sleep(0.1)
--- a/test/gateway/test_streams_after_a_kill.py
+++ b/test/gateway/test_streams_after_a_kill.py
@@ -77,6 +77,7 @@
     'both-gone-after': Row(replace_both, 'after'),
     'back-one-by-one': Row(keep_one, apart_s=1.0),
     'killed-twice': Row(keep_one, kills=2),
+    'resumed-late': Row(keep_one, late_s=11.0),
 }
 
 
