Ask a replica for its start while another version may have served

Callers saw: at VMs that had just started, a resumed stream joined two versions though its origin was known, as a replica was back at another version under its name before its entry said so.

Cause: the start that a replica reports is compared with its entry only where a second version is known to serve. A fresh VM knows of none.

Change: it is compared unless one version has served for the stream's whole life, by a history that is whole; one question for each resumed stream, for 69 s after a start of all VMs or an outage, as long as streams are told to others.

Row 'fresh' of test_stream_version.py asked for no question and now asks for one.

--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -202,9 +202,9 @@
         """Return whether a replica must prove the start in its entry.
 
         An entry may be out of date. That matters only for a stream that has
-        events, while there is another version that its replica may have.
+        events, while there is another version that its replica may have, or
+        may have had.
         """
         if self._request.version is None:
             return False
-        versions = self._versions()
-        return versions.only_one is None or not versions.is_current
+        return not self._versions().is_settled
--- a/test/gateway/test_stream_version.py
+++ b/test/gateway/test_stream_version.py
@@ -168,7 +168,7 @@
         (None, TWO, False),
         ('v1', TWO, True),
         ('v2', ONE, False),
-        ('v2', FRESH, False),
+        ('v2', FRESH, True),
         ('v2', versions('v2', complete=False, current=False), True),
     ],
     ids=['new', 'two', 'one', 'fresh', 'out-of-date'],
--- a/test/gateway/test_streams_after_a_kill.py
+++ b/test/gateway/test_streams_after_a_kill.py
@@ -162,3 +162,31 @@
             )
             await resume_all(callers, vms, NAMED)
     streams.check(callers)
+
+
+@pytest.mark.parametrize(
+    'restarted', [True, False], ids=['fresh', 'since-the-first-start']
+)
+async def test_entry_out_of_date_mixes_no_stream_where_one_version_is_listed(
+    tmp_path, restarted
+):
+    # Guards against the first replica that is back at another version, and
+    # begins streams that its entry still gives the version of before.
+    found = streams.two_versions()
+    for replica in found:
+        replica.version = OLD
+    async with sites.running(found) as site:
+        async with gateways.running(
+            site, tmp_path, count=VMS, restarted=restarted
+        ) as vms:
+            await trio.sleep(streams.LINKED_S)
+            for replica in streams.makers(site)[:2]:
+                site.keep_entry(replica)
+                replica.restart(NEW)
+            callers = await streams.play(
+                lambda c: c.ask(vms[c.number % VMS], streams.BREAKS_AFTER)
+            )
+            await resume_all(callers, vms, NAMED)
+    assert {v for c in callers for v in c.produced_by()} == {OLD, NEW}
+    mixed = [c.parts for c in callers if len(c.produced_by()) > 1]
+    assert not mixed, f'{len(mixed)} of {len(callers)} mixed: {mixed[0]}'
