Don't take a cancellation for a fault of a task

Operators would have seen one fault logged and counted for each task that runs others, at each planned stop: nine in a gateway.

Cause: a task that is cancelled with two tasks of its own ends with a group of cancellations, which the guard of a task took for a cancellation beside a fault.

Test: test_cancellation_is_no_fault fails on the commit before.

--- a/gentianstair/util/tasks.py
+++ b/gentianstair/util/tasks.py
@@ -48,10 +48,12 @@
         _record_fault(name, fields)
         return False
     except BaseExceptionGroup as group:
+        failed, rest = group.split(Exception)
+        if failed is None or rest is None:
+            raise
         # Cancelled, and a part of it failed on the way.
-        _, rest = group.split(Exception)
         _record_fault(name, fields)
-        raise rest if rest is not None else group
+        raise rest
     return True
 
 
--- a/test/util/test_tasks.py
+++ b/test/util/test_tasks.py
@@ -123,3 +123,21 @@
         await trio.sleep(1.0)
         nursery.cancel_scope.cancel()
     assert faults('test-started') == before + 1
+
+
+async def test_cancellation_is_no_fault(autojump_clock):
+    # Guards against a planned stop that is logged as faults of all tasks.
+    before = faults('test-stop')
+
+    async def wait():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.sleep_forever)
+            nursery.start_soon(trio.sleep_forever)
+
+    async with trio.open_nursery() as nursery:
+        running = tasks.Tasks(nursery)
+        running.keep_running('test-stop', wait)
+        running.start_soon('test-stop', wait)
+        await trio.sleep(1.0)
+        nursery.cancel_scope.cancel()
+    assert faults('test-stop') == before
