Decode JSON from outside in one place

Callers saw: a whole gateway process gone, as a replica answered a report with JSON that nests 3,000 deep in a field that nobody reads.

Cause: msgspec raises RecursionError for values nested more than about 1,000 deep where the type does not rule them out, in any unknown field too, and UnicodeDecodeError for some text; json.loads raises RecursionError as well.

The answers of the platform's store follow.

Test: row report-deep-field of test_odd_answers.py ended the process on; all rows now count no fault of ours.

--- a/gentianstair/config/bundles.py
+++ b/gentianstair/config/bundles.py
@@ -11,6 +11,7 @@
 
 from gentianstair import errors
 from gentianstair.generated import messages
+from gentianstair.util import json_codec
 
 MAX_BUNDLE_BYTES = 900_000
 _SIGNED_FIELDS = ('number', 'models', 'settings', 'note')
@@ -43,8 +44,8 @@
     if len(data) > MAX_BUNDLE_BYTES:
         raise errors.UserError(f'the bundle exceeds {MAX_BUNDLE_BYTES} bytes')
     try:
-        return msgspec.json.decode(data, type=messages.BundleValue)
-    except msgspec.MsgspecError as error:
+        return json_codec.decode(data, messages.BundleValue)
+    except errors.DecodeError as error:
         raise errors.UserError(f'not a bundle: {error}') from error
 
 
--- a/gentianstair/config/snapshots.py
+++ b/gentianstair/config/snapshots.py
@@ -10,6 +10,7 @@
 from gentianstair.config import view as views
 from gentianstair.generated import messages
 from gentianstair.store import store
+from gentianstair.util import json_codec
 
 FORMAT_VERSION = 1
 
@@ -46,7 +47,7 @@
             'the snapshot is truncated or changed: its digest is wrong'
         )
     try:
-        value = msgspec.json.decode(body, type=messages.Snapshot)
+        value = json_codec.decode(body, messages.Snapshot)
         if value['format'] != FORMAT_VERSION:
             raise errors.UserError(
                 f'unknown snapshot format {value["format"]}'
@@ -55,7 +56,7 @@
             if row['kind'] not in views.VALUE_TYPES:
                 raise errors.UserError(f'unknown object kind {row["kind"]}')
             msgspec.convert(row['value'], views.VALUE_TYPES[row['kind']])
-    except msgspec.MsgspecError as error:
+    except (errors.DecodeError, msgspec.ValidationError) as error:
         raise errors.UserError(f'not a snapshot: {error}') from error
     return value
 
--- a/gentianstair/control/duties.py
+++ b/gentianstair/control/duties.py
@@ -19,6 +19,7 @@
 from gentianstair.generated import settings
 from gentianstair.store import store as stores
 from gentianstair.util import clock as clocks
+from gentianstair.util import json_codec
 from gentianstair.util import tasks
 
 USAGE_SCOPE = 'usage'
@@ -122,8 +123,13 @@
         response = await context.client.get(
             f'{url}/load', timeout=LOAD_REQUEST_TIMEOUT_S
         )
-        return str(response.json()['state'])
-    except (httpx.HTTPError, ValueError, KeyError, TypeError) as error:
+        return str(json_codec.decode(response.content)['state'])
+    except (
+        httpx.HTTPError,
+        errors.DecodeError,
+        KeyError,
+        TypeError,
+    ) as error:
         not_run = verdict.Verdict.NOT_RUN
         raise errors.UpstreamError(f'{url}: {error!r}', not_run) from error
 
--- a/gentianstair/control/role_duty.py
+++ b/gentianstair/control/role_duty.py
@@ -7,11 +7,13 @@
 import msgspec
 import trio
 
+from gentianstair import errors
 from gentianstair.control import duties
 from gentianstair.control import lease
 from gentianstair.control import role_planner
 from gentianstair.entry import usage
 from gentianstair.generated import messages
+from gentianstair.util import json_codec
 from gentianstair.util import usage_rows
 
 PURPOSE = 'status'
@@ -164,11 +166,19 @@
         response = await context.client.get(
             f'{value["url"]}/load', timeout=duties.LOAD_REQUEST_TIMEOUT_S
         )
-        load = response.json()
+        load = json_codec.decode(response.content)
         return role_planner.EngineView(
             name, str(load['role']), str(load['state']), int(load['running'])
         )
-    except (httpx.HTTPError, ValueError, KeyError, TypeError):
+    except (
+        httpx.HTTPError,
+        errors.DecodeError,
+        ValueError,
+        OverflowError,
+        KeyError,
+        TypeError,
+    ) as error:
+        loguru.logger.debug('cannot read the report of {}: {!r}', name, error)
         return role_planner.EngineView(name, value['role'], UNREACHABLE, 0)
 
 
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import functools
-import json
 
 import httpx
 import trio
@@ -19,6 +18,7 @@
 from gentianstair.entry import streams
 from gentianstair.entry import upstream_permits
 from gentianstair.upstreams import transport
+from gentianstair.util import json_codec
 
 # Set to 1 by an engine that did not start to run the request.
 NOT_STARTED_HEADER = 'x-not-started'
@@ -352,8 +352,8 @@
         if self.status != 200:
             return streams.Usage()
         try:
-            usage = streams.parse_usage(json.loads(self.body)['usage'])
-        except (ValueError, KeyError, TypeError) as error:
+            usage = streams.parse_usage(json_codec.decode(self.body)['usage'])
+        except (errors.DecodeError, KeyError, TypeError) as error:
             raise errors.UpstreamError(
                 'the answer is not whole', verdicts.Verdict.MAY_HAVE_RUN
             ) from error
--- a/gentianstair/entry/remote_prefill.py
+++ b/gentianstair/entry/remote_prefill.py
@@ -5,7 +5,6 @@
 
 import httpx
 import loguru
-import msgspec
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
@@ -16,6 +15,7 @@
 from gentianstair.entry import relay
 from gentianstair.entry import request as requests
 from gentianstair.entry import streams
+from gentianstair.util import json_codec
 
 HTTP_OK = 200
 
@@ -57,7 +57,7 @@
     body = await _read_response(
         node, httpx.Request('POST', f'{source_url}/kv/export', json=hashes)
     )
-    export = msgspec.json.decode(body, type=_Export)
+    export = json_codec.decode(body, _Export)
     order = {
         'source_url': source_url,
         'transfer_id': export['transfer_id'],
@@ -89,11 +89,11 @@
     try:
         answer = await _read_response(node, outgoing)
         tried.first_token()
-        usage = streams.parse_usage(json.loads(answer)['usage'])
+        usage = streams.parse_usage(json_codec.decode(answer)['usage'])
         await _transfer_kv_cache(node, request, tried)
     except (
         errors.UpstreamError,
-        msgspec.MsgspecError,
+        errors.DecodeError,
         ValueError,
         KeyError,
         TypeError,
--- a/gentianstair/entry/streams.py
+++ b/gentianstair/entry/streams.py
@@ -8,6 +8,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.generated import messages
+from gentianstair.util import json_codec
 
 # Upper bound on plausible token counts in an engine's usage.
 MAX_TOKEN_COUNT = 2**40
@@ -78,7 +79,7 @@
     if not event.startswith(DATA_PREFIX):
         return ''
     try:
-        body = json.loads(event[len(DATA_PREFIX) :])
+        body = json_codec.decode(event[len(DATA_PREFIX) :])
         choices = body.get('choices') or []
         if not choices:
             return ''
@@ -91,7 +92,7 @@
         }
         if choice.get('index') or other_fields or not isinstance(text, str):
             raise _cannot_resume()
-    except (ValueError, TypeError, AttributeError):
+    except (errors.DecodeError, ValueError, TypeError, AttributeError):
         raise _cannot_resume() from None
     return text
 
@@ -156,8 +157,8 @@
     def _record_usage(self, event: bytes) -> bool:
         """Store the usage of event; return whether it has nothing else."""
         try:
-            body = json.loads(event[len(DATA_PREFIX) :])
-        except ValueError:
+            body = json_codec.decode(event[len(DATA_PREFIX) :])
+        except errors.DecodeError:
             return False
         if not isinstance(body, dict) or not body.get('usage'):
             return False
--- a/gentianstair/entry/upstream_monitor.py
+++ b/gentianstair/entry/upstream_monitor.py
@@ -5,7 +5,6 @@
 
 import httpx
 import loguru
-import msgspec
 import trio
 
 from gentianstair import errors
@@ -14,6 +13,7 @@
 from gentianstair.entry import routing
 from gentianstair.entry import services
 from gentianstair.generated import messages
+from gentianstair.util import json_codec
 from gentianstair.util import tasks
 
 LOAD_POLL_INTERVAL_S = 0.5
@@ -76,10 +76,7 @@
 
 def decode_report(body: bytes, kind: type) -> typing.Any:
     """Return a decoded engine report; raise DecodeError if it is invalid."""
-    try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, RecursionError) as error:
-        raise errors.DecodeError(str(error)) from error
+    return json_codec.decode(body, kind)
 
 
 async def _fetch(node: nodes.Node, url: str, limit_s: float) -> bytes:
--- a/gentianstair/gateway/operator_parts.py
+++ b/gentianstair/gateway/operator_parts.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from gentianstair import errors
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import prompt_faults
 from gentianstair.util import clock as clocks
+from gentianstair.util import json_codec
 
 PATH = '/operator/prompt-parts'
 LIFT_PATH = '/operator/prompt-parts/lift'
@@ -61,8 +63,8 @@
         return False
     body = await exchange.read_body(MAX_BODY_BYTES, BODY_TIMEOUT_S)
     try:
-        part = msgspec.json.decode(body, type=Lift).part
-    except msgspec.DecodeError as error:
+        part = json_codec.decode(body, Lift).part
+    except errors.DecodeError as error:
         await _respond(exchange, 400, {'problem': str(error)})
         return True
     await _respond(exchange, 200, {'lifted': faults.lift(part)})
--- a/gentianstair/platform/cache_codec.py
+++ b/gentianstair/platform/cache_codec.py
@@ -6,13 +6,14 @@
 import msgspec
 
 from gentianstair import errors
+from gentianstair.util import json_codec
 
 
 class _CacheEventsResponse(msgspec.Struct):
     # Changes when the replica restarts.
     epoch: typing.Any
     # The sequence number of the next event.
-    next: int
+    next: json_codec.Int64
     # Whether earlier events are missing.
     lost: typing.Any = False
     events: list[list[typing.Any]] = []
@@ -40,6 +41,19 @@
     changes: list[CacheChange]
 
 
+_ROW_ERRORS = (
+    errors.DecodeError,
+    msgspec.ValidationError,
+    ValueError,
+    TypeError,
+)
+
+
+def _to_int(value: typing.Any) -> int:
+    """Return a number of a row; raise one of _ROW_ERRORS for none."""
+    return msgspec.convert(int(value), json_codec.Int64)
+
+
 def cache_events_request(
     address: str, since: int, wait_s: float, connect_s: float
 ) -> httpx.Request:
@@ -55,13 +69,13 @@
 def decode_cache_events(body: bytes) -> CacheChanges:
     """Return the changes in a response; raise DecodeError."""
     try:
-        found = msgspec.json.decode(body, type=_CacheEventsResponse)
+        found = json_codec.decode(body, _CacheEventsResponse)
         changes = []
         for row in found.events:
             number, sign, _, part, tokens = row[:5]
-            kept = int(tokens) if sign == '+' else 0
-            changes.append(CacheChange(str(part), int(number), kept))
-    except (msgspec.DecodeError, ValueError, TypeError) as error:
+            kept = _to_int(tokens) if sign == '+' else 0
+            changes.append(CacheChange(str(part), _to_int(number), kept))
+    except _ROW_ERRORS as error:
         raise errors.DecodeError(f'invalid cache events: {error}') from error
     return CacheChanges(
         str(found.epoch), found.next, bool(found.lost), changes
@@ -71,7 +85,7 @@
 class _CacheListResponse(msgspec.Struct):
     epoch: typing.Any
     # The sequence number of the next event.
-    next: int
+    next: json_codec.Int64
     held: list[list[typing.Any]] = []
 
 
@@ -93,12 +107,13 @@
     Raise DecodeError.
     """
     try:
-        found = msgspec.json.decode(body, type=_CacheListResponse)
+        found = json_codec.decode(body, _CacheListResponse)
         changes = []
         for row in found.held:
             _, part, tokens = row[:3]
-            changes.append(CacheChange(str(part), found.next - 1, int(tokens)))
-    except (msgspec.DecodeError, ValueError, TypeError) as error:
+            kept = _to_int(tokens)
+            changes.append(CacheChange(str(part), found.next - 1, kept))
+    except _ROW_ERRORS as error:
         raise errors.DecodeError(f'invalid cache list: {error}') from error
     return CacheChanges(str(found.epoch), found.next, False, changes)
 
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -12,6 +12,7 @@
 from gentianstair.core import upstream_backoffs
 from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
+from gentianstair.util import json_codec
 
 # Headers of a single connection, which are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -357,10 +358,10 @@
     try:
         if status != 200:
             raise ValueError(f'status {status}')
-        found = msgspec.json.decode(body, type=_PrefillResponse)
+        found = json_codec.decode(body, _PrefillResponse)
         if not _KV_HANDLE_PATTERN.fullmatch(found.kv_handle):
             raise ValueError('invalid KV handle')
-    except (msgspec.DecodeError, ValueError) as error:
+    except (errors.DecodeError, ValueError) as error:
         raise errors.UpstreamError(
             f'prefill failed: {error}', verdicts.Verdict.RAN
         ) from error
@@ -409,7 +410,4 @@
     """
     if status != HTTP_OK:
         raise errors.DecodeError(f'report with status {status}')
-    try:
-        return msgspec.json.decode(body, type=_Report).born
-    except msgspec.DecodeError as error:
-        raise errors.DecodeError(f'invalid report: {error}') from error
+    return json_codec.decode(body, _Report).born
--- a/gentianstair/store/http_store.py
+++ b/gentianstair/store/http_store.py
@@ -9,6 +9,7 @@
 from gentianstair import errors
 from gentianstair.store import era as store_era
 from gentianstair.store import store
+from gentianstair.util import json_codec
 
 # Time added to the timeout of a watch before its HTTP request times out.
 WATCH_MARGIN_S = 2.0
@@ -191,8 +192,8 @@
 def _parse(answer: _Answer) -> typing.Any:
     """Return the JSON of an answer; raise StoreError if it is none."""
     try:
-        return msgspec.json.decode(answer.body)
-    except msgspec.DecodeError as error:
+        return json_codec.decode(answer.body)
+    except errors.DecodeError as error:
         raise errors.StoreOutcomeUnknownError(f'no JSON: {error}') from error
 
 
--- a/gentianstair/store/vm_list.py
+++ b/gentianstair/store/vm_list.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from gentianstair import errors
+from gentianstair.util import json_codec
 
 
 class Vm(typing.NamedTuple):
@@ -65,7 +66,7 @@
 region='local')]
     """
     try:
-        entries = msgspec.json.decode(content)['vms']
+        entries = json_codec.decode(content)['vms']
         return [
             msgspec.convert(
                 [
@@ -78,7 +79,7 @@
             if entry.get('address') and entry.get('failure_domain')
         ]
     except (
-        msgspec.DecodeError,
+        errors.DecodeError,
         msgspec.ValidationError,
         AttributeError,
         KeyError,
--- a/gentianstair/ui/entries.py
+++ b/gentianstair/ui/entries.py
@@ -9,6 +9,7 @@
 from gentianstair import errors
 from gentianstair.store import store
 from gentianstair.ui import session as sessions
+from gentianstair.util import json_codec
 
 STATUS_PATH = '/operator/status'
 SURVEY_PATH = '/operator/confirmed'
@@ -67,8 +68,12 @@
         if response.status_code == httpx.codes.NOT_FOUND:
             return None
         response.raise_for_status()
-        body = response.json()
-    except (httpx.HTTPError, httpx.InvalidURL, ValueError) as error:
+        body = json_codec.decode(response.content)
+    except (
+        httpx.HTTPError,
+        httpx.InvalidURL,
+        errors.DecodeError,
+    ) as error:
         why = str(error).splitlines()[0] if str(error) else repr(error)
         raise errors.StoreUnavailableError(why) from error
     if not isinstance(body, dict):
--- a/gentianstair/upstreams/orders_client.py
+++ b/gentianstair/upstreams/orders_client.py
@@ -4,11 +4,11 @@
 import typing
 
 import httpx
-import msgspec
 
 from gentianstair import errors
 from gentianstair import verdict
 from gentianstair.generated import messages
+from gentianstair.util import json_codec
 from gentianstair.util import leased_call
 
 
@@ -78,10 +78,8 @@
                 f'{url}/orders/last', timeout=self._timeout_s
             )
             response.raise_for_status()
-            return msgspec.json.decode(
-                response.content, type=messages.LastOrder
-            )
-        except (httpx.HTTPError, msgspec.MsgspecError) as error:
+            return json_codec.decode(response.content, messages.LastOrder)
+        except (httpx.HTTPError, errors.DecodeError) as error:
             not_run = verdict.Verdict.NOT_RUN
             raise errors.UpstreamError(f'{url}: {error!r}', not_run) from error
 
--- a/gentianstair/util/leased_call.py
+++ b/gentianstair/util/leased_call.py
@@ -13,6 +13,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict
+from gentianstair.util import json_codec
 from gentianstair.util import watchdog
 
 READ_BYTES = 65536
@@ -93,7 +94,7 @@
                     f'the response exceeds {MAX_RESPONSE_BYTES} bytes'
                 )
         elif isinstance(event, h11.EndOfMessage):
-            return Response(status, json.loads(payload or b'null'))
+            return Response(status, json_codec.decode(payload or b'null'))
         elif isinstance(event, h11.ConnectionClosed):
             raise OSError('connection closed without a response')
 
--- a/test/gateway/test_odd_answers.py
+++ b/test/gateway/test_odd_answers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from gentianstair.util import tasks
 from standins.site import site as sites
 from test.gateway import gateways
 from test.gateway import odd_wire
@@ -16,6 +17,8 @@
 )
 TRUNCATED = b'HTTP/1.1 200 OK\r\nContent-Length: 800\r\n\r\nthe first bytes'
 NO_HTTP = b'\0\1\2\3 hello\r\n\r\n'
+DEEP = b'[' * 3000 + b']' * 3000
+MANY_DIGITS = b'9' * 400
 REQUESTS = 8
 LOOKUP, PROMPT = 'lookup', 'prompt'
 
@@ -49,6 +52,22 @@
     return [pytest.param(row, id=f'{key}-{name}') for key, row in rows.items()]
 
 
+def answer(body, headers=b''):
+    """Return an answer with a body, as a replica sends it."""
+    length = b'Content-Length: %d\r\n' % len(body)
+    return b'HTTP/1.1 200 OK\r\n' + headers + length + b'\r\n' + body
+
+
+def faults():
+    """Return how many tasks have ended by a fault so far."""
+    return sum(
+        sample.value
+        for metric in tasks.FAULTS.collect()
+        for sample in metric.samples
+        if sample.name.endswith('_total')
+    )
+
+
 async def send(gateway, what, number):
     """Send one request; return the status of its answer."""
     if what == LOOKUP:
@@ -87,8 +106,50 @@
 async def test_bytes_that_are_no_response_end_one_attempt_alone(tmp_path, row):
     # Guards against one replica that ends the processes of all VMs, and
     # against callers who get no answer though others serve.
+    before = faults()
     async with sites.running() as site:
         wire, statuses = await play(site, tmp_path, row)
     assert min(wire.sent.values()) > 0
     expected = 503 if row.full else 200
     assert statuses == [expected] * REQUESTS
+    assert faults() == before
+
+
+def body_row(key, body, headers=b'', row_id=''):
+    """Return a row of rows_of whose odd answer has a body."""
+    rows = rows_of(row_id, answer(body, headers))
+    return next(row for row in rows if row.id == f'{key}-{row_id}')
+
+
+BODIES = [
+    body_row('report', DEEP, row_id='deep'),
+    body_row('report', b'{"odd": ' + DEEP + b'}', row_id='deep-field'),
+    body_row('report', b'{"born": ' + MANY_DIGITS + b'}', row_id='digits'),
+    body_row('report', b'{"born": "\xff"}', row_id='no-text'),
+    body_row('prefill', DEEP, row_id='deep'),
+    body_row('prefill', b'{"kv_handle": "\xff"}', row_id='no-text'),
+    body_row('free', DEEP, row_id='deep'),
+    body_row('cache-events', DEEP, row_id='deep'),
+    body_row(
+        'cache-events',
+        b'{"epoch": 1, "next": 1, "events": [[1e308, "+", "", "a", 1e308]]}',
+        row_id='digits',
+    ),
+    body_row(
+        'cache-events',
+        b'{"epoch": ' + DEEP + b', "next": 1}',
+        row_id='deep-field',
+    ),
+]
+
+
+@pytest.mark.parametrize('row', BODIES)
+async def test_body_that_nothing_holds_is_no_fault_of_ours(tmp_path, row):
+    # Guards against an error of a decoder's that nobody has listed, which
+    # ends whatever reads the answer.
+    before = faults()
+    async with sites.running() as site:
+        wire, statuses = await play(site, tmp_path, row)
+    assert min(wire.sent.values()) > 0
+    assert statuses == [503 if row.full else 200] * REQUESTS
+    assert faults() == before
