Read no timeout of more digits than a number holds

Callers saw: a gateway process gone, or 500 in place of an answer that was whole, as a replica named a Keep-Alive timeout of 400 digits.

Cause: half of the timeout is computed as a float, which raises OverflowError above 1e308, and int() raises ValueError above 4,300 digits, at the moment the answer's connection is kept. In the free of a KV cache and the check of an end nothing caught it.

Change: a timeout of more than nine digits is read as none.

--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -22,7 +22,8 @@
 
 # Bounds the idle connections to one address.
 MAX_IDLE_CONNECTIONS = 256
-_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d+)')
+# Nine digits are more than any timeout.
+_KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})(?!\d)')
 
 
 class _IdleConnection(typing.NamedTuple):
--- a/test/gateway/test_odd_answers.py
+++ b/test/gateway/test_odd_answers.py
@@ -140,6 +140,18 @@
         b'{"epoch": ' + DEEP + b', "next": 1}',
         row_id='deep-field',
     ),
+    body_row(
+        'report',
+        b'{}',
+        b'Keep-Alive: timeout=' + MANY_DIGITS + b'\r\n',
+        row_id='keep-alive',
+    ),
+    body_row(
+        'free',
+        b'{}',
+        b'Keep-Alive: timeout=' + MANY_DIGITS + b'\r\n',
+        row_id='keep-alive',
+    ),
 ]
 
 
