Pass over an entry whose numbers no type holds

What a fleet with leaves could see: leaves without a feed, as an entry of another writer has a number beyond 64 bits. A hub encodes each replica's entry for what it knows of a leaf (leaf_knowledge.fingerprint), and msgspec raises OverflowError for it ("can't serialize ints >= 2**64 or < -2**63"); the report of each leaf ended its link. Shown for the encoder alone; a site without leaves served on with such entries (10 of 10 requests, slots, born and sequence).

Test: rows of test_invalid_entry_is_skipped fail before.

--- a/gentianstair/platform/registry_entries.py
+++ b/gentianstair/platform/registry_entries.py
@@ -10,6 +10,7 @@
 from gentianstair.generated import events
 from gentianstair.store import store as stores
 from gentianstair.util import addresses
+from gentianstair.util import json_codec
 
 # The kind of the entries in the store.
 KIND = 'servers'
@@ -29,11 +30,11 @@
     address: str
     zone: str
     state: str
-    slots: int
+    slots: json_codec.Int64
     # Orders accepted since the replica's start.
-    sequence: int
+    sequence: json_codec.Int64
     # Unix time of its start, in ms.
-    born: int = 0
+    born: json_codec.Int64 = 0
     stage: str = ''
     # Of its software; those of its weights are the models'.
     version: str = UNNAMED_VERSION
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -80,8 +80,11 @@
         {'sequence': 'x'},
         {'version': 2},
         {'version': None},
+        {'slots': 10**400},
+        {'sequence': 2**63},
+        {'born': 10**30},
     ],
-    ids=str,
+    ids=lambda changed: str(changed)[:40],
 )
 def test_invalid_entry_is_skipped(changed):
     assert registry_entries.decode(entry(**changed)) is None
