Cut out of a listing what is nested too deep to be read

Callers saw: requests sent to a replica long after it drained, and after all processes were killed none served, though the store and three sound replicas answered.

Cause: msgspec raises RecursionError for a page of a listing, or the events of a watch, that holds such an object anywhere, as items are cut apart by decoding. The store's client expected DecodeError alone, so the reader of the registry began anew each second and never got beyond that page.

Change: answers of the store are decoded by util/json_codec.py. Where a page is nested too deep, what is deeper than 200 is cut out and the page read again; an object with a cut is passed over and logged (object-unreadable), the others hold.

--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -21,6 +21,10 @@
     """Encoded data or an object that does not match the schema."""
 
 
+class NestingError(DecodeError):
+    """Encoded data that is nested deeper than can be read."""
+
+
 class StoreError(GentianstairError):
     """Failed call to the platform's object store."""
 
--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -20,6 +20,7 @@
 from gentianstair.store import read_timeout
 from gentianstair.store import store
 from gentianstair.upstreams import transport as transports
+from gentianstair.util import json_codec
 
 # Must be well below the duration of a lease, so that a call which times out
 # can be repeated before the lease lapses. A call takes some milliseconds, and
@@ -250,7 +251,7 @@
             params = {'after': after} if after else None
             answer = await self._read(_path(kind), purpose, params)
             _check_status(answer)
-            page = _decode(answer.body, _List)
+            page = _decode_page(answer.body, _List)
             if revision is None:
                 revision = store_era.join(answer.era, page.store_revision)
             elif store_era.era_of(revision) != answer.era:
@@ -355,7 +356,7 @@
         ):
             raise errors.WatchTooOldError(kind)
         _check_status(answer)
-        changes = _decode(answer.body, _EventList)
+        changes = _decode_page(answer.body, _EventList)
         found = []
         for event in changes.events:
             item = _decode_item(kind, event.object, answer.era)
@@ -383,13 +384,26 @@
 
 def _decode(body: bytes, kind: type) -> typing.Any:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return json_codec.decode(body, kind)
+    except errors.DecodeError as error:
         raise errors.StoreUnavailableError(
             f'invalid response: {error}'
         ) from error
 
 
+def _decode_page(body: bytes, kind: type) -> typing.Any:
+    """Return a listing or the events of a watch.
+
+    One object that is nested too deep must not hide all others.
+    """
+    try:
+        return _decode(body, kind)
+    except errors.StoreUnavailableError as error:
+        if not isinstance(error.__cause__, errors.NestingError):
+            raise
+    return _decode(json_codec.cut_nested(body), kind)
+
+
 def _decode_object(kind: str, answer: _Answer) -> store.StoredObject:
     return _to_stored(kind, _decode(answer.body, _Object), answer.era)
 
@@ -409,8 +423,10 @@
     whole listing fail.
     """
     try:
-        found = msgspec.json.decode(raw, type=_Object)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        if json_codec.CUT in bytes(raw):
+            raise errors.NestingError('nested too deep')
+        found = json_codec.decode(raw, _Object)
+    except errors.DecodeError as error:
         loguru.logger.bind(event=events.OBJECT_UNREADABLE, kind=kind).warning(
             'skipped an invalid object: {}', error
         )
@@ -426,9 +442,9 @@
     """Return the last name on a page, after which the next page begins."""
     for raw in reversed(page.items):
         try:
-            meta = msgspec.json.decode(raw, type=_NameOnly).metadata
+            meta = json_codec.decode(raw, _NameOnly).metadata
             return str(meta['name'])
-        except (msgspec.DecodeError, KeyError):
+        except (errors.DecodeError, KeyError):
             continue
     return None
 
@@ -436,9 +452,9 @@
 def _conflicting_version(answer: _Answer) -> int:
     """Return the current version, or 0 if the response has none."""
     try:
-        found = msgspec.json.decode(answer.body, type=_Object)
+        found = json_codec.decode(answer.body, _Object)
         return store_era.join(answer.era, found.metadata.revision)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except errors.DecodeError:
         return 0
 
 
--- a/gentianstair/util/json_codec.py
+++ b/gentianstair/util/json_codec.py
@@ -1,11 +1,21 @@
 """Decode JSON from outside, and turn all that it raises into one error."""
 
+import re
 import typing
 
 import msgspec
 
 from gentianstair import errors
 
+# What is nested deeper is of no type that this package reads, and still well
+# within what can be decoded.
+MAX_DEPTH = 200
+# Stands in place of what was nested too deep.
+CUT = b'"cut: nested too deep"'
+_BRACKETS_AND_STRINGS = re.compile(
+    rb'[\[\]{}]|"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL
+)
+
 # A number that fits into 64 bits, as all codecs and clocks here need.
 Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 
@@ -19,18 +29,43 @@
 ) -> typing.Any:
     """Return the value of a kind in data; raise DecodeError.
 
+    It is a NestingError for values nested more than some hundred deep.
+
     >>> decode(b'{"a": 1}')
     {'a': 1}
     >>> decode(b'[' * 100000)
     Traceback (most recent call last):
-    gentianstair.errors.DecodeError: JSON that is nested too deep
+    gentianstair.errors.NestingError: JSON that is nested too deep
     """
     try:
         return msgspec.json.decode(data, type=kind)
     except RecursionError as error:
-        raise errors.DecodeError('JSON that is nested too deep') from error
+        raise errors.NestingError('JSON that is nested too deep') from error
     except _DECODE_ERRORS as error:
         raise errors.DecodeError(str(error)) from error
 
 
-__all__ = ['Int64', 'decode']
+def cut_nested(data: bytes, max_depth: int = MAX_DEPTH) -> bytes:
+    """Return JSON with CUT in place of what is nested deeper than max_depth.
+
+    >>> cut_nested(b'{"a": [[1], "]"], "b": [2]}', 2)
+    b'{"a": ["cut: nested too deep", "]"], "b": [2]}'
+    """
+    parts = []
+    depth, kept_to = 0, 0
+    for token in _BRACKETS_AND_STRINGS.finditer(data):
+        sign = token[0]
+        if sign in (b'[', b'{'):
+            depth += 1
+            if depth == max_depth + 1:
+                parts.append(data[kept_to : token.start()])
+        elif sign in (b']', b'}'):
+            if depth == max_depth + 1:
+                parts.append(CUT)
+                kept_to = token.end()
+            depth -= 1
+    parts.append(data[kept_to:])
+    return b''.join(parts)
+
+
+__all__ = ['CUT', 'Int64', 'cut_nested', 'decode']
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -188,3 +188,58 @@
     await _read(store, 'follow')
     assert trio.current_time() - started_s < USUAL_S + 0.25
     nursery.cancel_scope.cancel()
+
+
+DEPTH = 3000
+NESTED = b'[' * DEPTH + b']' * DEPTH
+
+
+def item(name, spec):
+    """Return the bytes of one object in a listing."""
+    meta = b'{"name":"%s","revision":3}' % name.encode()
+    return b'{"metadata":%s,"spec":%s}' % (meta, spec)
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        b'{"models":' + NESTED + b'}',
+        b'{"models":[]},"unknown":' + NESTED,
+        NESTED,
+        b'{"a":' * DEPTH + b'1' + b'}' * DEPTH,
+        b'{"slots":1e999}',
+        b'{"slots":' + b'9' * 5000 + b'}',
+        b'{"zone":"\xff"}',
+    ],
+    ids=['field', 'unknown-field', 'all', 'maps', 'float', 'digits', 'text'],
+)
+@pytest.mark.parametrize('place', [0, 1, 2], ids=['first', 'among', 'last'])
+@pytest.mark.parametrize('watches', [False, True], ids=['list', 'watch'])
+async def test_odd_object_does_not_hide_the_others(
+    nursery, spec, place, watches
+):
+    # Guards against VMs that learn of no replica any more, as one entry of
+    # another writer can't be read.
+    found = [item('a', b'{"n":1}'), item('b', b'{"n":2}')]
+    found.insert(place, item('odd', spec))
+    if watches:
+        rows = b','.join(b'{"object":%s,"tombstone":false}' % o for o in found)
+        body = b'{"events":[%s],"store_revision":7}' % rows
+    else:
+        rows = b','.join(found)
+        body = b'{"items":[%s],"truncated":false,"store_revision":7}' % rows
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+
+    async def serve(stream):
+        while await stream.receive_some(4096):
+            await stream.send_all(head + body)
+
+    listeners = await nursery.start(trio.serve_tcp, serve, 0)
+    port = listeners[0].socket.getsockname()[1]
+    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', 1.0)
+    if watches:
+        listing = await store.watch(['servers'], 1, 0.1, purpose='test')
+    else:
+        listing = await store.list('servers', purpose='test')
+    assert [one.name for one in listing.objects] == ['a', 'b']
+    nursery.cancel_scope.cancel()
