Take a lease whose object is odd only once it must have lapsed

Callers saw nothing of it so far, as nobody had written one. A lease object that is not of the schema ended every gateway process in turn, again after each start, as all list the leases; on the OpenAI-style programs it ended control. Found by following each task up to the nursery that ends with it.

Cause: the lease's value was converted without a guard, in a task of the process's nursery. With the guard of tasks alone the duties would be nobody's.

Change: an object that holds no lease counts as one of an unknown holder. It may be taken once its version has stood for a lease's duration and margin; a holder that finds one in place of its own has lost it. The epoch is above the store's revision, as always.

--- a/gentianstair/control/lease.py
+++ b/gentianstair/control/lease.py
@@ -200,9 +200,7 @@
             and known.item.version >= item.version
         ):
             return known
-        value = None
-        if item.value is not None:
-            value = msgspec.convert(item.value, messages.LeaseValue)
+        value = _decode(item)
         # Read after the response, so it is never earlier than the holder's
         # renewal of this version.
         observed = _ObservedLease(
@@ -213,7 +211,9 @@
 
     def _vacant_from_s(self, observed: _ObservedLease) -> float:
         """Return when the lease has certainly lapsed for its holder."""
-        is_free = observed.value is None or not observed.value['holder']
+        is_free = observed.item.value is None or (
+            observed.value is not None and not observed.value['holder']
+        )
         if is_free and not observed.was_in_past_era:
             return observed.first_seen_s
         duration_s = self._timing.duration_s
@@ -385,9 +385,9 @@
             return False
         if item.version <= authority.version or item.value is None:
             return False
-        value = msgspec.convert(item.value, messages.LeaseValue)
+        value = _decode(item)
         own = (authority.holder, authority.epoch)
-        if (value['holder'], value['epoch']) != own:
+        if value is None or (value['holder'], value['epoch']) != own:
             return True
         authority.version = item.version
         return False
@@ -401,6 +401,19 @@
             await self._write(authority, '')
 
 
+def _decode(item: stores.StoredObject) -> messages.LeaseValue | None:
+    """Return the lease in an object, None if it holds none that is valid."""
+    if item.value is None:
+        return None
+    try:
+        return msgspec.convert(item.value, messages.LeaseValue)
+    except (msgspec.ValidationError, TypeError) as error:
+        loguru.logger.bind(
+            event=events.OBJECT_UNREADABLE, kind=item.kind
+        ).warning('skipped the invalid lease {}: {}', item.name, error)
+        return None
+
+
 def make_lease_manager(
     store: stores.Store,
     holder: str,
