Pass over the object of a process that has no address

Callers saw nothing of it so far. An odd object among the candidates for the duties or the owners of claim shards ended entry and control in turn (KeyError, TypeError in their heartbeat); with the guard of tasks the list of processes would stay as it was.

Change: an object that is not of the schema is logged and passed over, the others hold. It is deleted after its time, as that of a process that is gone.

--- a/gentianstair/store/presence.py
+++ b/gentianstair/store/presence.py
@@ -3,9 +3,12 @@
 import contextlib
 import typing
 
+import loguru
+import msgspec
 import trio
 
 from gentianstair import errors
+from gentianstair.generated import events
 from gentianstair.generated import messages
 from gentianstair.store import confirmed_write
 from gentianstair.store import store as stores
@@ -62,7 +65,9 @@
                 self._last_seen[item.name] = last_seen
             age_s = now_s - last_seen[1]
             if age_s < DEAD_AFTER_HEARTBEATS * self._heartbeat_s:
-                addresses[item.name] = str(item.value['address'])
+                address = _address_in(item)
+                if address is not None:
+                    addresses[item.name] = address
             elif age_s > DELETE_AFTER_HEARTBEATS * self._heartbeat_s:
                 await self._delete(item.name, item.version)
         self.addresses = addresses
@@ -104,6 +109,17 @@
                     await self._delete(self._name, self._version)
 
 
+def _address_in(item: stores.StoredObject) -> str | None:
+    """Return the address in a process's object, None if it has none."""
+    try:
+        return msgspec.convert(item.value, messages.PresenceValue)['address']
+    except (msgspec.ValidationError, TypeError) as error:
+        loguru.logger.bind(
+            event=events.OBJECT_UNREADABLE, kind=item.kind
+        ).warning('skipped the invalid object {}: {}', item.name, error)
+        return None
+
+
 def make_presence(
     store: stores.Store,
     kind: str,
