Decode what VMs send each other in one place

Claims had their own call of cbor2, without a bound on nesting. Both kinds of links use link.load now.

--- a/gentianstair/entry/claim_links.py
+++ b/gentianstair/entry/claim_links.py
@@ -52,8 +52,8 @@
 
 def _decode(data: bytes, kind: typing.Any) -> typing.Any:
     try:
-        return msgspec.convert(cbor2.loads(data), kind)
-    except (msgspec.ValidationError, cbor2.CBORDecodeError) as error:
+        return msgspec.convert(link.load(data), kind)
+    except (msgspec.ValidationError, TypeError) as error:
         raise errors.DecodeError(str(error)) from error
 
 
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -89,6 +89,16 @@
     return data
 
 
+def load(data: bytes) -> typing.Any:
+    """Return the value in data from another VM; raise DecodeError."""
+    try:
+        return cbor2.loads(
+            data, max_depth=MAX_NESTING_DEPTH, allow_indefinite=False
+        )
+    except (cbor2.CBORDecodeError, ValueError) as error:
+        raise errors.DecodeError(str(error)) from error
+
+
 def decode(data: bytes) -> Message | None:
     """Return the message in data, or None for a type not known here.
 
@@ -98,13 +108,8 @@
     """
     if len(data) > MAX_MESSAGE_BYTES:
         raise errors.DecodeError(f'message of {len(data)} bytes is too large')
-    try:
-        raw = cbor2.loads(
-            data, max_depth=MAX_NESTING_DEPTH, allow_indefinite=False
-        )
-        message_type = raw['type'] if isinstance(raw, dict) else None
-    except (cbor2.CBORDecodeError, KeyError, ValueError) as error:
-        raise errors.DecodeError(str(error)) from error
+    raw = load(data)
+    message_type = raw.get('type') if isinstance(raw, dict) else None
     if not isinstance(message_type, str):
         raise errors.DecodeError('message is not a map with a type')
     if message_type not in MESSAGE_TYPES:
--- a/test/entry/test_claim_links.py
+++ b/test/entry/test_claim_links.py
@@ -5,9 +5,11 @@
 import pytest
 import trio
 
+from gentianstair import errors
 from gentianstair.entry import claim_links
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims
+from gentianstair.generated import messages
 from gentianstair.store import presence
 from gentianstair.util import clock
 from standins import memory_network
@@ -84,3 +86,20 @@
         for states in found.values():
             assert states.count(State.GRANTED) == 1
         nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'\xff',
+        b'\x81' * 100000,
+        b'\xc2\x59\xff\xff' + b'\xff' * 65535,
+        b'\xbf\xff',
+    ],
+    ids=['nothing', 'break', 'deep', 'digits', 'without-end'],
+)
+def test_bytes_that_are_no_message_are_a_decode_error(data):
+    # Guards against a claim that waits for an answer nobody could read.
+    with pytest.raises(errors.DecodeError):
+        claim_links._decode(data, messages.ClaimAsk)
