--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -4,6 +4,7 @@
 its ``spec`` is its ``value``.
 """
 
+import collections.abc
 import typing
 import urllib.parse
 
@@ -382,9 +383,15 @@
         )
 
 
-def _decode(body: bytes, kind: type) -> typing.Any:
+def _decode(
+    body: bytes,
+    kind: type,
+    decode: collections.abc.Callable[[bytes, type], typing.Any] = (
+        json_codec.decode
+    ),
+) -> typing.Any:
     try:
-        return json_codec.decode(body, kind)
+        return decode(body, kind)
     except errors.DecodeError as error:
         raise errors.StoreUnavailableError(
             f'invalid response: {error}'
@@ -396,12 +403,7 @@
 
     One object that is nested too deep must not hide all others.
     """
-    try:
-        return _decode(body, kind)
-    except errors.StoreUnavailableError as error:
-        if not isinstance(error.__cause__, errors.NestingError):
-            raise
-    return _decode(json_codec.cut_nested(body), kind)
+    return _decode(body, kind, json_codec.decode_cut)
 
 
 def _decode_object(kind: str, answer: _Answer) -> store.StoredObject:
--- a/gentianstair/util/json_codec.py
+++ b/gentianstair/util/json_codec.py
@@ -68,4 +68,15 @@
     return b''.join(parts)
 
 
-__all__ = ['CUT', 'Int64', 'cut_nested', 'decode']
+def decode_cut(data: bytes, kind: typing.Any) -> typing.Any:
+    """Return the value of a kind in data, cut where it is nested too deep.
+
+    Raise DecodeError.
+    """
+    try:
+        return decode(data, kind)
+    except errors.NestingError:
+        return decode(cut_nested(data), kind)
+
+
+__all__ = ['CUT', 'Int64', 'decode', 'decode_cut']
