Read the questions and answers about trials of held parts

Cause: part_trial_ask and part_trial are in the schema and are sent, and the list of types that a link reads does not have them. So only the VM that keeps a part was granted a trial, and a new keeper learned of no part from those who asked.

Change: both types are read. The list stays one by hand; two tests hold it against the schema and against each type that the code sends.

Related pairs: with the same tests there is no other type that is sent and not read.

--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -53,6 +53,8 @@
     'feed': messages.GatewayFeed,
     'permit_ask': messages.PermitAsk,
     'permit': messages.Permit,
+    'part_trial_ask': messages.PartTrialAsk,
+    'part_trial': messages.PartTrial,
     'stream_origins': messages.StreamOrigins,
     'stream_ask': messages.StreamAsk,
     'stream_answer': messages.StreamAnswer,
--- a/test/peers/test_link.py
+++ b/test/peers/test_link.py
@@ -1,6 +1,8 @@
 """Test message decoding, and links on real sockets."""
 
+import ast
 import errno
+import pathlib
 
 import cbor2
 import hypothesis
@@ -10,6 +12,7 @@
 
 from gentianstair import errors
 from gentianstair import settings as settings_module
+from gentianstair.generated import messages
 from gentianstair.generated import settings as generated
 from gentianstair.peers import link
 from test.util import test_tls
@@ -234,3 +237,44 @@
             async with network.open(address):
                 pass
         nursery.cancel_scope.cancel()
+
+
+SOURCES = pathlib.Path(link.__file__).parents[1]
+# Types in objects and messages that do not go over links between peers.
+OTHER_TYPES = {
+    'http.response.start',
+    'http.response.body',
+    'websocket.close',
+}
+
+
+def sent_types():
+    """Return the types in all messages that this package makes."""
+    found = set()
+    for path in SOURCES.rglob('*.py'):
+        if 'bench' in path.parts or 'generated' in path.parts:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Dict):
+                continue
+            for key, value in zip(node.keys, node.values, strict=True):
+                if isinstance(key, ast.Constant) and key.value == 'type':
+                    if isinstance(value, ast.Constant):
+                        found.add(value.value)
+    return found
+
+
+def test_each_type_that_is_sent_is_read_at_the_other_end():
+    # Guards against messages that each VM drops as of a newer release.
+    assert sent_types() - OTHER_TYPES == set(link.MESSAGE_TYPES)
+
+
+def test_each_message_between_peers_in_the_schema_is_read():
+    # Guards against a message whose schema exists and that nobody reads.
+    known = {
+        found
+        for found in vars(messages).values()
+        if isinstance(found, type)
+        and {'version', 'type'} <= getattr(found, '__annotations__', {}).keys()
+    }
+    assert known == set(link.MESSAGE_TYPES.values())
