--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -1,6 +1,5 @@
 """Run the program gentianstair-entry."""
 
-import socket
 import time
 import typing
 
@@ -199,18 +198,6 @@
             loguru.logger.error('usage was not stored at shutdown: {}', error)
 
 
-async def _serve_operators(
-    app: quart_trio.QuartTrio, address: str, sock: socket.socket
-) -> None:
-    """Serve operators until cancelled."""
-    if sock.fileno() < 0:
-        # A server that failed has closed it.
-        sock = serving.listen(address)
-    await serving.serve(
-        app, sock, trio.sleep_forever, OPERATOR_DRAIN_TIMEOUT_S
-    )
-
-
 async def run(config: generated.EntrySettings) -> None:
     """Serve until stopped, then drain requests in flight."""
     stop_requested = stop_signals.watch_stop_signals()
@@ -259,10 +246,12 @@
         running.keep_running('upstreams', upstream_monitor.run, node)
         running.keep_running(
             'operators',
-            _serve_operators,
+            serving.serve_again,
             create_operator_app(node, peer, leaving),
             config.operator_listen,
             operator_sock,
+            trio.sleep_forever,
+            OPERATOR_DRAIN_TIMEOUT_S,
         )
         print(f'listening {host}:{port} {operator_port}', flush=True)
         if credentials:
--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -3,7 +3,6 @@
 import functools
 import os
 import pathlib
-import socket
 import sys
 import time
 
@@ -11,7 +10,6 @@
 import trio
 
 from gentianstair import errors
-from gentianstair.core import asgi
 from gentianstair.core import grace_period
 from gentianstair.gateway import background
 from gentianstair.gateway import deployment
@@ -77,18 +75,6 @@
     await trio.sleep(BALANCER_DRAIN_S)
 
 
-async def _serve_platform(
-    app: asgi.App, address: str, sock: socket.socket
-) -> None:
-    """Serve the readiness check or the metrics until cancelled."""
-    if sock.fileno() < 0:
-        # A server that failed has closed it.
-        sock = serving.listen(address)
-    await serving.serve(
-        app, sock, monitoring.serve_until_cancelled, READY_GRACE_S
-    )
-
-
 async def run(
     file: pathlib.Path,
     vm_settings: deployment.Deployment,
@@ -107,19 +93,23 @@
         running.keep_running('reload', reloader.run)
         running.keep_running(
             'readiness',
-            _serve_platform,
+            serving.serve_again,
             monitoring.make_readiness_app(node),
             vm_settings.ready_address,
             ready_sock,
+            monitoring.serve_until_cancelled,
+            READY_GRACE_S,
         )
         if env_settings.metrics_port is not None:
             address = f'{vm_settings.ip}:{env_settings.metrics_port}'
             running.keep_running(
                 'metrics',
-                _serve_platform,
+                serving.serve_again,
                 monitoring.make_metrics_app(node),
                 address,
                 serving.listen(address),
+                monitoring.serve_until_cancelled,
+                READY_GRACE_S,
             )
         running.keep_running(
             'background',
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -187,3 +187,16 @@
                     server.stop()
         await app_lifespan.wait_for_shutdown()
         lifespan_nursery.cancel_scope.cancel()
+
+
+async def serve_again(
+    app: typing.Any,
+    address: str,
+    sock: socket.socket,
+    shutdown: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    graceful_timeout_s: float,
+) -> None:
+    """Serve on a socket, or on a new one if a server that failed closed it."""
+    if sock.fileno() < 0:
+        sock = listen(address)
+    await serve(app, sock, shutdown, graceful_timeout_s)
