--- a/gentianstair/util/json_codec.py
+++ b/gentianstair/util/json_codec.py
@@ -19,8 +19,8 @@
 # A number that fits into 64 bits, as all codecs and clocks here need.
 Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 
-# What msgspec raises for bytes: its own error, and two that are none of it,
-# for text that is no UTF-8 and for values nested too deep.
+# RecursionError, for values nested too deep, is no error of msgspec's own;
+# nor would one for text be.
 _DECODE_ERRORS = (msgspec.MsgspecError, UnicodeError, RecursionError)
 
 
--- a/test/entry/test_claims.py
+++ b/test/entry/test_claims.py
@@ -243,3 +243,27 @@
         await owner.claim('c', 'next', 'd')
         found = await other.claim('c', 'k', 'd')
     assert (found.status, found.body) == (201, b'number 7')
+
+
+async def test_fault_in_a_shard_refuses_those_who_wait(
+    autojump_clock, nursery, monkeypatch
+):
+    # Guards against a shard that nobody writes any more, and claims that
+    # wait for it in vain.
+    store = memory_store.MemoryStore(objects.ObjectTable())
+    found = claims.make_claims(store, 'vm-1', clock.trio_time_s, 1, 1000.0)
+    nursery.start_soon(found.run_batches)
+    real = found._writer.write
+
+    async def fail(shard, batch):
+        monkeypatch.setattr(found._writer, 'write', real)
+        raise RuntimeError('planted')
+
+    monkeypatch.setattr(found._writer, 'write', fail)
+    began_s = trio.current_time()
+    with pytest.raises(errors.RequestError) as caught:
+        await found.claim('c', 'k', 'd')
+    assert trio.current_time() - began_s < 0.1
+    assert caught.value.verdict is verdict.Verdict.NOT_RUN
+    result = await found.claim('c', 'k2', 'd')
+    assert result.state is claim_shard.State.GRANTED
