--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -10,6 +10,7 @@
 from gentianstair import verdict as verdicts
 from gentianstair.core import asgi
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import refusals
 from gentianstair.core import request_lifetime
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
@@ -119,11 +120,17 @@
     def _request_id_field(self) -> dict[str, str]:
         return {'request_id': self._call.request_id if self._call else ''}
 
+    def _verdict(self) -> verdicts.Verdict:
+        """Return whether the request may have run so far."""
+        if self._request is None:
+            return verdicts.Verdict.NOT_RUN
+        return self._request.verdict
+
     def _record_result(self) -> None:
         took_s = self._node.clock() - self._arrived_s
         DURATION_S.observe(took_s)
         request = self._request
-        verdict = request.verdict.name if request else 'NOT_RUN'
+        verdict = self._verdict().name
         REQUESTS.labels(str(self._status), verdict).inc()
         loguru.logger.bind(
             event=events.ANSWER,
@@ -190,6 +197,11 @@
         self, status: int, headers: calls.Headers, body: bytes
     ) -> None:
         self._status = status
+        verdict = self._verdict()
+        if refusals.is_untrue(status, verdict):
+            refusals.record_untrue(
+                status, verdict, self._request_id_field()['request_id']
+            )
         headers = [*headers, (b'content-length', b'%d' % len(body))]
         await self._exchange.start(status, headers)
         await self._exchange.end(body)
--- a/gentianstair/upstreams/response_parser.py
+++ b/gentianstair/upstreams/response_parser.py
@@ -1,9 +1,12 @@
 """Parse one response of an upstream, and bound what is no response."""
 
+import collections.abc
+
 import httptools
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.upstreams import foreign_responses
 
 # Most bytes of one read.
 READ_BYTES = 65536
@@ -23,6 +26,10 @@
 # HttpParserError of it; nobody here asks for one.
 _PARSER_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 
+RecordForeign = collections.abc.Callable[
+    [foreign_responses.ForeignResponse], None
+]
+
 
 def may_have_run(message: str) -> errors.UpstreamError:
     """Return the error of a request that may have run."""
@@ -38,12 +45,18 @@
     connection is not used again.
     """
 
-    def __init__(self, answer_id: bytes | None = None) -> None:
+    def __init__(
+        self,
+        answer_id: bytes | None = None,
+        record_foreign: RecordForeign | None = None,
+    ) -> None:
         self.httptools_parser = httptools.HttpResponseParser(self)
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body_parts: list[bytes] = []
         self._request_id = answer_id
+        # Called with each response that doesn't bear the id.
+        self._record_foreign = record_foreign
         self._header_bytes = 0
         # Bytes since something was complete, and before the final headers.
         self._idle_bytes = 0
@@ -125,12 +138,28 @@
         self._is_for_other_request = (
             None not in (found_id, request_id) and found_id != request_id
         )
+        if request_id is not None and self.status >= MIN_FINAL_STATUS:
+            self._tell_foreign(request_id)
         self.body_ends_at_close = (
             self.status not in BODYLESS_STATUSES
             and self.header(b'content-length') is None
             and self.header(b'transfer-encoding') is None
         )
 
+    def _tell_foreign(self, request_id: bytes) -> None:
+        """Tell of a final response that doesn't bear the id."""
+        ids = tuple(
+            value
+            for name, value in self.headers
+            if name.lower() == REQUEST_ID_HEADER
+        )
+        owner = foreign_responses.owner_of(ids, request_id)
+        if owner is foreign_responses.Owner.OURS or not self._record_foreign:
+            return
+        self._record_foreign(
+            foreign_responses.ForeignResponse(owner, self.status, ids)
+        )
+
     def on_body(self, body: bytes) -> None:
         self._idle_bytes = 0
         if self.headers_done and not self.done:
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -18,6 +18,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.upstreams import connector as connectors
+from gentianstair.upstreams import foreign_responses
 from gentianstair.upstreams import response_parser
 
 # Bounds the idle connections to one address.
@@ -127,6 +128,16 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
+def _make_parser(
+    answer_id: bytes | None, was_kept: bool
+) -> response_parser.ResponseParser:
+    """Return the parser of what comes on a connection from now on."""
+    if answer_id is None:
+        return response_parser.ResponseParser()
+    watch = foreign_responses.Watch(answer_id, was_kept)
+    return response_parser.ResponseParser(answer_id, watch.record)
+
+
 class Transport(httpx.AsyncBaseTransport):
     """An httpx transport with a pool of idle connections for each address.
 
@@ -234,18 +245,19 @@
         stream = None
         if not request.extensions.get('fresh'):
             stream = self._take_idle(request.url)
+        was_kept = stream is not None
         if stream is None:
             stream = await self._connector.connect(
                 request.url, request.extensions.get('connect_s')
             )
         try:
-            return await self._exchange(stream, request)
+            return await self._exchange(stream, request, was_kept)
         except BaseException:
             await trio.aclose_forcefully(stream)
             raise
 
     async def _exchange(
-        self, stream: trio.abc.Stream, request: httpx.Request
+        self, stream: trio.abc.Stream, request: httpx.Request, was_kept: bool
     ) -> httpx.Response:
         check = request.extensions.get('before_send')
         if check is not None:
@@ -256,9 +268,7 @@
             raise errors.ConnectionBrokenError(
                 'the connection broke while sending'
             ) from error
-        parser = response_parser.ResponseParser(
-            request.extensions.get('answer_id')
-        )
+        parser = _make_parser(request.extensions.get('answer_id'), was_kept)
         await self._receive_headers(stream, parser, request)
         if request.method == 'HEAD':
             # Its headers may give a length, but no body follows.
