--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -85,8 +85,9 @@
     """What the replica does wrong; all off at first."""
 
     def __init__(self, ends_under: set[str] | None = None) -> None:
-        # Answers with this status though healthy.
+        # Answers with this status, and these headers, though it ran.
         self.fails_with = 0
+        self.fails_headers: dict[str, str] = {}
         # Says that it is full.
         self.full = False
         # Says that it is another one, as after a start under a new name.
@@ -440,7 +441,9 @@
     if faults.silent:
         await trio.sleep_forever()
     if faults.fails_with:
-        return _signed(replica, 'failed', faults.fails_with)
+        response = _signed(replica, 'failed', faults.fails_with)
+        response.headers.update(faults.fails_headers)
+        return response
     if replica.stage:
         return await _stream(replica, first)
     return await _answer_whole(replica)
@@ -486,6 +489,9 @@
 
     @app.after_request
     async def add_headers(response: quart.Response) -> quart.Response:
+        request_id = quart.request.headers.get('x-request-id')
+        if request_id is not None:
+            response.headers['x-request-id'] = request_id
         for value in replica.leaving_headers:
             response.headers.add('server-leaving', value)
         for value in replica.limit_headers:
--- a/test/gateway/odd_wire.py
+++ b/test/gateway/odd_wire.py
@@ -12,12 +12,18 @@
 
     ``odd`` has the bytes that answer a call, by the beginning of the first
     line of its request. The connection is closed after them unless
-    ``keeps_open``.
+    ``keeps_open``. With ``adds`` the call is passed on too, so that its own
+    answer follows the bytes; ``adds_from`` is the first call of a connection,
+    from 0, to which that happens.
     """
 
-    def __init__(self, replica, odd, keeps_open=False):
+    def __init__(
+        self, replica, odd, keeps_open=False, adds=False, adds_from=0
+    ):
         self.odd = odd
         self.keeps_open = keeps_open
+        self._adds = adds
+        self._adds_from = adds_from
         # How often each was sent.
         self.sent = dict.fromkeys(odd, 0)
         host, _, port = replica.address.partition(':')
@@ -28,37 +34,44 @@
 
     async def serve(self, stream):
         behind = await trio.open_tcp_stream(*self._behind)
+        sending = trio.Lock()
         async with behind, trio.open_nursery() as nursery:
-            nursery.start_soon(_copy, behind, stream)
+            nursery.start_soon(_copy, behind, stream, sending)
             with contextlib.suppress(trio.BrokenResourceError):
-                await self._pass_on(stream, behind)
+                await self._pass_on(stream, behind, sending)
             nursery.cancel_scope.cancel()
 
-    async def _pass_on(self, stream, behind):
+    async def _pass_on(self, stream, behind, sending):
+        calls = 0
         while data := await stream.receive_some(READ_BYTES):
             key = self._odd_key(data)
-            if key is None:
+            calls += key is not None
+            if key is None or calls <= self._adds_from:
                 await behind.send_all(data)
                 continue
             self.sent[key] += 1
-            await stream.send_all(self.odd[key])
-            if not self.keeps_open:
+            async with sending:
+                await stream.send_all(self.odd[key])
+            if self._adds:
+                await behind.send_all(data)
+            elif not self.keeps_open:
                 await stream.aclose()
                 return
 
 
-async def _copy(source, target):
+async def _copy(source, target, sending):
     with contextlib.suppress(
         trio.BrokenResourceError, trio.ClosedResourceError
     ):
         while data := await source.receive_some(READ_BYTES):
-            await target.send_all(data)
+            async with sending:
+                await target.send_all(data)
 
 
 @contextlib.asynccontextmanager
-async def before(site, replica, odd, keeps_open=False):
+async def before(site, replica, odd, **options):
     """Yield a wire that VMs reach in place of a replica."""
-    wire = OddWire(replica, odd, keeps_open)
+    wire = OddWire(replica, odd, **options)
     async with trio.open_nursery() as nursery:
         (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
         port = listener.socket.getsockname()[1]
--- /dev/null
+++ b/test/gateway/test_refusals.py
@@ -0,0 +1,176 @@
+"""Test that 408, 421, 429 and 503 are told only of what did not run."""
+
+import collections
+import contextlib
+import typing
+
+import pytest
+
+from standins.site import site as sites
+from test.gateway import gateways
+from test.gateway import odd_wire
+
+# Statuses that say: it has not run, and never will.
+REFUSALS = (408, 421, 429, 503)
+REQUESTS = 6
+ONCE, LOOKUP = '/register/2f', '/lookup/a'
+STREAM, RESUMABLE = '/draft/one', '/ask/rule'
+SIGNATURE = 'x-response-signature'
+
+
+def refusal(status, headers=b'X-Not-Executed: 1\r\n'):
+    """Return an answer without a body, by default one that is a refusal."""
+    return b'HTTP/1.1 %d No\r\n%sContent-Length: 0\r\n\r\n' % (status, headers)
+
+
+OTHERS = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers'
+
+
+class Seen(typing.NamedTuple):
+    """The answers of one play by request, and how often each request ran."""
+
+    answers: dict
+    runs: collections.Counter
+
+    def broken(self):
+        """Return what was told of requests though they ran, or ran twice."""
+        told = {
+            name: answer.status_code for name, answer in self.answers.items()
+        }
+        return {
+            name: (told[name], count)
+            for name, count in self.runs.items()
+            if count > 1 or told[name] in REFUSALS
+        }
+
+    def statuses(self):
+        """Return the statuses in order."""
+        return [answer.status_code for answer in self.answers.values()]
+
+
+async def play(site, tmp_path, path):
+    """Send requests one after the other; return what was seen."""
+    answers = {}
+    async with gateways.running(site, tmp_path) as (gateway,):
+        for number in range(REQUESTS):
+            name = f'r{number}'
+            answers[name] = await gateway.call(
+                'POST', path, name, **gateways.PROMPT
+            )
+    runs = collections.Counter(
+        run.request_id for replica in site.replicas for run in replica.runs
+    )
+    return Seen(answers, runs)
+
+
+def replicas_of(path, count):
+    """Return that many replicas which can answer a request."""
+    kept = [r for r in sites.default_replicas() if r.stage != 'prefill']
+    stage = '' if path in (ONCE, LOOKUP) else 'decode'
+    return [r for r in kept if r.stage == stage][:count]
+
+
+ODD_ANSWERS = {
+    '503': refusal(503),
+    '429': refusal(429),
+    '421': refusal(421, b''),
+    '503-of-no-id': refusal(503, b'X-Not-Executed: 1\r\nX-Request-Id:\r\n'),
+    '503-of-another': refusal(
+        503, b'X-Not-Executed: 1\r\nX-Request-Id: r99\r\n'
+    ),
+    '503-of-two': refusal(
+        503,
+        b'X-Not-Executed: 1\r\nX-Request-Id: r1\r\nX-Request-Id: r2\r\n',
+    ),
+    '200': OTHERS,
+}
+
+
+@pytest.mark.parametrize('odd', ODD_ANSWERS)
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+@pytest.mark.parametrize('adds_from', [0, 1], ids=['fresh', 'kept'])
+@pytest.mark.parametrize('count', [1, 2], ids=['one-replica', 'two-replicas'])
+async def test_answer_without_the_id_decides_nothing(
+    tmp_path, odd, path, adds_from, count
+):
+    # Guards against requests that run though they are refused, or run twice,
+    # by bytes that are no answer to them.
+    async with contextlib.AsyncExitStack() as stack:
+        site = await stack.enter_async_context(
+            sites.running(replicas_of(path, count))
+        )
+        wires = [
+            await stack.enter_async_context(
+                odd_wire.before(
+                    site,
+                    replica,
+                    {b'POST ': ODD_ANSWERS[odd]},
+                    adds=True,
+                    adds_from=adds_from,
+                )
+            )
+            for replica in site.replicas
+        ]
+        seen = await play(site, tmp_path, path)
+    assert sum(wire.sent[b'POST '] for wire in wires)
+    assert not seen.broken()
+    assert seen.statuses() == [200] * REQUESTS
+    assert all(SIGNATURE in answer.headers for answer in seen.answers.values())
+
+
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+async def test_second_try_is_not_refused_by_anothers_answer(tmp_path, path):
+    # Guards against a request that runs at its second replica though it is
+    # refused.
+    async with contextlib.AsyncExitStack() as stack:
+        site = await stack.enter_async_context(
+            sites.running(replicas_of(path, 2))
+        )
+        site.replicas[0].faults.full = True
+        wire = await stack.enter_async_context(
+            odd_wire.before(
+                site, site.replicas[1], {b'POST ': refusal(503)}, adds=True
+            )
+        )
+        seen = await play(site, tmp_path, path)
+    assert wire.sent[b'POST ']
+    assert not seen.broken()
+    assert seen.statuses() == [200] * REQUESTS
+
+
+@pytest.mark.parametrize('status', [408, 429, 503])
+@pytest.mark.parametrize(
+    'headers', [{}, {'retry-after': '0.2'}], ids=['bare', 'retry-after']
+)
+@pytest.mark.parametrize(
+    'path',
+    [ONCE, STREAM, LOOKUP, RESUMABLE],
+    ids=['once', 'stream', 'repeatable', 'resumable'],
+)
+async def test_refusal_of_what_ran_is_told_as_a_failure(
+    tmp_path, status, headers, path
+):
+    # Guards against callers who take what ran for not run.
+    found = replicas_of(path, 1)
+    async with sites.running(found) as site:
+        site.replicas[0].faults.fails_with = status
+        site.replicas[0].faults.fails_headers = headers
+        seen = await play(site, tmp_path, path)
+    assert seen.runs
+    assert not seen.broken()
+    for name in seen.runs:
+        answer = seen.answers[name]
+        assert answer.status_code == 502
+        assert SIGNATURE not in answer.headers
+        assert 'retry-after' not in answer.headers
+
+
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+async def test_what_did_not_run_is_refused(tmp_path, path):
+    # Guards against callers who are told of a failure, and do not come back.
+    async with sites.running(replicas_of(path, 2)) as site:
+        for replica in site.replicas:
+            replica.faults.full = True
+        seen = await play(site, tmp_path, path)
+    assert not seen.runs
+    assert set(seen.statuses()) == {503}
