Refuse nothing that may have run, at the last place before the caller

What callers saw: 408, 429 or 503, which promise that a request has not run and never will, though a replica had run it and gave that status itself.

Cause: unary and streaming return a replica's answer as it is, and the verdict, known by then, was not asked where the status goes out. Whether a refusal was true hung on each place that makes one.

Change: RequestHandler._respond, which sends each whole response, asks core/refusals.py: no refusal's status leaves with a verdict other than NOT_RUN. The caller gets 502, without the replica's signature and Retry-After; it is counted and logged. A replica's 408 or 429 of what ran is a failure like its 503, so that what may be repeated is tried elsewhere. What did not run is refused as before.

--- a/gentianstair/core/refusals.py
+++ b/gentianstair/core/refusals.py
@@ -1,4 +1,4 @@
-"""Tell refusals that are true from those of requests that may have run.
+"""Keep refusals from the callers of requests that may have run.
 
 A caller that is refused takes its request for not run, now or later, and may
 send it again whatever it does.
@@ -12,10 +12,14 @@
 
 # Request timeout, misdirected, too many requests, unavailable.
 STATUSES = frozenset({408, 421, 429, 503})
+# From here on a status tells of a failure of the server.
+MIN_FAILURE_STATUS = 500
+# Told in place of an untrue refusal: bad gateway.
+TOLD_STATUS = 502
 
 UNTRUE = prometheus_client.Counter(
     'gentianstair_untrue_refusals',
-    'Refusals of requests that may have run',
+    'Refusals that were not told, as the request may have run',
     ['status', 'verdict'],
 )
 
@@ -36,7 +40,7 @@
 def record_untrue(
     status: int, verdict: verdicts.Verdict, request_id: str
 ) -> None:
-    """Count and log a refusal of a request that may have run."""
+    """Count and log a refusal that is not told."""
     UNTRUE.labels(str(status), verdict.name).inc()
     loguru.logger.bind(
         event=events.UNTRUE_REFUSAL,
@@ -46,4 +50,21 @@
     ).warning('{} would refuse a request that may have run', status)
 
 
-__all__ = ['STATUSES', 'is_untrue', 'record_untrue']
+def is_failure(status: int) -> bool:
+    """Return whether a status of what ran is no answer for its caller.
+
+    Another upstream may have one.
+
+    >>> [status for status in (200, 404, 429, 500) if is_failure(status)]
+    [429, 500]
+    """
+    return status >= MIN_FAILURE_STATUS or status in STATUSES
+
+
+__all__ = [
+    'STATUSES',
+    'TOLD_STATUS',
+    'is_failure',
+    'is_untrue',
+    'record_untrue',
+]
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -196,12 +196,15 @@
     async def _respond(
         self, status: int, headers: calls.Headers, body: bytes
     ) -> None:
-        self._status = status
+        """Send a whole response; no refusal of what may have run."""
         verdict = self._verdict()
         if refusals.is_untrue(status, verdict):
-            refusals.record_untrue(
-                status, verdict, self._request_id_field()['request_id']
-            )
+            request_id = self._request_id_field()['request_id']
+            refusals.record_untrue(status, verdict, request_id)
+            status = refusals.TOLD_STATUS
+            # Under another status a replica's headers would prove nothing.
+            headers, body = http_codec.error_headers(request_id, None), b''
+        self._status = status
         headers = [*headers, (b'content-length', b'%d' % len(body))]
         await self._exchange.start(status, headers)
         await self._exchange.end(body)
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -11,6 +11,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import refusals
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_stream
@@ -377,7 +378,8 @@
         """Handle a response that is no stream; raise if it is a failure."""
         replica_response = await forward.read_response(response)
         request = self._request
-        if replica_response.status < 500 and verdict is verdicts.Verdict.RAN:
+        is_failure = refusals.is_failure(replica_response.status)
+        if not is_failure and verdict is verdicts.Verdict.RAN:
             request.record_verdict(verdict)
             if request.exchange.started:
                 raise errors.UpstreamError(
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -88,6 +88,9 @@
         # Answers with this status, and these headers, though it ran.
         self.fails_with = 0
         self.fails_headers: dict[str, str] = {}
+        # Requests that failed already, here or at replicas that share it;
+        # their next run does not fail.
+        self.has_failed: set[str] | None = None
         # Says that it is full.
         self.full = False
         # Says that it is another one, as after a start under a new name.
@@ -440,7 +443,7 @@
     _note_run(replica, first)
     if faults.silent:
         await trio.sleep_forever()
-    if faults.fails_with:
+    if _is_to_fail(faults, request_id):
         response = _signed(replica, 'failed', faults.fails_with)
         response.headers.update(faults.fails_headers)
         return response
@@ -449,6 +452,14 @@
     return await _answer_whole(replica)
 
 
+def _is_to_fail(faults: Faults, request_id: str) -> bool:
+    if not faults.fails_with or faults.has_failed is None:
+        return bool(faults.fails_with)
+    is_first = request_id not in faults.has_failed
+    faults.has_failed.add(request_id)
+    return is_first
+
+
 def _note_leaving(replica: Replica, request_id: str) -> None:
     if replica.leaving_headers == ('1',):
         replica.told_leaving.append(
--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -165,6 +165,23 @@
         assert 'retry-after' not in answer.headers
 
 
+@pytest.mark.parametrize('status', [408, 429, 503])
+@pytest.mark.parametrize('path', [LOOKUP, RESUMABLE], ids=['plain', 'stream'])
+async def test_what_was_refused_after_a_run_is_tried_elsewhere(
+    tmp_path, status, path
+):
+    # Guards against callers who are told of a failure though another replica
+    # can serve what may be repeated.
+    has_failed = set()
+    async with sites.running(replicas_of(path, 2)) as site:
+        for replica in site.replicas:
+            replica.faults.fails_with = status
+            replica.faults.has_failed = has_failed
+        seen = await play(site, tmp_path, path)
+    assert len(has_failed) == REQUESTS
+    assert seen.statuses() == [200] * REQUESTS
+
+
 @pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
 async def test_what_did_not_run_is_refused(tmp_path, path):
     # Guards against callers who are told of a failure, and do not come back.
