Refuse nothing that may have run on the OpenAI-style interface either

The same cause as at gateways: 408 and 421 of an upstream went on to callers of completions and of services, 429 and 503 too to callers of what may run once, whose outcome was kept under its key; and a request that may have run and found no other upstream was told 503 (attempts._no_upstream_error).

An upstream's refusal that doesn't say that nothing started is a failed attempt that may have run, for all kinds of requests; entry/handler.py asks core/refusals.py before both ways on which it ends a request, so that outcomes kept earlier are told as 502 too. The two readers of the header 'not started' are one.

--- a/gentianstair/core/refusals.py
+++ b/gentianstair/core/refusals.py
@@ -37,10 +37,15 @@
     return status in STATUSES and verdict is not verdicts.Verdict.NOT_RUN
 
 
-def record_untrue(
+def told_status(
     status: int, verdict: verdicts.Verdict, request_id: str
-) -> None:
-    """Count and log a refusal that is not told."""
+) -> int:
+    """Return the status to tell a caller.
+
+    It is TOLD_STATUS, counted and logged, in place of an untrue refusal.
+    """
+    if not is_untrue(status, verdict):
+        return status
     UNTRUE.labels(str(status), verdict.name).inc()
     loguru.logger.bind(
         event=events.UNTRUE_REFUSAL,
@@ -48,6 +53,7 @@
         status=status,
         verdict=verdict.name,
     ).warning('{} would refuse a request that may have run', status)
+    return TOLD_STATUS
 
 
 def is_failure(status: int) -> bool:
@@ -66,5 +72,5 @@
     'TOLD_STATUS',
     'is_failure',
     'is_untrue',
-    'record_untrue',
+    'told_status',
 ]
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -12,6 +12,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import refusals
 from gentianstair.core import request_digest
 from gentianstair.core import request_lifetime
 from gentianstair.entry import callers
@@ -139,7 +140,10 @@
         )
 
     async def _send_failure(self, error: errors.RequestError) -> None:
-        self._status = error.status
+        """Tell of an error; no refusal of what may have run."""
+        error.status = self._status = refusals.told_status(
+            error.status, error.verdict, self._request_id
+        )
         self._verdict = error.verdict
         self._add_explanation('refused', **error.to_problem())
         if not self._exchange.started:
@@ -326,14 +330,16 @@
             raise _shutdown_error()
 
     async def _send_response(self, response: services.ServiceResponse) -> None:
-        self._status = response.status
         self._verdict = verdicts.Verdict.RAN
+        self._status = refusals.told_status(
+            response.status, self._verdict, self._request_id
+        )
         headers = [
             *response.headers,
             (b'content-length', b'%d' % len(response.body)),
             (b'x-request-id', self._request_id.encode()),
         ]
-        await self._exchange.start(response.status, headers)
+        await self._exchange.start(self._status, headers)
         await self._exchange.end(response.body)
 
 
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -10,6 +10,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import refusals
 from gentianstair.entry import attempts
 from gentianstair.entry import callers
 from gentianstair.entry import completions
@@ -52,6 +53,11 @@
     )
 
 
+def says_not_started(response: httpx.Response) -> bool:
+    """Return whether an upstream says that it did not start to run."""
+    return response.headers.get(NOT_STARTED_HEADER) == '1'
+
+
 def check_status(response: httpx.Response) -> None:
     """Raise UpstreamError for a status that means a failed attempt.
 
@@ -59,10 +65,10 @@
     MAY_HAVE_RUN for any other failure.
     """
     status = response.status_code
-    if status < 500 and status != 429:
+    if not refusals.is_failure(status):
         return
     verdict = verdicts.Verdict.MAY_HAVE_RUN
-    if response.headers.get(NOT_STARTED_HEADER) == '1':
+    if says_not_started(response):
         verdict = verdicts.Verdict.NOT_RUN
     message = f'the upstream answered {status}'
     if _asks_pause(response):
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -12,6 +12,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import refusals
 from gentianstair.entry import attempts
 from gentianstair.entry import claim_shard
 from gentianstair.entry import claims as claimses
@@ -220,8 +221,10 @@
             self._node, upstream_request, remaining_s
         )
         async with response_context as (upstream_response, _):
-            if self._call.repeatable or upstream_response.headers.get(
-                relay.NOT_STARTED_HEADER
+            if (
+                self._call.repeatable
+                or relay.says_not_started(upstream_response)
+                or upstream_response.status_code in refusals.STATUSES
             ):
                 relay.check_status(upstream_response)
             body = await relay.read_all(upstream_response)
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -197,16 +197,14 @@
         self, status: int, headers: calls.Headers, body: bytes
     ) -> None:
         """Send a whole response; no refusal of what may have run."""
-        verdict = self._verdict()
-        if refusals.is_untrue(status, verdict):
-            request_id = self._request_id_field()['request_id']
-            refusals.record_untrue(status, verdict, request_id)
-            status = refusals.TOLD_STATUS
+        request_id = self._request_id_field()['request_id']
+        told = refusals.told_status(status, self._verdict(), request_id)
+        if told != status:
             # Under another status a replica's headers would prove nothing.
             headers, body = http_codec.error_headers(request_id, None), b''
-        self._status = status
+        self._status = told
         headers = [*headers, (b'content-length', b'%d' % len(body))]
-        await self._exchange.start(status, headers)
+        await self._exchange.start(told, headers)
         await self._exchange.end(body)
 
     async def _serve(self) -> None:
--- a/test/entry/test_bad_input.py
+++ b/test/entry/test_bad_input.py
@@ -58,11 +58,13 @@
 
     While ``stalled`` it sends the headers and one event of a stream, and then
     nothing; while ``flooding`` it sends events without end. ``disconnected``
-    is set once the connection of such a request was closed.
+    is set once the connection of such a request was closed. ``odd`` is sent
+    in place of its responses.
     """
 
     def __init__(self):
         self.requests = []
+        self.odd = b''
         self.stalled = False
         self.flooding = False
         self.disconnected = trio.Event()
@@ -84,6 +86,9 @@
         return data
 
     async def _answer(self, stream, head):
+        if self.odd:
+            await stream.send_all(self.odd)
+            return
         if self.stalled or self.flooding:
             lines = b'content-type: text/event-stream\r\n\r\n'
             await stream.send_all(b'HTTP/1.1 200 OK\r\n' + lines)
