Take no trailer for a header of its response

httptools hands trailers to on_header, and ResponseParser kept them with the headers: a chunked answer that came in one read with its trailer said X-Not-Executed, or bore another id, though its head did not. A request that ran then counted as not run, and was refused or sent again.

What comes after the headers of a response is counted against the limit and dropped.

--- a/gentianstair/upstreams/response_parser.py
+++ b/gentianstair/upstreams/response_parser.py
@@ -62,6 +62,8 @@
         self._idle_bytes = 0
         self._skipped_bytes = 0
         self._is_for_other_request = False
+        # Whether the headers of the response that comes now are complete.
+        self._is_past_headers = False
         self.done = False
         # A body without a length ends when the connection closes.
         self.body_ends_at_close = False
@@ -119,7 +121,9 @@
             raise ValueError(
                 f'response headers exceed {MAX_HEADER_BYTES} bytes'
             )
-        self.headers.append((name, value))
+        if not self._is_past_headers:
+            # Not a trailer, which comes too late to decide anything.
+            self.headers.append((name, value))
 
     def header(self, wanted_name: bytes) -> bytes | None:
         """Return a header's value, or None; the name is in lower case."""
@@ -132,6 +136,7 @@
         self._idle_bytes = 0
         if self.done:
             return
+        self._is_past_headers = True
         self.status = self.httptools_parser.get_status_code()
         self._is_for_other_request = self._is_foreign()
         self.body_ends_at_close = (
@@ -174,6 +179,7 @@
         self.headers.clear()
         self.status = 0
         self._is_for_other_request = False
+        self._is_past_headers = False
 
     def on_close(self) -> bool:
         """Handle the connection's end; return whether the body is whole."""
--- a/test/upstreams/test_response_parser.py
+++ b/test/upstreams/test_response_parser.py
@@ -85,3 +85,30 @@
             parser.feed(bytes(data))
         except errors.InvalidResponseError:
             continue
+
+
+TRAILED = (
+    OK
+    + b'X-Request-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n'
+    + b'2\r\nhi\r\n0\r\nX-Not-Executed: 1\r\nX-Request-Id: r2\r\n\r\n'
+)
+
+
+@pytest.mark.parametrize('step', [1, 65536], ids=['in-bytes', 'at-once'])
+@pytest.mark.parametrize(
+    'before',
+    [b'', TRAILED.replace(b'r1', b'r0')],
+    ids=['alone', 'after-another'],
+)
+def test_trailer_says_nothing_of_a_response(before, step):
+    # Guards against what follows a body, and says that nothing has run.
+    parser = response_parser.ResponseParser(b'r1')
+    data = before + TRAILED
+    for start in range(0, len(data), step):
+        parser.feed(data[start : start + step])
+    assert parser.done
+    assert parser.body_parts
+    assert [name for name, _ in parser.headers] == [
+        b'X-Request-Id',
+        b'Transfer-Encoding',
+    ]
