--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -62,6 +62,7 @@
 HTTP_UNAVAILABLE = 503
 # Status if another replica now has the address; the request was not run.
 HTTP_MISDIRECTED = 421
+MIN_ERROR_STATUS = 400
 MIN_FAILURE_STATUS = 500
 PREFILL_STAGE = 'prefill'
 # Smallest deadline sent to a replica.
@@ -297,10 +298,20 @@
 
 
 def verdict_of(response: httpx.Response) -> verdicts.Verdict:
-    """Return whether the replica ran the request."""
-    if response.status_code == HTTP_MISDIRECTED:
+    """Return whether the replica ran the request.
+
+    A status that is no error is not believed to tell of no run.
+
+    >>> said = {'x-not-executed': '1'}
+    >>> [verdict_of(httpx.Response(status, headers=said)).name
+    ...  for status in (200, 304, 400, 503)]
+    ['RAN', 'RAN', 'NOT_RUN', 'NOT_RUN']
+    """
+    status = response.status_code
+    if status == HTTP_MISDIRECTED:
         return verdicts.Verdict.NOT_RUN
-    if NOT_EXECUTED_HEADER.decode() in response.headers:
+    says_not_run = NOT_EXECUTED_HEADER.decode() in response.headers
+    if says_not_run and status >= MIN_ERROR_STATUS:
         return verdicts.Verdict.NOT_RUN
     return verdicts.Verdict.RAN
 
--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -165,6 +165,18 @@
         assert 'retry-after' not in answer.headers
 
 
+async def test_success_is_one_whatever_else_it_says(tmp_path):
+    # Guards against a request that runs again, as its success says that it
+    # has not run.
+    async with sites.running(replicas_of(ONCE, 2)) as site:
+        for replica in site.replicas:
+            replica.faults.fails_with = 200
+            replica.faults.fails_headers = {'x-not-executed': '1'}
+        seen = await play(site, tmp_path, ONCE)
+    assert not seen.broken()
+    assert seen.statuses() == [200] * REQUESTS
+
+
 @pytest.mark.parametrize('status', [408, 429, 503])
 @pytest.mark.parametrize('path', [LOOKUP, RESUMABLE], ids=['plain', 'stream'])
 async def test_what_was_refused_after_a_run_is_tried_elsewhere(
