Refuse at once what a replica turned away before its answer was cut

What callers saw: 502 for a request that a replica had turned away, as its answer's connection ended within the body. What did not run was told as may-have-run, and a request that may run once was not tried elsewhere.

The headers say whether it has run, and bear the id of the request; what becomes of the body changes nothing. forward.read_response raises UpstreamRejectedError then. Three of the four rows of test_refusal_whose_body_is_cut_is_one failed before (in the fourth the other replica may be chosen each time).

--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -93,13 +93,26 @@
 
 
 async def read_response(response: httpx.Response) -> ReplicaResponse:
-    """Return a response with its body."""
-    body = await read_body(response)
+    """Return a response with its body; raise UpstreamError.
+
+    That nothing has run is said by the headers, whatever becomes of the body.
+    """
+    verdict = http_codec.verdict_of(response)
+    try:
+        body = await read_body(response)
+    except errors.UpstreamError as error:
+        if verdict is not verdicts.Verdict.NOT_RUN:
+            raise
+        raise errors.UpstreamRejectedError(
+            f'rejected, then {error}',
+            response.status_code,
+            http_codec.asks_pause(response),
+        ) from error
     return ReplicaResponse(
         response.status_code,
         http_codec.response_headers(response),
         body,
-        http_codec.verdict_of(response),
+        verdict,
         http_codec.asks_pause(response),
     )
 
--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -194,6 +194,27 @@
     assert seen.statuses() == [200] * REQUESTS
 
 
+CUT_REFUSAL = (
+    b'HTTP/1.1 503 No\r\nX-Request-Id: {id}\r\nX-Not-Executed: 1\r\n'
+    b'Content-Length: 80\r\n\r\nthe first by'
+)
+
+
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+@pytest.mark.parametrize(
+    ('count', 'told'), [(1, 503), (2, 200)], ids=['alone', 'beside-another']
+)
+async def test_refusal_whose_body_is_cut_is_one(tmp_path, path, count, told):
+    # Guards against callers who are told of a failure of what did not run.
+    async with sites.running(replicas_of(path, count)) as site:
+        odd = {b'POST ': CUT_REFUSAL}
+        async with odd_wire.before(site, site.replicas[0], odd) as wire:
+            seen = await play(site, tmp_path, path)
+    assert count > 1 or wire.sent[b'POST ']
+    assert not seen.broken()
+    assert set(seen.statuses()) == {told}
+
+
 @pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
 async def test_what_did_not_run_is_refused(tmp_path, path):
     # Guards against callers who are told of a failure, and do not come back.
