Play odd answers of replicas in the soak

Plan `answers`: responses without an id, with another or with two come before every fourth answer on a replica's link, and replicas that run requests answer 408, 429 or 503, beside stops, kills, pauses, full replicas and broken connections. The gateways are processes, and callers keep connections.

Seeds 1 and 2 are in test_soak.py.

--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -9,11 +9,10 @@
 from standins.site import replica as replicas
 from standins.soak import callers
 from standins.soak import notices
+from standins.soak import odd_answers
 from standins.soak import parts
 from standins.soak import versions
 
-# Statuses that say: it has not run, and never will.
-NOT_RUN = (408, 421, 429, 503)
 # VMs have this long to find out about a fault.
 CONTACT_S = 3.0
 # How much of the service elsewhere a VM without paths must give, and how many
@@ -96,7 +95,7 @@
             continue
         if len(found) > 1:
             breaches.append(f'{sent.request_id} ran {len(found)} times')
-        if sent.status in NOT_RUN and found:
+        if sent.status in odd_answers.NOT_RUN and found:
             breaches.append(f'{sent.request_id}: {sent.status}, but it ran')
     return breaches
 
@@ -321,7 +320,7 @@
         and not _is_excused(seen, sent.request_id, sent.ended_s)
         and not _are_all_limited(seen, sent)
     ]
-    refused = sum(sent.status in NOT_RUN for sent in found)
+    refused = sum(sent.status in odd_answers.NOT_RUN for sent in found)
     allowed = ALLOWED_FAILURES + ALLOWED_FAILURE_SHARE * len(found)
     if refused <= max(allowed, (1 - MIN_SERVICE_SHARE) * len(found)):
         return []
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from standins.soak import odd_answers
 from standins.soak import parts
 from standins.soak import paths
 from standins.soak import proxy
@@ -99,6 +100,24 @@
     ('change', 'config'),
     ('change', 'revoke'),
 )
+# How long a replica's answers are odd, and between two that begin to be.
+ODD_ANSWERS_S = (2.0, 5.0)
+ODD_ANSWERS_GAP_S = (0.2, 1.0)
+BESIDE_ODD_ANSWERS_GAP_S = (0.5, 2.5)
+BESIDE_ODD_ANSWERS = (
+    ('process', 'stop'),
+    ('process', 'kill'),
+    ('process', 'pause'),
+    ('process', 'hup'),
+    ('replica', 'drains'),
+    ('replica', 'full'),
+    ('replica', 'changed'),
+    ('replica', 'ends'),
+    ('replica-link', 'reset'),
+    ('replica-link', 'delay'),
+    ('store', 'refuses'),
+    ('change', 'config'),
+)
 LINKS = ('store-link', 'replica-link')
 _MODES = tuple(mode for mode in proxy.Mode if mode is not proxy.Mode.PASS)
 # Where and what, each as likely as the others.
@@ -116,7 +135,7 @@
 
     at_s: float
     # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
-    # 'change', 'paths', 'limit', 'version', 'part', 'notice'.
+    # 'change', 'paths', 'limit', 'version', 'part', 'notice', 'answer'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
@@ -285,6 +304,28 @@
     return sorted(found)
 
 
+def draw_answers(seed: int, length_s: float) -> list[Fault]:
+    """Return replicas whose answers are odd, several at once.
+
+    Stops, kills and pauses of VMs, full replicas, broken connections and
+    changes come beside them.
+    """
+    chance = random.Random(f'answers/{seed}')
+    found = []
+    at_s = 0.5
+    while at_s < length_s:
+        what = chance.choice(odd_answers.KINDS)
+        lasts_s = min(chance.uniform(*ODD_ANSWERS_S), length_s - at_s)
+        found.append(
+            Fault(at_s, 'answer', what, chance.randrange(1000), lasts_s)
+        )
+        at_s += chance.uniform(*ODD_ANSWERS_GAP_S)
+    found += _draw_beside(
+        chance, length_s, BESIDE_ODD_ANSWERS, BESIDE_ODD_ANSWERS_GAP_S
+    )
+    return sorted(found)
+
+
 PLANS = {
     'faults': draw,
     'stops': draw_stops,
@@ -295,4 +336,5 @@
     'versions': draw_versions,
     'parts': draw_parts,
     'notices': draw_notices,
+    'answers': draw_answers,
 }
--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -7,6 +7,7 @@
 from gentianstair.util import batch_listener
 from gentianstair.util import serving
 from standins.soak import link_record
+from standins.soak import odd_answers
 
 READ_BYTES = 65536
 DELAY_S = 0.3
@@ -32,6 +33,9 @@
         self.target_port = target_port
         self.port = 0
         self.record = link_record.LinkRecord()
+        # Sent before the answers to some requests.
+        self.added = b''
+        self._requests = 0
         self._mode = Mode.PASS
         self._changed = trio.Event()
         self._streams: set[trio.SocketStream] = set()
@@ -70,10 +74,11 @@
             _reset(near)
             return
         self._streams |= {near, far}
+        answering = trio.Lock()
         try:
             async with near, far, trio.open_nursery() as nursery:
-                nursery.start_soon(self._copy_requests, near, far)
-                nursery.start_soon(self._copy_answers, near, far)
+                nursery.start_soon(self._copy_requests, near, far, answering)
+                nursery.start_soon(self._copy_answers, near, far, answering)
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             # Either end broke off, or the mode did; both ends see it.
             _reset(near)
@@ -82,23 +87,40 @@
             self._streams -= {near, far}
 
     async def _copy_requests(
-        self, near: trio.SocketStream, far: trio.SocketStream
+        self,
+        near: trio.SocketStream,
+        far: trio.SocketStream,
+        answering: trio.Lock,
     ) -> None:
         while data := await near.receive_some(READ_BYTES):
             # Those that are held up here come to the replica later.
             if self._mode is Mode.PASS:
                 self.record.note_requests(data, near)
             await self._hold(Mode.SILENT)
+            if self._takes_added(data):
+                async with answering:
+                    await near.send_all(self.added)
             await far.send_all(data)
         await self._hold(Mode.SILENT)
         await far.send_eof()
 
+    def _takes_added(self, data: bytes) -> bool:
+        """Return whether a request begins here that an answer is added to."""
+        if not self.added or not data.startswith((b'POST ', b'GET ')):
+            return False
+        self._requests += 1
+        return self._requests % odd_answers.ADDED_EACH == 0
+
     async def _copy_answers(
-        self, near: trio.SocketStream, far: trio.SocketStream
+        self,
+        near: trio.SocketStream,
+        far: trio.SocketStream,
+        answering: trio.Lock,
     ) -> None:
         while data := await far.receive_some(READ_BYTES):
             await self._hold(Mode.ONE_WAY)
-            await near.send_all(data)
+            async with answering:
+                await near.send_all(data)
             self.record.note_answers(data, near)
         await self._hold(Mode.ONE_WAY)
         await near.send_eof()
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -16,6 +16,7 @@
 from standins.soak import callers
 from standins.soak import checks
 from standins.soak import kept
+from standins.soak import odd_answers
 from standins.soak import parts
 from standins.soak import paths
 from standins.soak import plan
@@ -28,7 +29,8 @@
 # How long the store is away before it comes back from a copy.
 AWAY_S = 0.4
 REFUSED_STATUS = 503
-_REPLICA_FAULTS: dict[str, dict[str, typing.Any]] = {
+_FAULTS: dict[str, dict[str, typing.Any]] = {
+    **odd_answers.FAILURES,
     'fails': {'fails_with': 500},
     'full': {'full': True},
     'silent': {'silent': True},
@@ -121,6 +123,7 @@
             'version': self._restart_replica,
             'part': self._spoil_part,
             'notice': self._give_notice,
+            'answer': self._spoil_answers,
         }
         await strikes[fault.where](fault)
 
@@ -272,13 +275,23 @@
         if fault.what == 'ends':
             self._end_replica(found)
             return
-        vars(found.faults).update(_REPLICA_FAULTS[fault.what])
+        vars(found.faults).update(_FAULTS[fault.what])
         from_s = trio.current_time()
         await trio.sleep(fault.lasts_s)
         if fault.what == 'breaks':
             self._note_break(found.name, from_s)
         found.faults = replicas.Faults(self.bad_parts)
 
+    async def _spoil_answers(self, fault: plan.Fault) -> None:
+        """Have answers come before a replica's own, or refuse what ran."""
+        if fault.what in odd_answers.FAILURES:
+            await self._strike_replica(fault)
+            return
+        link = self.replica_links[fault.whom % len(self.replica_links)]
+        link.added = odd_answers.ADDED[fault.what]
+        await trio.sleep(fault.lasts_s)
+        link.added = b''
+
     async def _strike_store(self, fault: plan.Fault) -> None:
         faults = self.site.faults
         if fault.what == 'compacts':
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -52,6 +52,9 @@
     # Nobody read what replicas say in answers, nor a store that went back.
     ('notices', 1),
     ('notices', 2),
+    # Bytes without an id, and refusals of what ran, were believed.
+    ('answers', 1),
+    ('answers', 2),
 ]
 LENGTH_S = 8.0
 # Plans whose callers need not cross a close.
