Send a request without an id on a new connection

A caller's request without X-Request-Id has no id by which its answer is known, and went on kept connections, where bytes that follow an earlier answer, or another's duplicate, were given to its caller: 200 with others' bytes, or a 503 of another.

On a new connection nothing came before. Both rows of test_request_without_an_id_gets_no_answer_of_another failed before.

--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -266,6 +266,8 @@
         extensions={
             'target': call.target,
             'answer_id': call.request_id.encode() or None,
+            # Without an id nothing tells an earlier request's answer apart.
+            'fresh': not call.request_id,
             'connect_s': connect_s,
             'silence_s': attempt.silence_s,
             'ends_with_path': attempt.ends_with_path,
--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -118,6 +118,23 @@
     assert all(SIGNATURE in answer.headers for answer in seen.answers.values())
 
 
+@pytest.mark.parametrize('odd', ['200', '503-of-another'])
+async def test_request_without_an_id_gets_no_answer_of_another(tmp_path, odd):
+    # Guards against answers to others on a connection that was used before.
+    async with sites.running(replicas_of(LOOKUP, 1)) as site:
+        odd_answers = {b'GET ': ODD_ANSWERS[odd]}
+        async with odd_wire.before(
+            site, site.replicas[0], odd_answers, adds=True, adds_from=1
+        ):
+            async with gateways.running(site, tmp_path) as (gateway,):
+                await gateway.call('GET', LOOKUP, 'r1')
+                headers = gateway.headers('')
+                del headers['x-request-id']
+                answer = await gateway.client.get(LOOKUP, headers=headers)
+    assert answer.status_code == 200
+    assert answer.text.startswith('done by')
+
+
 @pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
 async def test_second_try_is_not_refused_by_anothers_answer(tmp_path, path):
     # Guards against a request that runs at its second replica though it is
