--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -5,8 +5,11 @@
 import typing
 
 import pytest
+import trio
 
+from gentianstair.core import upstream_paths
 from standins.site import site as sites
+from standins.soak import paths
 from test.gateway import gateways
 from test.gateway import odd_wire
 
@@ -26,6 +29,15 @@
 OTHERS = b'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nothers'
 
 
+# A VM without paths, and the time in which it finds a peer.
+CUT_VM, NOTICE_S = 'front-a-0', 3.0
+
+
+def carried():
+    """Return how many connections peers have carried so far."""
+    return upstream_paths.CONNECTS.labels('through a peer')._value.get()
+
+
 class Seen(typing.NamedTuple):
     """The answers of one play by request, and how often each request ran."""
 
@@ -50,13 +62,18 @@
 
 async def play(site, tmp_path, path):
     """Send requests one after the other; return what was seen."""
-    answers = {}
     async with gateways.running(site, tmp_path) as (gateway,):
-        for number in range(REQUESTS):
-            name = f'r{number}'
-            answers[name] = await gateway.call(
-                'POST', path, name, **gateways.PROMPT
-            )
+        return await ask(site, gateway, path)
+
+
+async def ask(site, gateway, path):
+    """Send requests to a gateway; return what was seen."""
+    answers = {}
+    for number in range(REQUESTS):
+        name = f'r{number}'
+        answers[name] = await gateway.call(
+            'POST', path, name, **gateways.PROMPT
+        )
     runs = collections.Counter(
         run.request_id for replica in site.replicas for run in replica.runs
     )
@@ -118,6 +135,31 @@
     assert all(SIGNATURE in answer.headers for answer in seen.answers.values())
 
 
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+async def test_no_answer_of_another_decides_through_a_peer(tmp_path, path):
+    # Guards against the same where a peer carries the connection.
+    async with contextlib.AsyncExitStack() as stack:
+        enter = stack.enter_async_context
+        site = await enter(sites.running(replicas_of(path, 1)))
+        odd = {b'POST ': refusal(503)}
+        wire = await enter(
+            odd_wire.before(site, site.replicas[0], odd, adds=True)
+        )
+        nursery = await enter(trio.open_nursery())
+        lines = paths.Paths(site)
+        await lines.add(CUT_VM, nursery)
+        vms = await enter(gateways.running(site, tmp_path, count=2))
+        lines.cut(CUT_VM, paths.Cut.REFUSE)
+        await trio.sleep(NOTICE_S)
+        before = carried()
+        seen = await ask(site, vms[0], path)
+        assert carried() > before
+        nursery.cancel_scope.cancel()
+    assert wire.sent[b'POST ']
+    assert not seen.broken()
+    assert seen.statuses() == [200] * REQUESTS
+
+
 @pytest.mark.parametrize('odd', ['200', '503-of-another'])
 async def test_request_without_an_id_gets_no_answer_of_another(tmp_path, odd):
     # Guards against answers to others on a connection that was used before.
