Follow the settings to another address of the store and of the duties

Cause: make_process_parts connected the clients of the store and of the duties once, to the addresses of the start. Now each call asks for the address in force.

That duties follow is by the same means and has no test of its own. Other settings that are read once (rates of the store, windows, leases, cores, own addresses) take a start still.

--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -83,7 +83,9 @@
     """Return the components of a process for a deployment."""
     vm_settings = live.current
     now = clock.boottime_s
-    store = object_store.connect(vm_settings.store_address, vm_settings.vm)
+    store = object_store.connect(
+        lambda: live.current.store_address, vm_settings.vm
+    )
     bounds = vm_settings.bounds
     wall_clock = steady_wall_clock.SteadyWallClock(time.time, now)
     counts = usage_counter.UsageCounter(wall_clock, bounds.usage_window_s)
@@ -115,7 +117,7 @@
         store, name, now, leader_tasks.lease_timing(bounds.lease_s)
     )
     platform = cloud_client.CloudClient(
-        vm_settings.duties_address, vm_settings.vm
+        lambda: live.current.duties_address, vm_settings.vm
     )
     store_health = store_watch.StoreHealth(now)
     versions = node.registry.versions
--- a/gentianstair/platform/cloud_client.py
+++ b/gentianstair/platform/cloud_client.py
@@ -20,8 +20,11 @@
 class CloudClient:
     """Reports usage and orders replicas, with the lease epoch as token."""
 
-    def __init__(self, address: str, vm: str) -> None:
-        self._address = address
+    def __init__(
+        self, address_of: collections.abc.Callable[[], str], vm: str
+    ) -> None:
+        # The settings may name another address (HOST:PORT) at any time.
+        self._address_of = address_of
         self._vm = vm
 
     async def report_usage(
@@ -73,7 +76,7 @@
         body: collections.abc.Mapping,
     ) -> leased_call.Response:
         return await leased_call.call(
-            f'http://{self._address}{path}',
+            f'http://{self._address_of()}{path}',
             'POST',
             body,
             check=lambda: authority.check(CALL_LIFETIME_S),
--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -85,20 +85,24 @@
     era: int
 
 
+AddressOf = collections.abc.Callable[[], str]
+
+
 class ObjectStore(store.Store):
     """A client of the platform's object API."""
 
     def __init__(
         self,
         transport: transports.Transport,
-        address: str,
+        address_of: AddressOf,
         vm: str,
         timeout_s: float,
     ) -> None:
         self._transport = transport
         # Names the calling VM in the platform's request log.
         self._headers = {'user-agent': vm}
-        self._address = address
+        # The settings may name another address at any time.
+        self._address_of = address_of
         self._timeout_s = timeout_s
         self._read_timeout = read_timeout.ReadTimeout(
             timeout_s, MAX_READ_TIMEOUT_S / CALL_TIMEOUT_S * timeout_s
@@ -124,7 +128,8 @@
         """
         if timeout_s is None:
             timeout_s = self._timeout_s
-        url = f'http://{self._address}/api/objects/{path}'
+        address = self._address_of()
+        url = f'http://{address}/api/objects/{path}'
         if params:
             url += '?' + urllib.parse.urlencode(params)
         content = b'' if body is None else msgspec.json.encode(body)
@@ -157,7 +162,7 @@
         except trio.TooSlowError as error:
             # After a network partition, connections from before it may stay
             # silent. Drop all, or each would cost one call its full timeout.
-            self._transport.close_idle(self._address)
+            self._transport.close_idle(address)
             if method == 'GET':
                 self._read_timeout.record_timeout()
             raise self._lost_response_error(method, 'timed out') from error
@@ -461,7 +466,10 @@
 
 
 def connect(
-    address: str, vm: str, timeout_s: float = CALL_TIMEOUT_S
+    address_of: AddressOf, vm: str, timeout_s: float = CALL_TIMEOUT_S
 ) -> ObjectStore:
-    """Return a client of the store at an address, for the calling VM."""
-    return ObjectStore(transports.make_transport(), address, vm, timeout_s)
+    """Return a client of the store, for the calling VM.
+
+    Each call goes to the address (HOST:PORT) that address_of returns then.
+    """
+    return ObjectStore(transports.make_transport(), address_of, vm, timeout_s)
--- a/test/gateway/test_reload.py
+++ b/test/gateway/test_reload.py
@@ -14,8 +14,15 @@
 from gentianstair.gateway import deployment
 from gentianstair.gateway import reload
 from gentianstair.platform import settings_file
+from standins.site import site as sites
+from standins.soak import proxy
+from test.gateway import gateways
 from test.gateway import samples
 
+# For a changed file to be read, and a change in the store to be in force.
+READ_S = reload.POLL_INTERVAL_S + 0.5
+APPLY_S = 5.0
+
 
 def read(file):
     return settings_file.decode(file.read_text())
@@ -78,3 +85,33 @@
     with pytest.raises(errors.SettingsError) as caught:
         settings_file.read(tmp_path / 'none.toml')
     assert '\n' not in str(caught.value)
+
+
+@pytest.mark.parametrize('mode', [proxy.Mode.RESET, proxy.Mode.SILENT])
+async def test_vm_follows_its_settings_to_another_address_of_the_store(
+    tmp_path, mode
+):
+    # Guards against a VM that reads the store no more once its old address
+    # is gone, and serves keys that were taken away.
+    async with sites.running() as site, trio.open_nursery() as nursery:
+        old, new = (proxy.Proxy(site.store_port) for _ in range(2))
+        for link in (old, new):
+            await nursery.start(link.run)
+        site.store_port = old.port
+        async with gateways.running(site, tmp_path) as (gateway,):
+            values = {**gateway.values, 'store': new.port}
+            file = tmp_path / 'settings-0.toml'
+            text = samples.settings(**values)
+            file.write_text(text.replace('front-a-1', 'front-a-0'))
+            await trio.sleep(READ_S)
+            old.set(mode)
+            version = sites.CONFIG['version'] + 1
+            site.put_config(
+                {**sites.CONFIG, 'version': version, 'tenants': []}
+            )
+            with trio.fail_after(APPLY_S):
+                while (
+                    await gateway.call('GET', '/lookup/a')
+                ).status_code != 401:
+                    await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
--- a/test/platform/test_cloud_client.py
+++ b/test/platform/test_cloud_client.py
@@ -22,7 +22,7 @@
         return leased_call.Response(status, b'{}')
 
     monkeypatch.setattr(leased_call, 'call', call)
-    return cloud_client.CloudClient('127.0.0.1:1', 'vm-1')
+    return cloud_client.CloudClient(lambda: '127.0.0.1:1', 'vm-1')
 
 
 @pytest.mark.parametrize(
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -47,7 +47,7 @@
     server = StoreServer()
     listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
     port = listeners[0].socket.getsockname()[1]
-    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', 0.3)
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', 0.3)
 
     async def get():
         return await store.get('config', 'main', purpose='test')
@@ -85,7 +85,7 @@
     server = StoreServer()
     listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
     port = listeners[0].socket.getsockname()[1]
-    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', 1.0)
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', 1.0)
     await store.get('config', 'main', purpose='test')
     server.closing = True
     with pytest.raises(error):
@@ -103,7 +103,7 @@
     server = StoreServer()
     listeners = await nursery.start(trio.serve_tcp, server.serve, 0)
     port = listeners[0].socket.getsockname()[1]
-    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', 0.3)
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', 0.3)
 
     def counted(metric):
         return metric.labels('config', 'get')._value.get()
@@ -147,7 +147,7 @@
 
     listeners = await nursery.start(trio.serve_tcp, serve, 0)
     port = listeners[0].socket.getsockname()[1]
-    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', USUAL_S)
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', USUAL_S)
     answers = 0
     started_s = trio.current_time()
     for _ in range(reads):
@@ -174,7 +174,7 @@
 
     listeners = await nursery.start(trio.serve_tcp, serve, 0)
     port = listeners[0].socket.getsockname()[1]
-    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', USUAL_S)
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', USUAL_S)
     with pytest.raises(errors.StoreUnavailableError):
         await _read(store, 'follow')
 
@@ -236,7 +236,7 @@
 
     listeners = await nursery.start(trio.serve_tcp, serve, 0)
     port = listeners[0].socket.getsockname()[1]
-    store = object_store.connect(f'127.0.0.1:{port}', 'vm-1', 1.0)
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', 1.0)
     if watches:
         listing = await store.watch(['servers'], 1, 0.1, purpose='test')
     else:
--- a/test/platform/test_store_era.py
+++ b/test/platform/test_store_era.py
@@ -27,7 +27,7 @@
 
 
 def connect(site):
-    return object_store.connect(f'127.0.0.1:{site.store_port}', 'vm')
+    return object_store.connect(lambda: f'127.0.0.1:{site.store_port}', 'vm')
 
 
 async def test_version_of_before_does_not_overwrite_what_came_after(site):
