Compare an answer's id with the bytes that the caller sent

The id of a request is read as latin-1 and was looked for as UTF-8: with a byte above 127 in it no answer of a replica that echoes the bytes was the request's, and it ended with 504. Two rows of test_answer_bears_the_bytes_of_the_id failed before. Quart, by which the stand-ins answer, writes UTF-8, so that this is tested at the codec.

--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -265,7 +265,7 @@
         content=attempt.body,
         extensions={
             'target': call.target,
-            'answer_id': call.request_id.encode() or None,
+            'answer_id': call.request_id.encode('latin-1') or None,
             # Without an id nothing tells an earlier request's answer apart.
             'fresh': not call.request_id,
             'connect_s': connect_s,
--- a/gentianstair/upstreams/foreign_responses.py
+++ b/gentianstair/upstreams/foreign_responses.py
@@ -9,7 +9,8 @@
 
 from gentianstair.generated import events
 
-# Characters of another request's id that a log line holds.
+# Ids of other requests that a log line holds, and characters of each.
+MAX_LOGGED_IDS = 2
 MAX_LOGGED_ID = 64
 
 
@@ -71,7 +72,7 @@
             request_id=self._request_id.decode('latin-1'),
             ids=[
                 found.decode('latin-1')[:MAX_LOGGED_ID]
-                for found in response.ids[:2]
+                for found in response.ids[:MAX_LOGGED_IDS]
             ],
             status=response.status,
             connection=self._connection,
--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -177,6 +177,20 @@
     assert answer.text.startswith('done by')
 
 
+@pytest.mark.parametrize(
+    'request_id',
+    [b'r1,r2', b'R 1'],
+    ids=['comma', 'space'],
+)
+async def test_any_id_makes_an_answer_its_own(tmp_path, request_id):
+    # Guards against answers that are dropped as their id is written otherwise.
+    async with sites.running(replicas_of(LOOKUP, 1)) as site:
+        async with gateways.running(site, tmp_path) as (gateway,):
+            headers = {**gateway.headers(''), 'x-request-id': request_id}
+            answer = await gateway.client.get(LOOKUP, headers=headers)
+    assert answer.status_code == 200
+
+
 @pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
 async def test_second_try_is_not_refused_by_anothers_answer(tmp_path, path):
     # Guards against a request that runs at its second replica though it is
--- a/test/platform/test_decoders.py
+++ b/test/platform/test_decoders.py
@@ -8,8 +8,10 @@
 import pytest
 
 from gentianstair import errors
+from gentianstair.core import upstream_permits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
+from gentianstair.gateway import replicas
 from gentianstair.limits import rate_limit
 from gentianstair.platform import cache_codec
 from gentianstair.platform import configuration
@@ -218,6 +220,24 @@
     assert call.headers == headers
 
 
+@pytest.mark.parametrize(
+    'request_id', [b'r1', b'r\xe9', b'\xff,\xfe'], ids=str
+)
+def test_answer_bears_the_bytes_of_the_id(request_id):
+    # Guards against answers that are dropped as their id has other bytes.
+    headers = [(b'host', b'a'), (b'x-request-id', request_id)]
+    call = http_codec.decode_call('GET', b'/', b'', headers)
+    replica = replicas.Replica(
+        'i-1', 's', '10.0.0.1:80', 'a', 1, False, '', 1, 0, False, ()
+    )
+    attempt = calls.Attempt(
+        replica, upstream_permits.Permit('i-1', 0.0, False), None, 1.0, b''
+    )
+    request = http_codec.encode_attempt(call, attempt, 0.5)
+    assert request.extensions['answer_id'] == request_id
+    assert (b'x-request-id', request_id) in request.headers.raw
+
+
 @pytest.mark.parametrize(
     ('path', 'expected'),
     [('/a/b/c', 'long'), ('/a/x', 'short'), ('/a/bc', 'short'), ('/b', None)],
