Send what was turned away to a replica that turned none away lately

Callers saw 503, "no replica could take the request", beside replicas that were free.

A replica that turns everything away without asking for a pause has no load, and a rejection is no fault of it, so nothing keeps the next choice from it. After three of eight replicas had ended and turned requests away until they were back, each of a request's attempts could go to another one of them.

A VM remembers for 2 s which starts of replicas turned requests away, until they serve one that was sent later. A request that was turned away goes to another replica first, if there is one that may serve it. First attempts are chosen as before: they find out when a replica serves again.

--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -8,6 +8,7 @@
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
 from gentianstair.core import prompt_faults
+from gentianstair.core import recent_rejections
 from gentianstair.core import upstream_backoffs
 from gentianstair.core import upstream_limits
 from gentianstair.core import upstream_paths
@@ -76,6 +77,7 @@
     permit_keepers: permit_keepers.PermitKeepers
     upstream_permits: upstream_permits.UpstreamPermits
     upstream_backoffs: upstream_backoffs.UpstreamBackoffs
+    recent_rejections: recent_rejections.RecentRejections
     origin_keepers: origin_keepers.OriginKeepers
     prompt_faults: prompt_faults.PromptFaults
     part_trials: part_trials.PartTrials
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -15,6 +15,7 @@
 from gentianstair.core import peer_choice
 from gentianstair.core import prompt_fault_rows
 from gentianstair.core import prompt_faults
+from gentianstair.core import recent_rejections
 from gentianstair.core import upstream_backoffs
 from gentianstair.core import upstream_connector
 from gentianstair.core import upstream_limits
@@ -304,6 +305,7 @@
             known_limits, keepers, now, random.Random(vm_settings.vm)
         ),
         upstream_backoffs=backoffs,
+        recent_rejections=recent_rejections.RecentRejections(now),
         origin_keepers=origin_keepers.OriginKeepers(
             keepers,
             registry.versions,
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -101,6 +101,8 @@
         self.version: str | None = None
         # Names of replicas that were left out as they asked for a pause.
         self.backed_off: set[str] = set()
+        # Whether a replica turned it away.
+        self._was_rejected = False
         self._next_retry_is_paid = False
         self.permits = request_permits.RequestPermits(
             node.upstream_permits, call.request_id, node.clock
@@ -170,7 +172,8 @@
         """Return the replicas that this request has not tried yet.
 
         Ejected replicas are left out while there are others, and always
-        those of which there is no permit.
+        those of which there is no permit. A request that was turned away
+        goes to one that turned none away lately, if it can.
         """
         usable = self.permits.choices(self._usable())
         if self.parts.is_trial:
@@ -181,9 +184,18 @@
             return usable
         untried = [r for r in usable if r.name not in excluded]
         if any(map(_can_answer, untried)):
-            return untried
+            return self._likely_to_accept(untried)
         return [r for r in usable if r.name not in self.tried_replicas]
 
+    def _likely_to_accept(
+        self, found: list[replicas.Replica]
+    ) -> list[replicas.Replica]:
+        if not self._was_rejected:
+            return found
+        is_rejecting = self.node.recent_rejections.is_rejecting
+        likely = [r for r in found if not is_rejecting(r.run)]
+        return likely if any(map(_can_answer, likely)) else found
+
     def bind_version(self, version: str | None) -> None:
         """Let events come from replicas of one software version only."""
         self.version = version
@@ -293,8 +305,9 @@
     def record_success(
         self, replica: replicas.Replica, started_s: float
     ) -> None:
-        """Report a successful attempt to the ejector."""
+        """Record a successful attempt."""
         now_s = self.node.clock()
+        self.node.recent_rejections.record_served(replica.run, started_s)
         self.node.ejector.record_outcome(
             self._ejector_key(replica), True, now_s - started_s, now_s
         )
@@ -337,6 +350,9 @@
             )
         if isinstance(error, errors.ConnectionBrokenError):
             self.ends.record_broken(replica)
+        if isinstance(error, errors.UpstreamRejectedError):
+            self._was_rejected = True
+            self.node.recent_rejections.record_rejection(replica.run)
         self.record_verdict(error.verdict)
         self.log(
             events.TRY_FAILED,
--- /dev/null
+++ b/test/core/test_recent_rejections.py
@@ -0,0 +1,43 @@
+"""Test which upstreams count as turning requests away."""
+
+import pytest
+
+from gentianstair.core import recent_rejections
+from gentianstair.core import upstream_limits
+
+RUN = upstream_limits.UpstreamRun('i-1', 1000)
+NEXT_START = upstream_limits.UpstreamRun('i-1', 2000)
+BEGAN_S, REJECTED_S = 100.0, 101.0
+LAPSED_S = REJECTED_S + recent_rejections.MAX_AGE_S
+
+ROWS = [
+    pytest.param(RUN, None, REJECTED_S, True, id='just-now'),
+    pytest.param(RUN, None, LAPSED_S - 0.1, True, id='lately'),
+    pytest.param(RUN, None, LAPSED_S, False, id='long-ago'),
+    pytest.param(NEXT_START, None, REJECTED_S, False, id='another-start'),
+    pytest.param(RUN, REJECTED_S + 0.1, REJECTED_S, False, id='served-since'),
+    pytest.param(RUN, BEGAN_S, REJECTED_S, True, id='served-before'),
+]
+
+
+@pytest.mark.parametrize(('run', 'sent_s', 'now_s', 'expected'), ROWS)
+def test_rejection_counts_until_its_upstream_serves(
+    run, sent_s, now_s, expected
+):
+    times_s = [REJECTED_S]
+    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
+    rejections.record_rejection(RUN)
+    if sent_s is not None:
+        rejections.record_served(RUN, sent_s)
+    times_s[0] = now_s
+    assert rejections.is_rejecting(run) is expected
+
+
+def test_upstreams_that_are_gone_are_forgotten():
+    # Guards against memory that grows with each start of a replica.
+    times_s = [0.0]
+    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
+    for number in range(1000):
+        times_s[0] += 0.1
+        rejections.record_rejection(upstream_limits.UpstreamRun('i-1', number))
+    assert len(rejections._rejected_s) <= recent_rejections.MAX_AGE_S / 0.1 + 1
