--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -145,14 +145,29 @@
 
 def draw(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a run in order; they may overlap."""
-    chance = random.Random(seed)
+    return _draw_series(random.Random(seed), length_s, KINDS, GAP_S)
+
+
+def _draw_series(
+    chance: random.Random,
+    length_s: float,
+    kinds: typing.Sequence[tuple[str, str]],
+    gap_s: tuple[float, float],
+    span_s: tuple[float, float] = LASTS_S,
+    from_s: float = 1.0,
+) -> list[Fault]:
+    """Return faults of some kinds, one after the other.
+
+    A kind is where and what; span_s is how long a fault lasts, and gap_s how
+    long after one begins the next does.
+    """
     found = []
-    at_s = 1.0
+    at_s = from_s
     while at_s < length_s:
-        where, what = chance.choice(KINDS)
-        lasts_s = min(chance.uniform(*LASTS_S), length_s - at_s)
+        where, what = chance.choice(kinds)
+        lasts_s = min(chance.uniform(*span_s), length_s - at_s)
         found.append(Fault(at_s, where, what, chance.randrange(1000), lasts_s))
-        at_s += chance.uniform(*GAP_S)
+        at_s += chance.uniform(*gap_s)
     return found
 
 
@@ -179,14 +194,10 @@
 def draw_hubs(seed: int, length_s: float) -> list[Fault]:
     """Return faults of hubs in series, with those of all kinds beside them."""
     chance = random.Random(f'hubs/{seed}')
-    found = draw(seed, length_s)
-    at_s = 1.0
-    while at_s < length_s:
-        what = chance.choice(HUB_FAULTS)
-        lasts_s = min(chance.uniform(*LASTS_S), length_s - at_s)
-        found.append(Fault(at_s, 'hub', what, chance.randrange(1000), lasts_s))
-        at_s += chance.uniform(*HUB_GAP_S)
-    return sorted(found)
+    kinds = [('hub', what) for what in HUB_FAULTS]
+    return sorted(
+        draw(seed, length_s) + _draw_series(chance, length_s, kinds, HUB_GAP_S)
+    )
 
 
 def draw_paths(seed: int, length_s: float) -> list[Fault]:
@@ -204,43 +215,21 @@
             Fault(at_s, 'paths', how, chance.randrange(1000), lasts_s)
         )
         at_s += lasts_s + chance.uniform(*CUT_GAP_S)
-    found += _draw_beside(chance, length_s, BESIDE_CUT, BESIDE_CUT_GAP_S)
+    found += _draw_series(chance, length_s, BESIDE_CUT, BESIDE_CUT_GAP_S)
     return sorted(found)
 
 
-def _draw_beside(
-    chance: random.Random,
-    length_s: float,
-    kinds: tuple[tuple[str, str], ...],
-    gap_s: tuple[float, float],
-) -> list[Fault]:
-    """Return faults of some kinds, one after the other."""
-    found = []
-    at_s = 1.0
-    while at_s < length_s:
-        where, what = chance.choice(kinds)
-        lasts_s = min(chance.uniform(*LASTS_S), length_s - at_s)
-        found.append(Fault(at_s, where, what, chance.randrange(1000), lasts_s))
-        at_s += chance.uniform(*gap_s)
-    return found
-
-
 def draw_limits(seed: int, length_s: float) -> list[Fault]:
     """Return replicas that name limits, several at once.
 
     Planned stops, kills, pauses and changes come beside them.
     """
     chance = random.Random(f'limits/{seed}')
-    found = []
-    at_s = 0.5
-    while at_s < length_s:
-        what = chance.choice(LIMITS_PER_S)
-        lasts_s = min(chance.uniform(*LIMIT_S), length_s - at_s)
-        found.append(
-            Fault(at_s, 'limit', what, chance.randrange(1000), lasts_s)
-        )
-        at_s += chance.uniform(*LIMIT_GAP_S)
-    found += _draw_beside(chance, length_s, BESIDE_LIMIT, BESIDE_LIMIT_GAP_S)
+    kinds = [('limit', limit) for limit in LIMITS_PER_S]
+    found = _draw_series(
+        chance, length_s, kinds, LIMIT_GAP_S, LIMIT_S, from_s=0.5
+    )
+    found += _draw_series(chance, length_s, BESIDE_LIMIT, BESIDE_LIMIT_GAP_S)
     return sorted(found)
 
 
@@ -256,7 +245,7 @@
         what = chance.choice(versions.VERSIONS)
         found.append(Fault(at_s, 'version', what, chance.randrange(1000), 0.0))
         at_s += chance.uniform(*VERSION_GAP_S)
-    found += _draw_beside(
+    found += _draw_series(
         chance, length_s, BESIDE_VERSIONS, BESIDE_VERSIONS_GAP_S
     )
     return sorted(found)
@@ -273,7 +262,7 @@
         Fault(chance.uniform(*at_s), 'part', part, 0, 0.0)
         for part, at_s in zip(parts.BAD, SPOILED_AT_S, strict=True)
     ]
-    found += _draw_beside(chance, length_s, BESIDE_PARTS, BESIDE_PARTS_GAP_S)
+    found += _draw_series(chance, length_s, BESIDE_PARTS, BESIDE_PARTS_GAP_S)
     # Drawn apart, as the rest of a seed stays as it was.
     own_at_s = random.Random(f'own-part/{seed}').uniform(*OWN_SPOILED_AT_S)
     found.append(Fault(own_at_s, 'part', parts.OWN, 0, 0.0))
@@ -298,7 +287,7 @@
             what = chance.choice(whats)
             found.append(Fault(at_s, where, what, whom, lasts_s))
             at_s += chance.uniform(*gap_s)
-    found += _draw_beside(
+    found += _draw_series(
         chance, length_s, BESIDE_NOTICES, BESIDE_NOTICES_GAP_S
     )
     return sorted(found)
@@ -311,16 +300,11 @@
     changes come beside them.
     """
     chance = random.Random(f'answers/{seed}')
-    found = []
-    at_s = 0.5
-    while at_s < length_s:
-        what = chance.choice(odd_answers.KINDS)
-        lasts_s = min(chance.uniform(*ODD_ANSWERS_S), length_s - at_s)
-        found.append(
-            Fault(at_s, 'answer', what, chance.randrange(1000), lasts_s)
-        )
-        at_s += chance.uniform(*ODD_ANSWERS_GAP_S)
-    found += _draw_beside(
+    kinds = [('answer', what) for what in odd_answers.KINDS]
+    found = _draw_series(
+        chance, length_s, kinds, ODD_ANSWERS_GAP_S, ODD_ANSWERS_S, from_s=0.5
+    )
+    found += _draw_series(
         chance, length_s, BESIDE_ODD_ANSWERS, BESIDE_ODD_ANSWERS_GAP_S
     )
     return sorted(found)
