Begin a log line with what tells it from others

The record's lines are cut after the event field, so that neither id, status nor verdict of any can be seen: module, message, VM and failure domain, which are long or the same on each line, stood before them. Now event, request_id, status and verdict come first, module, VM and failure domain last; the names are the same. The new test fails before.

--- a/gentianstair/util/logs.py
+++ b/gentianstair/util/logs.py
@@ -1,5 +1,6 @@
 """Write logs as JSON lines to standard error, with secrets redacted."""
 
+import collections.abc
 import json
 import logging
 import re
@@ -19,6 +20,10 @@
     'upstream',
     'verdict',
 )
+# What tells a line from others comes first, as whoever collects lines may cut
+# them; what is long or the same on many comes last.
+FIRST_FIELDS = ('event', 'request_id', 'status', 'verdict')
+LAST_FIELDS = ('vm', 'failure_domain')
 REDACTED = '[redacted]'
 MAX_TEXT_CHARS = 8000
 LIBRARY_LEVEL = logging.WARNING
@@ -75,16 +80,29 @@
     return _sanitize(value)
 
 
+def _add_fields(
+    line: dict[str, typing.Any],
+    extra: dict[str, typing.Any],
+    names: collections.abc.Iterable[str],
+) -> None:
+    """Add the fields of these names that are there and not yet in a line."""
+    for name in names:
+        if name in extra and name not in line:
+            line[name] = _sanitize_field(name, extra[name])
+
+
 def to_line(record: typing.Any) -> str:
     """Return a loguru record as one line of JSON."""
     line = {
         'at': record['time'].isoformat(timespec='milliseconds'),
         'level': record['level'].name,
-        'module': record['name'],
-        'message': _sanitize(record['message']),
     }
-    for name, value in record['extra'].items():
-        line[name] = _sanitize_field(name, value)
+    extra = record['extra']
+    _add_fields(line, extra, FIRST_FIELDS)
+    line['message'] = _sanitize(record['message'])
+    _add_fields(line, extra, (n for n in extra if n not in LAST_FIELDS))
+    line.setdefault('module', record['name'])
+    _add_fields(line, extra, LAST_FIELDS)
     error = record['exception']
     if error is not None:
         # Formatted here, as loguru's formatter may print the values of
--- a/test/util/test_logs.py
+++ b/test/util/test_logs.py
@@ -87,3 +87,28 @@
     assert bound.items() <= line.items()
     assert line['level'] == 'WARNING'
     assert line['message'] == 'a\nb\x1b[2J {not a field}'
+
+
+def test_what_tells_a_line_from_others_survives_a_cut(lines):
+    # Guards against lines whose request nobody can name once they are cut.
+    loguru.logger.bind(
+        event='answer',
+        customer='club',
+        request_id='r1',
+        status=503,
+        verdict='NOT_RUN',
+    ).info('answered 503')
+    (line,) = lines()
+    assert list(line) == [
+        'at',
+        'level',
+        'event',
+        'request_id',
+        'status',
+        'verdict',
+        'message',
+        'customer',
+        'module',
+        'vm',
+        'failure_domain',
+    ]
