Say in a request's last line what set its verdict, and what its replica answered

The hypotheses on the record can't be told apart by today's lines: the answered line has the verdict and not what raised it, and no line has the status that a replica gave, whether it said that it did not run the request, or whether its connection had been kept. No decision changes.

--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -3,6 +3,7 @@
 import collections.abc
 import typing
 
+from gentianstair import verdict as verdicts
 from gentianstair.core import request_digest
 from gentianstair.core import upstream_permits
 from gentianstair.gateway import replicas
@@ -96,6 +97,16 @@
     body: bytes
 
 
+class Answer(typing.NamedTuple):
+    """What the headers of a replica's answer to an attempt say."""
+
+    status: int
+    # Whether the replica ran the request, by its own words.
+    verdict: verdicts.Verdict
+    # Whether the connection had carried another request before.
+    was_kept: bool
+
+
 class Attempt(typing.NamedTuple):
     """A call as it goes to one replica."""
 
@@ -121,3 +132,5 @@
     ends_with_path: bool = False
     # Called just before the first byte is sent.
     before_send: collections.abc.Callable[[], None] | None = None
+    # Called with the replica's own answer once its headers are there.
+    record_answer: collections.abc.Callable[[Answer], None] | None = None
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -58,14 +58,25 @@
     response = await node.replica_client.send(
         attempt.replica.run, request, is_callers=True
     )
-    _log_peer(call, attempt, response)
     try:
+        _log_peer(call, attempt, response)
+        if attempt.record_answer is not None:
+            attempt.record_answer(_answer_of(response))
         yield response
     finally:
         with trio.CancelScope(shield=True):
             await response.stream.aclose()
 
 
+def _answer_of(response: httpx.Response) -> calls.Answer:
+    """Return what a response's headers say of its attempt."""
+    return calls.Answer(
+        response.status_code,
+        http_codec.verdict_of(response),
+        response.extensions['was_kept'],
+    )
+
+
 def _check_send(node: nodes.Node, attempt: calls.Attempt) -> None:
     """Do what comes just before the first byte of an attempt."""
     node.upstream_permits.check_usable(attempt.replica.run, attempt.permit)
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -1,6 +1,7 @@
 """Serve one caller's request, from its headers to the end of the response."""
 
 import functools
+import typing
 
 import loguru
 import prometheus_client
@@ -141,11 +142,23 @@
             status=self._status,
             verdict=verdict,
             sent=request.attempts if request else 0,
+            **self._verdict_fields(),
             first_s=self._time_to_first_event_s(),
             **self._objective_fields(),
             took_s=round(took_s, 3),
         ).info('answered {}', self._status)
 
+    def _verdict_fields(self) -> dict[str, typing.Any]:
+        """Return what set the verdict, and the latest attempt's answer."""
+        request = self._request
+        if request is None:
+            return {}
+        return {
+            'verdict_by': request.verdict_by.value,
+            'replica': request.replica_name,
+            **request.answer_fields(),
+        }
+
     def _objective_fields(self) -> dict[str, float]:
         """Return the route's objectives and how the stream met them."""
         request = self._request
@@ -359,7 +372,9 @@
         if end is request_lifetime.EndReason.DONE:
             return
         if request.attempts:
-            request.record_verdict(verdicts.Verdict.MAY_HAVE_RUN)
+            request.record_verdict(
+                verdicts.Verdict.MAY_HAVE_RUN, request_state.VerdictBy.END
+            )
         if end is request_lifetime.EndReason.DISCONNECTED:
             raise exchanges.CallerDisconnectedError('the caller disconnected')
         raise self._timeout_error(request, end)
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -1,5 +1,6 @@
 """Hold the state of one caller's request and of its attempts at replicas."""
 
+import enum
 import typing
 
 import loguru
@@ -40,6 +41,21 @@
 MIN_REMAINING_S = 0.03
 
 
+class VerdictBy(enum.Enum):
+    """What raised the verdict on a request."""
+
+    # Nothing that was sent can have run.
+    NOTHING = 'nothing'
+    # The replica's own answer.
+    ANSWER = 'answer'
+    # An attempt that failed without an answer that decides.
+    FAILURE = 'failure'
+    # The deadline, or the caller's end, came while an attempt was under way.
+    END = 'end'
+    # The attempt was broken off, as replicas ended under the same request.
+    GIVEN_UP = 'given-up'
+
+
 def _can_answer(replica: replicas.Replica) -> bool:
     """Return whether a replica produces what a caller gets."""
     return replica.stage != prefill_costs.PREFILL
@@ -83,6 +99,11 @@
         self.deadline_s = deadline_s
         self._arrived_s = node.clock()
         self.verdict = verdicts.Verdict.NOT_RUN
+        # What raised the verdict last.
+        self.verdict_by = VerdictBy.NOTHING
+        # Where the latest attempt goes, and its answer if one has come.
+        self.replica_name = ''
+        self._answer: calls.Answer | None = None
         # Attempts that reached a replica, or may have.
         self.attempts = 0
         self.unreachable_attempts = 0
@@ -148,6 +169,7 @@
         A permit for the replica must have been acquired.
         """
         before_send = options.pop('before_send', None)
+        self.replica_name, self._answer = replica.name, None
 
         def check_send() -> None:
             self.parts.check_send()
@@ -165,9 +187,24 @@
             ends_with_path=self.route.retryable
             or options.get('prefill_only', False),
             before_send=check_send,
+            record_answer=self._record_answer,
             **options,
         )
 
+    def _record_answer(self, answer: calls.Answer) -> None:
+        self._answer = answer
+
+    def answer_fields(self) -> dict[str, typing.Any]:
+        """Return what is known of the latest attempt's answer, for logs."""
+        answer = self._answer
+        if answer is None:
+            return {}
+        return {
+            'replica_status': answer.status,
+            'not_executed': answer.verdict is verdicts.Verdict.NOT_RUN,
+            'connection': 'kept' if answer.was_kept else 'new',
+        }
+
     def candidates(self) -> list[replicas.Replica]:
         """Return the replicas that this request has not tried yet.
 
@@ -353,7 +390,7 @@
         if isinstance(error, errors.UpstreamRejectedError):
             self._was_rejected = True
             self.node.recent_rejections.record_rejection(replica.run)
-        self.record_verdict(error.verdict)
+        self.record_verdict(error.verdict, self._failed_by())
         self.log(
             events.TRY_FAILED,
             f'a try failed: {error}',
@@ -364,16 +401,24 @@
             digest=self.digest,
             parts=self._logged_parts(),
             took_s=round(now_s - started_s, 3),
+            **self.answer_fields(),
             **log_fields,
         )
 
+    def _failed_by(self) -> VerdictBy:
+        return VerdictBy.ANSWER if self._answer else VerdictBy.FAILURE
+
     def _logged_parts(self) -> list[str]:
         """Return the names of the prompt's first parts, for a log line."""
         names = self.call.shared_part_names[:MAX_LOGGED_PARTS]
         return [name[:MAX_LOGGED_NAME] for name in names]
 
-    def record_verdict(self, verdict: verdicts.Verdict) -> None:
+    def record_verdict(
+        self, verdict: verdicts.Verdict, by: VerdictBy = VerdictBy.ANSWER
+    ) -> None:
         """Combine an attempt's verdict with that of earlier ones."""
+        if verdict > self.verdict:
+            self.verdict_by = by
         self.verdict = verdicts.combine(self.verdict, verdict)
         if verdict is not verdicts.Verdict.NOT_RUN:
             self.possible_runs += 1
@@ -472,7 +517,9 @@
         if self._runs_at is not None:
             self.ends.record_broken(self._runs_at)
         if self.attempts:
-            self.record_verdict(verdicts.Verdict.MAY_HAVE_RUN)
+            self.record_verdict(
+                verdicts.Verdict.MAY_HAVE_RUN, VerdictBy.GIVEN_UP
+            )
         self.log(events.GIVEN_UP, 'replicas ended under the same request')
         return self.final_error()
 
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -155,7 +155,8 @@
     - ``ends_with_path``: whether the request is given up if its path is
       lost.
 
-    The response's extension ``connection`` is the one that it came on.
+    The response's extension ``connection`` is the one that it came on, and
+    ``was_kept`` says whether that had carried another request before.
     """
 
     def __init__(self, connector: connectors.Connector, idle_s: float) -> None:
@@ -281,7 +282,7 @@
             parser.status,
             headers=parser.headers,
             stream=body,
-            extensions={'connection': stream},
+            extensions={'connection': stream, 'was_kept': was_kept},
         )
 
     async def _receive_headers(
