Play replicas that reject by themselves, and tell a breach as the users' record does

In the soak, plan rejections: replicas answer at once with 408, 429, 500, 503 or 504, with and without Retry-After, a signature or Connection: close, begin nothing and don't say so. A breach is a line with the fields of the users' record: id, kind, VM, sent, end, status told, and each arrival with its replica, version, domain, begin of work, end, status and whether it says that it has not run.

--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -30,6 +30,23 @@
     first_event: int
     # Of the replica's software.
     version: str = 'v1'
+    at_s: float = 0.0
+
+
+class Answer(typing.NamedTuple):
+    """How the replica answered a request, by its headers."""
+
+    at_s: float
+    request_id: str
+    status: int
+    # Whether it says that it did not run the request.
+    says_not_run: bool
+    is_prefill: bool = False
+
+    @property
+    def is_unsaid(self) -> bool:
+        """Return whether its request counts as run, begun or not."""
+        return not self.says_not_run and not self.is_prefill
 
 
 class Arrival(typing.NamedTuple):
@@ -91,6 +108,10 @@
         # Requests that failed already, here or at replicas that share it;
         # their next run does not fail.
         self.has_failed: set[str] | None = None
+        # Answers at once with this status, and these headers; it begins
+        # nothing, and does not say so.
+        self.rejects_with = 0
+        self.rejects_headers: dict[str, str] = {}
         # Says that it is full.
         self.full = False
         # Says that it is another one, as after a start under a new name.
@@ -166,6 +187,7 @@
         self.headers: list[dict[str, str]] = []
         # Requests that came, also those that it refused.
         self.came: list[Arrival] = []
+        self.answers: list[Answer] = []
         # When a request that is read now came, by its id.
         self.received_s: ArrivalTime = _now_s
         # The limit that it names in its answers, if any, and the header for
@@ -321,6 +343,7 @@
             'authorization' in headers,
             first_event,
             replica.version,
+            trio.current_time(),
         )
     )
 
@@ -412,6 +435,26 @@
     return _signed(replica, break_off())
 
 
+async def _answer(replica: Replica, replicas: list[Replica]) -> typing.Any:
+    """Serve a request, and note how it is answered."""
+    response = await _serve(replica, replicas)
+    headers = quart.request.headers
+    status, says_not_run = 200, False
+    if isinstance(response, quart.Response):
+        status = response.status_code
+        says_not_run = status == 421 or 'x-not-executed' in response.headers
+    replica.answers.append(
+        Answer(
+            trio.current_time(),
+            headers.get('x-request-id', ''),
+            status,
+            says_not_run,
+            headers.get('x-stage') == 'prefill',
+        )
+    )
+    return response
+
+
 async def _serve(replica: Replica, replicas: list[Replica]) -> typing.Any:
     headers = quart.request.headers
     await quart.request.get_data()
@@ -425,10 +468,9 @@
             replica.born_ms,
         )
     )
-    if faults.changed or headers.get('x-expect-instance') != replica.name:
-        return quart.Response('', 421, {'x-instance-id': replica.name})
-    if faults.full or trio.current_time() < replica.down_until_s:
-        return _not_run(503)
+    rejection = _rejection(replica)
+    if rejection is not None:
+        return rejection
     _note_leaving(replica, request_id)
     if replica.rest_headers:
         return _ask_rest(replica, request_id)
@@ -452,6 +494,19 @@
     return await _answer_whole(replica)
 
 
+def _rejection(replica: Replica) -> quart.Response | None:
+    """Return the answer of a replica that takes no request, if it doesn't."""
+    faults = replica.faults
+    expected = quart.request.headers.get('x-expect-instance')
+    if faults.changed or expected != replica.name:
+        return quart.Response('', 421, {'x-instance-id': replica.name})
+    if faults.full or trio.current_time() < replica.down_until_s:
+        return _not_run(503)
+    if faults.rejects_with:
+        return quart.Response('', faults.rejects_with, faults.rejects_headers)
+    return None
+
+
 def _is_to_fail(faults: Faults, request_id: str) -> bool:
     if not faults.fails_with or faults.has_failed is None:
         return bool(faults.fails_with)
@@ -564,6 +619,6 @@
         '/<path:_>', methods=['GET', 'POST', 'PUT'], strict_slashes=False
     )
     async def anything(_: str):
-        return await _serve(replica, replicas)
+        return await _answer(replica, replicas)
 
     return app
--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -11,6 +11,7 @@
 from standins.soak import notices
 from standins.soak import odd_answers
 from standins.soak import parts
+from standins.soak import record
 from standins.soak import versions
 
 # VMs have this long to find out about a fault.
@@ -88,18 +89,38 @@
 def at_most_once(seen: Seen) -> list[str]:
     """What may not be repeated runs once, and not at all if refused."""
     runs = _runs(seen)
+    unsaid = _unsaid(seen)
     breaches = []
     for sent in seen.sent:
-        found = runs.get(sent.request_id, [])
         if callers.KINDS[sent.kind][2]:
             continue
-        if len(found) > 1:
-            breaches.append(f'{sent.request_id} ran {len(found)} times')
-        if sent.status in odd_answers.NOT_RUN and found:
-            breaches.append(f'{sent.request_id}: {sent.status}, but it ran')
+        ran = len(runs.get(sent.request_id, ())) + unsaid[sent.request_id]
+        if ran > 1:
+            breaches.append(f'ran {ran} times: {_record(seen, sent)}')
+        if sent.status in odd_answers.NOT_RUN and ran:
+            breaches.append(
+                f'answered {sent.status} and ran: {_record(seen, sent)}'
+            )
     return breaches
 
 
+def _record(seen: Seen, sent: callers.Sent) -> str:
+    return record.line(sent, seen.replicas)
+
+
+def _unsaid(seen: Seen) -> collections.Counter[str]:
+    """Count answers of replicas that began nothing and don't say so."""
+    found: collections.Counter[str] = collections.Counter()
+    for replica in seen.replicas:
+        ran = {run.request_id for run in replica.runs}
+        found.update(
+            answer.request_id
+            for answer in replica.answers
+            if answer.is_unsaid and answer.request_id not in ran
+        )
+    return found
+
+
 def whole_answers(seen: Seen) -> list[str]:
     """A success is the whole answer of a replica that ran the request."""
     runs = _runs(seen)
--- a/standins/soak/odd_answers.py
+++ b/standins/soak/odd_answers.py
@@ -35,6 +35,25 @@
         'fails_headers': {'retry-after': '0.2'},
     },
 }
+# A replica answers so at once, begins nothing, and doesn't say so.
+REJECTIONS: dict[str, dict[str, typing.Any]] = {
+    **{
+        f'rejects with {status}': {'rejects_with': status}
+        for status in (408, 429, 500, 503, 504)
+    },
+    'rejects with 429 for now': {
+        'rejects_with': 429,
+        'rejects_headers': {'retry-after': '0.2'},
+    },
+    'rejects with 503, signed': {
+        'rejects_with': 503,
+        'rejects_headers': {'x-response-signature': 'signed'},
+    },
+    'rejects with 503 and closes': {
+        'rejects_with': 503,
+        'rejects_headers': {'connection': 'close'},
+    },
+}
 # Of the requests on a link, one in so many gets an added answer.
 ADDED_EACH = 4
 KINDS = (*ADDED, *FAILURES)
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -310,6 +310,22 @@
     return sorted(found)
 
 
+def draw_rejections(seed: int, length_s: float) -> list[Fault]:
+    """Return replicas that reject requests without saying so, several at once.
+
+    The same faults come beside them as beside other odd answers.
+    """
+    chance = random.Random(f'rejections/{seed}')
+    kinds = [('answer', what) for what in odd_answers.REJECTIONS]
+    found = _draw_series(
+        chance, length_s, kinds, ODD_ANSWERS_GAP_S, ODD_ANSWERS_S, from_s=0.5
+    )
+    found += _draw_series(
+        chance, length_s, BESIDE_ODD_ANSWERS, BESIDE_ODD_ANSWERS_GAP_S
+    )
+    return sorted(found)
+
+
 PLANS = {
     'faults': draw,
     'stops': draw_stops,
@@ -321,4 +337,5 @@
     'parts': draw_parts,
     'notices': draw_notices,
     'answers': draw_answers,
+    'rejections': draw_rejections,
 }
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -31,6 +31,7 @@
 REFUSED_STATUS = 503
 _FAULTS: dict[str, dict[str, typing.Any]] = {
     **odd_answers.FAILURES,
+    **odd_answers.REJECTIONS,
     'fails': {'fails_with': 500},
     'full': {'full': True},
     'silent': {'silent': True},
@@ -284,7 +285,7 @@
 
     async def _spoil_answers(self, fault: plan.Fault) -> None:
         """Have answers come before a replica's own, or refuse what ran."""
-        if fault.what in odd_answers.FAILURES:
+        if fault.what in _FAULTS:
             await self._strike_replica(fault)
             return
         link = self.replica_links[fault.whom % len(self.replica_links)]
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -55,6 +55,9 @@
     # Bytes without an id, and refusals of what ran, were believed.
     ('answers', 1),
     ('answers', 2),
+    # A replica's own refusal of what it did not begin went to the caller.
+    ('rejections', 1),
+    ('rejections', 2),
 ]
 LENGTH_S = 8.0
 # Plans whose callers need not cross a close.
@@ -338,3 +341,33 @@
 def test_checks_see_planted_breaches(history, breach):
     found = {line.partition(':')[0] for line in checks.all_breaches(history)}
     assert found == ({breach} if breach else set())
+
+
+UNSAID = replicas.Answer(1.2, 'a', 503, False)
+
+
+@pytest.mark.parametrize(
+    ('answer', 'status', 'expected'),
+    [
+        (UNSAID, 503, True),
+        (UNSAID, 502, False),
+        (UNSAID._replace(says_not_run=True), 503, False),
+        (UNSAID._replace(is_prefill=True), 503, False),
+    ],
+    ids=['unsaid', 'told-as-failure', 'said', 'prefill'],
+)
+def test_rejection_counts_as_run_unless_it_says_otherwise(
+    answer, status, expected
+):
+    # Guards against refusals of what counts as run that no check sees.
+    history = seen([sent('a', 'register', status=status, text='')], [])
+    replica = history.replicas[0]
+    replica.came = [replicas.Arrival(1.1, 'a', 1.1)]
+    replica.answers = [answer]
+    found = checks.all_breaches(history)
+    line = (
+        'at_most_once: answered 503 and ran: id a register/unsafe POST '
+        '/register/bowl at node entry-0 sent 1.000 end 0.000 answered status '
+        '503 [r1 desk/v1 a from entry-0 at 1.100 ran - end 1.200 status 503]'
+    )
+    assert found == ([line] if expected else [])
