Count what was sent as may-have-run, unless its own answer says otherwise

Callers saw: a stream that ran was refused with 503, a promise. One replica arrival, its answer 200, and then the check of that replica's start could not connect (streams that a caller resumes while two versions serve). The failure of that other call ended the attempt, as an error whose class says 'not sent': the attempt was taken back, its verdict stayed NOT_RUN, and the last place before the caller let the promise pass.

Cause: a request's verdict began at NOT_RUN and was raised by whoever ended an attempt, with the verdict of whatever error it was. Class: a promise that is believed by default and withdrawn by whoever remembers to.

Change: core/run_verdict.py. An attempt may have run from the place on that writes its first byte (upstreams/transport.py), whatever ends it; one place lowers it, forward.open_response, by that attempt's own answer. The verdict of an error only raises. That a request ends, at its deadline, with its caller or as it is given up, no longer sets a verdict: what was never sent is told so (503, not 504), also when the deadline comes first.

Why it holds: no error's class or verdict is a proof any more, so neither a door that nobody thought of nor an exception that nobody named can leave a promise behind.

--- /dev/null
+++ b/gentianstair/core/run_verdict.py
@@ -0,0 +1,84 @@
+"""Keep whether a request may have run, by its attempts at upstreams.
+
+From its first byte on an attempt may have run, whatever ends it. Only its own
+answer may say that it has not.
+"""
+
+import enum
+
+from gentianstair import verdict as verdicts
+
+
+class Reason(enum.Enum):
+    """What set the verdict on an attempt last."""
+
+    NOT_SENT = 'not-sent'
+    SENT = 'sent'
+    # The upstream's own answer.
+    ANSWER = 'answer'
+    # A failure of what was sent.
+    FAILURE = 'failure'
+
+
+class AttemptRun:
+    """Whether one attempt may have run.
+
+    >>> attempt = AttemptRun()
+    >>> attempt.record_send()
+    >>> attempt.verdict.name, attempt.reason.value
+    ('MAY_HAVE_RUN', 'sent')
+    >>> attempt.record_answer(verdicts.Verdict.NOT_RUN)
+    >>> attempt.verdict.name, attempt.reason.value
+    ('NOT_RUN', 'answer')
+    """
+
+    def __init__(self) -> None:
+        self.verdict = verdicts.Verdict.NOT_RUN
+        self.reason = Reason.NOT_SENT
+
+    @property
+    def was_sent(self) -> bool:
+        """Return whether its first byte was written, or was about to be."""
+        return self.reason is not Reason.NOT_SENT
+
+    def record_send(self) -> None:
+        """Record that the first byte is written now."""
+        self.verdict = verdicts.Verdict.MAY_HAVE_RUN
+        self.reason = Reason.SENT
+
+    def record_answer(self, verdict: verdicts.Verdict) -> None:
+        """Record what the attempt's own answer says; it may lower."""
+        if self.was_sent:
+            self.verdict = verdict
+            self.reason = Reason.ANSWER
+
+    def record_failure(self, verdict: verdicts.Verdict) -> None:
+        """Record what is known of a failure; it never lowers."""
+        if verdict > self.verdict:
+            self.verdict = verdict
+            self.reason = Reason.FAILURE
+
+
+class RunVerdict:
+    """Whether a request may have run at any of its attempts.
+
+    They come one after the other, and each may change until the next begins.
+    """
+
+    def __init__(self) -> None:
+        self._earlier = verdicts.Verdict.NOT_RUN
+        self.latest = AttemptRun()
+
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """Return the verdict on all attempts so far."""
+        return verdicts.combine(self._earlier, self.latest.verdict)
+
+    def begin(self) -> AttemptRun:
+        """Return the next attempt, of which nothing has been sent."""
+        self._earlier = self.verdict
+        self.latest = AttemptRun()
+        return self.latest
+
+
+__all__ = ['AttemptRun', 'Reason', 'RunVerdict']
--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -132,5 +132,7 @@
     ends_with_path: bool = False
     # Called just before the first byte is sent.
     before_send: collections.abc.Callable[[], None] | None = None
+    # Called as the first byte is written; may not raise.
+    record_send: collections.abc.Callable[[], None] | None = None
     # Called with the replica's own answer once its headers are there.
     record_answer: collections.abc.Callable[[Answer], None] | None = None
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -154,7 +154,7 @@
         if request is None:
             return {}
         return {
-            'verdict_by': request.verdict_by.value,
+            'verdict_by': request.runs.latest.reason.value,
             'replica': request.replica_name,
             **request.answer_fields(),
         }
@@ -371,10 +371,7 @@
         )
         if end is request_lifetime.EndReason.DONE:
             return
-        if request.attempts:
-            request.record_verdict(
-                verdicts.Verdict.MAY_HAVE_RUN, request_state.VerdictBy.END
-            )
+        request.record_end()
         if end is request_lifetime.EndReason.DISCONNECTED:
             raise exchanges.CallerDisconnectedError('the caller disconnected')
         raise self._timeout_error(request, end)
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -1,6 +1,5 @@
 """Hold the state of one caller's request and of its attempts at replicas."""
 
-import enum
 import typing
 
 import loguru
@@ -8,6 +7,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
+from gentianstair.core import run_verdict
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
@@ -41,21 +41,6 @@
 MIN_REMAINING_S = 0.03
 
 
-class VerdictBy(enum.Enum):
-    """What raised the verdict on a request."""
-
-    # Nothing that was sent can have run.
-    NOTHING = 'nothing'
-    # The replica's own answer.
-    ANSWER = 'answer'
-    # An attempt that failed without an answer that decides.
-    FAILURE = 'failure'
-    # The deadline, or the caller's end, came while an attempt was under way.
-    END = 'end'
-    # The attempt was broken off, as replicas ended under the same request.
-    GIVEN_UP = 'given-up'
-
-
 def _can_answer(replica: replicas.Replica) -> bool:
     """Return whether a replica produces what a caller gets."""
     return replica.stage != prefill_costs.PREFILL
@@ -98,9 +83,7 @@
         self.customer = customer
         self.deadline_s = deadline_s
         self._arrived_s = node.clock()
-        self.verdict = verdicts.Verdict.NOT_RUN
-        # What raised the verdict last.
-        self.verdict_by = VerdictBy.NOTHING
+        self.runs = run_verdict.RunVerdict()
         # Where the latest attempt goes, and its answer if one has come.
         self.replica_name = ''
         self._answer: calls.Answer | None = None
@@ -140,6 +123,11 @@
         # attempt succeeds.
         self.failure_response: forward.ReplicaResponse | None = None
 
+    @property
+    def verdict(self) -> verdicts.Verdict:
+        """Return whether the request may have run so far."""
+        return self.runs.verdict
+
     @property
     def customer_name(self) -> str | None:
         """Return the customer's name, None on a public route."""
@@ -166,16 +154,20 @@
     ) -> calls.Attempt:
         """Return an attempt at a replica with the time that remains.
 
-        A permit for the replica must have been acquired.
+        A permit for the replica must have been acquired. A prefill does not
+        run the request.
         """
-        before_send = options.pop('before_send', None)
         self.replica_name, self._answer = replica.name, None
+        run = self.runs.begin()
+        is_prefill = options.get('prefill_only', False)
 
         def check_send() -> None:
             self.parts.check_send()
             self._runs_at = replica
-            if before_send is not None:
-                before_send()
+
+        def record_answer(answer: calls.Answer) -> None:
+            self._answer = answer
+            run.record_answer(answer.verdict)
 
         return calls.Attempt(
             replica,
@@ -184,16 +176,13 @@
             self.remaining_s(),
             self.body,
             silence_s=max(MIN_SILENCE_S, self.route.objective_s),
-            ends_with_path=self.route.retryable
-            or options.get('prefill_only', False),
+            ends_with_path=self.route.retryable or is_prefill,
             before_send=check_send,
-            record_answer=self._record_answer,
+            record_send=None if is_prefill else run.record_send,
+            record_answer=record_answer,
             **options,
         )
 
-    def _record_answer(self, answer: calls.Answer) -> None:
-        self._answer = answer
-
     def answer_fields(self) -> dict[str, typing.Any]:
         """Return what is known of the latest attempt's answer, for logs."""
         answer = self._answer
@@ -371,8 +360,13 @@
         now_s = self.node.clock()
         key = self._ejector_key(replica)
         self._runs_at = None
+        run = self.runs.latest
         if isinstance(error, errors.NotSentError):
-            self.attempts -= 1
+            if run.was_sent:
+                # Another call failed, which the attempt needed.
+                error = errors.UpstreamError(str(error), run.verdict)
+            else:
+                self.attempts -= 1
         if isinstance(error, errors.NoLongerSendableError):
             self.tried_replicas.discard(replica.name)
         elif isinstance(error, errors.UnreachableError):
@@ -390,13 +384,14 @@
         if isinstance(error, errors.UpstreamRejectedError):
             self._was_rejected = True
             self.node.recent_rejections.record_rejection(replica.run)
-        self.record_verdict(error.verdict, self._failed_by())
+        run.record_failure(error.verdict)
+        self._count_possible_run(run)
         self.log(
             events.TRY_FAILED,
             f'a try failed: {error}',
             replica=replica.name,
             started_ms=replica.started_ms,
-            verdict=error.verdict.name,
+            verdict=run.verdict.name,
             broke=isinstance(error, errors.ConnectionBrokenError),
             digest=self.digest,
             parts=self._logged_parts(),
@@ -405,30 +400,30 @@
             **log_fields,
         )
 
-    def _failed_by(self) -> VerdictBy:
-        return VerdictBy.ANSWER if self._answer else VerdictBy.FAILURE
-
     def _logged_parts(self) -> list[str]:
         """Return the names of the prompt's first parts, for a log line."""
         names = self.call.shared_part_names[:MAX_LOGGED_PARTS]
         return [name[:MAX_LOGGED_NAME] for name in names]
 
-    def record_verdict(
-        self, verdict: verdicts.Verdict, by: VerdictBy = VerdictBy.ANSWER
-    ) -> None:
-        """Combine an attempt's verdict with that of earlier ones."""
-        if verdict > self.verdict:
-            self.verdict_by = by
-        self.verdict = verdicts.combine(self.verdict, verdict)
-        if verdict is not verdicts.Verdict.NOT_RUN:
+    def record_run(self) -> None:
+        """Record that the attempt under way has run to its end."""
+        self.runs.latest.record_failure(verdicts.Verdict.RAN)
+        self._count_possible_run(self.runs.latest)
+
+    def record_end(self) -> None:
+        """Record that the request ends, whatever is under way."""
+        self._count_possible_run(self.runs.latest)
+
+    def _count_possible_run(self, run: run_verdict.AttemptRun) -> None:
+        if run.verdict is not verdicts.Verdict.NOT_RUN:
             self.possible_runs += 1
             self.parts.record_possible_run()
 
-    def may_retry(self, last_verdict: verdicts.Verdict) -> bool:
+    def may_retry(self, error: errors.UpstreamError) -> bool:
         """Return whether another attempt may follow a failed one."""
-        if (
-            last_verdict is not verdicts.Verdict.NOT_RUN
-            and not self.route.retryable
+        verdict = verdicts.combine(error.verdict, self.runs.latest.verdict)
+        if verdict is not verdicts.Verdict.NOT_RUN and not (
+            self.route.retryable
         ):
             return False
         return self._may_retry_after(self.possible_runs)
@@ -516,10 +511,7 @@
         """
         if self._runs_at is not None:
             self.ends.record_broken(self._runs_at)
-        if self.attempts:
-            self.record_verdict(
-                verdicts.Verdict.MAY_HAVE_RUN, VerdictBy.GIVEN_UP
-            )
+        self.record_end()
         self.log(events.GIVEN_UP, 'replicas ended under the same request')
         return self.final_error()
 
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -83,7 +83,7 @@
                     return self.response
                 except errors.UpstreamError as error:
                     await request.ends.wait_for_check()
-                    if not request.may_retry(error.verdict):
+                    if not request.may_retry(error):
                         break
                 self._event_buffer.discard_partial()
         finally:
@@ -360,7 +360,7 @@
                 'the stream ended before an event was complete',
                 verdicts.Verdict.RAN,
             )
-        request.record_verdict(verdicts.Verdict.RAN)
+        request.record_run()
         request.parts.record_answer()
         await request.exchange.end()
 
@@ -380,7 +380,7 @@
         request = self._request
         is_failure = refusals.is_failure(replica_response.status)
         if not is_failure and verdict is verdicts.Verdict.RAN:
-            request.record_verdict(verdict)
+            request.record_run()
             if request.exchange.started:
                 raise errors.UpstreamError(
                     f'a resumed stream got status {replica_response.status}',
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -1,7 +1,5 @@
 """Serve a unary request: one whole response, with retries."""
 
-import trio
-
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import refusals
@@ -27,13 +25,13 @@
         started_s = request.begin_attempt(replica)
         try:
             response = await _attempt(request, replica, started_s)
-            request.record_verdict(response.verdict)
+            request.record_run()
             request.record_success(replica, started_s)
             return response
         except errors.UpstreamError as error:
             request.record_failure(replica, error, started_s)
             await request.ends.wait_for_check()
-            if not request.may_retry(error.verdict):
+            if not request.may_retry(error):
                 break
     if request.failure_response is not None:
         return request.failure_response
@@ -81,10 +79,9 @@
         lambda: request.record_late(replica, started_s),
     )
     found: list[forward.ReplicaResponse] = []
-    sent = trio.Event()
 
     async def fetch() -> None:
-        call = request.make_attempt(replica, before_send=sent.set)
+        call = request.make_attempt(replica)
         found.append(await forward.fetch_response(node, request.call, call))
 
     load = node.load_tracker.begin(replica.name)
@@ -92,7 +89,7 @@
         if not _is_worth_replacing(request, late_s):
             await fetch()
         elif not await late_attempt.run_unless_replaced(fetch, attempt):
-            if not sent.is_set():
+            if not request.runs.latest.was_sent:
                 raise errors.UnreachableError('no connection in time')
             raise errors.UpstreamError(
                 'no answer in time', verdicts.Verdict.MAY_HAVE_RUN
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -272,6 +272,7 @@
             'silence_s': attempt.silence_s,
             'ends_with_path': attempt.ends_with_path,
             'before_send': attempt.before_send,
+            'record_send': attempt.record_send,
         },
     )
 
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -146,7 +146,8 @@
     - ``fresh``: open a new connection. Requests that must not be repeated
       need it, as an idle connection may close just after the send.
     - ``before_send``: called before the first byte is sent, with no await
-      in between.
+      in between. It may raise, and then nothing is sent.
+    - ``record_send``: called after that, as the first byte is written.
     - ``connect_s``: the time limit for connecting.
     - ``answer_id``: the request's id; a response without it is dropped.
     - ``target``: the request target, sent as it is.
@@ -262,6 +263,9 @@
         check = request.extensions.get('before_send')
         if check is not None:
             check()
+        record_send = request.extensions.get('record_send')
+        if record_send is not None:
+            record_send()
         try:
             await stream.send_all(_encode_head(request) + request.content)
         except trio.BrokenResourceError as error:
--- a/gentianstair/verdict.py
+++ b/gentianstair/verdict.py
@@ -6,7 +6,8 @@
 class Verdict(enum.IntEnum):
     """Whether a request ran, from ruled out to certain.
 
-    The verdict on a request never decreases.
+    An attempt may have run from its first byte on, unless its own answer
+    says otherwise; the verdict on several attempts is the highest of theirs.
 
     >>> Verdict.NOT_RUN < Verdict.MAY_HAVE_RUN < Verdict.RAN
     True
