Count what was sent as may-have-run on the OpenAI-style interface, too

Callers would see: a call that an upstream ran is refused with 503 or 429 and verdict NOT_RUN; under an Idempotency-Key its claim is released, and the caller's repeat runs again.

A request's verdict was that of whatever error ended it, and RequestError says NOT_RUN unless told otherwise. No error of today's code is known that does so after the send (by reading); nothing kept it so.

Change: each attempt has an AttemptRun, raised as its first byte is written and lowered in relay.open_response alone, by an answer that says it was not started. The verdict of an error only raises it, in attempts.run and at the door. core/run_verdict.py keeps all attempts, as hedged copies run at once. RequestError keeps its default: it is no proof any more.

--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -62,22 +62,25 @@
 class RunVerdict:
     """Whether a request may have run at any of its attempts.
 
-    They come one after the other, and each may change until the next begins.
+    >>> runs = RunVerdict()
+    >>> runs.begin().record_send()
+    >>> runs.begin().was_sent, runs.verdict.name
+    (False, 'MAY_HAVE_RUN')
     """
 
     def __init__(self) -> None:
-        self._earlier = verdicts.Verdict.NOT_RUN
         self.latest = AttemptRun()
+        self._attempts = [self.latest]
 
     @property
     def verdict(self) -> verdicts.Verdict:
         """Return the verdict on all attempts so far."""
-        return verdicts.combine(self._earlier, self.latest.verdict)
+        return max(attempt.verdict for attempt in self._attempts)
 
     def begin(self) -> AttemptRun:
         """Return the next attempt, of which nothing has been sent."""
-        self._earlier = self.verdict
         self.latest = AttemptRun()
+        self._attempts.append(self.latest)
         return self.latest
 
 
--- a/gentianstair/entry/attempts.py
+++ b/gentianstair/entry/attempts.py
@@ -9,6 +9,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import run_verdict
 from gentianstair.core import upstream_permits
 from gentianstair.entry import node as nodes
 from gentianstair.entry import request as requests
@@ -29,6 +30,7 @@
 
     ``prefill_upstream`` runs the prefill if ``upstream`` should not. Call
     ``check_send`` just before the first byte, with the upstream's permit.
+    ``run`` is told of that byte and of the upstream's own answer.
     """
 
     upstream: messages.UpstreamValue
@@ -36,6 +38,7 @@
     first_token: collections.abc.Callable[[], None]
     prefill_upstream: messages.UpstreamValue | None = None
     check_send: collections.abc.Callable[[], None] | None = None
+    run: run_verdict.AttemptRun | None = None
 
 
 class _PermittedChoice(typing.NamedTuple):
@@ -142,6 +145,7 @@
     request: requests.Request,
     permitted: _PermittedChoice,
     run_attempt: RunAttempt,
+    run: run_verdict.AttemptRun,
 ) -> streams.Usage:
     """Run one attempt; report its outcome to the router and the ejector."""
     choice = permitted.choice
@@ -171,6 +175,7 @@
                 first_token,
                 reader,
                 functools.partial(node.permits.check_usable, permitted.permit),
+                run,
             )
         )
     except errors.NoLongerSendableError:
@@ -258,21 +263,21 @@
 
     Raise RequestError with the combined verdict of all attempts.
     """
-    verdict = verdicts.Verdict.NOT_RUN
+    runs = request.runs or run_verdict.RunVerdict()
     failed: set[str] = set()
     customer = request.caller.customer
     in_use = set() if in_use is None else in_use
     attempt_count = ended_upstreams = 0
     while True:
-        node.held_requests.check(request, verdict)
+        node.held_requests.check(request, runs.verdict)
         try:
             permitted = await _choose_permitted(node, request, failed | in_use)
         except errors.RequestError as error:
-            error.verdict = verdict
+            error.verdict = runs.verdict
             raise
         if permitted is None:
             _explain(node, request, 'no-upstream', failed=sorted(failed))
-            raise _no_upstream_error(node, request, verdict)
+            raise _no_upstream_error(node, request, runs.verdict)
         choice = permitted.choice
         attempt_count += 1
         if attempt_count == 1:
@@ -280,12 +285,19 @@
         _explain(node, request, 'route', **choice._asdict())
         in_use.add(choice.upstream)
         sent_s = node.clock()
+        run = runs.begin()
         try:
-            usage = await _run_attempt(node, request, permitted, run_attempt)
+            usage = await _run_attempt(
+                node, request, permitted, run_attempt, run
+            )
             node.held_requests.record_answer(request)
             return usage
+        except errors.RequestError as error:
+            error.verdict = verdicts.combine(error.verdict, runs.verdict)
+            raise
         except errors.UpstreamError as error:
-            verdict = verdicts.combine(verdict, error.verdict)
+            run.record_failure(error.verdict)
+            error.verdict = run.verdict
             failed.add(choice.upstream)
             if isinstance(error, errors.ConnectionBrokenError):
                 ended_upstreams += 1
@@ -306,10 +318,10 @@
                 request_id=request.request_id,
                 customer=customer,
                 upstream=choice.upstream,
-                verdict=verdict.name,
+                verdict=runs.verdict.name,
             ).warning('a try failed: {}', error)
             if not decision.retry:
-                raise _upstream_failed_error(error, verdict) from error
+                raise _upstream_failed_error(error, runs.verdict) from error
         finally:
             in_use.discard(choice.upstream)
         await trio.sleep(decision.wait_s)
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -15,6 +15,7 @@
 from gentianstair.core import refusals
 from gentianstair.core import request_digest
 from gentianstair.core import request_lifetime
+from gentianstair.core import run_verdict
 from gentianstair.entry import callers
 from gentianstair.entry import completions
 from gentianstair.entry import node as nodes
@@ -81,6 +82,7 @@
         self._customer = ''
         self._status = 0
         self._verdict = verdicts.Verdict.NOT_RUN
+        self._runs = run_verdict.RunVerdict()
 
     async def serve(self) -> None:
         """Serve the request; every failure ends in an error response."""
@@ -141,6 +143,7 @@
 
     async def _send_failure(self, error: errors.RequestError) -> None:
         """Tell of an error; no refusal of what may have run."""
+        error.verdict = verdicts.combine(error.verdict, self._runs.verdict)
         error.status = self._status = refusals.told_status(
             error.status, error.verdict, self._request_id
         )
@@ -201,7 +204,12 @@
         model = callers.resolve_model(bundle, caller, completion.model)
         work = self._describe_work(caller, completion, model, deadline_s)
         request = requests.Request(
-            self._request_id, caller, work, bundle, digest=self._digest(body)
+            self._request_id,
+            caller,
+            work,
+            bundle,
+            digest=self._digest(body),
+            runs=self._runs,
         )
         is_client_retry = self._is_client_retry()
 
@@ -311,6 +319,7 @@
             node.view.active_bundle(),
             is_service=True,
             digest=self._digest(body),
+            runs=self._runs,
         )
 
         async def run() -> None:
--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import functools
+import typing
 
 import httpx
 import trio
@@ -32,6 +33,23 @@
 BILLING_MARGIN_TOKENS = 4
 
 
+def send_extensions(
+    tried: attempts.Attempt,
+    check_send: collections.abc.Callable[[], None] | None,
+) -> dict[str, typing.Any]:
+    """Return the extensions of an attempt's request.
+
+    They tell its run of the first byte and, in open_response, of an answer
+    that denies it.
+    """
+    run = tried.run
+    return {
+        'before_send': check_send,
+        'record_send': run and run.record_send,
+        'record_answer': run and run.record_answer,
+    }
+
+
 def engine_request(
     request: requests.Request,
     tried: attempts.Attempt,
@@ -49,7 +67,7 @@
         url,
         headers=headers,
         content=body,
-        extensions={'before_send': tried.check_send},
+        extensions=send_extensions(tried, tried.check_send),
     )
 
 
@@ -58,6 +76,13 @@
     return response.headers.get(NOT_STARTED_HEADER) == '1'
 
 
+def _denies_run(response: httpx.Response) -> bool:
+    """Return whether a failure says that its upstream did not start."""
+    return refusals.is_failure(response.status_code) and says_not_started(
+        response
+    )
+
+
 def check_status(response: httpx.Response) -> None:
     """Raise UpstreamError for a status that means a failed attempt.
 
@@ -68,7 +93,7 @@
     if not refusals.is_failure(status):
         return
     verdict = verdicts.Verdict.MAY_HAVE_RUN
-    if says_not_started(response):
+    if _denies_run(response):
         verdict = verdicts.Verdict.NOT_RUN
     message = f'the upstream answered {status}'
     if _asks_pause(response):
@@ -130,6 +155,7 @@
                 upstream_request
             )
             node.permits.record(response, upstream_request.url, sent_s)
+            _record_answer(upstream_request, response)
             yield response, stall_timeout
         finally:
             if response is not None:
@@ -146,6 +172,15 @@
     )
 
 
+def _record_answer(
+    upstream_request: httpx.Request, response: httpx.Response
+) -> None:
+    """Tell an attempt's run of an answer that says it did not start."""
+    record = upstream_request.extensions.get('record_answer')
+    if record is not None and _denies_run(response):
+        record(verdicts.Verdict.NOT_RUN)
+
+
 def _close_deadline_s() -> float:
     return trio.current_time() + 1.0
 
--- a/gentianstair/entry/remote_prefill.py
+++ b/gentianstair/entry/remote_prefill.py
@@ -81,7 +81,7 @@
     assert tried.prefill_upstream is not None
     body = _prefill_body(completion, model)
     prefill_attempt = tried._replace(
-        upstream=tried.prefill_upstream, check_send=None
+        upstream=tried.prefill_upstream, check_send=None, run=None
     )
     outgoing = relay.engine_request(
         request, prefill_attempt, completion.path, body
--- a/gentianstair/entry/request.py
+++ b/gentianstair/entry/request.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from gentianstair.core import run_verdict
 from gentianstair.entry import callers
 from gentianstair.entry import work as works
 from gentianstair.generated import messages
@@ -13,7 +14,8 @@
     Retries and resumptions use the bundle that was in force when the request
     started, even after another one comes into force. ``is_service`` is true
     for calls of plain services, false for completions. ``digest`` names what
-    is asked for; it is the same when the caller repeats the request.
+    is asked for; it is the same when the caller repeats the request. ``runs``
+    has its attempts, those of hedged copies too.
     """
 
     request_id: str
@@ -22,3 +24,4 @@
     bundle: messages.BundleValue | None
     is_service: bool = False
     digest: str = ''
+    runs: run_verdict.RunVerdict | None = None
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -203,7 +203,9 @@
             content=call.body,
             extensions={
                 'fresh': not call.repeatable,
-                'before_send': functools.partial(self._check_send, tried),
+                **relay.send_extensions(
+                    tried, functools.partial(self._check_send, tried)
+                ),
             },
         )
 
--- a/test/entry/test_attempts.py
+++ b/test/entry/test_attempts.py
@@ -109,3 +109,20 @@
     assert await play.ask('bad') == 503
     await trio.sleep(0.5)
     assert [await play.ask('bad') for _ in range(3)] == [200] * 3
+
+
+async def test_error_that_ends_a_sent_attempt_says_that_it_may_have_run(
+    autojump_clock,
+):
+    # Guards against a second run under an idempotency key that was released.
+    node = test_hedging.make_node()
+    item = work.Work('r', 'c', 'stock', 1, 1, 1e6)
+    request = requests.Request('r', callers.Caller('c', 'd'), item, None)
+
+    async def attempt(tried):
+        tried.run.record_send()
+        raise errors.RequestError(503, 'odd', 'odd')
+
+    with pytest.raises(errors.RequestError) as caught:
+        await attempts.run(node, request, attempt)
+    assert caught.value.verdict is verdict.Verdict.MAY_HAVE_RUN
--- a/test/entry/test_refusals.py
+++ b/test/entry/test_refusals.py
@@ -1,5 +1,6 @@
 """Test that entries tell 408, 421, 429 and 503 only of what did not run."""
 
+import functools
 import json
 
 import pytest
@@ -8,6 +9,7 @@
 from gentianstair import verdict
 from gentianstair.core import refusals
 from gentianstair.entry import services
+from gentianstair.entry import upstream_permits
 from test.entry import test_bad_input
 
 REGISTER, STOCK = '/services/stock/register', '/services/stock/7'
@@ -88,3 +90,30 @@
     monkeypatch.setattr(services, 'run', run)
     async with test_bad_input.open_entry() as entry:
         test_bad_input.check_refusal(await send(entry, asks()['once']), 503)
+
+
+ERRORS = {
+    'refusal': functools.partial(errors.RequestError, 503, 'odd', 'odd'),
+    'over-limit': functools.partial(errors.RequestError, 429, 'odd', 'odd'),
+    'not-run': functools.partial(
+        errors.UpstreamError, 'odd', verdict.Verdict.NOT_RUN
+    ),
+    'unreachable': functools.partial(errors.UnreachableError, 'odd'),
+}
+
+
+@pytest.mark.parametrize('error', ERRORS)
+@pytest.mark.parametrize('ask', asks().values(), ids=asks())
+async def test_error_after_the_send_is_no_proof_of_no_run(
+    monkeypatch, ask, error
+):
+    # Guards against a refusal, or a second run, of what was sent already.
+    def fail(*_):
+        raise ERRORS[error]()
+
+    monkeypatch.setattr(upstream_permits.EntryPermits, 'record', fail)
+    async with test_bad_input.open_entry() as entry:
+        told, body = await send(entry, ask)
+        assert entry.upstream.requests
+    assert told == refusals.TOLD_STATUS
+    assert json.loads(body)['verdict'] == 'MAY_HAVE_RUN'
