Take no failure of the store for a write that did nothing

What would be seen: a lease or another object was written, its answer was 500, 502, 504 or could not be read, and its writer went on as if nothing had been written: StoreUnavailableError, 'known to have had no effect', for each status but 200, 201 and 202.

That something did not happen was believed by default.

Change: after a write all from 500 on but 503, and an answer that can't be read, raise StoreOutcomeUnknownError, as a lost answer does; writers read back. Reads are as they were.

Evidence: 10 of 16 new rows failed before.

--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -33,6 +33,10 @@
 # How much longer than its own timeout a watch may take to answer.
 WATCH_GRACE_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+DONE_STATUSES = (200, 201, 202)
+# From MIN_FAILURE_STATUS on, only this one says that nothing was done.
+UNAVAILABLE = 503
+MIN_FAILURE_STATUS = 500
 
 # Purposes of reads that may take longer while the store answers late; others
 # are made under a lease, and must end well before it does.
@@ -312,8 +316,8 @@
             raise errors.StoreConflictError(
                 kind, name, _conflicting_version(answer)
             )
-        _check_status(answer)
-        version = _decode_object(kind, answer).version
+        _check_written(answer)
+        version = _written_object(kind, answer).version
         store_era.check_replaced(kind, name, expect_version, version)
         return version
 
@@ -329,7 +333,7 @@
             raise errors.StoreConflictError(
                 kind, name, _conflicting_version(answer)
             )
-        _check_status(answer)
+        _check_written(answer)
         return expect_version
 
     async def watch(
@@ -381,11 +385,36 @@
 
 
 def _check_status(answer: _Answer) -> None:
-    """Raise StoreUnavailableError for a call that the store rejected."""
-    if answer.status not in (200, 201, 202):
-        raise errors.StoreUnavailableError(
-            f'status {answer.status}: {answer.body[:100]!r}'
-        )
+    """Raise StoreUnavailableError for a read without a result."""
+    if answer.status not in DONE_STATUSES:
+        raise errors.StoreUnavailableError(_told(answer))
+
+
+def _check_written(answer: _Answer) -> None:
+    """Raise StoreError for a write that the store does not confirm.
+
+    It is StoreOutcomeUnknownError unless the store says that it did nothing.
+    """
+    if answer.status in DONE_STATUSES:
+        return
+    if answer.status == UNAVAILABLE or answer.status < MIN_FAILURE_STATUS:
+        raise errors.StoreUnavailableError(_told(answer))
+    raise errors.StoreOutcomeUnknownError(_told(answer))
+
+
+def _told(answer: _Answer) -> str:
+    return f'status {answer.status}: {answer.body[:100]!r}'
+
+
+def _written_object(kind: str, answer: _Answer) -> store.StoredObject:
+    """Return the object in the answer to a write, which took effect.
+
+    Raise StoreOutcomeUnknownError if it can't be read.
+    """
+    try:
+        return _decode_object(kind, answer)
+    except errors.StoreUnavailableError as error:
+        raise errors.StoreOutcomeUnknownError(str(error)) from error
 
 
 def _decode(
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -98,6 +98,38 @@
     assert server.connections == 2
 
 
+@pytest.mark.parametrize(
+    ('status', 'body', 'error'),
+    [
+        (429, b'', errors.StoreUnavailableError),
+        (503, b'', errors.StoreUnavailableError),
+        (400, b'', errors.StoreUnavailableError),
+        (500, b'', errors.StoreOutcomeUnknownError),
+        (502, b'', errors.StoreOutcomeUnknownError),
+        (504, b'', errors.StoreOutcomeUnknownError),
+        (201, b'{"metadata":', errors.StoreOutcomeUnknownError),
+        (201, b'[]', errors.StoreOutcomeUnknownError),
+    ],
+)
+@pytest.mark.parametrize('version', [0, 5], ids=['create', 'update'])
+async def test_write_may_have_taken_effect_unless_the_store_denies_it(
+    nursery, status, body, error, version
+):
+    # Guards against a lease that is taken though its holder thinks it is not.
+    head = b'HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n'
+
+    async def serve(stream):
+        while await stream.receive_some(4096):
+            await stream.send_all(head % (status, len(body)) + body)
+
+    listeners = await nursery.start(trio.serve_tcp, serve, 0)
+    port = listeners[0].socket.getsockname()[1]
+    store = object_store.connect(lambda: f'127.0.0.1:{port}', 'vm-1', 1.0)
+    with pytest.raises(error):
+        await store.put('config', 'main', {}, version, purpose='test')
+    nursery.cancel_scope.cancel()
+
+
 async def test_calls_are_counted_by_kind_and_method(nursery):
     # A priced call that grows with the fleet could not be found otherwise.
     server = StoreServer()
