Take no failure of an engine for an order that was refused

What would be seen: an engine takes an order, something before it answers 502 or 504, or its answer can't be read, and the record says refused; nobody settles it with the engine.

Cause: the class of the refusals. 'An unknown response counts as REFUSED' is a denial that nobody made. Change: only 409 with a reason, and 400 to 499, say that an order was not taken; any other response raises UpstreamError with MAY_HAVE_RUN, so that the record stays intended and the next order settles it first, as after a lost answer.

--- a/gentianstair/upstreams/orders_client.py
+++ b/gentianstair/upstreams/orders_client.py
@@ -1,5 +1,6 @@
 """Send orders to engines, and read the last order that each accepted."""
 
+import contextlib
 import enum
 import typing
 
@@ -11,6 +12,10 @@
 from gentianstair.util import json_codec
 from gentianstair.util import leased_call
 
+# An order that an engine does not take is answered with one of these.
+MIN_REFUSAL_STATUS = 400
+MIN_FAILURE_STATUS = 500
+
 
 class Outcome(enum.Enum):
     """An engine's response to an order."""
@@ -52,7 +57,8 @@
     ) -> Outcome:
         """Send an order; raise as leased_call.call does.
 
-        An unknown response counts as REFUSED.
+        Raise UpstreamError with MAY_HAVE_RUN for a response that does not say
+        what became of the order.
         """
         response = await leased_call.call(
             f'{url}/orders',
@@ -62,14 +68,7 @@
             lifetime_s=self._lifetime_s,
             timeout_s=self._timeout_s,
         )
-        body = response.body if isinstance(response.body, dict) else {}
-        outcome = body.get('state') if response.status == 200 else None
-        if response.status == 409:
-            outcome = body.get('reason')
-        try:
-            return Outcome(outcome)
-        except ValueError:
-            return Outcome.REFUSED
+        return _outcome(response)
 
     async def fetch_last(self, url: str) -> messages.LastOrder:
         """Return the engine's last order; raise UpstreamError."""
@@ -84,6 +83,22 @@
             raise errors.UpstreamError(f'{url}: {error!r}', not_run) from error
 
 
+def _outcome(response: leased_call.Response) -> Outcome:
+    """Return what a response says; raise UpstreamError if it does not."""
+    body = response.body if isinstance(response.body, dict) else {}
+    said = body.get('state') if response.status == 200 else None
+    if response.status == 409:
+        said = body.get('reason')
+    with contextlib.suppress(ValueError):
+        return Outcome(said)
+    if MIN_REFUSAL_STATUS <= response.status < MIN_FAILURE_STATUS:
+        return Outcome.REFUSED
+    raise errors.UpstreamError(
+        f'order answered with status {response.status}',
+        verdict.Verdict.MAY_HAVE_RUN,
+    )
+
+
 def connect(lifetime_s: float, timeout_s: float) -> OrdersClient:
     """Return a client; undelivered orders are dropped after lifetime_s."""
     client = httpx.AsyncClient(trust_env=False)
