--- a/gentianstair/platform/object_store.py
+++ b/gentianstair/platform/object_store.py
@@ -9,19 +9,17 @@
 import urllib.parse
 
 import httpx
-import loguru
 import msgspec
 import prometheus_client
 import trio
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.generated import events
+from gentianstair.platform import object_codec as codec
 from gentianstair.store import era as store_era
 from gentianstair.store import read_timeout
 from gentianstair.store import store
 from gentianstair.upstreams import transport as transports
-from gentianstair.util import json_codec
 
 # Must be well below the duration of a lease, so that a call which times out
 # can be repeated before the lease lapses. A call takes some milliseconds, and
@@ -33,10 +31,6 @@
 # How much longer than its own timeout a watch may take to answer.
 WATCH_GRACE_S = 0.5
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-DONE_STATUSES = (200, 201, 202)
-# From MIN_FAILURE_STATUS on, only this one says that nothing was done.
-UNAVAILABLE = 503
-MIN_FAILURE_STATUS = 500
 
 # Purposes of reads that may take longer while the store answers late; others
 # are made under a lease, and must end well before it does.
@@ -54,41 +48,6 @@
 )
 
 
-class _Meta(msgspec.Struct):
-    name: str
-    revision: int
-
-
-class _Object(msgspec.Struct):
-    metadata: _Meta
-    spec: typing.Any = None
-
-
-class _List(msgspec.Struct):
-    items: list[msgspec.Raw]
-    store_revision: int
-    truncated: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: msgspec.Raw
-    # Whether the object was removed.
-    tombstone: bool = False
-
-
-class _EventList(msgspec.Struct):
-    events: list[_Event]
-    store_revision: int
-
-
-class _Answer(typing.NamedTuple):
-    """Status and body of an answer, and the store's era."""
-
-    status: int
-    body: bytes
-    era: int
-
-
 AddressOf = collections.abc.Callable[[], str]
 
 
@@ -125,7 +84,7 @@
         params: dict[str, typing.Any] | None = None,
         body: typing.Any = None,
         timeout_s: float | None = None,
-    ) -> _Answer:
+    ) -> codec.Answer:
         """Return the answer to a call; connecting has the usual time only.
 
         Raise StoreUnavailableError or StoreOutcomeUnknownError.
@@ -160,7 +119,7 @@
                     era = self._era.observe(
                         response.headers.get_list(store_era.HEADER)
                     )
-                    return _Answer(response.status_code, content, era)
+                    return codec.Answer(response.status_code, content, era)
                 finally:
                     await response.stream.aclose()
         except trio.TooSlowError as error:
@@ -183,7 +142,7 @@
         path: str,
         purpose: str,
         params: dict[str, typing.Any] | None = None,
-    ) -> _Answer:
+    ) -> codec.Answer:
         """Return the answer to a read that waits for no change."""
         started_s = trio.current_time()
         if purpose in PATIENT_PURPOSES and self._read_timeout.extra_s:
@@ -195,14 +154,14 @@
 
     async def _read_twice(
         self, path: str, params: dict[str, typing.Any] | None
-    ) -> _Answer:
+    ) -> codec.Answer:
         """Return the first answer of a read and one that follows it.
 
         The second is sent when the first has had the usual time. A store
         that was silent when the first came answers the second as soon as it
         would answer a repetition.
         """
-        answers: list[_Answer] = []
+        answers: list[codec.Answer] = []
         failures: list[errors.StoreError] = []
         limit_s = self._read_timeout.current_s
         second_at_s = trio.current_time() + self._timeout_s
@@ -243,8 +202,8 @@
         answer = await self._read(_path(kind, name), purpose)
         if answer.status == 404:
             return store.StoredObject(kind, name, 0, None)
-        _check_status(answer)
-        return _decode_object(kind, answer)
+        codec.check_read(answer)
+        return codec.decode_object(kind, answer)
 
     async def list(
         self, kind: str, *, purpose: str, prefix: str = ''
@@ -260,15 +219,17 @@
         while True:
             params = {'after': after} if after else None
             answer = await self._read(_path(kind), purpose, params)
-            _check_status(answer)
-            page = _decode_page(answer.body, _List)
+            codec.check_read(answer)
+            page = codec.decode_list(answer)
             if revision is None:
                 revision = store_era.join(answer.era, page.store_revision)
             elif store_era.era_of(revision) != answer.era:
                 raise errors.StoreUnavailableError('pages of two eras')
-            items = [_decode_item(kind, raw, answer.era) for raw in page.items]
+            items = [
+                codec.decode_item(kind, raw, answer.era) for raw in page.items
+            ]
             found += [item for item in items if item is not None]
-            last = _last_name(page)
+            last = codec.last_name(page)
             if not page.truncated or not last:
                 break
             after = last
@@ -309,15 +270,19 @@
         return store_era.split(version)[1]
 
     def _written_version(
-        self, kind: str, name: str, expect_version: int, answer: _Answer
+        self,
+        kind: str,
+        name: str,
+        expect_version: int,
+        answer: codec.Answer,
     ) -> int:
         if answer.status in (404, 409):
             # An update of a missing object is a conflict, too.
             raise errors.StoreConflictError(
-                kind, name, _conflicting_version(answer)
+                kind, name, codec.conflicting_version(answer)
             )
-        _check_written(answer)
-        version = _written_object(kind, answer).version
+        codec.check_written(answer)
+        version = codec.written_object(kind, answer).version
         store_era.check_replaced(kind, name, expect_version, version)
         return version
 
@@ -331,9 +296,9 @@
         )
         if answer.status in (404, 409):
             raise errors.StoreConflictError(
-                kind, name, _conflicting_version(answer)
+                kind, name, codec.conflicting_version(answer)
             )
-        _check_written(answer)
+        codec.check_written(answer)
         return expect_version
 
     async def watch(
@@ -365,11 +330,11 @@
             or self._era.is_past(after_revision)
         ):
             raise errors.WatchTooOldError(kind)
-        _check_status(answer)
-        changes = _decode_page(answer.body, _EventList)
+        codec.check_read(answer)
+        changes = codec.decode_events(answer)
         found = []
         for event in changes.events:
-            item = _decode_item(kind, event.object, answer.era)
+            item = codec.decode_item(kind, event.object, answer.era)
             if item is not None and event.tombstone:
                 item = item._replace(value=None)
             if item is not None:
@@ -384,116 +349,6 @@
     return f'{kind}/{urllib.parse.quote(name, safe="")}'
 
 
-def _check_status(answer: _Answer) -> None:
-    """Raise StoreUnavailableError for a read without a result."""
-    if answer.status not in DONE_STATUSES:
-        raise errors.StoreUnavailableError(_told(answer))
-
-
-def _check_written(answer: _Answer) -> None:
-    """Raise StoreError for a write that the store does not confirm.
-
-    It is StoreOutcomeUnknownError unless the store says that it did nothing.
-    """
-    if answer.status in DONE_STATUSES:
-        return
-    if answer.status == UNAVAILABLE or answer.status < MIN_FAILURE_STATUS:
-        raise errors.StoreUnavailableError(_told(answer))
-    raise errors.StoreOutcomeUnknownError(_told(answer))
-
-
-def _told(answer: _Answer) -> str:
-    return f'status {answer.status}: {answer.body[:100]!r}'
-
-
-def _written_object(kind: str, answer: _Answer) -> store.StoredObject:
-    """Return the object in the answer to a write, which took effect.
-
-    Raise StoreOutcomeUnknownError if it can't be read.
-    """
-    try:
-        return _decode_object(kind, answer)
-    except errors.StoreUnavailableError as error:
-        raise errors.StoreOutcomeUnknownError(str(error)) from error
-
-
-def _decode(
-    body: bytes,
-    kind: type,
-    decode: collections.abc.Callable[[bytes, type], typing.Any] = (
-        json_codec.decode
-    ),
-) -> typing.Any:
-    try:
-        return decode(body, kind)
-    except errors.DecodeError as error:
-        raise errors.StoreUnavailableError(
-            f'invalid response: {error}'
-        ) from error
-
-
-def _decode_page(body: bytes, kind: type) -> typing.Any:
-    """Return a listing or the events of a watch.
-
-    One object that is nested too deep must not hide all others.
-    """
-    return _decode(body, kind, json_codec.decode_cut)
-
-
-def _decode_object(kind: str, answer: _Answer) -> store.StoredObject:
-    return _to_stored(kind, _decode(answer.body, _Object), answer.era)
-
-
-def _to_stored(kind: str, found: _Object, era: int) -> store.StoredObject:
-    meta = found.metadata
-    version = store_era.join(era, meta.revision)
-    return store.StoredObject(kind, meta.name, version, found.spec)
-
-
-def _decode_item(
-    kind: str, raw: msgspec.Raw, era: int
-) -> store.StoredObject | None:
-    """Return one item of a listing, or None if it is not valid.
-
-    An invalid object, which another program may write, must not make the
-    whole listing fail.
-    """
-    try:
-        if json_codec.CUT in bytes(raw):
-            raise errors.NestingError('nested too deep')
-        found = json_codec.decode(raw, _Object)
-    except errors.DecodeError as error:
-        loguru.logger.bind(event=events.OBJECT_UNREADABLE, kind=kind).warning(
-            'skipped an invalid object: {}', error
-        )
-        return None
-    return _to_stored(kind, found, era)
-
-
-class _NameOnly(msgspec.Struct):
-    metadata: dict[str, typing.Any]
-
-
-def _last_name(page: _List) -> str | None:
-    """Return the last name on a page, after which the next page begins."""
-    for raw in reversed(page.items):
-        try:
-            meta = json_codec.decode(raw, _NameOnly).metadata
-            return str(meta['name'])
-        except (errors.DecodeError, KeyError):
-            continue
-    return None
-
-
-def _conflicting_version(answer: _Answer) -> int:
-    """Return the current version, or 0 if the response has none."""
-    try:
-        found = json_codec.decode(answer.body, _Object)
-        return store_era.join(answer.era, found.metadata.revision)
-    except errors.DecodeError:
-        return 0
-
-
 def connect(
     address_of: AddressOf, vm: str, timeout_s: float = CALL_TIMEOUT_S
 ) -> ObjectStore:
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -300,9 +300,20 @@
     changes come beside them.
     """
     chance = random.Random(f'answers/{seed}')
-    kinds = [('answer', what) for what in odd_answers.KINDS]
+    return _draw_answers(chance, length_s, odd_answers.KINDS)
+
+
+def _draw_answers(
+    chance: random.Random, length_s: float, whats: typing.Iterable[str]
+) -> list[Fault]:
+    """Return odd answers of replicas, and the faults beside them."""
     found = _draw_series(
-        chance, length_s, kinds, ODD_ANSWERS_GAP_S, ODD_ANSWERS_S, from_s=0.5
+        chance,
+        length_s,
+        [('answer', what) for what in whats],
+        ODD_ANSWERS_GAP_S,
+        ODD_ANSWERS_S,
+        from_s=0.5,
     )
     found += _draw_series(
         chance, length_s, BESIDE_ODD_ANSWERS, BESIDE_ODD_ANSWERS_GAP_S
@@ -316,14 +327,7 @@
     The same faults come beside them as beside other odd answers.
     """
     chance = random.Random(f'rejections/{seed}')
-    kinds = [('answer', what) for what in odd_answers.REJECTIONS]
-    found = _draw_series(
-        chance, length_s, kinds, ODD_ANSWERS_GAP_S, ODD_ANSWERS_S, from_s=0.5
-    )
-    found += _draw_series(
-        chance, length_s, BESIDE_ODD_ANSWERS, BESIDE_ODD_ANSWERS_GAP_S
-    )
-    return sorted(found)
+    return _draw_answers(chance, length_s, odd_answers.REJECTIONS)
 
 
 PLANS = {
