--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -52,8 +52,8 @@
             self.verdict = verdict
             self.reason = Reason.ANSWER
 
-    def record_failure(self, verdict: verdicts.Verdict) -> None:
-        """Record what is known of a failure; it never lowers."""
+    def raise_to(self, verdict: verdicts.Verdict) -> None:
+        """Take a failure's verdict if it is higher."""
         if verdict > self.verdict:
             self.verdict = verdict
             self.reason = Reason.FAILURE
--- a/gentianstair/entry/attempts.py
+++ b/gentianstair/entry/attempts.py
@@ -296,7 +296,7 @@
             error.verdict = verdicts.combine(error.verdict, runs.verdict)
             raise
         except errors.UpstreamError as error:
-            run.record_failure(error.verdict)
+            run.raise_to(error.verdict)
             error.verdict = run.verdict
             failed.add(choice.upstream)
             if isinstance(error, errors.ConnectionBrokenError):
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -371,7 +371,7 @@
         )
         if end is request_lifetime.EndReason.DONE:
             return
-        request.record_end()
+        request.record_attempt_end()
         if end is request_lifetime.EndReason.DISCONNECTED:
             raise exchanges.CallerDisconnectedError('the caller disconnected')
         raise self._timeout_error(request, end)
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -384,8 +384,8 @@
         if isinstance(error, errors.UpstreamRejectedError):
             self._was_rejected = True
             self.node.recent_rejections.record_rejection(replica.run)
-        run.record_failure(error.verdict)
-        self._count_possible_run(run)
+        run.raise_to(error.verdict)
+        self.record_attempt_end()
         self.log(
             events.TRY_FAILED,
             f'a try failed: {error}',
@@ -405,17 +405,9 @@
         names = self.call.shared_part_names[:MAX_LOGGED_PARTS]
         return [name[:MAX_LOGGED_NAME] for name in names]
 
-    def record_run(self) -> None:
-        """Record that the attempt under way has run to its end."""
-        self.runs.latest.record_failure(verdicts.Verdict.RAN)
-        self._count_possible_run(self.runs.latest)
-
-    def record_end(self) -> None:
-        """Record that the request ends, whatever is under way."""
-        self._count_possible_run(self.runs.latest)
-
-    def _count_possible_run(self, run: run_verdict.AttemptRun) -> None:
-        if run.verdict is not verdicts.Verdict.NOT_RUN:
+    def record_attempt_end(self) -> None:
+        """Count the latest attempt, which has ended, if it may have run."""
+        if self.runs.latest.verdict is not verdicts.Verdict.NOT_RUN:
             self.possible_runs += 1
             self.parts.record_possible_run()
 
@@ -511,7 +503,7 @@
         """
         if self._runs_at is not None:
             self.ends.record_broken(self._runs_at)
-        self.record_end()
+        self.record_attempt_end()
         self.log(events.GIVEN_UP, 'replicas ended under the same request')
         return self.final_error()
 
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -360,7 +360,7 @@
                 'the stream ended before an event was complete',
                 verdicts.Verdict.RAN,
             )
-        request.record_run()
+        request.record_attempt_end()
         request.parts.record_answer()
         await request.exchange.end()
 
@@ -380,7 +380,7 @@
         request = self._request
         is_failure = refusals.is_failure(replica_response.status)
         if not is_failure and verdict is verdicts.Verdict.RAN:
-            request.record_run()
+            request.record_attempt_end()
             if request.exchange.started:
                 raise errors.UpstreamError(
                     f'a resumed stream got status {replica_response.status}',
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -25,7 +25,7 @@
         started_s = request.begin_attempt(replica)
         try:
             response = await _attempt(request, replica, started_s)
-            request.record_run()
+            request.record_attempt_end()
             request.record_success(replica, started_s)
             return response
         except errors.UpstreamError as error:
