--- a/standins/soak/checks.py
+++ b/standins/soak/checks.py
@@ -105,7 +105,7 @@
 
 
 def _record(seen: Seen, sent: callers.Sent) -> str:
-    return record.line(sent, seen.replicas)
+    return record.line(record.of(sent), seen.replicas)
 
 
 def _unsaid(seen: Seen) -> collections.Counter[str]:
