Name the build in each log line, at /version and in a metric

A process now names a digest of the package's Python files, in each log line (behind what tells a line from others, within the first 200 characters), at /version and in gentianstair_build_info; 'gentianstair build FOLDER' tells it of a release. It is made at the start of the files that run, not at build: a file that a build leaves can be of other sources.

verdict_by was the latest attempt's while the verdict is that of all, so that a line could say RAN by 'sent'. It is of the attempt that set the verdict now; its test failed before.

--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -27,6 +27,7 @@
 from gentianstair.store import upstream_order_sender as platform_orders
 from gentianstair.store import usage_report_sender
 from gentianstair.upstreams import orders_client
+from gentianstair.util import build_info
 from gentianstair.util import clock
 from gentianstair.util import serving
 from gentianstair.util import stop_signals
@@ -84,9 +85,15 @@
 def create_app(
     config: generated.ControlSettings, lease_manager: lease.LeaseManager
 ) -> quart_trio.QuartTrio:
-    """Return the application with health and metrics."""
+    """Return the application with health, version and metrics."""
     app = quart_trio.QuartTrio('gentianstair.control')
 
+    build_info.publish()
+
+    @app.get('/version')
+    async def version():
+        return {'build': build_info.build()}
+
     @app.get('/healthz')
     async def healthz():
         return {'state': 'serving', 'vm': config.vm_name}
--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -66,6 +66,8 @@
     >>> runs.begin().record_send()
     >>> runs.begin().was_sent, runs.verdict.name
     (False, 'MAY_HAVE_RUN')
+    >>> runs.decisive.reason.value
+    'sent'
     """
 
     def __init__(self) -> None:
@@ -75,7 +77,14 @@
     @property
     def verdict(self) -> verdicts.Verdict:
         """Return the verdict on all attempts so far."""
-        return max(attempt.verdict for attempt in self._attempts)
+        return self.decisive.verdict
+
+    @property
+    def decisive(self) -> AttemptRun:
+        """Return the latest attempt of those with the highest verdict."""
+        return max(
+            reversed(self._attempts), key=lambda attempt: attempt.verdict
+        )
 
     def begin(self) -> AttemptRun:
         """Return the next attempt, of which nothing has been sent."""
--- a/gentianstair/entry/app.py
+++ b/gentianstair/entry/app.py
@@ -16,6 +16,7 @@
 from gentianstair.entry import handler
 from gentianstair.entry import node as nodes
 from gentianstair.entry import services
+from gentianstair.util import build_info
 
 
 def _is_relayed(scope: dict[str, typing.Any]) -> bool:
@@ -115,7 +116,13 @@
 def add_health_routes(
     app: quart_trio.QuartTrio, node: nodes.Node, leaving: trio.Event
 ) -> None:
-    """Add the health, readiness and metrics routes to app."""
+    """Add the health, readiness, version and metrics routes to app."""
+
+    build_info.publish()
+
+    @app.get('/version')
+    async def version():
+        return {'build': build_info.build()}
 
     @app.get('/healthz')
     async def healthz():
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -154,7 +154,7 @@
         if request is None:
             return {}
         return {
-            'verdict_by': request.runs.latest.reason.value,
+            'verdict_by': request.runs.decisive.reason.value,
             'replica': request.replica_name,
             **request.answer_fields(),
         }
--- a/gentianstair/gateway/monitoring.py
+++ b/gentianstair/gateway/monitoring.py
@@ -8,9 +8,11 @@
 from gentianstair.core import exchange as exchanges
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import operator_parts
+from gentianstair.util import build_info
 
 READY_PATH = '/api/ready'
 METRICS_PATH = '/metrics'
+VERSION_PATH = '/version'
 JSON = 'application/json'
 TEXT = 'text/plain'
 
@@ -45,12 +47,17 @@
 
 def make_metrics_app(node: nodes.Node) -> asgi.App:
     """Return the application that serves the metrics and operators."""
+    build_info.publish()
 
     async def serve(exchange: exchanges.Exchange) -> None:
         if await operator_parts.serve(
             exchange, node.prompt_faults, node.clock
         ):
             return
+        if exchange.path == VERSION_PATH:
+            body = msgspec.json.encode({'build': build_info.build()})
+            await exchange.respond(200, JSON, body)
+            return
         if exchange.path != METRICS_PATH:
             await _not_found(exchange)
             return
--- a/gentianstair/ui/main.py
+++ b/gentianstair/ui/main.py
@@ -15,6 +15,7 @@
 from gentianstair.ui import output
 from gentianstair.ui import session as sessions
 from gentianstair.ui.commands import audit
+from gentianstair.ui.commands import build
 from gentianstair.ui.commands import bundle
 from gentianstair.ui.commands import customer
 from gentianstair.ui.commands import explain
@@ -51,6 +52,7 @@
     | part.Part
     | settings.Settings
     | snapshot.Snapshot
+    | build.Build
 )
 
 
--- a/gentianstair/util/logs.py
+++ b/gentianstair/util/logs.py
@@ -11,8 +11,11 @@
 
 import loguru
 
+from gentianstair.util import build_info
+
 # Names of the fields that log lines may bind.
 FIELDS = (
+    'build',
     'request_id',
     'customer',
     'vm',
@@ -22,7 +25,7 @@
 )
 # What tells a line from others comes first, as whoever collects lines may cut
 # them; what is long or the same on many comes last.
-FIRST_FIELDS = ('event', 'request_id', 'status', 'verdict')
+FIRST_FIELDS = ('event', 'request_id', 'status', 'verdict', 'build')
 LAST_FIELDS = ('vm', 'failure_domain')
 REDACTED = '[redacted]'
 MAX_TEXT_CHARS = 8000
@@ -165,7 +168,7 @@
     """Send the process's logs to a stream, standard error by default.
 
     Warnings of libraries and uncaught exceptions go there too, so that
-    they are redacted as well.
+    they are redacted as well. Each line names the build that wrote it.
 
     Call it once at the start of main. Bind further fields of FIELDS where
     they are known: ``loguru.logger.bind(request_id=...).info('...')`` or
@@ -173,7 +176,11 @@
     """
     loguru.logger.remove()
     loguru.logger.configure(
-        extra={'vm': vm_name, 'failure_domain': failure_domain}
+        extra={
+            'vm': vm_name,
+            'failure_domain': failure_domain,
+            'build': build_info.build(),
+        }
     )
     loguru.logger.add(
         _JsonSink(stream or sys.stderr),
--- a/test/gateway/test_verdict_logs.py
+++ b/test/gateway/test_verdict_logs.py
@@ -1,9 +1,13 @@
 """Test that a request's log lines say what set its verdict."""
 
+import httpx
 import loguru
 import pytest
 
+from gentianstair import verdict as verdicts
+from gentianstair.core import run_verdict
 from gentianstair.generated import events
+from gentianstair.util import build_info
 from standins.site import site as sites
 from test.gateway import gateways
 
@@ -71,3 +75,28 @@
     assert line['replica_status'] == 503
     assert line['not_executed'] is True
     assert line['connection'] == 'kept'
+
+
+def test_reason_is_that_of_the_highest_verdict():
+    # Guards against a reason in a request's last line that is another try's.
+    runs = run_verdict.RunVerdict()
+    runs.begin().record_send()
+    rejected = runs.begin()
+    rejected.record_send()
+    rejected.record_answer(verdicts.Verdict.NOT_RUN)
+    assert runs.verdict is verdicts.Verdict.MAY_HAVE_RUN
+    assert runs.decisive.reason is run_verdict.Reason.SENT
+
+
+async def test_operators_can_ask_for_the_build(tmp_path):
+    # Guards against a fleet of two builds that nobody can tell apart.
+    async with sites.running() as site:
+        async with gateways.running(site, tmp_path, metrics=True) as (vm,):
+            url = f'http://127.0.0.1:{vm.values["metrics"]}'
+            async with httpx.AsyncClient(trust_env=False) as client:
+                version = (await client.get(f'{url}/version')).json()
+                metrics = (await client.get(f'{url}/metrics')).text
+    assert version == {'build': build_info.build()}
+    assert f'gentianstair_build_info{{build="{build_info.build()}"}}' in (
+        metrics
+    )
--- a/test/ui/test_main.py
+++ b/test/ui/test_main.py
@@ -33,6 +33,7 @@
     (['usage', 'show', '--windows', '0'], '--windows'),
     (['customer', 'list', '--platform-url', 'http://[x'], 'not an http URL'),
     (['settings', 'check', 'control', '--file', '/dev/null'], '--vm-name'),
+    (['build', '/nowhere'], '/nowhere: not the folder of a package'),
 ]
 
 
--- a/test/util/test_logs.py
+++ b/test/util/test_logs.py
@@ -106,6 +106,7 @@
         'request_id',
         'status',
         'verdict',
+        'build',
         'message',
         'customer',
         'module',
