--- a/gentianstair/gateway/end_checks.py
+++ b/gentianstair/gateway/end_checks.py
@@ -13,6 +13,7 @@
 from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 from gentianstair.gateway import replicas
+from gentianstair.platform import denials
 from gentianstair.platform import http_codec
 from gentianstair.util import clock as clocks
 
@@ -67,7 +68,7 @@
     async def _ask(self, replica: replicas.Replica) -> bool:
         try:
             report = await self._fetch_report(replica, REPORT_LIMIT_S)
-            if report.status == http_codec.HTTP_MISDIRECTED:
+            if report.status == denials.HTTP_MISDIRECTED:
                 return True
             started_ms = http_codec.decode_report(report.status, report.body)
         except errors.InvalidResponseError:
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -11,12 +11,14 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import refusals
 from gentianstair.gateway import calls
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replica_client
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
 from gentianstair.peers import tunnel
+from gentianstair.platform import denials
 from gentianstair.platform import http_codec
 from gentianstair.upstreams import transport
 
@@ -35,6 +37,14 @@
     verdict: verdicts.Verdict
     # Whether its replica asks for a pause.
     asks_pause: bool = False
+    # Whether it says that nothing ran, as proof or not.
+    denies: bool = False
+
+    @property
+    def is_failure(self) -> bool:
+        """Return whether another replica may have a better answer."""
+        is_odd = self.denies and self.status >= http_codec.MIN_ERROR_STATUS
+        return is_odd or refusals.is_failure(self.status)
 
 
 def ejector_key(service: str, replica: str) -> str:
@@ -60,6 +70,7 @@
     )
     try:
         _log_peer(call, attempt, response)
+        denials.record_odd(response, call.request_id, attempt.replica.name)
         if attempt.record_answer is not None:
             attempt.record_answer(_answer_of(response))
         yield response
@@ -72,7 +83,7 @@
     """Return what a response's headers say of its attempt."""
     return calls.Answer(
         response.status_code,
-        http_codec.verdict_of(response),
+        denials.verdict_of(response),
         response.extensions['was_kept'],
     )
 
@@ -108,7 +119,7 @@
 
     That nothing has run is said by the headers, whatever becomes of the body.
     """
-    verdict = http_codec.verdict_of(response)
+    verdict = denials.verdict_of(response)
     try:
         body = await read_body(response)
     except errors.UpstreamError as error:
@@ -125,6 +136,7 @@
         body,
         verdict,
         http_codec.asks_pause(response),
+        denials.denies(response),
     )
 
 
--- a/gentianstair/gateway/remote_prefill.py
+++ b/gentianstair/gateway/remote_prefill.py
@@ -16,6 +16,7 @@
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
 from gentianstair.gateway import run_record
+from gentianstair.platform import denials
 from gentianstair.platform import http_codec
 
 
@@ -136,7 +137,7 @@
         if isinstance(error, errors.NotSentError):
             return
         left_untouched = isinstance(error, errors.UpstreamRejectedError) and (
-            error.asked_pause or error.status == http_codec.HTTP_MISDIRECTED
+            error.asked_pause or error.status == denials.HTTP_MISDIRECTED
         )
         if not left_untouched:
             # The failure may be that the KV cache could not be fetched.
--- a/gentianstair/gateway/replica_client.py
+++ b/gentianstair/gateway/replica_client.py
@@ -20,6 +20,7 @@
 from gentianstair.generated import events
 from gentianstair.peers import link
 from gentianstair.peers import tunnel
+from gentianstair.platform import denials
 from gentianstair.platform import http_codec
 from gentianstair.upstreams import transport as transports
 from gentianstair.util import clock as clocks
@@ -111,7 +112,7 @@
         is_callers: bool,
     ) -> None:
         """Take what an answer says of the replica that gave it."""
-        if response.status_code == http_codec.HTTP_MISDIRECTED:
+        if response.status_code == denials.HTTP_MISDIRECTED:
             # Another replica answered.
             return
         self._record_limit(run, response, sent_s, is_callers)
@@ -127,7 +128,7 @@
     ) -> None:
         was_taken = (
             is_callers
-            and http_codec.verdict_of(response) is verdicts.Verdict.RAN
+            and denials.verdict_of(response) is verdicts.Verdict.RAN
             and response.status_code < http_codec.MIN_FAILURE_STATUS
         )
         try:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -11,7 +11,6 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.core import refusals
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_stream
@@ -24,6 +23,7 @@
 from gentianstair.gateway import run_record
 from gentianstair.gateway import stream_version
 from gentianstair.generated import events
+from gentianstair.platform import denials
 from gentianstair.platform import http_codec
 
 # A replica is considered lost when its stream pauses for this many times the
@@ -312,7 +312,7 @@
         self, response: httpx.Response, run: run_record.ReplicaRun
     ) -> None:
         """Forward a stream to its end; raise UpstreamError if it fails."""
-        verdict = http_codec.verdict_of(response)
+        verdict = denials.verdict_of(response)
         if response.status_code != 200:
             await self._handle_non_stream(response, verdict)
             return
@@ -378,8 +378,7 @@
         """Handle a response that is no stream; raise if it is a failure."""
         replica_response = await forward.read_response(response)
         request = self._request
-        is_failure = refusals.is_failure(replica_response.status)
-        if not is_failure and verdict is verdicts.Verdict.RAN:
+        if not replica_response.is_failure and verdict is verdicts.Verdict.RAN:
             request.record_attempt_end()
             if request.exchange.started:
                 raise errors.UpstreamError(
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -2,7 +2,6 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
-from gentianstair.core import refusals
 from gentianstair.gateway import forward
 from gentianstair.gateway import late_attempt
 from gentianstair.gateway import replicas
@@ -110,7 +109,7 @@
     """Return a response for the caller; raise if it is a failure."""
     if response.verdict is verdicts.Verdict.NOT_RUN:
         raise forward.failed_error(response)
-    if refusals.is_failure(response.status):
+    if response.is_failure:
         request.failure_response = response
         raise forward.failed_error(response)
     return response
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -12,6 +12,7 @@
 from gentianstair.core import upstream_backoffs
 from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
+from gentianstair.platform import denials
 from gentianstair.util import json_codec
 
 # Headers of a single connection, which are not forwarded.
@@ -50,8 +51,8 @@
 REQUEST_ID_HEADER = b'x-request-id'
 # Names the request that brought the first event of a resumed stream.
 RESUMED_ID_HEADER = b'resumes'
-# Present if the replica did not run the request.
-NOT_EXECUTED_HEADER = b'x-not-executed'
+# A replica's word on the run, which is for this VM.
+_NOT_EXECUTED_HEADER = denials.MARK_HEADER.encode()
 # Names the requests a second that a replica in need takes of all VMs.
 LIMIT_HEADER = 'server-limit'
 # Says in all answers of a replica whether it leaves.
@@ -60,8 +61,6 @@
 PAUSE_HEADER = 'retry-after'
 HTTP_OK = 200
 HTTP_UNAVAILABLE = 503
-# Status if another replica now has the address; the request was not run.
-HTTP_MISDIRECTED = 421
 MIN_ERROR_STATUS = 400
 MIN_FAILURE_STATUS = 500
 PREFILL_STAGE = 'prefill'
@@ -296,29 +295,10 @@
         (name.lower(), value)
         for name, value in response.headers.raw
         if name.lower() not in HOP_BY_HOP_HEADERS
-        and name.lower() != b'content-length'
+        and name.lower() not in (b'content-length', _NOT_EXECUTED_HEADER)
     ]
 
 
-def verdict_of(response: httpx.Response) -> verdicts.Verdict:
-    """Return whether the replica ran the request.
-
-    A status that is no error is not believed to tell of no run.
-
-    >>> said = {'x-not-executed': '1'}
-    >>> [verdict_of(httpx.Response(status, headers=said)).name
-    ...  for status in (200, 304, 400, 503)]
-    ['RAN', 'RAN', 'NOT_RUN', 'NOT_RUN']
-    """
-    status = response.status_code
-    if status == HTTP_MISDIRECTED:
-        return verdicts.Verdict.NOT_RUN
-    says_not_run = NOT_EXECUTED_HEADER.decode() in response.headers
-    if says_not_run and status >= MIN_ERROR_STATUS:
-        return verdicts.Verdict.NOT_RUN
-    return verdicts.Verdict.RAN
-
-
 def named_limit(response: httpx.Response) -> float | None:
     """Return the requests a second that a replica takes of all VMs together.
 
