Believe an engine's denial on the OpenAI-style interface only where it fits

A call that ran was told with the verdict NOT_RUN, its idempotency key was released and it could be sent to another engine, where its engine's 500, 502 or 504, or an answer with events, bore x-not-started: 1. The same belief as on the platform: any failure with the mark denied the run.

--- a/gentianstair/entry/relay.py
+++ b/gentianstair/entry/relay.py
@@ -71,18 +71,24 @@
     )
 
 
-def says_not_started(response: httpx.Response) -> bool:
-    """Return whether an upstream says that it did not start to run."""
-    return response.headers.get(NOT_STARTED_HEADER) == '1'
+def denies_run(response: httpx.Response) -> bool:
+    """Return whether an answer proves that its upstream did not start.
 
-
-def _denies_run(response: httpx.Response) -> bool:
-    """Return whether a failure says that its upstream did not start."""
-    return refusals.is_failure(response.status_code) and says_not_started(
-        response
+    One that contradicts itself proves nothing: it says so twice, with another
+    status than that of a refusal, or with events.
+    """
+    return (
+        response.status_code in refusals.STATUSES
+        and response.headers.get_list(NOT_STARTED_HEADER) == ['1']
+        and not _has_events(response)
     )
 
 
+def _has_events(response: httpx.Response) -> bool:
+    content_type = response.headers.get('content-type', '')
+    return content_type.startswith(EVENT_STREAM_TYPE.decode())
+
+
 def check_status(response: httpx.Response) -> None:
     """Raise UpstreamError for a status that means a failed attempt.
 
@@ -93,7 +99,7 @@
     if not refusals.is_failure(status):
         return
     verdict = verdicts.Verdict.MAY_HAVE_RUN
-    if _denies_run(response):
+    if denies_run(response):
         verdict = verdicts.Verdict.NOT_RUN
     message = f'the upstream answered {status}'
     if _asks_pause(response):
@@ -177,7 +183,7 @@
 ) -> None:
     """Tell an attempt's run of an answer that says it did not start."""
     record = upstream_request.extensions.get('record_answer')
-    if record is not None and _denies_run(response):
+    if record is not None and denies_run(response):
         record(verdicts.Verdict.NOT_RUN)
 
 
--- a/gentianstair/entry/services.py
+++ b/gentianstair/entry/services.py
@@ -225,7 +225,7 @@
         async with response_context as (upstream_response, _):
             if (
                 self._call.repeatable
-                or relay.says_not_started(upstream_response)
+                or relay.denies_run(upstream_response)
                 or upstream_response.status_code in refusals.STATUSES
             ):
                 relay.check_status(upstream_response)
--- /dev/null
+++ b/test/entry/test_denials.py
@@ -0,0 +1,74 @@
+"""Test that an engine's denial of a run is believed only where it fits."""
+
+import itertools
+import json
+
+import pytest
+
+from gentianstair.core import refusals
+from test.entry import test_bad_input
+from test.entry import test_refusals
+
+MARK = b'x-not-started: %s\r\n'
+MARKS = {
+    'one': (b'1',),
+    'zero': (b'0',),
+    'empty': (b'',),
+    'list': (b'1, 1',),
+    'twice': (b'1', b'1'),
+    'both': (b'0', b'1'),
+}
+STATUSES = (408, 421, 429, 500, 502, 503, 504)
+EVENTS = b'content-type: text/event-stream\r\n'
+CARRIES = {'nothing': b'', 'events': EVENTS}
+
+
+def denial(status, mark, carries):
+    """Return an answer that says that nothing started."""
+    marks = b''.join(MARK % value for value in MARKS[mark])
+    return b'HTTP/1.1 %d No\r\n%s%scontent-length: 2\r\n\r\n{}' % (
+        status,
+        marks,
+        CARRIES[carries],
+    )
+
+
+def is_proof(status, mark, carries):
+    """Return whether an entry may tell by it that nothing started."""
+    return (
+        status in refusals.STATUSES and mark == 'one' and carries == 'nothing'
+    )
+
+
+CELLS = list(itertools.product(STATUSES, MARKS, CARRIES))
+ASKS = test_refusals.asks()
+
+
+async def verdicts_of(ask, cells):
+    """Send a request for each cell to a fresh entry; return its verdicts."""
+    found = {}
+    for cell in cells:
+        async with test_bad_input.open_entry() as entry:
+            entry.upstream.odd = denial(*cell)
+            _, body = await test_refusals.send(entry, ask)
+            found[cell] = json.loads(body).get('verdict')
+            assert entry.upstream.requests
+    return found
+
+
+@pytest.mark.parametrize('ask', ASKS.values(), ids=ASKS)
+async def test_odd_denial_of_an_engine_is_no_proof(ask):
+    # Guards against a refusal of what ran, by an answer that only a run has.
+    cells = [cell for cell in CELLS if not is_proof(*cell)]
+    found = await verdicts_of(ask, cells)
+    untrue = [cell for cell in cells if found[cell] == 'NOT_RUN']
+    assert not untrue, f'{len(untrue)} of {len(cells)}'
+
+
+@pytest.mark.parametrize('ask', ASKS.values(), ids=ASKS)
+async def test_denial_of_an_engine_that_fits_is_told_as_one(ask):
+    # Guards against callers who are not told what they may send again.
+    cells = [cell for cell in CELLS if is_proof(*cell)]
+    assert cells
+    found = await verdicts_of(ask, cells)
+    assert set(found.values()) == {'NOT_RUN'}
