--- a/gentianstair/platform/object_codec.py
+++ b/gentianstair/platform/object_codec.py
@@ -13,9 +13,8 @@
 from gentianstair.util import json_codec
 
 DONE_STATUSES = (200, 201, 202)
-# From MIN_FAILURE_STATUS on, only this one says that nothing was done.
-UNAVAILABLE = 503
-MIN_FAILURE_STATUS = 500
+# A write did nothing: bad request, too many requests, unavailable.
+NOTHING_DONE_STATUSES = (400, 429, 503)
 
 
 class _Meta(msgspec.Struct):
@@ -72,7 +71,7 @@
     """
     if answer.status in DONE_STATUSES:
         return
-    if answer.status == UNAVAILABLE or answer.status < MIN_FAILURE_STATUS:
+    if answer.status in NOTHING_DONE_STATUSES:
         raise errors.StoreUnavailableError(_told(answer))
     raise errors.StoreOutcomeUnknownError(_told(answer))
 
