--- a/gentianstair/platform/cloud_client.py
+++ b/gentianstair/platform/cloud_client.py
@@ -96,5 +96,5 @@
     if response.status != HTTP_OK:
         raise errors.UpstreamError(
             f'{path}: status {response.status} {response.body} for {body}',
-            verdicts.Verdict.NOT_RUN,
+            verdicts.Verdict.MAY_HAVE_RUN,
         )
--- a/test/platform/test_cloud_client.py
+++ b/test/platform/test_cloud_client.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gentianstair import errors
+from gentianstair import verdict
 from gentianstair.control import lease
 from gentianstair.platform import cloud_client
 from gentianstair.util import leased_call
@@ -54,3 +55,14 @@
     with pytest.raises(errors.UpstreamError, match='/usage: status 409') as e:
         await client.report_usage(authority, 5, {'club': 1})
     assert not isinstance(e.value, errors.UpstreamRejectedError)
+
+
+@pytest.mark.parametrize('status', [429, 500, 503, 504])
+async def test_call_without_a_confirmation_may_have_taken_effect(
+    status, authority, monkeypatch
+):
+    # Guards against a report that is sent again though it was taken.
+    client = answering(monkeypatch, status)
+    with pytest.raises(errors.UpstreamError) as raised:
+        await client.report_usage(authority, 5, {'club': 1})
+    assert raised.value.verdict is verdict.Verdict.MAY_HAVE_RUN
