Play a described site as real processes, and count refusals by readings

Refused run-once requests are counted under five readings of 'has run', from 'work began' to 'any arrival'; replicas keep what began apart from what they say. It shares the soak's site, proxy and strikes; the soak has a plan 'denials'.

--- /dev/null
+++ b/standins/experiment/__main__.py
@@ -0,0 +1,75 @@
+"""Play a described site: python -m standins.experiment SHEET --seeds 3."""
+
+import argparse
+import pathlib
+import sys
+import tempfile
+
+import loguru
+import trio
+
+from standins.experiment import play
+from standins.experiment import troubles
+from standins.site import sheet as sheets
+
+LENGTH_S = 60.0
+SHARE = 0.3
+MAX_SHOWN = 5
+
+
+def _settings() -> list[play.Setting]:
+    """Return what the command line asks for."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('sheet', type=pathlib.Path)
+    parser.add_argument('--first', type=int, default=1)
+    parser.add_argument('--seeds', type=int, default=1)
+    parser.add_argument('--length-s', type=float, default=LENGTH_S)
+    parser.add_argument('--share', type=float, default=SHARE)
+    parser.add_argument('--odd', choices=troubles.ODD, default='none')
+    parser.add_argument('--product', type=pathlib.Path, help='a checkout')
+    found = parser.parse_args()
+    sheet = sheets.read(found.sheet)
+    return [
+        play.Setting(
+            sheet,
+            found.first + number,
+            found.length_s,
+            found.share,
+            found.odd,
+            found.product and found.product.resolve(),
+        )
+        for number in range(found.seeds)
+    ]
+
+
+def main() -> int:
+    """Play the seeds asked for; return 1 if what ran was refused."""
+    settings = _settings()
+    loguru.logger.remove()
+    red = 0
+    for setting in settings:
+        with tempfile.TemporaryDirectory() as folder:
+            result = trio.run(play.play, setting, pathlib.Path(folder))
+        red += bool(result.ran['work began'] or result.ran_twice)
+        _print(setting.seed, result)
+    return 1 if red else 0
+
+
+def _print(seed: int, result: play.Result) -> None:
+    told = ', '.join(f'{n} x {s}' for s, n in result.statuses.most_common())
+    print(
+        f'seed {seed}: {sum(result.statuses.values())} requests ({told}), '
+        f'{result.refused} of run-once ones refused, '
+        f'{len(result.ran_twice)} ran twice',
+        flush=True,
+    )
+    shown: set[str] = set()
+    for name, lines in result.ran.items():
+        print(f'  refused and has run, {name}: {len(lines)}', flush=True)
+        for line in [line for line in lines if line not in shown][:MAX_SHOWN]:
+            print(f'    {line}', flush=True)
+        shown.update(lines)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/standins/experiment/play.py
@@ -0,0 +1,91 @@
+"""Play a described site once, with gateways as processes of their own."""
+
+import collections
+import contextlib
+import pathlib
+import signal
+import typing
+
+import trio
+
+from standins.experiment import readings
+from standins.experiment import requesters
+from standins.experiment import troubles
+from standins.site import sheet as sheets
+from standins.site import site as sites
+from standins.soak import record
+from standins.soak import strikes
+
+MIN_VMS = 10
+# After the last trouble, for what is still under way.
+REST_S = 5.0
+
+
+class Setting(typing.NamedTuple):
+    """What is played: which site, how, and by which product."""
+
+    sheet: sheets.Sheet
+    seed: int
+    length_s: float
+    # Of the traffic that the sheet describes.
+    share: float
+    # One of troubles.ODD.
+    odd: str
+    # The checkout whose gateways are played, None for this one.
+    product: pathlib.Path | None
+
+
+class Result(typing.NamedTuple):
+    """What a play showed."""
+
+    statuses: collections.Counter[int]
+    refused: int
+    # Refused requests that have run, under each reading, as records.
+    ran: dict[str, list[str]]
+    ran_twice: list[str]
+
+
+async def play(setting: Setting, folder: pathlib.Path) -> Result:
+    """Play a setting; logs of the processes stay in folder."""
+    sheet = setting.sheet
+    vms = max(MIN_VMS, sheet.vms)
+    config = sheets.config(sheet)
+    found = sheets.make_replicas(sheet)
+    faults = troubles.draw(setting.seed, setting.length_s, sheet, setting.odd)
+    async with sites.running(found, config) as site:
+        async with trio.open_nursery() as nursery:
+            soak = strikes.Soak(site, folder, vms, config, setting.product)
+            await soak.start_links(nursery)
+            callers = requesters.Requesters(
+                soak, sheet, setting.seed, setting.share
+            )
+            try:
+                for number in range(vms):
+                    soak.start(number, bootstrap=True)
+                for gateway in soak.gateways:
+                    await gateway.ready()
+                nursery.start_soon(callers.run)
+                async with trio.open_nursery() as fault_nursery:
+                    for fault in faults:
+                        fault_nursery.start_soon(soak.strike, fault)
+                await trio.sleep(REST_S)
+            finally:
+                for gateway in soak.gateways:
+                    gateway.signal(signal.SIGKILL)
+                    with contextlib.suppress(AssertionError):
+                        await gateway.wait()
+            nursery.cancel_scope.cancel()
+    return _result(callers.told, soak)
+
+
+def _result(told: list[record.Told], soak: strikes.Soak) -> Result:
+    found = soak.site.replicas
+    return Result(
+        collections.Counter(one.status for one in told),
+        len(readings.refused(told)),
+        {
+            name: [record.line(one, found) for one in ran]
+            for name, ran in readings.counts(told, found).items()
+        },
+        [record.line(one, found) for one in readings.ran_twice(told, found)],
+    )
--- /dev/null
+++ b/standins/experiment/requesters.py
@@ -0,0 +1,116 @@
+"""Send a described site's requests, and return as the platform's pages say."""
+
+import random
+import typing
+
+import httpx
+import trio
+
+from standins.site import sheet as sheets
+from standins.soak import callers
+from standins.soak import record
+from standins.soak import strikes
+
+# Statuses that say: it has not run, and never will.
+PROMISES = (408, 421, 429, 503)
+TRIES = 3
+# Callers wait for at most this share of the time that they have left.
+MAX_WAIT_SHARE = 1 / 3
+KEY = 'club-key-1'
+BODY_BYTES = 600
+
+
+class Requesters:
+    """All that send requests to a site; told has what each of them got."""
+
+    def __init__(
+        self, soak: strikes.Soak, sheet: sheets.Sheet, seed: int, share: float
+    ) -> None:
+        self.told: list[record.Told] = []
+        self._soak = soak
+        self._kinds = sheet.kinds
+        self._rates_per_s = [kind.per_s * share for kind in sheet.kinds]
+        self._chance = random.Random(f'requesters/{seed}')
+        self._count = 0
+
+    async def run(self) -> None:
+        """Send until cancelled; requests begin at random moments."""
+        whole_per_s = sum(self._rates_per_s)
+        async with callers.open_client() as kept, trio.open_nursery() as tasks:
+            while True:
+                (kind,) = self._chance.choices(self._kinds, self._rates_per_s)
+                tasks.start_soon(self._ask, kind, kept)
+                await trio.sleep(self._chance.expovariate(whole_per_s))
+
+    async def _ask(self, kind: sheets.Kind, kept: httpx.AsyncClient) -> None:
+        ends_s = trio.current_time() + kind.deadline_s
+        told, wait_s = await self._try(kind, kept, ends_s)
+        for _ in range(TRIES - 1):
+            left_s = ends_s - trio.current_time()
+            if not _may_return(kind, told.status) or left_s < wait_s:
+                return
+            await trio.sleep(min(wait_s, MAX_WAIT_SHARE * left_s))
+            async with callers.open_client() as fresh:
+                told, wait_s = await self._try(kind, fresh, ends_s)
+
+    async def _try(
+        self, kind: sheets.Kind, client: httpx.AsyncClient, ends_s: float
+    ) -> tuple[record.Told, float]:
+        """Send one request; return what was told, and the wait asked for."""
+        self._count += 1
+        request_id = f'{self._count:08x}'
+        # The balancer has taken those out that are gone.
+        there = [vm for vm in self._soak.gateways if vm.is_running()]
+        gateway = self._chance.choice(there or self._soak.gateways)
+        path, at_s = f'{kind.route["path_prefix"]}x', trio.current_time()
+        left_s = max(0.05, ends_s - at_s)
+        status, wait_s = 0, 0.0
+        try:
+            answer = await client.request(
+                kind.method,
+                gateway.url + path,
+                headers=self._headers(kind, request_id, left_s),
+                content=b'' if kind.method == 'GET' else bytes(BODY_BYTES),
+                timeout=left_s + 1,
+            )
+            status = answer.status_code
+            wait_s = float(answer.headers.get('retry-after', 0))
+        except httpx.HTTPError:
+            # Cut or too late: nothing was told.
+            pass
+        found = record.Told(
+            request_id,
+            kind.name,
+            kind.may_repeat,
+            kind.method,
+            path,
+            gateway.vm,
+            at_s,
+            trio.current_time(),
+            status,
+        )
+        self.told.append(found)
+        return found, wait_s
+
+    def _headers(
+        self, kind: sheets.Kind, request_id: str, left_s: float
+    ) -> dict[str, str]:
+        headers: dict[str, typing.Any] = {
+            'host': sheets.HOST,
+            'x-request-id': request_id,
+            'x-request-deadline-ms': f'{left_s * 1000:.0f}',
+            'authorization': f'Bearer {KEY}',
+        }
+        if kind.is_stream:
+            part = self._chance.randrange(5)
+            headers['x-model'] = 'm'
+            headers['x-token-count'] = '1500,80'
+            headers['x-prefix-hash'] = f'a{part}:1400,{request_id}:100'
+        return headers
+
+
+def _may_return(kind: sheets.Kind, status: int) -> bool:
+    """Return whether a request is sent again after this status."""
+    return status in PROMISES or (
+        kind.may_repeat and (status == 0 or status >= 500)
+    )
--- /dev/null
+++ b/standins/experiment/troubles.py
@@ -0,0 +1,91 @@
+"""Draw the troubles of a described site, as faults that a soak carries out."""
+
+import random
+import typing
+
+from standins.site import sheet as sheets
+from standins.soak import odd_answers
+from standins.soak import plan
+
+# Between the beginnings of two troubles, and how long each lasts.
+GAP_S = (0.8, 2.5)
+LASTS_S = (1.0, 5.0)
+# Where and what strikes for each kind of trouble, by the beginning of how;
+# those that are not named here are of callers, or have no part here.
+STRIKES: dict[str, dict[str, tuple[str, str]]] = {
+    'srv_crash': {'dark': ('replica-link', 'silent'), '': ('replica', 'ends')},
+    'srv_grey': {
+        'errors': ('replica', 'fails'),
+        'shed': ('replica', 'full'),
+        'busy': ('replica', 'busy'),
+        'hang': ('replica', 'silent'),
+        'mute': ('replica', 'silent'),
+        'reset': ('replica-link', 'reset'),
+        'slow': ('replica-link', 'delay'),
+        '': ('replica', 'fails'),
+    },
+    'srv_slow': {'': ('replica-link', 'delay')},
+    'srv_cut': {'': ('store', 'compacts')},
+    'release': {'': ('replica', 'drains')},
+    'scale_in': {'': ('replica', 'drains')},
+    'replace_with_reuse': {'': ('replica', 'changed')},
+    'answer_lost': {
+        'reset': ('replica-link', 'reset'),
+        '': ('replica-link', 'one way'),
+    },
+    'garble': {
+        'extra': ('answer', 'adds 503 of another'),
+        'early': ('replica', 'full'),
+        '': ('replica', 'breaks'),
+    },
+    'node_kill': {'': ('process', 'kill')},
+    'herd_kill': {'': ('process', 'kill-all')},
+    'node_freeze': {'': ('process', 'pause')},
+    'node_slow': {'': ('process', 'pause')},
+    'roll_term': {'': ('process', 'stop')},
+    'after_ack_kill': {'': ('process', 'kill')},
+    'hup': {'': ('process', 'hup')},
+    'core_cut': {'': ('store-link', 'silent')},
+    'node_cut': {'': ('store-link', 'silent')},
+    'lossy': {'': ('replica-link', 'delay')},
+    'reset_conns': {'': ('replica-link', 'reset')},
+    'platform_down': {'nodes': ('store', 'refuses'), '': ('store', 'down')},
+    'platform_slow': {'': ('store-link', 'delay')},
+    'platform_lost': {'': ('store', 'loses')},
+    'platform_compact': {'': ('store', 'compacts')},
+    'config_change': {'': ('change', 'config')},
+    'config_storm': {'': ('change', 'config')},
+    'big_config': {'': ('change', 'config')},
+    'revoke': {'': ('change', 'config')},
+}
+# What replicas may answer besides, by the name of the play.
+ODD: dict[str, typing.Iterable[str]] = {
+    'none': (),
+    'unsaid': odd_answers.REJECTIONS,
+    'denials': odd_answers.DENIALS,
+}
+
+
+def kinds(troubles: tuple[tuple[str, str], ...]) -> list[tuple[str, str]]:
+    """Return where and what strikes, for the troubles that have a part."""
+    found = []
+    for kind, how in troubles:
+        ways = STRIKES.get(kind)
+        if ways is not None:
+            found.append(next(ways[w] for w in ways if how.startswith(w)))
+    # Any kind of trouble may come to any site.
+    return found + [way for ways in STRIKES.values() for way in ways.values()]
+
+
+def draw(
+    seed: int, length_s: float, sheet: sheets.Sheet, odd: str
+) -> list[plan.Fault]:
+    """Return the troubles of a play in order; they overlap."""
+    chance = random.Random(f'experiment/{seed}')
+    found = plan.draw_series(
+        chance, length_s, kinds(sheet.troubles), GAP_S, LASTS_S
+    )
+    answers = [('answer', what) for what in ODD[odd]]
+    if answers:
+        found += plan.draw_series(chance, length_s, answers, GAP_S, LASTS_S)
+    return sorted(found)
--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -69,7 +69,10 @@
         folder: pathlib.Path,
         number: int,
         keep_alive_s: float = serving.KEEP_ALIVE_S,
+        product: pathlib.Path | None = None,
     ) -> None:
+        # The checkout whose sources it runs, None for this one.
+        self.product = product
         self.vm = f'entry-{number}'
         self.failure_domain = 'a'
         self.keep_alive_s = keep_alive_s
@@ -115,10 +118,13 @@
             'GENTIANSTAIR_NODE_FILE': str(self.file),
             environment.KEEP_ALIVE_VARIABLE: str(self.keep_alive_s),
         }
+        if self.product is not None:
+            environ['PYTHONPATH'] = str(self.product)
         with self.log.open('a') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'gentianstair.gateway'],
                 env=environ,
+                cwd=self.product,
                 stdout=log,
                 stderr=log,
             )
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -42,6 +42,9 @@
     # Whether it says that it did not run the request.
     says_not_run: bool
     is_prefill: bool = False
+    # The values with which it says so.
+    marks: tuple[str, ...] = ()
+    signed: bool = False
 
     @property
     def is_unsaid(self) -> bool:
@@ -112,8 +115,9 @@
         # nothing, and does not say so.
         self.rejects_with = 0
         self.rejects_headers: dict[str, str] = {}
-        # Says that it is full.
+        # Says that it is full, or has too much to do.
         self.full = False
+        self.busy = False
         # Says that it is another one, as after a start under a new name.
         self.changed = False
         # Runs the request and never answers.
@@ -439,17 +443,20 @@
     """Serve a request, and note how it is answered."""
     response = await _serve(replica, replicas)
     headers = quart.request.headers
-    status, says_not_run = 200, False
+    status, marks, signed = 200, (), False
     if isinstance(response, quart.Response):
         status = response.status_code
-        says_not_run = status == 421 or 'x-not-executed' in response.headers
+        marks = tuple(response.headers.getlist('x-not-executed'))
+        signed = 'x-response-signature' in response.headers
     replica.answers.append(
         Answer(
             trio.current_time(),
             headers.get('x-request-id', ''),
             status,
-            says_not_run,
+            status == 421 or bool(marks),
             headers.get('x-stage') == 'prefill',
+            marks,
+            signed,
         )
     )
     return response
@@ -502,6 +509,8 @@
         return quart.Response('', 421, {'x-instance-id': replica.name})
     if faults.full or trio.current_time() < replica.down_until_s:
         return _not_run(503)
+    if faults.busy:
+        return _not_run(429)
     if faults.rejects_with:
         return quart.Response('', faults.rejects_with, faults.rejects_headers)
     return None
--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -196,6 +196,7 @@
 @contextlib.asynccontextmanager
 async def running(
     found: list[replicas.Replica] | None = None,
+    config: dict[str, typing.Any] = CONFIG,
 ) -> typing.AsyncIterator[Site]:
     """Yield a site that runs until the block is left."""
     site = Site(default_replicas() if found is None else found)
@@ -215,7 +216,7 @@
         for replica in site.replicas:
             port = start(replicas.create_app(replica, site.replicas))
             replica.address = f'127.0.0.1:{port}'
-        site.put_config(CONFIG)
+        site.put_config(config)
         nursery.start_soon(site.beat)
         yield site
         nursery.cancel_scope.cancel()
--- a/standins/soak/odd_answers.py
+++ b/standins/soak/odd_answers.py
@@ -54,6 +54,14 @@
         'rejects_headers': {'connection': 'close'},
     },
 }
+# A replica that ran a request denies it, in a form that only a run has.
+DENIALS: dict[str, dict[str, typing.Any]] = {
+    f'denies with {status}, signed': {
+        'fails_with': status,
+        'fails_headers': {'x-not-executed': '1'},
+    }
+    for status in (429, 500, 503, 504)
+}
 # Of the requests on a link, one in so many gets an added answer.
 ADDED_EACH = 4
 KINDS = (*ADDED, *FAILURES)
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -145,10 +145,10 @@
 
 def draw(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a run in order; they may overlap."""
-    return _draw_series(random.Random(seed), length_s, KINDS, GAP_S)
+    return draw_series(random.Random(seed), length_s, KINDS, GAP_S)
 
 
-def _draw_series(
+def draw_series(
     chance: random.Random,
     length_s: float,
     kinds: typing.Sequence[tuple[str, str]],
@@ -196,7 +196,7 @@
     chance = random.Random(f'hubs/{seed}')
     kinds = [('hub', what) for what in HUB_FAULTS]
     return sorted(
-        draw(seed, length_s) + _draw_series(chance, length_s, kinds, HUB_GAP_S)
+        draw(seed, length_s) + draw_series(chance, length_s, kinds, HUB_GAP_S)
     )
 
 
@@ -215,7 +215,7 @@
             Fault(at_s, 'paths', how, chance.randrange(1000), lasts_s)
         )
         at_s += lasts_s + chance.uniform(*CUT_GAP_S)
-    found += _draw_series(chance, length_s, BESIDE_CUT, BESIDE_CUT_GAP_S)
+    found += draw_series(chance, length_s, BESIDE_CUT, BESIDE_CUT_GAP_S)
     return sorted(found)
 
 
@@ -226,10 +226,10 @@
     """
     chance = random.Random(f'limits/{seed}')
     kinds = [('limit', limit) for limit in LIMITS_PER_S]
-    found = _draw_series(
+    found = draw_series(
         chance, length_s, kinds, LIMIT_GAP_S, LIMIT_S, from_s=0.5
     )
-    found += _draw_series(chance, length_s, BESIDE_LIMIT, BESIDE_LIMIT_GAP_S)
+    found += draw_series(chance, length_s, BESIDE_LIMIT, BESIDE_LIMIT_GAP_S)
     return sorted(found)
 
 
@@ -245,7 +245,7 @@
         what = chance.choice(versions.VERSIONS)
         found.append(Fault(at_s, 'version', what, chance.randrange(1000), 0.0))
         at_s += chance.uniform(*VERSION_GAP_S)
-    found += _draw_series(
+    found += draw_series(
         chance, length_s, BESIDE_VERSIONS, BESIDE_VERSIONS_GAP_S
     )
     return sorted(found)
@@ -262,7 +262,7 @@
         Fault(chance.uniform(*at_s), 'part', part, 0, 0.0)
         for part, at_s in zip(parts.BAD, SPOILED_AT_S, strict=True)
     ]
-    found += _draw_series(chance, length_s, BESIDE_PARTS, BESIDE_PARTS_GAP_S)
+    found += draw_series(chance, length_s, BESIDE_PARTS, BESIDE_PARTS_GAP_S)
     # Drawn apart, as the rest of a seed stays as it was.
     own_at_s = random.Random(f'own-part/{seed}').uniform(*OWN_SPOILED_AT_S)
     found.append(Fault(own_at_s, 'part', parts.OWN, 0, 0.0))
@@ -287,7 +287,7 @@
             what = chance.choice(whats)
             found.append(Fault(at_s, where, what, whom, lasts_s))
             at_s += chance.uniform(*gap_s)
-    found += _draw_series(
+    found += draw_series(
         chance, length_s, BESIDE_NOTICES, BESIDE_NOTICES_GAP_S
     )
     return sorted(found)
@@ -307,7 +307,7 @@
     chance: random.Random, length_s: float, whats: typing.Iterable[str]
 ) -> list[Fault]:
     """Return odd answers of replicas, and the faults beside them."""
-    found = _draw_series(
+    found = draw_series(
         chance,
         length_s,
         [('answer', what) for what in whats],
@@ -315,7 +315,7 @@
         ODD_ANSWERS_S,
         from_s=0.5,
     )
-    found += _draw_series(
+    found += draw_series(
         chance, length_s, BESIDE_ODD_ANSWERS, BESIDE_ODD_ANSWERS_GAP_S
     )
     return sorted(found)
@@ -330,6 +330,15 @@
     return _draw_answers(chance, length_s, odd_answers.REJECTIONS)
 
 
+def draw_denials(seed: int, length_s: float) -> list[Fault]:
+    """Return replicas that run requests and deny it, several at once.
+
+    The same faults come beside them as beside other odd answers.
+    """
+    chance = random.Random(f'denials/{seed}')
+    return _draw_answers(chance, length_s, odd_answers.DENIALS)
+
+
 PLANS = {
     'faults': draw,
     'stops': draw_stops,
@@ -342,4 +351,5 @@
     'notices': draw_notices,
     'answers': draw_answers,
     'rejections': draw_rejections,
+    'denials': draw_denials,
 }
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -80,12 +80,7 @@
     async with sites.running(found) as site, trio.open_nursery() as nursery:
         nursery.start_soon(recorder.run)
         soak = strikes.Soak(site, folder, vms)
-        for link in (*soak.store_links, *soak.replica_links):
-            await nursery.start(link.run)
-        pairs = zip(site.replicas, soak.replica_links, strict=True)
-        for replica, link in pairs:
-            replica.address = f'127.0.0.1:{link.port}'
-            replica.received_s = link.record.received_s
+        await soak.start_links(nursery)
         if _has(faults, 'paths'):
             soak.paths = paths.Paths(site)
             for gateway in soak.gateways:
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -32,8 +32,10 @@
 _FAULTS: dict[str, dict[str, typing.Any]] = {
     **odd_answers.FAILURES,
     **odd_answers.REJECTIONS,
+    **odd_answers.DENIALS,
     'fails': {'fails_with': 500},
     'full': {'full': True},
+    'busy': {'busy': True},
     'silent': {'silent': True},
     'breaks': {'breaks_after': 2},
     'changed': {'changed': True},
@@ -44,11 +46,16 @@
     """One run and what its faults act on."""
 
     def __init__(
-        self, site: sites.Site, folder: pathlib.Path, vms: int = VMS
+        self,
+        site: sites.Site,
+        folder: pathlib.Path,
+        vms: int = VMS,
+        config: dict[str, typing.Any] = sites.CONFIG,
+        product: pathlib.Path | None = None,
     ) -> None:
         self.site = site
         self.gateways = [
-            processes.Gateway(folder, number, kept.KEEP_ALIVE_S)
+            processes.Gateway(folder, number, kept.KEEP_ALIVE_S, product)
             for number in range(vms)
         ]
         if vms > VMS:
@@ -83,11 +90,20 @@
         self.asked_parts: list[parts.Asked] = []
         # Each VM's own paths to replicas; none if they are never cut.
         self.paths: paths.Paths | None = None
-        self._version = int(sites.CONFIG['version'])
-        self._config = copy.deepcopy(sites.CONFIG)
+        self._version = int(config['version'])
+        self._config = copy.deepcopy(config)
         # VMs whose process is meant to be away.
         self._away: set[str] = set()
 
+    async def start_links(self, nursery: trio.Nursery) -> None:
+        """Start what stands between VMs, store and replicas."""
+        for link in (*self.store_links, *self.replica_links):
+            await nursery.start(link.run)
+        pairs = zip(self.site.replicas, self.replica_links, strict=True)
+        for replica, link in pairs:
+            replica.address = f'127.0.0.1:{link.port}'
+            replica.received_s = link.record.received_s
+
     def start(self, number: int, bootstrap: bool) -> None:
         """Start the process of a VM."""
         self.gateways[number].start(
--- /dev/null
+++ b/test/standins/test_experiment.py
@@ -0,0 +1,157 @@
+"""Test the experiment on a described site: sheet, troubles and readings."""
+
+import pytest
+import trio
+
+from standins.experiment import play
+from standins.experiment import readings
+from standins.experiment import troubles
+from standins.site import replica as replicas
+from standins.site import sheet as sheets
+from standins.soak import record
+
+SHEET = """
+zones = [{ name = "n" }, { name = "s" }]
+machines = [{ zone = "n", count = 2 }, { zone = "s", count = 1 }]
+services = [
+  { name = "makers", model = "llm", servers = [
+    { zone = "n", count = 2 }, { zone = "s", count = 1 }] },
+  { name = "desk", servers = [{ zone = "n", count = 1 }] },
+]
+traffic = [
+  { zone = "n", per_s = 30, mix = { draft = 1, enter = 2, read = 3 } },
+  { zone = "s", per_s = 6, mix = { draft = 1, enter = 1 } },
+]
+troubles = [
+  { kind = "srv_grey", how = "busy" }, { kind = "srv_crash" },
+  { kind = "burst", x = 2 },
+]
+[[classes]]
+name = "draft"
+kind = "stream"
+service = "makers"
+method = "POST"
+aim_ms = 800
+deadline_ms = 4000
+priority = 1
+attempts = 1
+stream = { resume = false, gap_aim_ms = 300 }
+[[classes]]
+name = "enter"
+kind = "unsafe"
+service = "desk"
+method = "POST"
+aim_ms = 100
+deadline_ms = 1000
+timeout_ms = 900
+priority = 2
+attempts = 1
+[[classes]]
+name = "read"
+kind = "safe"
+service = "desk"
+method = "GET"
+aim_ms = 100
+deadline_ms = 1000
+priority = 2
+attempts = 2
+"""
+
+
+@pytest.fixture
+def sheet(tmp_path):
+    file = tmp_path / 'site.toml'
+    file.write_text(SHEET)
+    return sheets.read(file)
+
+
+def test_sheet_says_how_often_each_kind_comes(sheet):
+    found = {kind.name: kind.per_s for kind in sheet.kinds}
+    assert found == {'draft': 8.0, 'enter': 13.0, 'read': 15.0}
+    assert [kind.may_repeat for kind in sheet.kinds] == [False, False, True]
+    assert sheet.vms == 3
+
+
+def test_sheet_gives_routes_and_replicas(sheet):
+    config = sheets.config(sheet)
+    routes = {route['name']: route for route in config['routes']}
+    assert routes['enter']['type'] == 'non_idempotent'
+    assert routes['enter']['timeout_ms'] == 900
+    assert routes['read']['timeout_ms'] == 1000
+    found = [(r.service, r.failure_domain, r.stage) for r in made(sheet)]
+    assert found == [
+        ('makers', 'a', 'prefill'),
+        ('makers', 'a', 'decode'),
+        ('makers', 'b', 'decode'),
+        ('desk', 'a', ''),
+    ]
+
+
+def made(sheet):
+    return sheets.make_replicas(sheet)
+
+
+def test_troubles_of_a_sheet_are_drawn(sheet):
+    assert troubles.kinds(sheet.troubles)[:2] == [
+        ('replica', 'busy'),
+        ('replica', 'ends'),
+    ]
+    drawn = troubles.draw(3, 20.0, sheet, 'denials')
+    assert drawn == troubles.draw(3, 20.0, sheet, 'denials')
+    assert {'answer', 'replica'} <= {fault.where for fault in drawn}
+
+
+def seen(ran, answer, status=503, repeatable=False):
+    """Return a request and the replica that it reached."""
+    replica = replicas.Replica('r1', 'desk', 'a')
+    replica.came.append(replicas.Arrival(1.0, 'q1', 1.0))
+    if ran:
+        replica.runs.append(replicas.Run('q1', None, False, 1, 'v1', at_s=1.1))
+    if answer is not None:
+        replica.answers.append(answer)
+    told = record.Told(
+        'q1', 'enter', repeatable, 'POST', '/x', 'vm-1', 0.9, 1.3, status
+    )
+    return [told], [replica]
+
+
+def answered(status, marks=(), signed=False):
+    denies = status == 421 or bool(marks)
+    return replicas.Answer(1.2, 'q1', status, denies, False, marks, signed)
+
+
+NAMES = list(readings.READINGS)
+
+
+@pytest.mark.parametrize(
+    ('history', 'first'),
+    [
+        (seen(True, answered(503, ('1',))), 0),
+        (seen(False, None), 1),
+        (seen(False, answered(503)), 1),
+        (seen(False, answered(504, ('1',))), 2),
+        (seen(False, answered(503, ('0',))), 3),
+        (seen(False, answered(503, ('1', '1'))), 3),
+        (seen(False, answered(503, ('1',), signed=True)), 3),
+        (seen(False, answered(503, ('1',))), 4),
+        (seen(False, answered(421)), 4),
+        (seen(True, answered(503, ('1',)), status=502), None),
+        (seen(True, answered(503, ('1',)), repeatable=True), None),
+    ],
+)
+def test_each_reading_counts_what_those_before_it_do(history, first):
+    # Guards against counts that hide in which reading something has run.
+    found = readings.counts(*history)
+    counted = [bool(found[name]) for name in NAMES]
+    begins = len(NAMES) if first is None else first
+    assert counted == [number >= begins for number in range(len(NAMES))]
+
+
+def test_played_site_refuses_nothing_that_ran(sheet, tmp_path, monkeypatch):
+    monkeypatch.setattr(play, 'MIN_VMS', 2)
+    small = sheet._replace(vms=2)
+    setting = play.Setting(small, 1, 4.0, 1.0, 'denials', None)
+    result = trio.run(play.play, setting, tmp_path)
+    assert sum(result.statuses.values()) > 20
+    assert result.ran['work began'] == []
+    assert result.ran_twice == []
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -58,6 +58,8 @@
     # A replica's own refusal of what it did not begin went to the caller.
     ('rejections', 1),
     ('rejections', 2),
+    ('denials', 1),
+    ('denials', 2),
 ]
 LENGTH_S = 8.0
 # Plans whose callers need not cross a close.
