--- a/test/entry/test_denials.py
+++ b/test/entry/test_denials.py
@@ -4,8 +4,10 @@
 import json
 
 import pytest
+import trio
 
 from gentianstair.core import refusals
+from standins.platform import app as platform_app
 from test.entry import test_bad_input
 from test.entry import test_refusals
 
@@ -72,3 +74,24 @@
     assert cells
     found = await verdicts_of(ask, cells)
     assert set(found.values()) == {'NOT_RUN'}
+
+
+@pytest.mark.parametrize(
+    ('status', 'released'), [(500, False), (503, True)], ids=['odd', 'fits']
+)
+async def test_key_is_released_by_a_denial_that_fits_only(
+    monkeypatch, status, released
+):
+    # Guards against a second run under a key by a denial that proves nothing.
+    ask = (b'x', [b'idempotency-key: k1'], test_refusals.REGISTER, 'POST')
+    async with platform_app.running() as (_, url):
+        monkeypatch.setitem(test_bad_input.SETTINGS, 'platform_url', url)
+        async with test_bad_input.open_entry() as entry:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(entry.node.claims.run_batches)
+                entry.upstream.odd = denial(status, 'one', 'nothing')
+                await test_refusals.send(entry, ask)
+                before = len(entry.upstream.requests)
+                await test_refusals.send(entry, ask)
+                assert (len(entry.upstream.requests) > before) == released
+                nursery.cancel_scope.cancel()
