--- a/standins/experiment/requesters.py
+++ b/standins/experiment/requesters.py
@@ -6,6 +6,7 @@
 import httpx
 import trio
 
+from standins.site import processes
 from standins.site import sheet as sheets
 from standins.soak import callers
 from standins.soak import record
@@ -17,9 +18,44 @@
 # Callers wait for at most this share of the time that they have left.
 MAX_WAIT_SHARE = 1 / 3
 KEY = 'club-key-1'
+CHECK_INTERVAL_S = 1.0
+# A VM that missed so many checks in a row gets no new connections.
+MAX_MISSES = 2
 BODY_BYTES = 600
 
 
+class Balancer:
+    """Chooses VMs for new connections, as the platform does."""
+
+    def __init__(self, gateways: list[processes.Gateway]) -> None:
+        self._gateways = gateways
+        # Checks in a row that each VM has missed.
+        self._misses = dict.fromkeys(gateways, 0)
+
+    def in_rotation(self) -> list[processes.Gateway]:
+        """Return the VMs that get new connections; all if few are ready."""
+        found = [vm for vm in self._gateways if self._misses[vm] < MAX_MISSES]
+        return (
+            found if 2 * len(found) >= len(self._gateways) else self._gateways
+        )
+
+    async def run(self) -> None:
+        """Check all VMs until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for gateway in self._gateways:
+                nursery.start_soon(self._check, gateway)
+
+    async def _check(self, gateway: processes.Gateway) -> None:
+        while True:
+            is_ready = False
+            with trio.move_on_after(CHECK_INTERVAL_S):
+                is_ready = await gateway.is_ready()
+            self._misses[gateway] = (
+                0 if is_ready else 1 + self._misses[gateway]
+            )
+            await trio.sleep(CHECK_INTERVAL_S)
+
+
 class Requesters:
     """All that send requests to a site; told has what each of them got."""
 
@@ -27,7 +63,7 @@
         self, soak: strikes.Soak, sheet: sheets.Sheet, seed: int, share: float
     ) -> None:
         self.told: list[record.Told] = []
-        self._soak = soak
+        self._balancer = Balancer(soak.gateways)
         self._kinds = sheet.kinds
         self._rates_per_s = [kind.per_s * share for kind in sheet.kinds]
         self._chance = random.Random(f'requesters/{seed}')
@@ -37,6 +73,7 @@
         """Send until cancelled; requests begin at random moments."""
         whole_per_s = sum(self._rates_per_s)
         async with callers.open_client() as kept, trio.open_nursery() as tasks:
+            tasks.start_soon(self._balancer.run)
             while True:
                 (kind,) = self._chance.choices(self._kinds, self._rates_per_s)
                 tasks.start_soon(self._ask, kind, kept)
@@ -59,9 +96,7 @@
         """Send one request; return what was told, and the wait asked for."""
         self._count += 1
         request_id = f'{self._count:08x}'
-        # The balancer has taken those out that are gone.
-        there = [vm for vm in self._soak.gateways if vm.is_running()]
-        gateway = self._chance.choice(there or self._soak.gateways)
+        gateway = self._chance.choice(self._balancer.in_rotation())
         path, at_s = f'{kind.route["path_prefix"]}x', trio.current_time()
         left_s = max(0.05, ends_s - at_s)
         status, wait_s = 0, 0.0
