--- a/standins/experiment/play.py
+++ b/standins/experiment/play.py
@@ -1,9 +1,7 @@
 """Play a described site once, with gateways as processes of their own."""
 
 import collections
-import contextlib
 import pathlib
-import signal
 import typing
 
 import trio
@@ -60,20 +58,14 @@
                 soak, sheet, setting.seed, setting.share
             )
             try:
-                for number in range(vms):
-                    soak.start(number, bootstrap=True)
-                for gateway in soak.gateways:
-                    await gateway.ready()
+                await soak.start_all()
                 nursery.start_soon(callers.run)
                 async with trio.open_nursery() as fault_nursery:
                     for fault in faults:
                         fault_nursery.start_soon(soak.strike, fault)
                 await trio.sleep(REST_S)
             finally:
-                for gateway in soak.gateways:
-                    gateway.signal(signal.SIGKILL)
-                    with contextlib.suppress(AssertionError):
-                        await gateway.wait()
+                await soak.kill_all()
             nursery.cancel_scope.cancel()
     return _result(callers.told, soak)
 
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -1,9 +1,7 @@
 """Play one seed: gateways as processes, faults from outside them."""
 
 import collections.abc
-import contextlib
 import pathlib
-import signal
 import typing
 
 import trio
@@ -86,16 +84,10 @@
             for gateway in soak.gateways:
                 await soak.paths.add(gateway.vm, nursery)
         try:
-            for number in range(vms):
-                soak.start(number, bootstrap=True)
-            for gateway in soak.gateways:
-                await gateway.ready()
+            await soak.start_all()
             await _strike_all(soak, seed, faults)
         finally:
-            for gateway in soak.gateways:
-                gateway.signal(signal.SIGKILL)
-                with contextlib.suppress(AssertionError):
-                    await gateway.wait()
+            await soak.kill_all()
         nursery.cancel_scope.cancel()
     return _result(soak, recorder.result())
 
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -1,5 +1,6 @@
 """Carry out the faults of a run, from outside its gateways."""
 
+import contextlib
 import copy
 import pathlib
 import random
@@ -113,6 +114,20 @@
             bootstrap,
         )
 
+    async def start_all(self) -> None:
+        """Start the processes of all VMs; return when they are ready."""
+        for number in range(len(self.gateways)):
+            self.start(number, bootstrap=True)
+        for gateway in self.gateways:
+            await gateway.ready()
+
+    async def kill_all(self) -> None:
+        """End all processes that this object started."""
+        for gateway in self.gateways:
+            gateway.signal(signal.SIGKILL)
+            with contextlib.suppress(AssertionError):
+                await gateway.wait()
+
     async def watch_exits(self) -> None:
         """Note processes that end though nobody ended them."""
         while True:
