--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -10,6 +10,7 @@
 from standins.platform import objects
 from standins.site import cloud as clouds
 from standins.site import replica as replicas
+from standins.site import replica_app
 from standins.site import store as stores
 
 HEARTBEAT_S = 0.3
@@ -214,7 +215,7 @@
         site.store_port = start(stores.create_app(site.table, site.faults))
         site.cloud_port = start(clouds.create_app(site.cloud))
         for replica in site.replicas:
-            port = start(replicas.create_app(replica, site.replicas))
+            port = start(replica_app.create_app(replica, site.replicas))
             replica.address = f'127.0.0.1:{port}'
         site.put_config(config)
         nursery.start_soon(site.beat)
