--- a/standins/experiment/readings.py
+++ b/standins/experiment/readings.py
@@ -62,7 +62,7 @@
         arrivals = [
             arrival
             for arrival in record.arrivals(found, one.request_id)
-            if not (arrival.answer and arrival.answer.is_prefill)
+            if not arrival.came.is_prefill
         ]
         has_run = False
         for name, is_run in READINGS.items():
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -53,6 +53,8 @@
     read_s: float
     # The start of the replica that it reached.
     born_ms: int = 0
+    # It asks for its prompt to be read, and is no run.
+    is_prefill: bool = False
 
 
 class ToldLeaving(typing.NamedTuple):
--- a/standins/site/replica_app.py
+++ b/standins/site/replica_app.py
@@ -197,6 +197,7 @@
             request_id,
             trio.current_time(),
             replica.born_ms,
+            headers.get('x-stage') == 'prefill',
         )
     )
     rejection = _rejection(replica)
--- a/test/standins/test_experiment.py
+++ b/test/standins/test_experiment.py
@@ -101,10 +101,10 @@
     assert {'answer', 'replica'} <= {fault.where for fault in drawn}
 
 
-def seen(ran, answer, status=503, repeatable=False):
+def seen(ran, answer, status=503, repeatable=False, is_prefill=False):
     """Return a request and the replica that it reached."""
     replica = replicas.Replica('r1', 'desk', 'a')
-    replica.came.append(replicas.Arrival(1.0, 'q1', 1.0))
+    replica.came.append(replicas.Arrival(1.0, 'q1', 1.0, 1, is_prefill))
     if ran:
         replica.runs.append(replicas.Run('q1', None, False, 1, 'v1', at_s=1.1))
     if answer is not None:
@@ -135,6 +135,7 @@
         (seen(False, answered(503, ('1',), signed=True)), 3),
         (seen(False, answered(503, ('1',))), 4),
         (seen(False, answered(421)), 4),
+        (seen(False, None, is_prefill=True), None),
         (seen(True, answered(503, ('1',)), status=502), None),
         (seen(True, answered(503, ('1',)), repeatable=True), None),
     ],
