--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -197,7 +197,7 @@
 @contextlib.asynccontextmanager
 async def running(
     found: list[replicas.Replica] | None = None,
-    config: dict[str, typing.Any] = CONFIG,
+    config: dict[str, typing.Any] | None = None,
 ) -> typing.AsyncIterator[Site]:
     """Yield a site that runs until the block is left."""
     site = Site(default_replicas() if found is None else found)
@@ -217,7 +217,7 @@
         for replica in site.replicas:
             port = start(replica_app.create_app(replica, site.replicas))
             replica.address = f'127.0.0.1:{port}'
-        site.put_config(config)
+        site.put_config(CONFIG if config is None else config)
         nursery.start_soon(site.beat)
         yield site
         nursery.cancel_scope.cancel()
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -51,7 +51,7 @@
         site: sites.Site,
         folder: pathlib.Path,
         vms: int = VMS,
-        config: dict[str, typing.Any] = sites.CONFIG,
+        config: dict[str, typing.Any] | None = None,
         product: pathlib.Path | None = None,
     ) -> None:
         self.site = site
@@ -91,8 +91,10 @@
         self.asked_parts: list[parts.Asked] = []
         # Each VM's own paths to replicas; none if they are never cut.
         self.paths: paths.Paths | None = None
-        self._version = int(config['version'])
-        self._config = copy.deepcopy(config)
+        self._config = copy.deepcopy(
+            sites.CONFIG if config is None else config
+        )
+        self._version = int(self._config['version'])
         # VMs whose process is meant to be away.
         self._away: set[str] = set()
 
