Ask the process that sends a stream's events for its start, and log it

Logs could not tell whether a stream's events came from the start in its replica's entry: they had the entry's start and version, and the process was asked only where two versions were known. Now each stream of a route that may be resumed finds out which start is at the other end of its connection, which is asked for in a report on a new connection while the prompt is read. No decision changes yet; the answer line has version and started_ms, events start-unlisted and start-untold are new.

A start is proven if this VM heard of it before the connection was opened, and it still answers a report that was sent after. Moments are numbers of this process, no clock. What was found holds for the connection's life, so kept ones ask nothing.

test_one_version_has_nothing_to_mix asked that no report is fetched where one version serves. That was the fault: the first start of a release is seen by nobody. It asks now for one report per run at most; that a known connection asks nothing, and that connections opened at once share questions, is in test_process_starts.

--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -95,6 +95,14 @@
             await response.stream.aclose()
 
 
+def connection_of(response: httpx.Response) -> transport.Connection:
+    """Return the connection that a response came on."""
+    extensions = response.extensions
+    return transport.Connection(
+        extensions['connection'], extensions['opened_at']
+    )
+
+
 def _answer_of(response: httpx.Response) -> calls.Answer:
     """Return what a response's headers say of its attempt."""
     return calls.Answer(
@@ -212,13 +220,16 @@
 
 
 async def fetch_start_ms(
-    node: nodes.Node, replica: replicas.Replica, limit_s: float
+    client: replica_client.ReplicaClient,
+    replica: replicas.Replica,
+    limit_s: float,
+    fresh: bool = False,
 ) -> int:
     """Return when the process at a replica's address started, in Unix ms.
 
     Raise UpstreamError or DecodeError if it does not tell in limit_s.
     """
-    report = await fetch_report(node.replica_client, replica, limit_s)
+    report = await fetch_report(client, replica, limit_s, fresh)
     return http_codec.decode_report(report.status, report.body)
 
 
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -167,6 +167,7 @@
         prompt = request.call.prompt
         return {
             **(request.order.log_fields() if request.order.has_events else {}),
+            **request.producer_fields(),
             'objective_s': request.route.objective_s,
             'pause_s': request.route.max_pause_s,
             'longest_pause_s': round(request.longest_pause_s, 3),
--- /dev/null
+++ b/gentianstair/gateway/known_starts.py
@@ -0,0 +1,98 @@
+"""Remember the starts of replicas that this VM has heard of.
+
+A start is one process, so it has one software version, which its entry tells.
+A process may be heard of, by itself or by another VM, before its entry is.
+"""
+
+import collections
+import typing
+
+from gentianstair.core import upstream_limits
+from gentianstair.util import moments
+
+Run = upstream_limits.UpstreamRun
+
+# Starts that are remembered; those not heard of for longest are dropped.
+MAX_STARTS = 40000
+# The version of a start whose entries differ or name none.
+UNCLEAR = ''
+
+
+class Start(typing.NamedTuple):
+    """What is known of one start of a replica."""
+
+    service: str
+    # Of its software, None while no entry has told it.
+    version: str | None
+    # The moment at which this VM heard of it first.
+    heard_at: int
+
+
+class KnownStarts:
+    """The starts of replicas, by name and the time of the start."""
+
+    def __init__(self) -> None:
+        # Those heard of last come last.
+        self._starts: collections.OrderedDict[Run, Start] = (
+            collections.OrderedDict()
+        )
+        self._newest: dict[str, Run] = {}
+
+    def get(self, run: Run) -> Start | None:
+        """Return what is known of a start, None if nothing is."""
+        return self._starts.get(run)
+
+    def version_of(self, run: Run) -> str | None:
+        """Return a start's version, None while no entry has told it."""
+        start = self._starts.get(run)
+        return start and start.version
+
+    def newest(self, name: str) -> Run | None:
+        """Return the newest start of a replica that was heard of."""
+        return self._newest.get(name)
+
+    def record_entry(self, run: Run, service: str, version: str) -> None:
+        """Record the version that an entry gives a start."""
+        known = self._starts.get(run)
+        if known is not None and known.version not in (None, version):
+            version = UNCLEAR
+        self._put(run, service, version)
+        self._record_later(run)
+
+    def record_process(self, run: Run, service: str) -> bool:
+        """Record the start that a replica itself tells; say if it is new.
+
+        It is the newest one, whatever the replica's clock has done.
+        """
+        is_new = self._record_told(run, service)
+        self._newest[run.name] = run
+        return is_new
+
+    def record_heard(self, run: Run, service: str) -> bool:
+        """Record a start that another VM tells of; say if it is new."""
+        is_new = self._record_told(run, service)
+        self._record_later(run)
+        return is_new
+
+    def _record_told(self, run: Run, service: str) -> bool:
+        known = self._starts.get(run)
+        self._put(run, service, known and known.version)
+        return known is None
+
+    def _record_later(self, run: Run) -> None:
+        """Take a start for the newest one if its replica's clock says so."""
+        newest = self._newest.get(run.name)
+        if newest is None or newest.started_ms < run.started_ms:
+            self._newest[run.name] = run
+
+    def _put(self, run: Run, service: str, version: str | None) -> None:
+        known = self._starts.pop(run, None)
+        heard_at = known.heard_at if known else moments.next_moment()
+        self._starts[run] = Start(service, version, heard_at)
+        if len(self._starts) > MAX_STARTS:
+            oldest, _ = self._starts.popitem(last=False)
+            if self._newest.get(oldest.name) == oldest:
+                del self._newest[oldest.name]
+
+
+__all__ = ['KnownStarts', 'Start', 'UNCLEAR']
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -23,6 +23,7 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
+from gentianstair.gateway import process_starts
 from gentianstair.gateway import replica_client
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
@@ -82,6 +83,8 @@
     prompt_faults: prompt_faults.PromptFaults
     part_trials: part_trials.PartTrials
     end_checks: end_checks.EndChecks
+    # Whose process is at the other end of a connection to a replica.
+    process_starts: process_starts.ProcessStarts
     ejector: ejection.Ejector
     paths: upstream_paths.UpstreamPaths
     transport: transports.Transport
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -36,6 +36,7 @@
 from gentianstair.gateway import placement
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import prefix_index
+from gentianstair.gateway import process_starts
 from gentianstair.gateway import replica_client
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
@@ -320,6 +321,12 @@
             functools.partial(forward.fetch_report, client, fresh=True),
             now,
         ),
+        process_starts=process_starts.ProcessStarts(
+            functools.partial(forward.fetch_start_ms, client, fresh=True),
+            registry.record_process,
+            registry.starts,
+            tasks,
+        ),
         ejector=ejection.Ejector(),
         paths=paths,
         transport=replica_transport,
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -9,6 +9,7 @@
 
 from gentianstair.core import draining_upstreams
 from gentianstair.core import upstream_limits
+from gentianstair.gateway import known_starts
 from gentianstair.gateway import version_history
 from gentianstair.generated import events
 from gentianstair.util import change_log
@@ -99,6 +100,8 @@
         self.max_cache_calls = DEFAULT_CACHE_CALLS
         # The last starts of replicas that started again under their names.
         self._starts_ms: dict[str, list[int]] = {}
+        # All starts that were heard of, from entries and otherwise.
+        self.starts = known_starts.KnownStarts()
         # The software versions that serve, and those that did lately.
         self.versions = version_history.VersionHistory(clock)
         # The starts that are known to drain, whoever said so.
@@ -177,7 +180,21 @@
         earlier = self._starts_ms.get(name, [])
         return earlier + ([current.started_ms] if current else [])
 
+    def record_process(
+        self, replica: Replica, run: upstream_limits.UpstreamRun
+    ) -> None:
+        """Record the start that the process of a replica tells itself."""
+        if not self.starts.record_process(run, replica.service):
+            return
+        loguru.logger.bind(
+            event=events.START_UNLISTED,
+            replica=run.name,
+            started_ms=run.started_ms,
+            listed_ms=replica.started_ms,
+        ).info('a replica has started again, which no entry has told')
+
     def _record_start(self, known: Replica | None, replica: Replica) -> None:
+        self.starts.record_entry(replica.run, replica.service, replica.version)
         if known is None or known.started_ms == replica.started_ms:
             return
         starts_ms = [*self._starts_ms.get(known.name, []), known.started_ms]
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -8,6 +8,7 @@
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import run_verdict
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_order
@@ -115,6 +116,8 @@
         self.tried_replicas: set[str] = set()
         # The software version that events may come from; None for any.
         self.version: str | None = None
+        # The start whose process sent its latest events, None if not known.
+        self.producer: upstream_limits.UpstreamRun | None = None
         # Names of replicas that were left out as they asked for a pause.
         self.backed_off: set[str] = set()
         # Whether a replica turned it away.
@@ -207,6 +210,15 @@
             'ends_with_connection': answer.ends_with_connection,
         }
 
+    def producer_fields(self) -> dict[str, typing.Any]:
+        """Return whose events a stream's caller has, for logs."""
+        if self.version is None:
+            return {}
+        return {
+            'version': self.version,
+            'started_ms': self.producer and self.producer.started_ms,
+        }
+
     def candidates(self) -> list[replicas.Replica]:
         """Return the replicas that this request has not tried yet.
 
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -4,6 +4,10 @@
 this. A VM that can't know the version of a resumed stream rejects it.
 """
 
+import typing
+
+import httpx
+
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import stream_origins
@@ -13,6 +17,7 @@
 from gentianstair.gateway import request_state
 from gentianstair.gateway import version_history
 from gentianstair.generated import events
+from gentianstair.util import moments
 
 # Added to the longest time that a stream of a route lasts: a caller resumes
 # it a little later, and replicas serve on for a while after their entry went.
@@ -21,6 +26,8 @@
 CLOCK_ERROR_MS = 500
 # How long the replica of a stream's last events is asked for its start.
 ORIGIN_LIMIT_S = 0.2
+# How long a stream's first event waits for its process to tell its start.
+PRODUCER_LIMIT_S = 0.5
 
 
 def _may_be_of(started_ms: int, origin: stream_origins.Origin) -> bool:
@@ -44,6 +51,8 @@
         self._reach_s = self._lifetime_s + version_history.LATE_RESUME_S
         # Where the last events came from, until its start is confirmed.
         self._unconfirmed: stream_origins.Origin | None = None
+        # When the present attempt's answer came.
+        self._answered_at = 0
         call = request.call
         self._is_resumed = (
             call.last_event_id is not None or call.resumed_id is not None
@@ -93,15 +102,26 @@
             self._disown(origin)
             raise self._unknown('its replica started again about then')
         self._unconfirmed = origin
-        self._bind(origin.version, 'origin')
+        self._bind(
+            origin.version,
+            'origin',
+            replica=origin.upstream,
+            started_ms=origin.started_ms,
+        )
 
-    def _bind(self, version: str | None, known_from: str) -> None:
+    def _bind(
+        self,
+        version: str | None,
+        known_from: str,
+        **fields: typing.Any,
+    ) -> None:
         self._request.bind_version(version)
         self._request.log(
             events.STREAM_BOUND,
             'a resumed stream is bound to a software version',
             version=version,
             known_from=known_from,
+            **fields,
         )
 
     def _unknown(self, reason: str) -> errors.RequestError:
@@ -112,6 +132,30 @@
             self._request.verdict,
         )
 
+    def ask_producer(
+        self, replica: replicas.Replica, response: httpx.Response
+    ) -> None:
+        """Begin to find out which start of a replica answers a request."""
+        if not self._request.route.retryable:
+            return
+        self._answered_at = moments.next_moment()
+        self._node.process_starts.ask(
+            replica, forward.connection_of(response), self._answered_at
+        )
+
+    async def find_producer(
+        self, replica: replicas.Replica, response: httpx.Response
+    ) -> None:
+        """Find out, for the log, which start sends a stream's events."""
+        if not self._request.route.retryable:
+            return
+        self._request.producer = await self._node.process_starts.find(
+            replica,
+            forward.connection_of(response),
+            self._answered_at,
+            PRODUCER_LIMIT_S,
+        )
+
     def record_first_event(self, replica: replicas.Replica) -> None:
         """Bind the request to a replica that produced an event of it.
 
@@ -141,7 +185,7 @@
         await self._check_origin(replica)
         try:
             started_ms = await forward.fetch_start_ms(
-                self._node, replica, limit_s
+                self._node.replica_client, replica, limit_s
             )
         except errors.DecodeError as error:
             raise errors.UpstreamError(
@@ -166,7 +210,7 @@
             return
         try:
             started_ms = await forward.fetch_start_ms(
-                self._node, producer, ORIGIN_LIMIT_S
+                self._node.replica_client, producer, ORIGIN_LIMIT_S
             )
         except (errors.UpstreamError, errors.DecodeError) as error:
             self._request.log(
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -201,6 +201,7 @@
         if response.status_code != 200:
             await self._handle_non_stream(response, run.replica, verdict)
             return
+        self._version.ask_producer(run.replica, response)
         await self._version.check(run.replica, self._stall_timeout_s())
         forward_events = functools.partial(self._forward_events, response, run)
         if not self._request.route.retryable:
@@ -236,6 +237,7 @@
             if complete_events:
                 run.waiting_since_s = None
                 if run.record_event():
+                    await self._version.find_producer(run.replica, response)
                     self._version.record_first_event(run.replica)
                     await self._start_response(response)
                 request.record_event_sent()
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -11,6 +11,7 @@
 import os
 import re
 import typing
+import weakref
 
 import httpx
 import trio
@@ -20,6 +21,7 @@
 from gentianstair.upstreams import connector as connectors
 from gentianstair.upstreams import foreign_responses
 from gentianstair.upstreams import response_parser
+from gentianstair.util import moments
 
 # Bounds the idle connections to one address.
 MAX_IDLE_CONNECTIONS = 256
@@ -27,6 +29,21 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})(?!\d)')
 
 
+class Connection(typing.NamedTuple):
+    """A connection to an upstream."""
+
+    stream: trio.abc.Stream
+    # The moment just before it was opened, None if that is not known.
+    opened_at: int | None
+
+
+Accepts = collections.abc.Callable[[Connection], bool]
+
+
+def _accept_all(_: Connection) -> bool:
+    return True
+
+
 class _IdleConnection(typing.NamedTuple):
     """An idle connection, since when it is idle, and when it expires."""
 
@@ -145,6 +162,8 @@
 
     - ``fresh``: open a new connection. Requests that must not be repeated
       need it, as an idle connection may close just after the send.
+    - ``accepts``: called with an idle Connection; one for which it returns
+      False is closed.
     - ``before_send``: called before the first byte is sent, with no await
       in between. It may raise, and then nothing is sent.
     - ``record_send``: called after that, as the first byte is written.
@@ -157,7 +176,9 @@
       lost.
 
     The response's extension ``connection`` is the one that it came on, and
-    ``was_kept`` says whether that had carried another request before.
+    ``was_kept`` says whether that had carried another request before, and
+    ``opened_at`` gives the moment just before it was opened, None if that is
+    not known.
     ``ends_with_connection`` says whether the body has neither a length nor
     chunks.
     """
@@ -168,18 +189,38 @@
         self._idle: dict[
             tuple[str, int], collections.deque[_IdleConnection]
         ] = {}
+        self._opened_at: weakref.WeakKeyDictionary[trio.abc.Stream, int] = (
+            weakref.WeakKeyDictionary()
+        )
 
-    def _take_idle(self, url: httpx.URL) -> trio.abc.Stream | None:
+    def _take_idle(
+        self, url: httpx.URL, accepts: Accepts
+    ) -> trio.abc.Stream | None:
         """Remove and return an open idle connection, or None."""
         idle = self._idle.get((url.host, url.port or 0))
         now_s = trio.current_time()
         while idle:
             stream, _, expires_at_s = idle.pop()
-            if now_s < expires_at_s and not connectors.is_unusable(stream):
+            if (
+                now_s < expires_at_s
+                and not connectors.is_unusable(stream)
+                and accepts(self._connection(stream))
+            ):
                 return stream
             connectors.discard(stream)
         return None
 
+    async def _connect(self, request: httpx.Request) -> trio.abc.Stream:
+        opened_at = moments.next_moment()
+        stream = await self._connector.connect(
+            request.url, request.extensions.get('connect_s')
+        )
+        self._opened_at[stream] = opened_at
+        return stream
+
+    def _connection(self, stream: trio.abc.Stream) -> Connection:
+        return Connection(stream, self._opened_at.get(stream))
+
     def _keep_idle(
         self,
         url: httpx.URL,
@@ -255,12 +296,12 @@
         """
         stream = None
         if not request.extensions.get('fresh'):
-            stream = self._take_idle(request.url)
+            stream = self._take_idle(
+                request.url, request.extensions.get('accepts', _accept_all)
+            )
         was_kept = stream is not None
         if stream is None:
-            stream = await self._connector.connect(
-                request.url, request.extensions.get('connect_s')
-            )
+            stream = await self._connect(request)
         try:
             return await self._exchange(stream, request, was_kept)
         except BaseException:
@@ -299,6 +340,7 @@
             extensions={
                 'connection': stream,
                 'was_kept': was_kept,
+                'opened_at': self._opened_at.get(stream),
                 'ends_with_connection': parser.body_ends_at_close
                 and not parser.done,
             },
