Close the connections of a stand-in replica that starts again

A replica of the small site that started again went on to answer on its kept connections, as if one process had two starts. A connection belongs to one process for its life: each start is served on connections of its own now; a new one closes those of the one before, or lets what runs there end. Before, no test could tell who is at the other end of a connection.

--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -95,6 +95,10 @@
 ArrivalTime = collections.abc.Callable[[str], float]
 
 
+def _ignore(_: bool) -> None:
+    pass
+
+
 def _now_s(_: str) -> float:
     return trio.current_time()
 
@@ -178,6 +182,8 @@
         self.born_ms = 1
         # How often what ran was broken off by a new start.
         self.breaks = 0
+        # Called at each new start, with whether what runs goes on.
+        self.on_start: collections.abc.Callable[[bool], None] = _ignore
         # Whether its report of itself leaves that out.
         self.hides_start = False
         # How often a VM asked for its report.
@@ -247,7 +253,7 @@
         """Start again under the same name; what runs is broken off."""
         self.version = version
         self.breaks += 1
-        self._begin()
+        self._begin(goes_on=False)
 
     def start_again(self) -> None:
         """Start again after it drained, under the same name.
@@ -256,15 +262,21 @@
         """
         self.draining = False
         self.leaving_headers = ()
-        self._begin()
+        self._begin(goes_on=True)
 
-    def _begin(self) -> None:
+    def _begin(self, goes_on: bool) -> None:
+        self.on_start(goes_on)
         self.born_ms = max(self.born_ms + 1, round(time.time() * 1000))
         self.handles.clear()
         self.kept.clear()
         self.changes.clear()
         self.leaving_headers = self.rest_headers = ()
 
+    def note_cancelled(self, breaks: int) -> None:
+        """Count a run that its caller left, of the start with these breaks."""
+        if breaks == self.breaks:
+            self.cancelled += 1
+
     def calls_between(self, from_s: float, to_s: float) -> list[Call]:
         """Return what came between two moments."""
         return [call for call in self.calls if from_s < call.at_s < to_s]
--- a/standins/site/replica_app.py
+++ b/standins/site/replica_app.py
@@ -156,7 +156,7 @@
                     f'id: {number}\nevent: {version}\ndata: {word}{number}\n\n'
                 ).encode()
         except trio.Cancelled:
-            replica.cancelled += 1
+            replica.note_cancelled(breaks)
             raise
 
     response = _signed(replica, events())
--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import socket
 import typing
 
 import trio
@@ -15,6 +16,8 @@
 
 HEARTBEAT_S = 0.3
 STOP_S = 0.1
+# How long what runs may go on after a start that leaves it alone.
+LAST_RUNS_S = 60.0
 
 CONFIG: dict[str, typing.Any] = {
     'version': 7,
@@ -194,6 +197,59 @@
             await trio.sleep(HEARTBEAT_S)
 
 
+async def _serve_starts(
+    replica: replicas.Replica, app: typing.Any, sock: socket.socket
+) -> None:
+    """Serve each start of a replica on connections of its own.
+
+    A new start closes those of the one before, or lets what runs end.
+    """
+    async with trio.open_nursery() as nursery:
+        while True:
+            ended, scope = trio.Event(), trio.CancelScope()
+            again = trio.Event()
+
+            def end(
+                goes_on: bool,
+                ended: trio.Event = ended,
+                scope: trio.CancelScope = scope,
+                again: trio.Event = again,
+            ) -> None:
+                ended.set()
+                if not goes_on:
+                    scope.cancel()
+                again.set()
+
+            replica.on_start = end
+            nursery.start_soon(
+                _serve_start, _of_start(replica, app), sock.dup(), ended, scope
+            )
+            await again.wait()
+
+
+def _of_start(replica: replicas.Replica, app: typing.Any) -> typing.Any:
+    """Return an application that answers for the present start only."""
+    born_ms = replica.born_ms
+
+    async def answer(scope: typing.Any, *rest: typing.Any) -> None:
+        if scope['type'] == 'http' and replica.born_ms != born_ms:
+            # Its process is gone; the connection is about to be closed.
+            await trio.sleep_forever()
+        await app(scope, *rest)
+
+    return answer
+
+
+async def _serve_start(
+    app: typing.Any,
+    sock: socket.socket,
+    ended: trio.Event,
+    scope: trio.CancelScope,
+) -> None:
+    with scope:
+        await serving.serve(app, sock, ended.wait, LAST_RUNS_S)
+
+
 @contextlib.asynccontextmanager
 async def running(
     found: list[replicas.Replica] | None = None,
@@ -215,8 +271,10 @@
         site.store_port = start(stores.create_app(site.table, site.faults))
         site.cloud_port = start(clouds.create_app(site.cloud))
         for replica in site.replicas:
-            port = start(replica_app.create_app(replica, site.replicas))
-            replica.address = f'127.0.0.1:{port}'
+            sock = serving.listen('127.0.0.1:0')
+            replica.address = f'127.0.0.1:{sock.getsockname()[1]}'
+            app = replica_app.create_app(replica, site.replicas)
+            nursery.start_soon(_serve_starts, replica, app, sock)
         site.put_config(CONFIG if config is None else config)
         nursery.start_soon(site.beat)
         yield site
