--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -180,6 +180,8 @@
         self.weights: int | None = None
         # Unix time of its start, in ms; the first one is long ago.
         self.born_ms = 1
+        # How far its clock is ahead of the VMs'.
+        self.clock_ahead_s = 0.0
         # How often what ran was broken off by a new start.
         self.breaks = 0
         # Called at each new start, with whether what runs goes on.
@@ -266,7 +268,8 @@
 
     def _begin(self, goes_on: bool) -> None:
         self.on_start(goes_on)
-        self.born_ms = max(self.born_ms + 1, round(time.time() * 1000))
+        now_s = time.time() + self.clock_ahead_s
+        self.born_ms = max(self.born_ms + 1, round(now_s * 1000))
         self.handles.clear()
         self.kept.clear()
         self.changes.clear()
--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -160,6 +160,8 @@
         self.replicas = found
         # Names of replicas that register no more.
         self._silent: set[str] = set()
+        # Entries of earlier starts that stand for those of today, by name.
+        self._earlier: dict[str, dict[str, typing.Any]] = {}
         self.store_port = 0
         self.cloud_port = 0
 
@@ -176,7 +178,22 @@
         """Write a replica's entry, which is also its heartbeat."""
         current = self.table.get('servers', replica.name)
         version = current.version if current.value is not None else 0
-        self.table.write('servers', replica.name, replica.entry(), version)
+        entry = self._earlier.get(replica.name) or replica.entry()
+        self.table.write('servers', replica.name, entry, version)
+
+    async def show_earlier(
+        self,
+        replica: replicas.Replica,
+        entry: dict[str, typing.Any],
+        lasts_s: float,
+    ) -> None:
+        """Let an entry stand for so long, unless a later start changes it."""
+        self._earlier[replica.name] = entry
+        self.register(replica)
+        await trio.sleep(lasts_s)
+        if self._earlier.get(replica.name) is entry:
+            del self._earlier[replica.name]
+            self.register(replica)
 
     def remove(self, replica: replicas.Replica) -> None:
         """Take a replica's entry away for good; it answers on."""
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -65,6 +65,26 @@
     ('store', 'down'),
     ('change', 'config'),
 )
+# Between two replicas of a release, and until one starts a second time.
+RELEASE_GAP_S = (0.3, 1.0)
+SECOND_START_S = (0.2, 1.2)
+SECOND_START_SHARE = 0.3
+# How late entries tell of a start, and how far a replica's clock is ahead.
+ENTRY_LATE_S = (0.0, 3.0)
+CLOCKS_AHEAD_S = ('2', '-2', '2400', '-2400')
+CLOCK_GAP_S = (1.0, 4.0)
+CLOCK_LASTS_S = (2.0, 6.0)
+# An entry that changes once, or a heartbeat of the start before after that.
+RELEASE_ENTRIES = ('', ' after a late heartbeat')
+OUTAGES = ('silent', 'busy', 'overloaded', 'resets')
+OUTAGE_GAP_S = (3.0, 6.0)
+BESIDE_RELEASES_GAP_S = (0.7, 2.5)
+BESIDE_RELEASES = (
+    ('process', 'stop'),
+    ('process', 'kill'),
+    ('process', 'hup'),
+    ('change', 'config'),
+)
 # When each bad part begins to end replicas, and between faults beside it.
 SPOILED_AT_S = ((1.5, 3.0), (3.0, 8.0))
 OWN_SPOILED_AT_S = (2.0, 6.0)
@@ -155,7 +175,7 @@
     at_s: float
     # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
     # 'change', 'paths', 'limit', 'version', 'part', 'notice', 'answer',
-    # 'order'.
+    # 'order', 'release', 'clock', 'outage'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
@@ -271,6 +291,57 @@
     return sorted(found)
 
 
+def draw_rolling(
+    chance: random.Random, length_s: float, makers: int
+) -> list[Fault]:
+    """Return releases: makers start again in turn, some of them twice.
+
+    A fault lasts until an entry tells of the start.
+    """
+    found = []
+    number, at_s = 0, 1.0
+    while at_s < length_s:
+        version = f'v{2 + number // makers}'
+        starts_s = [at_s]
+        if chance.random() < SECOND_START_SHARE:
+            starts_s.append(at_s + chance.uniform(*SECOND_START_S))
+        for start_s in starts_s:
+            what = version + chance.choice(RELEASE_ENTRIES)
+            late_s = chance.uniform(*ENTRY_LATE_S)
+            found.append(
+                Fault(start_s, 'release', what, number % makers, late_s)
+            )
+        number += 1
+        at_s += chance.uniform(*RELEASE_GAP_S)
+    return found
+
+
+def draw_outages(
+    chance: random.Random, length_s: float, whats: typing.Sequence[str]
+) -> list[Fault]:
+    """Return outages of the store for all, of some kinds."""
+    kinds = [('outage', what) for what in whats]
+    return draw_series(chance, length_s, kinds, OUTAGE_GAP_S)
+
+
+def draw_releases(seed: int, length_s: float) -> list[Fault]:
+    """Return releases under kept names, with entries that come late.
+
+    Outages of the store, replicas' clocks that are off, and stops and kills
+    of VMs come beside them.
+    """
+    chance = random.Random(f'releases/{seed}')
+    clocks = [('clock', ahead_s) for ahead_s in CLOCKS_AHEAD_S]
+    return sorted(
+        draw_rolling(chance, length_s, versions.MAKERS)
+        + draw_outages(chance, length_s, OUTAGES)
+        + draw_series(
+            chance, length_s, clocks, CLOCK_GAP_S, CLOCK_LASTS_S, from_s=0.5
+        )
+        + draw_series(chance, length_s, BESIDE_RELEASES, BESIDE_RELEASES_GAP_S)
+    )
+
+
 def draw_parts(seed: int, length_s: float) -> list[Fault]:
     """Return parts of prompts that begin to end replicas.
 
@@ -408,4 +479,5 @@
     'denials': draw_denials,
     'order': draw_order,
     'order-versions': draw_order_versions,
+    'releases': draw_releases,
 }
--- a/standins/soak/run.py
+++ b/standins/soak/run.py
@@ -32,6 +32,8 @@
 PROOF_CALLS = 12
 # A key must be gone by then also where a VM was paused or without the store.
 REVOKE_S = 12.0
+# Faults beside which callers resume streams.
+WITH_RESUMING = ('version', 'order', 'release')
 Draw = collections.abc.Callable[[int, float], list[plan.Fault]]
 
 
@@ -76,6 +78,8 @@
         found = versions.make_replicas(
             versions.SLOW_TOKENS_PER_S if is_slow else versions.TOKENS_PER_S
         )
+    if _has(faults, 'release'):
+        found = versions.make_replicas(versions.TOKENS_PER_S, ('v1',))
     if _has(faults, 'part'):
         found = parts.make_replicas()
     async with sites.running(found) as site, trio.open_nursery() as nursery:
@@ -145,14 +149,14 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(soak.watch_exits)
         _start_callers(soak, seed, nursery)
-        if any(_has(faults, where) for where in ('version', 'order')):
+        if any(_has(faults, where) for where in WITH_RESUMING):
             _start_resuming(soak, seed, nursery)
         if _has(faults, 'part'):
             _start_with_parts(soak, seed, nursery)
         async with trio.open_nursery() as kept_nursery:
             if soak.paths is None and not any(
                 _has(faults, where)
-                for where in ('version', 'order', 'part', 'notice')
+                for where in (*WITH_RESUMING, 'part', 'notice')
             ):
                 _start_kept(soak, seed, kept_nursery)
             async with trio.open_nursery() as fault_nursery:
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -30,6 +30,10 @@
 # How long the store is away before it comes back from a copy.
 AWAY_S = 0.4
 REFUSED_STATUS = 503
+# With which a store that is busy answers all.
+BUSY_STATUSES = {'busy': 429, 'overloaded': 503}
+# How long a late heartbeat stands for its replica's entry; the platform's.
+BEAT_S = 1.2
 _FAULTS: dict[str, dict[str, typing.Any]] = {
     **odd_answers.FAILURES,
     **odd_answers.REJECTIONS,
@@ -164,6 +168,9 @@
             'paths': self._strike_paths,
             'limit': self._strike_limit,
             'version': self._restart_replica,
+            'release': self._release_replica,
+            'clock': self._step_clock,
+            'outage': self._strike_outage,
             'part': self._spoil_part,
             'notice': self._give_notice,
             'answer': self._spoil_answers,
@@ -243,11 +250,56 @@
 
     async def _restart_replica(self, fault: plan.Fault) -> None:
         """Start a replica again at a version; its runs break off."""
-        makers = [r for r in self.site.replicas if r.stage == 'decode']
-        found = makers[fault.whom % len(makers)]
+        found = self._maker(fault)
         self.timeline.restart(found, fault.what)
         self._note_break(found.name, trio.current_time() - versions.CONTACT_S)
 
+    def _maker(self, fault: plan.Fault) -> replicas.Replica:
+        makers = [r for r in self.site.replicas if r.stage == 'decode']
+        return makers[fault.whom % len(makers)]
+
+    async def _release_replica(self, fault: plan.Fault) -> None:
+        """Start a replica again at a version that its entry tells late.
+
+        A heartbeat of the start before may come after that.
+        """
+        found = self._maker(fault)
+        before, from_s = found.entry(), trio.current_time()
+        version, _, is_followed = fault.what.partition(' ')
+        await self._restart_replica(fault._replace(what=version))
+        await self.site.show_earlier(found, before, fault.lasts_s)
+        if is_followed:
+            await trio.sleep(BEAT_S / 2)
+            await self.site.show_earlier(found, before, BEAT_S)
+        # Its version can't be known before.
+        self.timeline.note_disorder(found.name, from_s, trio.current_time())
+
+    async def _step_clock(self, fault: plan.Fault) -> None:
+        """Have a replica's clock be off for so long."""
+        found = self._maker(fault)
+        found.clock_ahead_s = float(fault.what)
+        await trio.sleep(fault.lasts_s)
+        found.clock_ahead_s = 0.0
+
+    async def _strike_outage(self, fault: plan.Fault) -> None:
+        """Have the store be silent, busy or resetting for all VMs."""
+        from_s, faults = trio.current_time(), self.site.faults
+        vms = {gateway.vm for gateway in self.gateways}
+        mode = proxy.Mode.PASS
+        if fault.what in BUSY_STATUSES:
+            faults.refused_status = BUSY_STATUSES[fault.what]
+            faults.refused_vms |= vms
+        else:
+            is_silent = fault.what == 'silent'
+            mode = proxy.Mode.SILENT if is_silent else proxy.Mode.RESET
+        for link in self.store_links:
+            link.set(mode)
+        await trio.sleep(fault.lasts_s)
+        for link in self.store_links:
+            link.set(proxy.Mode.PASS)
+        faults.refused_vms -= vms
+        self._note_out_of_touch(checks.STORE, from_s)
+
     async def _spoil_part(self, fault: plan.Fault) -> None:
         """Have replicas end under a part of prompts from now on."""
         self.bad_parts.add(fault.what)
--- a/standins/soak/versions.py
+++ b/standins/soak/versions.py
@@ -118,13 +118,15 @@
     return [part for part in (before, after) if part.from_s < part.to_s]
 
 
-def make_replicas(tokens_per_s: float) -> list[replicas.Replica]:
-    """Return the replicas of a site, of whose makers half are at each.
+def make_replicas(
+    tokens_per_s: float, served: tuple[str, ...] = VERSIONS
+) -> list[replicas.Replica]:
+    """Return the replicas of a site, whose makers take turns at versions.
 
     The makers read prompts at this speed.
     """
     found = sites.replicas_of_makers(
-        (VERSIONS[number % 2] for number in range(MAKERS)), EVENTS
+        (served[number % len(served)] for number in range(MAKERS)), EVENTS
     )
     for replica in found:
         if replica.stage == 'decode':
