--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -32,6 +32,12 @@
         default='',
         help='resumed runs that begin anew',
     )
+    parser.add_argument(
+        '--leaves',
+        type=float,
+        default=0.0,
+        help='share of tries at streams that callers leave, to resume them',
+    )
     parser.add_argument('--product', type=pathlib.Path, help='a checkout')
     found = parser.parse_args()
     sheet = sheets.read(found.sheet)
@@ -44,6 +50,7 @@
             found.odd,
             found.product and found.product.resolve(),
             found.starts_over,
+            found.leaves,
         )
         for number in range(found.seeds)
     ]
@@ -61,6 +68,7 @@
             result.ran['work began']
             or result.ran_twice
             or result.streams.out_of_order
+            or result.streams.mixed
         )
         _print(setting.seed, result)
     return 1 if red else 0
@@ -80,11 +88,13 @@
         f'{streams.resumed_runs} runs resumed, '
         f'{streams.from_handles} from a handle, '
         f'{streams.resumed_from_handles} both, '
-        f'{len(streams.out_of_order)} out of order over tries',
+        f'{len(streams.out_of_order)} out of order over tries, '
+        f'{len(streams.mixed)} of two versions',
         flush=True,
     )
-    for line in streams.out_of_order[:MAX_SHOWN]:
-        print(f'    {line}', flush=True)
+    for lines in (streams.out_of_order, streams.mixed):
+        for line in lines[:MAX_SHOWN]:
+            print(f'    {line}', flush=True)
     shown: set[str] = set()
     for name, lines in result.ran.items():
         print(f'  refused and has run, {name}: {len(lines)}', flush=True)
--- a/standins/experiment/play.py
+++ b/standins/experiment/play.py
@@ -33,6 +33,8 @@
     product: pathlib.Path | None
     # Which resumed runs begin anew at all replicas; see replicas.Faults.
     starts_over: str = ''
+    # The share of tries at resumable streams that callers leave.
+    leaves: float = 0.0
 
 
 class Result(typing.NamedTuple):
@@ -65,7 +67,7 @@
             )
             await soak.start_links(nursery)
             callers = requesters.Requesters(
-                soak, sheet, setting.seed, setting.share
+                soak, sheet, setting.seed, setting.share, setting.leaves
             )
             try:
                 await soak.start_all()
--- a/standins/experiment/readings.py
+++ b/standins/experiment/readings.py
@@ -1,6 +1,7 @@
 """Count refused requests that have run, under several readings of that."""
 
 import collections.abc
+import itertools
 import typing
 
 from standins.experiment import requesters
@@ -98,6 +99,8 @@
     resumed_from_handles: int
     # Those with flaws, as text.
     out_of_order: list[str]
+    # Those with events of two versions, as text.
+    mixed: list[str]
 
 
 def streams(
@@ -124,4 +127,15 @@
             f'{[[n for n, _ in part.events] for part in parts]}'
             for name, flaws, parts in flawed
         ],
+        [
+            f'{name}: {[_versions(part) for part in parts]}'
+            for name, parts in followed.items()
+            if len({v for part in parts for _, v in part.events}) > 1
+        ],
     )
+
+
+def _versions(part: order.Part) -> list[str]:
+    """Return how many events of which version came, in order."""
+    runs = itertools.groupby(version for _, version in part.events)
+    return [f'{len(list(same))} of {version}' for version, same in runs]
--- a/standins/experiment/requesters.py
+++ b/standins/experiment/requesters.py
@@ -1,5 +1,6 @@
 """Send a described site's requests, and return as the platform's pages say."""
 
+import math
 import random
 import typing
 
@@ -25,6 +26,8 @@
 # A VM that missed so many checks in a row gets no new connections.
 MAX_MISSES = 2
 BODY_BYTES = 600
+# After which a caller that left a stream resumes it.
+RESUMES_IN_S = 0.3
 
 
 class Balancer:
@@ -92,7 +95,12 @@
     """All that send requests to a site; told has what each of them got."""
 
     def __init__(
-        self, soak: strikes.Soak, sheet: sheets.Sheet, seed: int, share: float
+        self,
+        soak: strikes.Soak,
+        sheet: sheets.Sheet,
+        seed: int,
+        share: float,
+        leaves: float = 0.0,
     ) -> None:
         self.told: list[record.Told] = []
         # What each stream's tries brought, by the id of the first try.
@@ -101,6 +109,9 @@
         self._kinds = sheet.kinds
         self._rates_per_s = [kind.per_s * share for kind in sheet.kinds]
         self._chance = random.Random(f'requesters/{seed}')
+        # Drawn apart, as the rest of a seed stays as it was.
+        self._leaving = random.Random(f'leaving/{seed}')
+        self._leaves = leaves
         self._count = 0
 
     async def run(self) -> None:
@@ -144,6 +155,7 @@
         if kind.is_stream:
             stream.prompt = stream.prompt or self._prompt(kind, request_id)
             headers.update(stream.prompt | stream.headers())
+        leaves_after = self._leaves_after(kind)
         status, wait_s, text = 0, 0.0, ''
         try:
             async with client.stream(
@@ -155,11 +167,13 @@
             ) as answer:
                 async for data in answer.aiter_text():
                     text += data
+                    if len(order.EVENT.findall(text)) >= leaves_after:
+                        raise httpx.ReadError('its caller leaves')
                 status = answer.status_code
                 wait_s = float(answer.headers.get('retry-after', 0))
         except httpx.HTTPError:
-            # Cut or too late: nothing was told but what came until then.
-            pass
+            # Cut, left or too late: only what came until then was told.
+            wait_s = RESUMES_IN_S if leaves_after < sheets.MAX_EVENTS else 0.0
         stream.add(request_id, gateway, order.read(text, status == OK))
         found = record.Told(
             request_id,
@@ -175,6 +189,14 @@
         self.told.append(found)
         return found, wait_s
 
+    def _leaves_after(self, kind: sheets.Kind) -> float:
+        """Return after how many events a caller leaves; mostly never."""
+        if not (kind.is_stream and kind.may_repeat):
+            return math.inf
+        if self._leaving.random() >= self._leaves:
+            return math.inf
+        return self._leaving.randrange(1, sheets.MAX_EVENTS)
+
     def _headers(
         self, kind: sheets.Kind, request_id: str, left_s: float
     ) -> dict[str, str]:
--- a/standins/experiment/troubles.py
+++ b/standins/experiment/troubles.py
@@ -66,6 +66,16 @@
     'order': plan.DISORDERS,
     'breaks': ('breaks',),
 }
+# Releases with one kind of outage of the store and no other trouble, by the
+# name of the play.
+LADDER: dict[str, typing.Sequence[str]] = {
+    'releases-only': (),
+    'releases-silent': ('silent',),
+    'releases-busy': ('busy', 'overloaded'),
+    'releases-resets': ('resets',),
+}
+RELEASES = 'releases'
+ODD.update(dict.fromkeys((RELEASES, *LADDER), ()))
 # Those that only replicas that write streams do.
 OF_STREAMS = ('order', 'breaks')
 
@@ -85,6 +95,8 @@
     seed: int, length_s: float, sheet: sheets.Sheet, odd: str
 ) -> list[plan.Fault]:
     """Return the troubles of a play in order; they overlap."""
+    if odd in LADDER:
+        return _draw_ladder(seed, length_s, sheet, LADDER[odd])
     chance = random.Random(f'experiment/{seed}')
     found = plan.draw_series(
         chance, length_s, kinds(sheet.troubles), GAP_S, LASTS_S
@@ -93,4 +105,19 @@
     answers = [(where, what) for what in ODD[odd]]
     if answers:
         found += plan.draw_series(chance, length_s, answers, GAP_S, LASTS_S)
+    if odd == RELEASES:
+        found += _draw_ladder(seed, length_s, sheet, plan.OUTAGES)
     return sorted(found)
+
+
+def _draw_ladder(
+    seed: int, length_s: float, sheet: sheets.Sheet, outages: typing.Sequence
+) -> list[plan.Fault]:
+    """Return releases, and outages of some kinds if there are any."""
+    chance = random.Random(f'releases/{seed}')
+    found = sheets.make_replicas(sheet)
+    makers = sum(replica.stage == 'decode' for replica in found)
+    faults = plan.draw_rolling(chance, length_s, makers)
+    if outages:
+        faults += plan.draw_outages(chance, length_s, outages)
+    return sorted(faults)
