--- a/test/standins/test_experiment.py
+++ b/test/standins/test_experiment.py
@@ -1,10 +1,15 @@
 """Test the experiment on a described site: sheet, troubles and readings."""
 
+import itertools
+import math
+import types
+
 import pytest
 import trio
 
 from standins.experiment import play
 from standins.experiment import readings
+from standins.experiment import requesters
 from standins.experiment import troubles
 from standins.site import replica as replicas
 from standins.site import sheet as sheets
@@ -172,6 +177,69 @@
     assert kind.own_tokens == 70
 
 
+@pytest.mark.parametrize(
+    ('versions', 'expected'),
+    [
+        ((('v1', 'v1'), ('v1',)), []),
+        (
+            (('v1', 'v1'), ('v2',)),
+            ["q1: [['2 of v1'], ['1 of v2']]"],
+        ),
+        (
+            (('v1', 'v2'), ('v2',)),
+            ["q1: [['1 of v1', '1 of v2'], ['1 of v2']]"],
+        ),
+    ],
+    ids=['one', 'over-tries', 'within-a-try'],
+)
+def test_streams_of_two_versions_are_counted(versions, expected):
+    # Guards against a play of releases that looks at numbers only.
+    numbers = itertools.count(1)
+    parts = [
+        order.Part(tuple((next(numbers), version) for version in of_part))
+        for of_part in versions
+    ]
+    found = readings.streams({'q1': parts}, [], 3)
+    assert found.mixed == expected
+    assert found.out_of_order == []
+
+
+@pytest.mark.parametrize(('odd', 'outages'), troubles.LADDER.items())
+def test_ladder_of_outages_has_one_kind_beside_the_releases(
+    odd, outages, sheet
+):
+    # Guards against plays that tell outages apart and hold other troubles.
+    faults = [
+        fault
+        for seed in range(10)
+        for fault in troubles.draw(seed, 20.0, sheet, odd)
+    ]
+    found = {(fault.where, fault.what) for fault in faults}
+    kinds = {one for one in found if one[0] != 'release'}
+    assert kinds == {('outage', what) for what in outages}
+    # Its only replicas that write streams.
+    assert {fault.whom for fault in faults if fault.where == 'release'} == {
+        0,
+        1,
+    }
+
+
+def test_callers_leave_a_share_of_resumable_streams(sheet):
+    # Guards against plays in which only what breaks is resumed.
+    found = sheet.kinds[0]._replace(may_repeat=True)
+    soak = types.SimpleNamespace(gateways=[])
+    drawn = [
+        requesters.Requesters(soak, sheet, 1, 1.0, share)._leaves_after(kind)
+        for share, kind in (
+            (0.0, found),
+            (1.0, found),
+            (1.0, found._replace(may_repeat=False)),
+        )
+    ]
+    assert drawn[0] == drawn[2] == math.inf
+    assert 1 <= drawn[1] < sheets.MAX_EVENTS
+
+
 def test_streams_out_of_order_are_counted():
     # Guards against a play that sees requests and no streams.
     first, second = order.Part(((1, 'v1'),)), order.Part(((1, 'v1'),))
--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -1,10 +1,13 @@
 """Play seeds of the fault soak, and check that its checks see breaches."""
 
+import random
+
 import pytest
 import trio
 
 from standins.site import cloud as clouds
 from standins.site import replica as replicas
+from standins.site import site as sites
 from standins.soak import callers
 from standins.soak import checks
 from standins.soak import order
@@ -67,7 +70,15 @@
 ]
 LENGTH_S = 8.0
 # Plans whose callers need not cross a close.
-UNCROSSED = ('faults', 'paths', 'versions', 'parts', 'notices', 'order')
+UNCROSSED = (
+    'faults',
+    'paths',
+    'versions',
+    'parts',
+    'notices',
+    'order',
+    'releases',
+)
 # What holds later than some seconds after the fifth end takes longer.
 LONG_S = 16.0
 
@@ -84,7 +95,7 @@
     # A run of stops that no request crosses would see nothing; the callers
     # of cuts keep no connections until they are closed.
     assert result.crossed or name in UNCROSSED
-    if name in ('versions', 'order'):
+    if name in ('versions', 'order', 'releases'):
         assert result.resumed >= versions.MIN_COUNTED
 
 
@@ -104,6 +115,77 @@
     assert drawn == set(plan.DISORDERS)
 
 
+def test_releases_come_with_all_that_makes_entries_wrong():
+    # Guards against releases whose entries are never late, or never go back.
+    drawn = [
+        fault for seed in range(20) for fault in plan.draw_releases(seed, 20.0)
+    ]
+    starts = [fault for fault in drawn if fault.where == 'release']
+    assert {fault.what for fault in starts} >= {
+        f'v2{entry}' for entry in plan.RELEASE_ENTRIES
+    }
+    assert min(fault.lasts_s for fault in starts) < 0.1
+    assert max(fault.lasts_s for fault in starts) > 2.9
+    for where, whats in (
+        ('clock', plan.CLOCKS_AHEAD_S),
+        ('outage', plan.OUTAGES),
+    ):
+        found = {fault.what for fault in drawn if fault.where == where}
+        assert found == set(whats)
+
+
+def test_makers_are_released_in_turn_and_some_start_twice():
+    # Guards against releases in which each replica starts once.
+    found = plan.draw_rolling(random.Random(1), 60.0, 3)
+    starts = [(fault.whom, fault.what.partition(' ')[0]) for fault in found]
+    firsts = list(dict.fromkeys(starts))
+    assert firsts[:4] == [(0, 'v2'), (1, 'v2'), (2, 'v2'), (0, 'v3')]
+    assert len(firsts) < len(starts) < 2 * len(firsts)
+
+
+async def test_entries_of_earlier_starts_stand_for_a_while(autojump_clock):
+    # Guards against late entries that are on time, or never change.
+    replica = replicas.Replica('r1', 'desk', 'a')
+    site = sites.Site([replica])
+    site.register(replica)
+    before = replica.entry()
+    replica.restart('v2')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(site.show_earlier, replica, before, 2.0)
+        await trio.sleep(1.0)
+        site.register(replica)
+        assert site.table.get('servers', 'r1').value == before
+    shown = site.table.get('servers', 'r1').value
+    assert shown == replica.entry()
+    assert shown['version'] == 'v2'
+
+
+async def test_late_entry_gives_way_to_that_of_a_later_start(autojump_clock):
+    # Guards against a start that ends the lateness of the one after it.
+    replica = replicas.Replica('r1', 'desk', 'a')
+    site = sites.Site([replica])
+    entries = []
+    for version in ('v2', 'v3'):
+        entries.append(replica.entry())
+        replica.restart(version)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(site.show_earlier, replica, entries[0], 1.0)
+        await trio.sleep(0.5)
+        nursery.start_soon(site.show_earlier, replica, entries[1], 1.0)
+        await trio.sleep(0.7)
+        assert site.table.get('servers', 'r1').value == entries[1]
+    assert site.table.get('servers', 'r1').value == replica.entry()
+
+
+def test_start_is_told_by_the_clock_of_its_replica():
+    # Guards against clocks that are off only in the plan.
+    ahead, behind = (replicas.Replica('r1', 'desk', 'a') for _ in range(2))
+    ahead.clock_ahead_s, behind.clock_ahead_s = 2400.0, -2400.0
+    for replica in (ahead, behind):
+        replica.restart('v2')
+    assert ahead.born_ms - behind.born_ms == pytest.approx(4800000, abs=5000)
+
+
 def test_all_kinds_of_cuts_are_drawn():
     drawn = {
         (fault.where, fault.what)
