--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -141,6 +141,9 @@
         # How far before it an event is that comes again after the middle
         # one, None if none does.
         self.goes_back: int | None = None
+        # Swaps the two events after this many of a run that is not resumed,
+        # None if it doesn't.
+        self.swaps_after: int | None = None
         # Reads prompts but then has lost what it read.
         self.loses_handles = False
         # Ends as it begins to write an answer to a prompt with one of these
--- a/standins/site/replica_app.py
+++ b/standins/site/replica_app.py
@@ -115,6 +115,9 @@
     middle, back = len(numbers) // 2, replica.faults.goes_back
     if back is not None and middle > back:
         numbers.insert(middle, numbers[middle - 1 - back])
+    swaps = replica.faults.swaps_after
+    if swaps is not None and first == 1 and len(numbers) > swaps + 1:
+        numbers[swaps : swaps + 2] = reversed(numbers[swaps : swaps + 2])
     return numbers
 
 
