--- a/test/gateway/release_play.py
+++ b/test/gateway/release_play.py
@@ -200,11 +200,10 @@
     async def tell(self, name, before, entry):
         """Tell of a start, as late as the row says."""
         if self._row.late == ONE_VM:
-            self.seen_late[name] = before
+            self.seen_late.setdefault(name, before)
             self._tell(name, entry)
             await trio.sleep(self._row.late_s)
-            if self.seen_late[name] is before:
-                del self.seen_late[name]
+            self.seen_late[name] = entry
             return
         await trio.sleep(self._row.late_s)
         self._tell(name, entry)
