--- a/standins/experiment/troubles.py
+++ b/standins/experiment/troubles.py
@@ -66,8 +66,8 @@
     'order': plan.DISORDERS,
     'breaks': ('breaks',),
 }
-# Releases with one kind of outage of the store and no other trouble, by the
-# name of the play.
+# Releases with one kind of outage of the store, by the name of the play; there
+# is no other trouble, and entries are late only as the store is away.
 LADDER: dict[str, typing.Sequence[str]] = {
     'releases-only': (),
     'releases-silent': ('silent',),
@@ -96,7 +96,10 @@
 ) -> list[plan.Fault]:
     """Return the troubles of a play in order; they overlap."""
     if odd in LADDER:
-        return _draw_ladder(seed, length_s, sheet, LADDER[odd])
+        return [
+            _on_time(fault)
+            for fault in _draw_releases(seed, length_s, sheet, LADDER[odd])
+        ]
     chance = random.Random(f'experiment/{seed}')
     found = plan.draw_series(
         chance, length_s, kinds(sheet.troubles), GAP_S, LASTS_S
@@ -106,11 +109,19 @@
     if answers:
         found += plan.draw_series(chance, length_s, answers, GAP_S, LASTS_S)
     if odd == RELEASES:
-        found += _draw_ladder(seed, length_s, sheet, plan.OUTAGES)
+        found += _draw_releases(seed, length_s, sheet, plan.OUTAGES)
     return sorted(found)
 
 
-def _draw_ladder(
+def _on_time(fault: plan.Fault) -> plan.Fault:
+    """Return a fault; the entry that tells of a release is not late."""
+    if fault.where != 'release':
+        return fault
+    version = fault.what.partition(' ')[0]
+    return fault._replace(what=version, lasts_s=0.0)
+
+
+def _draw_releases(
     seed: int, length_s: float, sheet: sheets.Sheet, outages: typing.Sequence
 ) -> list[plan.Fault]:
     """Return releases, and outages of some kinds if there are any."""
--- a/test/standins/test_experiment.py
+++ b/test/standins/test_experiment.py
@@ -217,11 +217,11 @@
     found = {(fault.where, fault.what) for fault in faults}
     kinds = {one for one in found if one[0] != 'release'}
     assert kinds == {('outage', what) for what in outages}
+    starts = [fault for fault in faults if fault.where == 'release']
+    assert {fault.lasts_s for fault in starts} == {0.0}
+    assert not any(' ' in fault.what for fault in starts)
     # Its only replicas that write streams.
-    assert {fault.whom for fault in faults if fault.where == 'release'} == {
-        0,
-        1,
-    }
+    assert {fault.whom for fault in starts} == {0, 1}
 
 
 def test_callers_leave_a_share_of_resumable_streams(sheet):
