--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -128,6 +128,8 @@
         self.silent = False
         # Answers so much later, a stream in the middle.
         self.late_s = 0.0
+        # Tells its report of itself so much later.
+        self.report_late_s = 0.0
         # Breaks a stream off in the middle of the event after this many,
         # unless it is a resumed one.
         self.breaks_after: int | None = None
--- a/standins/site/replica_app.py
+++ b/standins/site/replica_app.py
@@ -374,6 +374,7 @@
 
     @app.get('/api/report')
     async def report():
+        await trio.sleep(replica.faults.report_late_s)
         return _report(replica)
 
     @app.get('/api/kv-list')
