Hold a stream to the process that sent its events, not to its replica's entry

Cause: a stream's origin was the version and start in the entry of the replica that it was sent to. The process was asked for its start only where two versions were known, so the first start of a release was asked by nobody; and which of two starts had produced an event was decided by the replica's clock beside the VM's. The class: what a VM is told late, or by another clock, is taken for what is so.

Now each stream's first event waits until its process is known: this VM heard of the start before the connection was opened, and the replica told it in a report that was sent after the answer had begun. Only then the event goes to the caller, and the stream is bound to that start. A start's version is that of its own entry, whenever it comes. Until then it is a version of its own: the stream goes on at that process alone, and the service counts as one with more than one version. No clocks of two machines are compared any more. A process that is not known begins a stream that goes on nowhere; one that can't be shown to fit a resumed stream sends it nothing.

A kept connection that may be of an earlier start is not used for a stream.

--- a/gentianstair/core/stream_origins.py
+++ b/gentianstair/core/stream_origins.py
@@ -10,6 +10,7 @@
 
 import prometheus_client
 
+from gentianstair.core import upstream_limits
 from gentianstair.util import clock as clocks
 
 # Streams that one VM remembers; the oldest are dropped first.
@@ -17,6 +18,8 @@
 KEY_BYTES = 12
 # The version of a stream that can't be known, which no replica has.
 UNKNOWN_VERSION = ''
+# The version of a start that no entry has told yet.
+UNTOLD_VERSION = '\0'
 
 KNOWN = prometheus_client.Gauge(
     'gentianstair_known_streams', 'Streams whose first version is remembered'
@@ -30,11 +33,28 @@
     # Of the upstream's software.
     version: str
     upstream: str
-    # Unix time of the upstream's start, as its entry said then.
+    # Unix time of the upstream's start, as its process tells.
     started_ms: int
-    # Unix time of the event.
+    # Unix time of the event; VMs of an earlier release read it.
     first_event_ms: int
 
+    @property
+    def run(self) -> upstream_limits.UpstreamRun:
+        """Return the start that sent the event."""
+        return upstream_limits.UpstreamRun(self.upstream, self.started_ms)
+
+
+def _joined(known: Origin, told: Origin) -> Origin:
+    """Return what two records of one stream say together."""
+    if known.version == told.version and known.version != UNTOLD_VERSION:
+        return told
+    if known.run == told.run:
+        if known.version == UNTOLD_VERSION:
+            return told
+        if told.version == UNTOLD_VERSION:
+            return known
+    return told._replace(version=UNKNOWN_VERSION)
+
 
 class Kept(typing.NamedTuple):
     """An origin, and until when its stream may go on."""
@@ -77,8 +97,8 @@
         another version, nobody can tell which one is resumed.
         """
         known = self.get(key)
-        if known is not None and known.version != origin.version:
-            origin = origin._replace(version=UNKNOWN_VERSION)
+        if known is not None:
+            origin = _joined(known, origin)
         self._kept.pop(key, None)
         self._kept[key] = Kept(origin, self._clock() + lifetime_s)
         self._drop_old()
--- a/gentianstair/errors.py
+++ b/gentianstair/errors.py
@@ -131,6 +131,13 @@
     """
 
 
+class OtherStartError(UpstreamError):
+    """Answer of a start that may not go on with its stream, or may not be.
+
+    It may serve other requests as it should.
+    """
+
+
 class UnprovenEndError(UpstreamError):
     """Answer of which nothing shows that it is whole, nor that it isn't."""
 
--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -7,6 +7,7 @@
 from gentianstair.core import request_digest
 from gentianstair.core import upstream_permits
 from gentianstair.gateway import replicas
+from gentianstair.upstreams import transport
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -132,6 +133,8 @@
     # Whether the attempt is given up when its path is found to be lost; it
     # may be repeated.
     ends_with_path: bool = False
+    # Whether a kept connection may be used.
+    accepts_connection: transport.Accepts = transport.accept_all
     # Called just before the first byte is sent.
     before_send: collections.abc.Callable[[], None] | None = None
     # Called as the first byte is written; may not raise.
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -81,6 +81,7 @@
         before_send=functools.partial(_check_send, node, attempt)
     )
     request = http_codec.encode_attempt(call, attempt, CONNECT_TIMEOUT_S)
+    request.extensions['accepts'] = attempt.accepts_connection
     response = await node.replica_client.send(
         attempt.replica.run, request, is_callers=True
     )
--- a/gentianstair/gateway/known_starts.py
+++ b/gentianstair/gateway/known_starts.py
@@ -28,6 +28,19 @@
     heard_at: int
 
 
+class Producer(typing.NamedTuple):
+    """What is known of the process that sent a stream's events."""
+
+    # None if its start is not known.
+    run: Run | None
+    # None if it follows from the start.
+    version: str | None = None
+
+
+# Nobody knows it, so nobody can go on in its place.
+NOBODY = Producer(None)
+
+
 class KnownStarts:
     """The starts of replicas, by name and the time of the start."""
 
@@ -51,6 +64,19 @@
         """Return the newest start of a replica that was heard of."""
         return self._newest.get(name)
 
+    def version_by(self, producer: Producer) -> str | None:
+        """Return a producer's version, None while nobody has told it."""
+        if producer.version or producer.run is None:
+            return producer.version
+        return self.version_of(producer.run)
+
+    def may_follow(self, run: Run, producer: Producer) -> bool:
+        """Return whether a start may go on with a producer's stream."""
+        if run == producer.run:
+            return True
+        version = self.version_by(producer)
+        return bool(version) and version == self.version_of(run)
+
     def record_entry(self, run: Run, service: str, version: str) -> None:
         """Record the version that an entry gives a start."""
         known = self._starts.get(run)
@@ -95,4 +121,4 @@
                 del self._newest[oldest.name]
 
 
-__all__ = ['KnownStarts', 'Start', 'UNCLEAR']
+__all__ = ['KnownStarts', 'NOBODY', 'Producer', 'Start', 'UNCLEAR']
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -184,7 +184,9 @@
         self, replica: Replica, run: upstream_limits.UpstreamRun
     ) -> None:
         """Record the start that the process of a replica tells itself."""
-        if not self.starts.record_process(run, replica.service):
+        is_new = self.starts.record_process(run, replica.service)
+        self.record_served(replica.service, run)
+        if not is_new:
             return
         loguru.logger.bind(
             event=events.START_UNLISTED,
@@ -193,8 +195,16 @@
             listed_ms=replica.started_ms,
         ).info('a replica has started again, which no entry has told')
 
+    def record_served(
+        self, service: str, run: upstream_limits.UpstreamRun
+    ) -> None:
+        """Record that a start serves, at a version of its own till told."""
+        if self.starts.version_of(run) is None:
+            self.versions.record_untold(service, run)
+
     def _record_start(self, known: Replica | None, replica: Replica) -> None:
         self.starts.record_entry(replica.run, replica.service, replica.version)
+        self.versions.record_told(replica.service, replica.run)
         if known is None or known.started_ms == replica.started_ms:
             return
         starts_ms = [*self._starts_ms.get(known.name, []), known.started_ms]
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -8,11 +8,11 @@
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import run_verdict
-from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_order
 from gentianstair.gateway import forward
+from gentianstair.gateway import known_starts
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
@@ -51,8 +51,8 @@
 def _is_sound(error: errors.UpstreamError) -> bool:
     """Return whether an upstream may serve other requests as it should.
 
-    It turned this one away, in order, does not resume streams, or did not
-    prove the end of an answer.
+    It turned this one away, in order, does not resume streams, has started
+    again, or did not prove the end of an answer.
     """
     return isinstance(
         error,
@@ -60,6 +60,7 @@
             errors.UpstreamRejectedError,
             errors.UpstreamPauseError,
             errors.NotResumedError,
+            errors.OtherStartError,
             errors.UnprovenEndError,
         ),
     )
@@ -114,10 +115,8 @@
         # Where an attempt is under way, if it was sent.
         self._runs_at: replicas.Replica | None = None
         self.tried_replicas: set[str] = set()
-        # The software version that events may come from; None for any.
-        self.version: str | None = None
-        # The start whose process sent its latest events, None if not known.
-        self.producer: upstream_limits.UpstreamRun | None = None
+        # Whose events the caller has, and whose may follow; None for any.
+        self.producer: known_starts.Producer | None = None
         # Names of replicas that were left out as they asked for a pause.
         self.backed_off: set[str] = set()
         # Whether a replica turned it away.
@@ -212,11 +211,12 @@
 
     def producer_fields(self) -> dict[str, typing.Any]:
         """Return whose events a stream's caller has, for logs."""
-        if self.version is None:
+        producer = self.producer
+        if producer is None:
             return {}
         return {
-            'version': self.version,
-            'started_ms': self.producer and self.producer.started_ms,
+            'version': self.node.registry.starts.version_by(producer),
+            'started_ms': producer.run and producer.run.started_ms,
         }
 
     def candidates(self) -> list[replicas.Replica]:
@@ -247,9 +247,9 @@
         likely = [r for r in found if not is_rejecting(r.run)]
         return likely if any(map(_can_answer, likely)) else found
 
-    def bind_version(self, version: str | None) -> None:
-        """Let events come from replicas of one software version only."""
-        self.version = version
+    def bind(self, producer: known_starts.Producer) -> None:
+        """Let events come only from starts that may follow a producer."""
+        self.producer = producer
 
     def _usable(self) -> list[replicas.Replica]:
         """Return the replicas that may serve this request now."""
@@ -272,7 +272,7 @@
         serve: nobody else can go on with the stream.
         """
         usable = self.node.registry.usable(self.service)
-        if self.version is None:
+        if self.producer is None:
             return usable
         found = [r for r in usable if self._fits(r)]
         if any(map(_can_answer, found)):
@@ -284,9 +284,11 @@
         ]
 
     def _fits(self, replica: replicas.Replica) -> bool:
-        return not _can_answer(replica) or (
-            bool(replica.version) and replica.version == self.version
-        )
+        if self.producer is None or not _can_answer(replica):
+            return True
+        starts = self.node.registry.starts
+        run = starts.newest(replica.name) or replica.run
+        return starts.may_follow(run, self.producer)
 
     def _serving(self) -> list[replicas.Replica]:
         """Return all replicas that are sure to serve for a while."""
@@ -558,6 +560,6 @@
                     replica.run for replica in fitting
                 )
             )
-        if self.version is not None:
+        if self.producer is not None:
             return request_errors.version_gone()
         return request_errors.none_listed()
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -164,6 +164,7 @@
             kv_copy_address=copy.address,
             last_event_id=self._resume_event_id(),
             priority=self._priority(),
+            accepts_connection=self._version.acceptor(decode_replica),
         )
         run = run_record.ReplicaRun(
             request,
@@ -202,7 +203,6 @@
             await self._handle_non_stream(response, run.replica, verdict)
             return
         self._version.ask_producer(run.replica, response)
-        await self._version.check(run.replica, self._stall_timeout_s())
         forward_events = functools.partial(self._forward_events, response, run)
         if not self._request.route.retryable:
             await forward_events()
@@ -233,12 +233,15 @@
         request = self._request
         async for data in response.stream:
             complete_events = self._event_buffer.feed(data)
+            if complete_events and run.first_event_s is None:
+                # What is refused here is not to count as the caller's.
+                await self._version.check_producer(
+                    run.replica, response, self._stall_timeout_s()
+                )
             disorder = self._admit(complete_events, run)
             if complete_events:
                 run.waiting_since_s = None
                 if run.record_event():
-                    await self._version.find_producer(run.replica, response)
-                    self._version.record_first_event(run.replica)
                     await self._start_response(response)
                 request.record_event_sent()
                 request.parts.record_progress(run.since_first_event_s())
--- a/gentianstair/gateway/version_history.py
+++ b/gentianstair/gateway/version_history.py
@@ -4,6 +4,7 @@
 import math
 import typing
 
+from gentianstair.core import upstream_limits
 from gentianstair.util import clock as clocks
 
 # A version that serves for longer may be unknown here.
@@ -14,6 +15,10 @@
 FORGET_S = 3600.0
 
 
+# Stands for versions that nobody has told, or may not have.
+UNTOLD = ''
+
+
 class Versions(typing.NamedTuple):
     """The software versions of a service over some time."""
 
@@ -31,6 +36,10 @@
         (version,) = self.found
         return version or None
 
+    def with_untold(self) -> 'Versions':
+        """Return these with one more, which nobody has told."""
+        return self._replace(found=self.found | {UNTOLD})
+
     @property
     def is_settled(self) -> bool:
         """Return whether all streams of that time are at one version."""
@@ -45,6 +54,10 @@
         # By service, those that serve, and when others were last seen.
         self._current: dict[str, frozenset[str]] = {}
         self._gone_s: dict[str, dict[str, float]] = {}
+        # When starts whose version nobody has told were last seen to serve.
+        self._untold_s: dict[
+            str, dict[upstream_limits.UpstreamRun, float]
+        ] = {}
         # Since when no change can have been missed.
         self._complete_since_s = math.inf
         # Whether nothing served before this process started.
@@ -85,12 +98,37 @@
         if is_new:
             self.on_new_version()
 
+    def record_untold(
+        self, service: str, run: upstream_limits.UpstreamRun
+    ) -> None:
+        """Record that a start serves whose version nobody has told."""
+        now_s = self._clock()
+        known = self._untold_s.get(service, {})
+        is_new = run not in known
+        kept = {
+            other: at_s
+            for other, at_s in known.items()
+            if at_s >= now_s - FORGET_S
+        }
+        self._untold_s[service] = {**kept, run: now_s}
+        if is_new:
+            self.on_new_version()
+
+    def record_told(
+        self, service: str, run: upstream_limits.UpstreamRun
+    ) -> None:
+        """Record that an entry tells a start's version."""
+        self._untold_s.get(service, {}).pop(run, None)
+
     def within(self, service: str, time_s: float) -> Versions:
         """Return the versions that served in the last time_s."""
         oldest_s = self._clock() - time_s
         is_current = self.age_s() <= MAX_AGE_S
         gone = self._gone_s.get(service, {})
         late = {version for version, at_s in gone.items() if at_s >= oldest_s}
+        untold_s = self._untold_s.get(service, {})
+        if any(at_s >= oldest_s for at_s in untold_s.values()):
+            late.add(UNTOLD)
         return Versions(
             self._current.get(service, frozenset()) | late,
             is_current and self._complete_since_s <= oldest_s,
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -40,7 +40,8 @@
 Accepts = collections.abc.Callable[[Connection], bool]
 
 
-def _accept_all(_: Connection) -> bool:
+def accept_all(_: Connection) -> bool:
+    """Accept any idle connection."""
     return True
 
 
@@ -297,7 +298,7 @@
         stream = None
         if not request.extensions.get('fresh'):
             stream = self._take_idle(
-                request.url, request.extensions.get('accepts', _accept_all)
+                request.url, request.extensions.get('accepts', accept_all)
             )
         was_kept = stream is not None
         if stream is None:
