Take no silence of other VMs for an answer about a resumed stream

What callers saw: a stream begun by a start that one VM alone knew of went on elsewhere at the version that the others saw, if they were slow to answer.

Cause: a VM that had seen one version waited 50 ms for others, and took it that nobody knew better. A VM without any link asked nobody at all.

Now a stream that nobody names goes on at the only version only if most of the hubs that should be asked have answered, at least so many that one of the three that were told is among them; else it counts as one of a version that nobody has told. A VM that does not know a stream reads on for 5 ms first, so that what was told before the question counts. The first event of a start that no entry has told goes out once another VM has the stream, so that a kill of this one leaves somebody who knows; where no other VM answers it goes nowhere.

--- a/gentianstair/gateway/origin_keepers.py
+++ b/gentianstair/gateway/origin_keepers.py
@@ -7,7 +7,6 @@
 
 import collections
 import collections.abc
-import math
 import typing
 
 import loguru
@@ -36,8 +35,10 @@
 # that is known to nobody is lost.
 ANSWER_TIMEOUT_S = 0.5
 # How long a VM that has seen but one version for a stream's whole life waits
-# for others to know better.
+# for more answers than it needs.
 SETTLED_WAIT_S = 0.05
+# How long a VM that does not know a stream reads on before it says so.
+UNREAD_PAUSE_S = 0.005
 # How soon what could not be told is told again.
 RETRY_S = 0.25
 # Streams in one message.
@@ -79,7 +80,7 @@
         domains: collections.abc.Callable[[], dict[str, str]] = dict,
     ) -> None:
         self._links = links
-        # The failure domains of hubs, by address.
+        # The failure domains of other hubs, by address.
         self._domains = domains
         self._history = history
         self._clock = clock
@@ -107,7 +108,7 @@
         self._untold.pop(key, None)
         self._untold[key] = _Own(origin, self._clock() + lifetime_s)
         self._forget_ended()
-        if not self._is_settled(origin.service, lifetime_s):
+        if self._is_due(origin, lifetime_s):
             self._wake_up()
 
     def _forget_ended(self) -> None:
@@ -117,9 +118,15 @@
         ):
             self._untold.popitem(last=False)
 
-    def _is_settled(self, service: str, lifetime_s: float) -> bool:
+    def _is_due(
+        self, origin: stream_origins.Origin, lifetime_s: float
+    ) -> bool:
+        """Return whether others have to know of a stream now.
+
+        They may take one that they don't know for one of the only version.
+        """
         reach_s = lifetime_s + version_history.LATE_RESUME_S
-        return self._history.within(service, reach_s).is_settled
+        return not self._history.within(origin.service, reach_s).is_settled
 
     async def run(self) -> None:
         """Tell other VMs of streams, until cancelled."""
@@ -149,7 +156,7 @@
             lifetime_s = own.until_s - now_s
             if lifetime_s <= 0:
                 del self._untold[key]
-            elif not self._is_settled(own.origin.service, lifetime_s):
+            elif self._is_due(own.origin, lifetime_s):
                 del self._untold[key]
                 due.append(Told(key, own.origin, lifetime_s))
         return due
@@ -217,20 +224,41 @@
         own = self.own_knowledge(question)
         if own.origin is not None or not hops:
             return own
+        asked, expected = self._asked(question.key)
+        enough = _enough_of(expected)
+        answers = await self._ask_each(
+            asked,
+            question,
+            hops - 1 if self._links.link_to_hub else 0,
+            enough if own.versions.is_settled else None,
+        )
+        found = combine([own, *answers])
+        if len(answers) < enough:
+            # Who is silent may know another version.
+            return found._replace(versions=found.versions.with_untold())
+        return found
+
+    async def confirm(self, question: Question) -> bool:
+        """Tell others of a stream; return whether one of them has it then.
+
+        It is true where there are no others.
+        """
+        asked, expected = self._asked(question.key)
+        await self._tell_all()
+        answers = await self._ask_each(
+            asked, question, 1 if self._links.link_to_hub else 0, None
+        )
+        return not expected or any(one.origin for one in answers)
+
+    def _asked(self, key: bytes) -> tuple[list[link.Channel], int]:
+        """Return the links on which to ask, and how many there should be."""
         channel = self._links.link_to_hub
         if channel is not None:
-            asked = [channel]
-        else:
-            hops = 1
-            links = self._links.hub_links
-            addresses = self._ranked(question.key, ASKED_HUBS)
-            asked = [links[address] for address in addresses]
-        answers: list[Knowledge] = []
-        with trio.move_on_after(
-            SETTLED_WAIT_S if own.versions.is_settled else math.inf
-        ):
-            await self._ask_each(asked, question, hops - 1, answers)
-        return combine([own, *answers])
+            return [channel], 1
+        links = self._links.hub_links
+        asked = [links[address] for address in self._ranked(key, ASKED_HUBS)]
+        most = max(len(links), len(self._domains()))
+        return asked, min(ASKED_HUBS, most)
 
     def own_knowledge(self, question: Question) -> Knowledge:
         """Return what this VM itself knows."""
@@ -244,14 +272,23 @@
         asked: list[link.Channel],
         question: Question,
         hops: int,
-        found: list[Knowledge],
-    ) -> None:
-        """Ask on several links at once; end with the first that knows.
+        enough: int | None,
+    ) -> list[Knowledge]:
+        """Ask on several links at once, and return the answers.
 
-        The answers go to found as they come.
+        The first that knows the stream ends it. After a short while so many
+        as are enough do, if that is given.
         """
+        found: list[Knowledge] = []
         if self._open_questions + len(asked) > MAX_QUESTIONS:
-            return
+            return found
+        due_s = trio.current_time() + SETTLED_WAIT_S
+
+        def is_enough() -> bool:
+            if found and found[-1].origin is not None:
+                return True
+            is_late = trio.current_time() >= due_s
+            return is_late and enough is not None and len(found) >= enough
 
         async def ask_one(channel: link.Channel) -> None:
             answer = await self._questions.ask(
@@ -263,16 +300,26 @@
             )
             if answer is not None:
                 found.append(answer)
-                if answer.origin is not None:
-                    nursery.cancel_scope.cancel()
+                if is_enough():
+                    scope.cancel()
+
+        async def end_when_due() -> None:
+            await trio.sleep_until(due_s)
+            if is_enough():
+                scope.cancel()
 
         self._open_questions += len(asked)
         try:
-            async with trio.open_nursery() as nursery:
-                for channel in asked:
-                    nursery.start_soon(ask_one, channel)
+            with trio.CancelScope() as scope:
+                async with trio.open_nursery() as waiting:
+                    waiting.start_soon(end_when_due)
+                    async with trio.open_nursery() as asking:
+                        for channel in asked:
+                            asking.start_soon(ask_one, channel)
+                    waiting.cancel_scope.cancel()
         finally:
             self._open_questions -= len(asked)
+        return found
 
     async def answer(
         self, message: messages.StreamAsk
@@ -280,6 +327,9 @@
         """Return the answer to another VM's question."""
         question = origin_messages.decode_question(message)
         hops = min(origin_messages.MAX_HOPS - 1, max(0, message['hops']))
+        if self._origins.get(question.key) is None:
+            # What was told before the question may not have been read yet.
+            await trio.sleep(UNREAD_PAUSE_S)
         knowledge = await self.ask(question, hops)
         return origin_messages.encode_answer(
             message['id'],
@@ -295,6 +345,14 @@
         )
 
 
+def _enough_of(asked: int) -> int:
+    """Return how many answers show that nobody knows a stream.
+
+    Fewer may be those of VMs that were not told of it.
+    """
+    return asked - min(KEEPERS - 1, asked // 2)
+
+
 def combine(found: list[Knowledge]) -> Knowledge:
     """Return what several VMs know together.
 
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -312,7 +312,9 @@
             registry.versions,
             now,
             lambda: {
-                hub.peer_address: hub.failure_domain for hub in roster.hubs()
+                hub.peer_address: hub.failure_domain
+                for hub in roster.hubs()
+                if hub.peer_address != vm_settings.peer_address
             },
         ),
         prompt_faults=faults,
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -151,6 +151,21 @@
                 verdicts.Verdict.RAN,
             )
         self._record(self._origin or self._origin_of(run))
+        if self._origin is not None:
+            await self._confirm(self._origin)
+
+    async def _confirm(self, origin: stream_origins.Origin) -> None:
+        """Have another VM know a stream that may look like another version's.
+
+        Raise OtherStartError if none does.
+        """
+        if origin.version != stream_origins.UNTOLD_VERSION:
+            return
+        key = self._key(self._request.call.request_id)
+        if not await self._node.origin_keepers.confirm(self._question(key)):
+            raise errors.OtherStartError(
+                'no other VM could be told of the stream', verdicts.Verdict.RAN
+            )
 
     def _question(self, key: bytes) -> origin_messages.Question:
         return origin_messages.Question(
--- a/test/gateway/test_stream_version.py
+++ b/test/gateway/test_stream_version.py
@@ -253,6 +253,25 @@
     assert request.untold == ([run_of(19)] if found_ms == 19 else [])
 
 
+@pytest.mark.parametrize(
+    ('found_ms', 'is_confirmed', 'goes_on'),
+    [(19, True, True), (19, False, False), (17, False, True)],
+    ids=['others-know', 'nobody-else-knows', 'told-version'],
+)
+async def test_stream_of_an_untold_start_is_known_to_others_first(
+    found_ms, is_confirmed, goes_on
+):
+    # Guards against a VM that is killed as the only one that knows.
+    request = Request((None, None), ONE, told())
+    request.found, request.is_confirmed = run_of(found_ms), is_confirmed
+    version = stream_version.StreamVersion(request)
+    if goes_on:
+        await version.check_producer(REPLICA, RESPONSE, 1.0)
+        return
+    with pytest.raises(errors.OtherStartError):
+        await version.check_producer(REPLICA, RESPONSE, 1.0)
+
+
 @pytest.mark.parametrize(
     ('before_s', 'after_s', 'late_s', 'is_bound'),
     [
