Let a stream that lacks an event go on nowhere, at any VM

Cause: that the part could not be followed was known to the request alone.

The VM now keeps the stream as one of a version that nobody can know, tells the keepers at once, also while one version serves, and does so before its caller can see the end. A caller that names no request is known by the digest of what it asks for; that digest keeps only such streams, as others may ask the same.

--- a/gentianstair/gateway/origin_keepers.py
+++ b/gentianstair/gateway/origin_keepers.py
@@ -125,6 +125,8 @@
 
         They may take one that they don't know for one of the only version.
         """
+        if origin.version == stream_origins.UNKNOWN_VERSION:
+            return True
         reach_s = lifetime_s + version_history.LATE_RESUME_S
         return not self._history.within(origin.service, reach_s).is_settled
 
--- a/gentianstair/gateway/origin_messages.py
+++ b/gentianstair/gateway/origin_messages.py
@@ -27,7 +27,6 @@
 class Question(typing.NamedTuple):
     """What is asked about a stream that is resumed."""
 
-    # Empty for a stream that nobody can name.
     key: bytes
     service: str
     lifetime_s: float
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -56,7 +56,7 @@
         if not self._is_resumed:
             return
         call = self._request.call
-        key = self._key(call.resumed_id) if call.resumed_id else b''
+        key = self._key(call.resumed_id) if call.resumed_id else self._digest
         knowledge = await self._node.origin_keepers.ask(self._question(key))
         if knowledge.origin is not None:
             self._bind_to_origin(knowledge.origin)
@@ -74,6 +74,17 @@
             self._request.customer_name, request_id
         )
 
+    @property
+    def _digest(self) -> bytes:
+        """Return the key of a stream whose caller names no request.
+
+        Only streams that may go on nowhere are kept by it, as others may
+        ask for the same.
+        """
+        return stream_origins.stream_key(
+            self._request.customer_name, f'\0{self._request.digest}'
+        )
+
     def _bind_to_origin(self, origin: stream_origins.Origin) -> None:
         if origin.service != self._request.service:
             raise self._unknown('it began at another service')
@@ -185,6 +196,17 @@
             self._request.bind(known_starts.Producer(run))
         self._origin = self._origin_of(run)
 
+    def spoil(self) -> None:
+        """Let the stream go on nowhere: its caller lacks an event.
+
+        Call it before the caller can tell that the part has ended.
+        """
+        origin = self._origin_of(None)
+        self._record(origin)
+        self._node.origin_keepers.record(
+            self._digest, origin, self._lifetime_s
+        )
+
     def _origin_of(
         self, run: known_starts.Run | None
     ) -> stream_origins.Origin:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -276,6 +276,8 @@
             flaw = self._order.admit(event)
             if flaw is not None:
                 del complete[place:]
+                if not self._order.may_resume:
+                    self._version.spoil()
                 return self._disorder_error(flaw, event, run)
         return None
 
