Look back over the longest timeout that a service's streams have had

What callers saw: a stream begun under a timeout of 200 s was resumed 100 s after a release, when the timeout was 1 s, and went on at the new version.

Versions counted for the present timeout and 65 s.

--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -37,7 +37,9 @@
         self._node = request.node
         self._lifetime_s = request.route.timeout_s + RESUME_S
         # How long ago its first event may have come.
-        self._reach_s = self._lifetime_s + version_history.LATE_RESUME_S
+        self._reach_s = request.node.registry.versions.widen(
+            request.service, self._lifetime_s + version_history.LATE_RESUME_S
+        )
         # Where the stream began, once that is known.
         self._origin: stream_origins.Origin | None = None
         # The moment at which the present attempt's answer came.
--- a/gentianstair/gateway/version_history.py
+++ b/gentianstair/gateway/version_history.py
@@ -58,6 +58,8 @@
         self._untold_s: dict[
             str, dict[upstream_limits.UpstreamRun, float]
         ] = {}
+        # The longest time that was looked back over, by service.
+        self._reach_s: dict[str, float] = {}
         # Since when no change can have been missed.
         self._complete_since_s = math.inf
         # Whether nothing served before this process started.
@@ -120,6 +122,15 @@
         """Record that an entry tells a start's version."""
         self._untold_s.get(service, {}).pop(run, None)
 
+    def widen(self, service: str, time_s: float) -> float:
+        """Return the longest time that was asked for, this one included.
+
+        A timeout that is lowered leaves streams that began under the other.
+        """
+        reach_s = max(time_s, self._reach_s.get(service, 0.0))
+        self._reach_s[service] = min(FORGET_S, reach_s)
+        return self._reach_s[service]
+
     def within(self, service: str, time_s: float) -> Versions:
         """Return the versions that served in the last time_s."""
         oldest_s = self._clock() - time_s
--- a/test/gateway/test_stream_version.py
+++ b/test/gateway/test_stream_version.py
@@ -59,7 +59,9 @@
             self.starts.record_entry(run_of(started_ms), 'models', version)
         self.node = types.SimpleNamespace(
             registry=types.SimpleNamespace(
-                versions=types.SimpleNamespace(within=lambda *_: seen),
+                versions=types.SimpleNamespace(
+                    within=lambda *_: seen, widen=lambda _, time_s: time_s
+                ),
                 starts=self.starts,
                 record_served=self._record_served,
             ),
