Check the end of the start that an attempt met, not of its entry's

The check compares with the newest start that the VM had heard of as the attempt, or its answer, began, and what a report tells is remembered.

--- a/gentianstair/gateway/end_checks.py
+++ b/gentianstair/gateway/end_checks.py
@@ -23,6 +23,9 @@
 KEPT_S = 1.0
 MAX_CHECKS = 1000
 
+RecordStart = collections.abc.Callable[
+    [replicas.Replica, upstream_limits.UpstreamRun], None
+]
 FetchReport = collections.abc.Callable[
     [replicas.Replica, float], collections.abc.Awaitable[calls.Report]
 ]
@@ -40,24 +43,33 @@
 class EndChecks:
     """The checks that this VM makes, or made lately."""
 
-    def __init__(self, fetch_report: FetchReport, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        fetch_report: FetchReport,
+        record_start: RecordStart,
+        clock: clocks.Clock,
+    ) -> None:
         self._fetch_report = fetch_report
+        # Told of each start that a replica itself names.
+        self._record_start = record_start
         self._clock = clock
         self._checks: collections.OrderedDict[
             upstream_limits.UpstreamRun, _Check
         ] = collections.OrderedDict()
 
-    async def has_ended(self, replica: replicas.Replica) -> bool:
-        """Return whether a replica has ended, after its connection broke."""
-        check = self._checks.get(replica.run)
+    async def has_ended(
+        self, replica: replicas.Replica, run: upstream_limits.UpstreamRun
+    ) -> bool:
+        """Return whether a start has ended, after a connection to it broke."""
+        check = self._checks.get(run)
         if check is not None and self._is_current(check):
             await check.done.wait()
             return check.has_ended
-        check = self._checks[replica.run] = _Check(self._clock())
+        check = self._checks[run] = _Check(self._clock())
         if len(self._checks) > MAX_CHECKS:
             self._checks.popitem(last=False)
         try:
-            check.has_ended = await self._ask(replica)
+            check.has_ended = await self._ask(replica, run)
         finally:
             check.done.set()
         return check.has_ended
@@ -65,7 +77,9 @@
     def _is_current(self, check: _Check) -> bool:
         return check.has_ended or self._clock() - check.began_s < KEPT_S
 
-    async def _ask(self, replica: replicas.Replica) -> bool:
+    async def _ask(
+        self, replica: replicas.Replica, run: upstream_limits.UpstreamRun
+    ) -> bool:
         try:
             report = await self._fetch_report(replica, REPORT_LIMIT_S)
             if report.status == denials.HTTP_MISDIRECTED:
@@ -82,4 +96,8 @@
             return True
         except errors.DecodeError:
             return False
-        return started_ms not in (0, replica.started_ms)
+        if not started_ms:
+            return False
+        told = upstream_limits.UpstreamRun(replica.name, started_ms)
+        self._record_start(replica, told)
+        return told != run
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -321,6 +321,7 @@
         part_trials=part_trials.PartTrials(faults, keepers, now),
         end_checks=end_checks.EndChecks(
             functools.partial(forward.fetch_report, client, fresh=True),
+            registry.record_process,
             now,
         ),
         process_starts=process_starts.ProcessStarts(
--- a/gentianstair/gateway/replicas.py
+++ b/gentianstair/gateway/replicas.py
@@ -195,6 +195,10 @@
             listed_ms=replica.started_ms,
         ).info('a replica has started again, which no entry has told')
 
+    def newest_run(self, replica: Replica) -> upstream_limits.UpstreamRun:
+        """Return the newest start of a replica that was heard of."""
+        return self.starts.newest(replica.name) or replica.run
+
     def record_served(
         self, service: str, run: upstream_limits.UpstreamRun
     ) -> None:
--- a/gentianstair/gateway/request_ends.py
+++ b/gentianstair/gateway/request_ends.py
@@ -3,6 +3,7 @@
 import trio
 
 from gentianstair.core import prompt_faults
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import end_checks
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
@@ -33,9 +34,13 @@
         self._checked = trio.Event()
         self._checked.set()
 
-    def record_broken(self, replica: replicas.Replica) -> None:
+    def record_broken(
+        self, replica: replicas.Replica, run: upstream_limits.UpstreamRun
+    ) -> None:
         """Record that the connection to a replica broke during an attempt.
 
+        The start was its newest one as the attempt began.
+
         One that drains or has no entry was stopped.
         """
         listed = self._node.registry.get(replica.name)
@@ -47,6 +52,7 @@
                 'check-end',
                 self._check,
                 replica,
+                run,
                 end,
                 self._checked,
                 request_id=self._request_id,
@@ -56,11 +62,12 @@
     async def _check(
         self,
         replica: replicas.Replica,
+        run: upstream_limits.UpstreamRun,
         end: prompt_faults.End,
         checked: trio.Event,
     ) -> None:
         try:
-            if await self._node.end_checks.has_ended(replica):
+            if await self._node.end_checks.has_ended(replica, run):
                 self._parts.record_end(end)
         finally:
             # The request waits for this, whatever has become of the check.
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -8,6 +8,7 @@
 from gentianstair import verdict as verdicts
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import run_verdict
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_order
@@ -114,6 +115,8 @@
         self.possible_runs = 0
         # Where an attempt is under way, if it was sent.
         self._runs_at: replicas.Replica | None = None
+        # The newest start there as the latest attempt, or its answer, began.
+        self._begun_at: upstream_limits.UpstreamRun | None = None
         self.tried_replicas: set[str] = set()
         # Whose events the caller has, and whose may follow; None for any.
         self.producer: known_starts.Producer | None = None
@@ -172,6 +175,7 @@
         run the request.
         """
         self.replica_name, self._answer = replica.name, None
+        self.record_newest_start(replica)
         run = self.runs.begin()
         is_prefill = options.get('prefill_only', False)
 
@@ -197,6 +201,10 @@
             **options,
         )
 
+    def record_newest_start(self, replica: replicas.Replica) -> None:
+        """Record which start of a replica ends if its connection breaks."""
+        self._begun_at = self.node.registry.newest_run(replica)
+
     def answer_fields(self) -> dict[str, typing.Any]:
         """Return what is known of the latest attempt's answer, for logs."""
         answer = self._answer
@@ -286,9 +294,10 @@
     def _fits(self, replica: replicas.Replica) -> bool:
         if self.producer is None or not _can_answer(replica):
             return True
-        starts = self.node.registry.starts
-        run = starts.newest(replica.name) or replica.run
-        return starts.may_follow(run, self.producer)
+        registry = self.node.registry
+        return registry.starts.may_follow(
+            registry.newest_run(replica), self.producer
+        )
 
     def _serving(self) -> list[replicas.Replica]:
         """Return all replicas that are sure to serve for a while."""
@@ -407,7 +416,7 @@
                 key, False, now_s - started_s, now_s
             )
         if isinstance(error, errors.ConnectionBrokenError):
-            self.ends.record_broken(replica)
+            self.ends.record_broken(replica, self._begun_at or replica.run)
         if isinstance(error, errors.UpstreamRejectedError):
             self._was_rejected = True
             self.node.recent_rejections.record_rejection(replica.run)
@@ -529,7 +538,9 @@
         Its replica may have ended just then.
         """
         if self._runs_at is not None:
-            self.ends.record_broken(self._runs_at)
+            self.ends.record_broken(
+                self._runs_at, self._begun_at or self._runs_at.run
+            )
         self.record_attempt_end()
         self.log(events.GIVEN_UP, 'replicas ended under the same request')
         return self.final_error()
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -156,6 +156,7 @@
             self._answered_at,
             PRODUCER_LIMIT_S if is_new else limit_s,
         )
+        request.record_newest_start(replica)
         if request.producer is None:
             self._bind_new(run)
         elif run is None or not self._may_follow(run, request.producer):
--- a/test/gateway/test_end_checks.py
+++ b/test/gateway/test_end_checks.py
@@ -29,6 +29,10 @@
         return self.outcome
 
 
+def record_start(replica, run):
+    """Take the start that a replica tells."""
+
+
 def report(status=200, born=STARTED_MS):
     return calls.Report(status, b'{"born": %d}' % born)
 
@@ -64,8 +68,10 @@
     autojump_clock, outcome, expected
 ):
     # Guards against a replica that breaks answers off and lives on.
-    checks = end_checks.EndChecks(Reports(outcome).fetch, trio.current_time)
-    assert await checks.has_ended(REPLICA) == expected
+    checks = end_checks.EndChecks(
+        Reports(outcome).fetch, record_start, trio.current_time
+    )
+    assert await checks.has_ended(REPLICA, REPLICA.run) == expected
 
 
 @pytest.mark.parametrize(
@@ -77,11 +83,29 @@
 ):
     # Guards against a check for each of hundreds of requests.
     reports = Reports(outcome)
-    checks = end_checks.EndChecks(reports.fetch, trio.current_time)
+    checks = end_checks.EndChecks(
+        reports.fetch, record_start, trio.current_time
+    )
     async with trio.open_nursery() as nursery:
         for _ in range(100):
-            nursery.start_soon(checks.has_ended, REPLICA)
+            nursery.start_soon(checks.has_ended, REPLICA, REPLICA.run)
     assert reports.asked == 1
     await trio.sleep(2.0)
-    await checks.has_ended(REPLICA)
+    await checks.has_ended(REPLICA, REPLICA.run)
     assert reports.asked == later
+
+
+async def test_start_that_no_entry_tells_is_not_taken_for_ended(
+    autojump_clock,
+):
+    # Guards against ends of a start that lives and broke an answer off.
+    told = []
+    checks = end_checks.EndChecks(
+        Reports(report(born=18)).fetch,
+        lambda replica, run: told.append(run),
+        trio.current_time,
+    )
+    assert await checks.has_ended(REPLICA, REPLICA.run)
+    newest = REPLICA.run._replace(started_ms=18)
+    assert told == [newest]
+    assert not await checks.has_ended(REPLICA, newest)
--- a/test/gateway/test_request_ends.py
+++ b/test/gateway/test_request_ends.py
@@ -23,7 +23,7 @@
     def __init__(self, took_s):
         self.took_s = took_s
 
-    async def has_ended(self, replica):
+    async def has_ended(self, replica, run):
         await trio.sleep(self.took_s)
         return True
 
@@ -67,7 +67,7 @@
     # and against ends of replicas that were stopped.
     parts = Parts(END)
     ends = make_ends(nursery, parts, listed)
-    ends.record_broken(REPLICA)
+    ends.record_broken(REPLICA, REPLICA.run)
     began_s = trio.current_time()
     await ends.wait_for_check()
     assert parts.ends == expected
@@ -81,7 +81,7 @@
     # Guards against callers who wait for a replica that does not answer.
     parts = Parts(END)
     ends = make_ends(nursery, parts, took_s=1.0)
-    ends.record_broken(REPLICA)
+    ends.record_broken(REPLICA, REPLICA.run)
     began_s = trio.current_time()
     await ends.wait_for_check()
     waited_s = trio.current_time() - began_s
@@ -99,7 +99,7 @@
     parts = Parts(END)
     ends = make_ends(nursery, parts, took_s=0.5)
     for _ in range(2):
-        ends.record_broken(REPLICA)
+        ends.record_broken(REPLICA, REPLICA.run)
         await ends.wait_for_check()
     assert len(parts.ends) == 2
 
@@ -109,14 +109,14 @@
     parts = Parts(END)
     ends = make_ends(nursery, parts)
 
-    async def fail(replica):
+    async def fail(replica, run):
         await trio.sleep(CHECK_S)
         raise RuntimeError('planted')
 
     ends._node.end_checks.has_ended = fail
     began_s = trio.current_time()
     for _ in range(2):
-        ends.record_broken(REPLICA)
+        ends.record_broken(REPLICA, REPLICA.run)
         await ends.wait_for_check()
     assert trio.current_time() - began_s == pytest.approx(2 * CHECK_S)
     assert not parts.ends
--- a/test/gateway/test_stream_version.py
+++ b/test/gateway/test_stream_version.py
@@ -87,6 +87,9 @@
     def record(self, key, origin, lifetime_s):
         self.recorded.append(origin.version)
 
+    def record_newest_start(self, replica):
+        pass
+
     def bind(self, producer):
         self.producer = producer
 
