Ask for a start on a kept connection, and keep what it tells of that one

Asking on a new connection each time opened one more for each connection that a stream was sent on; new connections are dear and may hold a slot. A report goes on a kept connection now if there is one, and the connection that it comes on is known to belong to the start that it tells, so that a stream sent there asks nothing. A report without a start is none: two starts of a replica that names none can't be told apart.

--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+import trio
+
 from gentianstair import verdict as verdicts
 from gentianstair.core import request_digest
 from gentianstair.core import upstream_permits
@@ -96,6 +98,8 @@
 
     status: int
     body: bytes
+    # The connection that it came on.
+    stream: trio.abc.Stream | None = None
 
 
 class Answer(typing.NamedTuple):
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -220,20 +220,6 @@
         return await read_response(response)
 
 
-async def fetch_start_ms(
-    client: replica_client.ReplicaClient,
-    replica: replicas.Replica,
-    limit_s: float,
-    fresh: bool = False,
-) -> int:
-    """Return when the process at a replica's address started, in Unix ms.
-
-    Raise UpstreamError or DecodeError if it does not tell in limit_s.
-    """
-    report = await fetch_report(client, replica, limit_s, fresh)
-    return http_codec.decode_report(report.status, report.body)
-
-
 async def fetch_report(
     client: replica_client.ReplicaClient,
     replica: replicas.Replica,
@@ -253,7 +239,9 @@
             body = await read_body(response)
         finally:
             await response.stream.aclose()
-        return calls.Report(response.status_code, body)
+        return calls.Report(
+            response.status_code, body, response.extensions['connection']
+        )
     raise errors.DecodeError('no report in time')
 
 
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -325,7 +325,7 @@
             now,
         ),
         process_starts=process_starts.ProcessStarts(
-            functools.partial(forward.fetch_start_ms, client, fresh=True),
+            functools.partial(forward.fetch_report, client),
             registry.record_process,
             registry.starts,
             tasks,
--- a/gentianstair/gateway/process_starts.py
+++ b/gentianstair/gateway/process_starts.py
@@ -16,9 +16,12 @@
 
 from gentianstair import errors
 from gentianstair.core import upstream_limits
+from gentianstair.gateway import calls
+from gentianstair.gateway import end_proofs
 from gentianstair.gateway import known_starts
 from gentianstair.gateway import replicas
 from gentianstair.generated import events
+from gentianstair.platform import http_codec
 from gentianstair.upstreams import transport
 from gentianstair.util import moments
 from gentianstair.util import tasks
@@ -27,9 +30,6 @@
 REPORT_LIMIT_S = 1.0
 MAX_ADDRESSES = 20000
 
-FetchStart = collections.abc.Callable[
-    [replicas.Replica, float], collections.abc.Awaitable[int]
-]
 Run = upstream_limits.UpstreamRun
 RecordStart = collections.abc.Callable[[replicas.Replica, Run], None]
 
@@ -67,13 +67,12 @@
 
     def __init__(
         self,
-        fetch_start: FetchStart,
+        fetch_report: end_proofs.FetchReport,
         record_start: RecordStart,
         known: known_starts.KnownStarts,
         runner: tasks.Tasks,
     ) -> None:
-        # On a new connection each time.
-        self._fetch_start = fetch_start
+        self._fetch_report = fetch_report
         # Told of each start that a replica itself names.
         self._record_start = record_start
         self._known = known
@@ -172,7 +171,10 @@
         self, replica: replicas.Replica, report: _Report
     ) -> None:
         try:
-            started_ms = await self._fetch_start(replica, REPORT_LIMIT_S)
+            told = await self._fetch(replica)
+            started_ms = http_codec.decode_report(told.status, told.body)
+            if not started_ms:
+                raise errors.DecodeError('it names no start')
         except (errors.UpstreamError, errors.DecodeError) as error:
             loguru.logger.bind(
                 event=events.START_UNTOLD,
@@ -182,6 +184,19 @@
             return
         report.run = Run(replica.name, started_ms)
         self._record_start(replica, report.run)
+        if told.stream is not None:
+            self._found[told.stream] = report.run
+
+    async def _fetch(self, replica: replicas.Replica) -> calls.Report:
+        """Ask on a kept connection, or on a new one if that breaks."""
+        try:
+            return await self._fetch_report(
+                replica, REPORT_LIMIT_S, fresh=False
+            )
+        except errors.ConnectionBrokenError:
+            return await self._fetch_report(
+                replica, REPORT_LIMIT_S, fresh=True
+            )
 
 
 __all__ = ['ProcessStarts']
--- a/test/gateway/test_process_starts.py
+++ b/test/gateway/test_process_starts.py
@@ -7,6 +7,7 @@
 
 from gentianstair import errors
 from gentianstair.core import upstream_limits
+from gentianstair.gateway import calls
 from gentianstair.gateway import known_starts
 from gentianstair.gateway import process_starts
 from gentianstair.upstreams import transport
@@ -41,18 +42,24 @@
         self.asks = 0
         self.takes_s = 0.01
         self.error = None
+        self.asked_fresh = []
+        self.only_kept_fail = False
+        # The connection that reports come on.
+        self.told_on = Stream()
         self.known = known_starts.KnownStarts()
         self.starts = process_starts.ProcessStarts(
             self._tell, self._record, self.known, tasks.Tasks(nursery)
         )
 
-    async def _tell(self, replica, limit_s):
+    async def _tell(self, replica, limit_s, *, fresh):
         self.asks += 1
+        self.asked_fresh.append(fresh)
         started_ms = self.started_ms
         await trio.sleep(self.takes_s)
-        if self.error is not None:
+        if self.error is not None and not (fresh and self.only_kept_fail):
             raise self.error
-        return started_ms
+        body = b'{"born": %d}' % started_ms
+        return calls.Report(200, body, self.told_on)
 
     def _record(self, replica, run):
         self.known.record_process(run, replica.service)
@@ -175,3 +182,33 @@
     await play.find(kept)
     play.hear(SECOND_MS)
     assert not play.starts.accepts(REPLICA, kept)
+
+
+async def test_kept_connection_that_breaks_is_followed_by_a_new_one(
+    autojump_clock, play
+):
+    # Guards against a question that its replica has never read.
+    play.hear(FIRST_MS)
+    play.error = errors.ConnectionBrokenError('closed')
+    play.only_kept_fail = True
+    assert await play.find(connection()) == run_of(FIRST_MS)
+    assert play.asked_fresh == [False, True]
+
+
+async def test_connection_on_which_a_start_is_told_is_its_own(
+    autojump_clock, play
+):
+    # Guards against asking again on each connection.
+    play.hear(FIRST_MS)
+    await play.find(connection())
+    told_on = transport.Connection(play.told_on, None)
+    assert play.starts.accepts(REPLICA, told_on)
+    assert await play.find(told_on) == run_of(FIRST_MS)
+    assert play.asks == 1
+
+
+async def test_replica_that_names_no_start_is_not_known(autojump_clock, play):
+    # Guards against all starts of it being taken for one.
+    play.hear(0)
+    play.started_ms = 0
+    assert await play.find(connection()) is None
