Let no stand-in replica wait in accept when it starts again

A copy of a blocking socket makes the shared description blocking again, and the start before, woken beside the new one, then held the whole process up.

--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -221,6 +221,8 @@
 
     A new start closes those of the one before, or lets what runs end.
     """
+    # A copy of a blocking one would let the start before wait in accept.
+    sock.setblocking(False)
     async with trio.open_nursery() as nursery:
         while True:
             ended, scope = trio.Event(), trio.CancelScope()
