--- a/test/standins/test_soak.py
+++ b/test/standins/test_soak.py
@@ -1,10 +1,13 @@
 """Play seeds of the fault soak, and check that its checks see breaches."""
 
+import os
 import random
 
 import pytest
 import trio
+import trio.testing
 
+from gentianstair.util import serving
 from standins.site import cloud as clouds
 from standins.site import replica as replicas
 from standins.site import site as sites
@@ -180,6 +183,28 @@
     assert site.table.get('servers', 'r1').value == replica.entry()
 
 
+async def test_no_start_of_a_replica_waits_in_accept(
+    autojump_clock, monkeypatch
+):
+    # Guards against a start that holds up the process of all replicas.
+    found = []
+    listen = serving.listen
+
+    def note(address):
+        found.append(listen(address))
+        return found[-1]
+
+    monkeypatch.setattr(serving, 'listen', note)
+    async with sites.running() as site:
+        for replica in site.replicas:
+            replica.restart('v2')
+        await trio.testing.wait_all_tasks_blocked()
+        of_replicas = found[-len(site.replicas) :]
+        for sock in of_replicas:
+            with sock.dup():
+                assert not os.get_blocking(sock.fileno())
+
+
 def test_start_is_told_by_the_clock_of_its_replica():
     # Guards against clocks that are off only in the plan.
     ahead, behind = (replicas.Replica('r1', 'desk', 'a') for _ in range(2))
