Split what checks a stream's producer, and keep streams without an id by digest

check_producer found, bound, refused, recorded and confirmed; a new stream and one that goes on are two functions now. A request without an id had no name under which others could know its stream of an untold start; it is kept as one that goes on nowhere, by what it asks for.

--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -150,23 +150,31 @@
         if self._is_checked:
             return
         self._is_checked = True
-        request = self._request
-        is_new = request.producer is None
+        is_new = self._request.producer is None
         run = await self._node.process_starts.find(
             replica,
             forward.connection_of(response),
             self._answered_at,
             PRODUCER_LIMIT_S if is_new else limit_s,
         )
-        request.record_newest_start(replica)
-        if request.producer is None:
-            self._bind_new(run)
-        elif run is None or not self._may_follow(run, request.producer):
-            raise errors.OtherStartError(
-                'not known to have the version of the stream',
-                verdicts.Verdict.RAN,
-            )
-        origin = self._origin or self._origin_of(run)
+        self._request.record_newest_start(replica)
+        if is_new:
+            await self._begin(run)
+        else:
+            self._go_on(run)
+
+    async def _begin(self, run: known_starts.Run | None) -> None:
+        """Bind a new stream to a start, and record it.
+
+        Raise OtherStartError if that is not known to be enough.
+        """
+        request = self._request
+        origin = self._origin = self._origin_of(run)
+        if run is None:
+            request.bind(known_starts.NOBODY)
+        else:
+            self._node.registry.record_served(request.service, run)
+            request.bind(known_starts.Producer(run))
         if origin.version == stream_origins.UNKNOWN_VERSION:
             self._record_unknown(origin)
         else:
@@ -174,11 +182,27 @@
         try:
             await self._confirm(origin)
         except errors.OtherStartError:
-            if is_new:
-                # The caller has no event, so any replica may send the first.
-                request.producer = self._origin = None
+            # The caller has no event, so any replica may send the first.
+            request.producer = self._origin = None
             raise
 
+    def _go_on(self, run: known_starts.Run | None) -> None:
+        """Record that a start goes on with the stream.
+
+        Raise OtherStartError unless it is known that it may.
+        """
+        producer, starts = self._request.producer, self._node.registry.starts
+        if (
+            run is None
+            or producer is None
+            or not starts.may_follow(run, producer)
+        ):
+            raise errors.OtherStartError(
+                'not known to have the version of the stream',
+                verdicts.Verdict.RAN,
+            )
+        self._record(self._origin or self._origin_of(run))
+
     async def _confirm(self, origin: stream_origins.Origin) -> None:
         """Have another VM know a stream whose version nobody has told.
 
@@ -186,7 +210,8 @@
         """
         if origin.version not in stream_origins.WITHOUT_VERSION:
             return
-        key = self._key(self._request.call.request_id)
+        request_id = self._request.call.request_id
+        key = self._key(request_id) if request_id else self._digest
         if not await self._node.origin_keepers.confirm(self._question(key)):
             raise errors.OtherStartError(
                 'no other VM could be told of the stream', verdicts.Verdict.RAN
@@ -197,19 +222,6 @@
             key, self._request.service, self._reach_s
         )
 
-    def _may_follow(
-        self, run: known_starts.Run, producer: known_starts.Producer
-    ) -> bool:
-        return self._node.registry.starts.may_follow(run, producer)
-
-    def _bind_new(self, run: known_starts.Run | None) -> None:
-        if run is None:
-            self._request.bind(known_starts.NOBODY)
-        else:
-            self._node.registry.record_served(self._request.service, run)
-            self._request.bind(known_starts.Producer(run))
-        self._origin = self._origin_of(run)
-
     def spoil(self) -> None:
         """Let the stream go on nowhere: its caller lacks an event.
 
@@ -227,14 +239,14 @@
     def _origin_of(
         self, run: known_starts.Run | None
     ) -> stream_origins.Origin:
-        version = stream_origins.UNKNOWN_VERSION
+        version = None
         if run is not None:
             version = self._node.registry.starts.version_of(run)
-            if version is None:
+            if version is None and self._request.call.request_id:
                 version = stream_origins.UNTOLD_VERSION
         return stream_origins.Origin(
             self._request.service,
-            version,
+            version or stream_origins.UNKNOWN_VERSION,
             run.name if run else '',
             run.started_ms if run else 0,
             round(self._node.wall_clock() * 1000),
--- a/test/gateway/test_stream_version.py
+++ b/test/gateway/test_stream_version.py
@@ -258,6 +258,16 @@
     assert request.untold == ([run_of(19)] if found_ms == 19 else [])
 
 
+async def test_new_stream_without_an_id_is_kept_by_what_it_asks_for():
+    # Guards against a stream of an untold start that no name is kept of.
+    request = Request((None, None), ONE, told())
+    request.call.request_id = ''
+    request.found = run_of(19)
+    version = stream_version.StreamVersion(request)
+    await version.check_producer(REPLICA, RESPONSE, 1.0)
+    assert request.recorded == [stream_origins.UNKNOWN_VERSION]
+
+
 @pytest.mark.parametrize(
     ('found_ms', 'is_confirmed', 'goes_on'),
     [(19, True, True), (19, False, False), (17, False, True)],
