Ask a new connection whose it is before a stream's request goes there

A new connection is now asked for the replica's report itself, before anything of the request is sent; it belongs to one process, so that is proof, also of a start that nobody had heard of. It costs a round trip on new connections. Where the replica closes after it or tells nothing in 0.25 s, the request goes on another connection, and the report on a kept one decides as before.

test_replica_that_hides_its_start asked that no stream goes on once replicas hide their starts; one on a connection that is known may. It plays replicas that hide them from the beginning now, and a second test the other case. test_attempt_waits_until_the_end_before_is_known patched a method whose arguments changed.

--- a/gentianstair/gateway/calls.py
+++ b/gentianstair/gateway/calls.py
@@ -139,6 +139,8 @@
     ends_with_path: bool = False
     # Whether a kept connection may be used.
     accepts_connection: transport.Accepts = transport.accept_all
+    # Asked on a new one before.
+    question: transport.Question | None = None
     # Called just before the first byte is sent.
     before_send: collections.abc.Callable[[], None] | None = None
     # Called as the first byte is written; may not raise.
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -82,6 +82,7 @@
     )
     request = http_codec.encode_attempt(call, attempt, CONNECT_TIMEOUT_S)
     request.extensions['accepts'] = attempt.accepts_connection
+    request.extensions['ask_first'] = attempt.question
     response = await node.replica_client.send(
         attempt.replica.run, request, is_callers=True
     )
--- a/gentianstair/gateway/origin_keepers.py
+++ b/gentianstair/gateway/origin_keepers.py
@@ -347,12 +347,12 @@
         self._open_questions += len(asked)
         try:
             with trio.CancelScope() as scope:
-                async with trio.open_nursery() as waiting:
-                    waiting.start_soon(end_when_due)
-                    async with trio.open_nursery() as asking:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(end_when_due)
+                    async with trio.open_nursery() as asking_nursery:
                         for channel in asked:
-                            asking.start_soon(ask_one, channel)
-                    waiting.cancel_scope.cancel()
+                            asking_nursery.start_soon(ask_one, channel)
+                    nursery.cancel_scope.cancel()
         finally:
             self._open_questions -= len(asked)
         return found
--- a/gentianstair/gateway/process_starts.py
+++ b/gentianstair/gateway/process_starts.py
@@ -8,6 +8,7 @@
 
 import collections
 import collections.abc
+import functools
 import math
 import weakref
 
@@ -104,6 +105,29 @@
             return False
         return start.heard_at < opened_at
 
+    def question(self, replica: replicas.Replica) -> transport.Question:
+        """Return what to ask on a new connection to a replica first."""
+        return transport.Question(
+            http_codec.report_request(replica.address, replica.name, None),
+            lambda: None,
+            functools.partial(self._record_answer, replica),
+        )
+
+    def _record_answer(
+        self,
+        replica: replicas.Replica,
+        connection: transport.Connection,
+        status: int,
+        body: bytes,
+    ) -> None:
+        try:
+            run = _run_in(replica, calls.Report(status, body))
+        except errors.DecodeError as error:
+            _log_untold(replica, error)
+            return
+        self._found[connection.stream] = run
+        self._record_start(replica, run)
+
     def ask(
         self,
         replica: replicas.Replica,
@@ -183,17 +207,10 @@
     ) -> None:
         try:
             told = await self._fetch(replica)
-            started_ms = http_codec.decode_report(told.status, told.body)
-            if not started_ms:
-                raise errors.DecodeError('it names no start')
+            report.run = _run_in(replica, told)
         except (errors.UpstreamError, errors.DecodeError) as error:
-            loguru.logger.bind(
-                event=events.START_UNTOLD,
-                replica=replica.name,
-                started_ms=replica.started_ms,
-            ).info('a replica did not tell its start: {}', error)
+            _log_untold(replica, error)
             return
-        report.run = Run(replica.name, started_ms)
         self._record_start(replica, report.run)
         if told.stream is not None:
             self._found[told.stream] = report.run
@@ -210,4 +227,20 @@
             )
 
 
+def _run_in(replica: replicas.Replica, report: calls.Report) -> Run:
+    """Return the start that a report names; raise DecodeError."""
+    started_ms = http_codec.decode_report(report.status, report.body)
+    if not started_ms:
+        raise errors.DecodeError('the report names no start')
+    return Run(replica.name, started_ms)
+
+
+def _log_untold(replica: replicas.Replica, error: Exception) -> None:
+    loguru.logger.bind(
+        event=events.START_UNTOLD,
+        replica=replica.name,
+        started_ms=replica.started_ms,
+    ).info('a replica did not tell its start: {}', error)
+
+
 __all__ = ['ProcessStarts']
--- a/gentianstair/gateway/replica_client.py
+++ b/gentianstair/gateway/replica_client.py
@@ -63,6 +63,11 @@
             request.extensions['before_send'] = functools.partial(
                 check, run, request.extensions.get('before_send')
             )
+            question = request.extensions.get('ask_first')
+            if question is not None:
+                request.extensions['ask_first'] = question._replace(
+                    check=functools.partial(self._check_own, run)
+                )
         sent_s = self._clock()
         response = await self._transport.handle_async_request(request)
         if run is not None:
@@ -79,7 +84,7 @@
     def _check_own(
         self,
         run: upstream_limits.UpstreamRun,
-        _: collections.abc.Callable[[], None] | None,
+        _: collections.abc.Callable[[], None] | None = None,
     ) -> None:
         """Check that a replica takes anything now, as for a poll."""
         if self._backoffs.pause_s(run) > 0:
--- a/gentianstair/platform/http_codec.py
+++ b/gentianstair/platform/http_codec.py
@@ -378,7 +378,10 @@
 
 
 def report_request(
-    address: str, replica_name: str, connect_s: float, fresh: bool = False
+    address: str,
+    replica_name: str,
+    connect_s: float | None,
+    fresh: bool = False,
 ) -> httpx.Request:
     """Return the request for what a replica reports of itself.
 
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -25,6 +25,8 @@
 
 # Bounds the idle connections to one address.
 MAX_IDLE_CONNECTIONS = 256
+# How long the answer to a connection's first question is waited for.
+QUESTION_LIMIT_S = 0.25
 # Nine digits are more than any timeout.
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,9})(?!\d)')
 
@@ -37,6 +39,16 @@
     opened_at: int | None
 
 
+class Question(typing.NamedTuple):
+    """A request without a body that is sent on each new connection first."""
+
+    request: httpx.Request
+    # Called before it is sent; may raise, and then nothing is sent.
+    check: collections.abc.Callable[[], None]
+    # Called with the connection, and the status and body of the answer.
+    record: collections.abc.Callable[[Connection, int, bytes], None]
+
+
 Accepts = collections.abc.Callable[[Connection], bool]
 
 
@@ -165,6 +177,8 @@
       need it, as an idle connection may close just after the send.
     - ``accepts``: called with an idle Connection; one for which it returns
       False is closed.
+    - ``ask_first``: a Question for a new connection. Without an answer in
+      QUESTION_LIMIT_S another connection is opened.
     - ``before_send``: called before the first byte is sent, with no await
       in between. It may raise, and then nothing is sent.
     - ``record_send``: called after that, as the first byte is written.
@@ -219,6 +233,39 @@
         self._opened_at[stream] = opened_at
         return stream
 
+    async def _open(self, request: httpx.Request) -> trio.abc.Stream:
+        """Return a new connection, after the question for it, if any."""
+        stream = await self._connect(request)
+        question = request.extensions.get('ask_first')
+        if question is None or await self._ask(stream, question):
+            return stream
+        await trio.aclose_forcefully(stream)
+        return await self._connect(request)
+
+    async def _ask(self, stream: trio.abc.Stream, question: Question) -> bool:
+        """Ask a question; return whether the connection can be used on."""
+        parser = response_parser.ResponseParser()
+        body = ResponseBody(stream, parser, lambda _: None)
+        try:
+            question.check()
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+        try:
+            with trio.move_on_after(QUESTION_LIMIT_S):
+                await stream.send_all(_encode_head(question.request))
+                await _receive_headers(stream, parser)
+                data = b''.join([part async for part in body])
+                question.record(self._connection(stream), parser.status, data)
+                return parser.keep_alive
+        except (errors.UpstreamError, trio.BrokenResourceError):
+            # Nothing of the request was sent; it goes on another connection.
+            return False
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+        return False
+
     def _connection(self, stream: trio.abc.Stream) -> Connection:
         return Connection(stream, self._opened_at.get(stream))
 
@@ -302,7 +349,7 @@
             )
         was_kept = stream is not None
         if stream is None:
-            stream = await self._connect(request)
+            stream = await self._open(request)
         try:
             return await self._exchange(stream, request, was_kept)
         except BaseException:
--- a/test/gateway/test_parts_that_end_replicas.py
+++ b/test/gateway/test_parts_that_end_replicas.py
@@ -150,9 +150,9 @@
     # being looked up whether the first one's has ended.
     ask = end_checks.EndChecks._ask
 
-    async def ask_slowly(checks, replica):
+    async def ask_slowly(checks, replica, run):
         await trio.sleep(CHECK_S)
-        return await ask(checks, replica)
+        return await ask(checks, replica, run)
 
     monkeypatch.setattr(end_checks.EndChecks, '_ask', ask_slowly)
     prompt = f'{SHARED[0]}:300,{BAD}:300,ff00:10'
--- a/test/gateway/test_stream_versions.py
+++ b/test/gateway/test_stream_versions.py
@@ -423,9 +423,25 @@
 async def test_replica_that_hides_its_start_goes_on_with_no_stream(tmp_path):
     # Guards against a replica of which nobody can say which start answers.
     async with running(tmp_path) as (site, vms):
-        callers = await begin(vms)
         for replica in makers(site):
             replica.hides_start = True
+        callers = await begin(vms)
         for caller in callers:
             await caller.ask(vms[(caller.number + 1) % VMS])
     check(callers, whole=0)
+
+
+async def test_replica_that_hides_its_start_goes_on_where_it_is_known(
+    tmp_path,
+):
+    # Guards against streams that are resumed over unknown connections.
+    async with running(tmp_path) as (site, vms):
+        callers = await begin(vms)
+        for replica in makers(site):
+            replica.hides_start = True
+        for caller in callers:
+            await caller.ask(vms[(caller.number + 1) % VMS])
+    known = sum(caller.is_whole() for caller in callers)
+    check(callers, whole=known)
+    statuses = {c.parts[-1].status for c in callers if not c.is_whole()}
+    assert statuses <= {502, 503}
--- a/test/test_task_starts.py
+++ b/test/test_task_starts.py
@@ -30,7 +30,7 @@
     'entry/services.py:_run_hedged': (2, REQUEST),
     'entry/upstream_monitor.py:_poll_engine': (2, 'one engine, restarted'),
     'gateway/late_attempt.py:run_unless_replaced': (1, REQUEST),
-    'gateway/origin_keepers.py:_ask_each': (1, REQUEST),
+    'gateway/origin_keepers.py:_ask_each': (2, REQUEST),
     'gateway/peer_links.py:_use_link': (1, LINK),
     'peers/link.py:serve': (1, 'the links that peers open, restarted'),
     'peers/node.py:_run_session': (1, LINK),
