Ask nothing first on a connection for what must not be repeated

Such a request goes on a connection that carried nothing, as before; who answers is found out beside it. A connection that is closed after the question is not used.

--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -125,6 +125,16 @@
         """Return what tells which kept connections an attempt may use."""
         return functools.partial(self._node.process_starts.accepts, replica)
 
+    def question(self, replica: replicas.Replica) -> transport.Question | None:
+        """Return what to ask on a new connection before the request.
+
+        What must not be repeated is not sent on one that may be closed by
+        then, as one is that has carried an answer.
+        """
+        if not self._request.route.retryable:
+            return None
+        return self._node.process_starts.question(replica)
+
     def ask_producer(
         self, replica: replicas.Replica, response: httpx.Response
     ) -> None:
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -165,7 +165,7 @@
             last_event_id=self._resume_event_id(),
             priority=self._priority(),
             accepts_connection=self._version.acceptor(decode_replica),
-            question=self._node.process_starts.question(decode_replica),
+            question=self._version.question(decode_replica),
         )
         run = run_record.ReplicaRun(
             request,
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -237,7 +237,11 @@
         """Return a new connection, after the question for it, if any."""
         stream = await self._connect(request)
         question = request.extensions.get('ask_first')
-        if question is None or await self._ask(stream, question):
+        if question is None:
+            return stream
+        if await self._ask(stream, question) and not connectors.is_unusable(
+            stream
+        ):
             return stream
         await trio.aclose_forcefully(stream)
         return await self._connect(request)
