Log what set the verdict on each attempt, a prefill too

A refusal after a prefill looked in the logs like one of which nothing was sent: a prefill had no record of its send, so nothing told the two readings of "has run" apart. The answer's line has `attempts` now. No decision changes: a prefill's verdict stays NOT_RUN and its answer sets none.

The experiment plays single events (`--event`), with or without odd answers around them, and counts refusals after a prefill apart.

--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -14,12 +14,17 @@
 
     NOT_SENT = 'not-sent'
     SENT = 'sent'
+    # Its prompt was sent to be prefilled only, which runs nothing.
+    PREFILL = 'prefill'
     # The upstream's own answer.
     ANSWER = 'answer'
     # A failure of what was sent.
     FAILURE = 'failure'
 
 
+_NOTHING_RUNS = (Reason.NOT_SENT, Reason.PREFILL)
+
+
 class AttemptRun:
     """Whether one attempt may have run.
 
@@ -39,13 +44,17 @@
     @property
     def was_sent(self) -> bool:
         """Return whether its first byte was written, or was about to be."""
-        return self.reason is not Reason.NOT_SENT
+        return self.reason not in _NOTHING_RUNS
 
     def record_send(self) -> None:
         """Record that the first byte is written now."""
         self.verdict = verdicts.Verdict.MAY_HAVE_RUN
         self.reason = Reason.SENT
 
+    def record_prefill(self) -> None:
+        """Record that the first byte of a prefill is written now."""
+        self.reason = Reason.PREFILL
+
     def record_answer(self, verdict: verdicts.Verdict) -> None:
         """Record what the attempt's own answer says; it may lower."""
         if self.was_sent:
@@ -72,6 +81,7 @@
 
     def __init__(self) -> None:
         self.latest = AttemptRun()
+        # The first stands for a request without an attempt.
         self._attempts = [self.latest]
 
     @property
@@ -86,6 +96,17 @@
             reversed(self._attempts), key=lambda attempt: attempt.verdict
         )
 
+    def reasons(self) -> list[Reason]:
+        """Return what set the verdict on each attempt, in order.
+
+        >>> runs = RunVerdict()
+        >>> runs.begin().record_prefill()
+        >>> runs.begin().record_send()
+        >>> [reason.value for reason in runs.reasons()]
+        ['prefill', 'sent']
+        """
+        return [attempt.reason for attempt in self._attempts[1:]]
+
     def begin(self) -> AttemptRun:
         """Return the next attempt, of which nothing has been sent."""
         self.latest = AttemptRun()
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -39,6 +39,7 @@
 # Reserved before a caller's deadline so that a timeout response still reaches
 # the caller in time.
 RESPONSE_MARGIN_S = 0.05
+MAX_LOGGED_ATTEMPTS = 8
 
 REQUESTS = prometheus_client.Counter(
     'gentianstair_gateway_requests',
@@ -155,6 +156,10 @@
             return {}
         return {
             'verdict_by': request.runs.decisive.reason.value,
+            'attempts': [
+                reason.value
+                for reason in request.runs.reasons()[:MAX_LOGGED_ATTEMPTS]
+            ],
             'replica': request.replica_name,
             **request.answer_fields(),
         }
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -196,7 +196,7 @@
             silence_s=max(MIN_SILENCE_S, self.route.objective_s),
             ends_with_path=self.route.retryable or is_prefill,
             before_send=check_send,
-            record_send=None if is_prefill else run.record_send,
+            record_send=run.record_prefill if is_prefill else run.record_send,
             record_answer=record_answer,
             **options,
         )
--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -9,6 +9,7 @@
 import trio
 
 from standins.experiment import play
+from standins.experiment import single_events
 from standins.experiment import troubles
 from standins.site import sheet as sheets
 
@@ -39,7 +40,16 @@
         help='share of tries at streams that callers leave, to resume them',
     )
     parser.add_argument('--product', type=pathlib.Path, help='a checkout')
+    parser.add_argument(
+        '--event',
+        choices=('each', *single_events.EVENTS),
+        default='',
+        help='the only trouble; each: one play for each of them',
+    )
     found = parser.parse_args()
+    events = [found.event]
+    if found.event == 'each':
+        events = list(single_events.EVENTS)
     sheet = sheets.read(found.sheet)
     return [
         play.Setting(
@@ -51,8 +61,10 @@
             found.product and found.product.resolve(),
             found.starts_over,
             found.leaves,
+            event,
         )
         for number in range(found.seeds)
+        for event in events
     ]
 
 
@@ -70,15 +82,17 @@
             or result.streams.out_of_order
             or result.streams.mixed
         )
-        _print(setting.seed, result)
+        _print(setting, result)
     return 1 if red else 0
 
 
-def _print(seed: int, result: play.Result) -> None:
+def _print(setting: play.Setting, result: play.Result) -> None:
     told = ', '.join(f'{n} x {s}' for s, n in result.statuses.most_common())
     print(
-        f'seed {seed}: {sum(result.statuses.values())} requests ({told}), '
+        f'seed {setting.seed} {setting.event}: '
+        f'{sum(result.statuses.values())} requests ({told}), '
         f'{result.refused} of run-once ones refused, '
+        f'{len(result.after_prefill)} after a prefill, '
         f'{len(result.ran_twice)} ran twice',
         flush=True,
     )
--- a/standins/experiment/play.py
+++ b/standins/experiment/play.py
@@ -35,6 +35,8 @@
     starts_over: str = ''
     # The share of tries at resumable streams that callers leave.
     leaves: float = 0.0
+    # One of single_events.EVENTS, which is then the only trouble.
+    event: str = ''
 
 
 class Result(typing.NamedTuple):
@@ -44,6 +46,9 @@
     refused: int
     # Refused requests that have run, under each reading, as records.
     ran: dict[str, list[str]]
+    # Refused requests of which replicas read the prompt apart and began
+    # nothing else.
+    after_prefill: list[str]
     ran_twice: list[str]
     streams: readings.Streams
 
@@ -54,7 +59,9 @@
     vms = max(MIN_VMS, sheet.vms)
     config = sheets.config(sheet)
     found = sheets.make_replicas(sheet)
-    faults = troubles.draw(setting.seed, setting.length_s, sheet, setting.odd)
+    faults = troubles.draw(
+        setting.seed, setting.length_s, sheet, setting.odd, setting.event
+    )
     async with sites.running(found, config) as site:
         async with trio.open_nursery() as nursery:
             soak = strikes.Soak(
@@ -72,10 +79,12 @@
             try:
                 await soak.start_all()
                 nursery.start_soon(callers.run)
+                began_s = trio.current_time()
                 async with trio.open_nursery() as fault_nursery:
                     for fault in faults:
                         fault_nursery.start_soon(soak.strike, fault)
-                await trio.sleep(REST_S)
+                left_s = setting.length_s - (trio.current_time() - began_s)
+                await trio.sleep(max(REST_S, left_s))
             finally:
                 await soak.kill_all()
             nursery.cancel_scope.cancel()
@@ -91,6 +100,10 @@
             name: [record.line(one, found) for one in ran]
             for name, ran in readings.counts(told, found).items()
         },
+        [
+            record.line(one, found)
+            for one in readings.after_prefill(told, found)
+        ],
         [record.line(one, found) for one in readings.ran_twice(told, found)],
         readings.streams(callers.followed, found, sheets.MAX_EVENTS),
     )
--- a/standins/experiment/readings.py
+++ b/standins/experiment/readings.py
@@ -75,6 +75,18 @@
     return seen
 
 
+def after_prefill(
+    told: list[record.Told], found: list[replicas.Replica]
+) -> list[record.Told]:
+    """Return the refused requests that were only prefilled."""
+    return [
+        one
+        for one in refused(told)
+        if any(one.request_id in replica.reads for replica in found)
+        and not any(map(_began, record.arrivals(found, one.request_id)))
+    ]
+
+
 def ran_twice(
     told: list[record.Told], found: list[replicas.Replica]
 ) -> list[record.Told]:
--- /dev/null
+++ b/standins/experiment/single_events.py
@@ -0,0 +1,59 @@
+"""Draw plays of a described site with one event each.
+
+Answers that are odd may come around it, from replicas that are drawn.
+"""
+
+import random
+import typing
+
+from standins.soak import plan
+
+# When the event begins, and for how long before and after it answers are odd.
+BEGINS_S = (4.0, 8.0)
+ODD_AROUND_S = 0.5
+ODD_REPLICAS = 2
+
+# What happens, by the name of the event: where, what, how long it lasts.
+EVENTS: dict[str, tuple[str, str, float]] = {
+    'replica-ends': ('replica', 'ends', 0.0),
+    'replica-drains': ('replica', 'drains', 2.0),
+    'address-of-another': ('replica', 'changed', 2.0),
+    'release': ('release', 'v2 after a late heartbeat', 1.5),
+    'replica-reset': ('replica-link', 'reset', 1.0),
+    'replica-cut': ('replica-link', 'silent', 3.0),
+    'answers-cut': ('replica-link', 'one way', 3.0),
+    'replica-late': ('replica-link', 'delay', 3.0),
+    'vm-paused': ('process', 'pause', 2.5),
+    'vm-killed': ('process', 'kill', 0.0),
+    'vm-stopped': ('process', 'stop', 0.0),
+    'all-killed': ('process', 'kill-all', 0.0),
+    'store-cut': ('store-link', 'silent', 3.0),
+    'routes-change': ('routes', 'change', 3.0),
+    'makers-full': ('makers', 'full', 1.0),
+    'makers-end': ('makers', 'ends', 0.0),
+    'makers-silent': ('makers', 'silent', 1.0),
+    'calm': ('change', 'config', 0.0),
+}
+
+
+def draw(event: str, seed: int, odd: typing.Iterable[str]) -> list[plan.Fault]:
+    """Return the event and the odd answers around it, in order."""
+    chance = random.Random(f'event/{event}/{seed}')
+    where, what, lasts_s = EVENTS[event]
+    at_s = chance.uniform(*BEGINS_S)
+    found = [plan.Fault(at_s, where, what, chance.randrange(1000), lasts_s)]
+    kinds = sorted(odd)
+    for _ in range(ODD_REPLICAS if kinds else 0):
+        found.append(
+            plan.Fault(
+                at_s - ODD_AROUND_S,
+                'answer',
+                chance.choice(kinds),
+                chance.randrange(1000),
+                lasts_s + 2 * ODD_AROUND_S,
+            )
+        )
+    return sorted(found)
+
+
+__all__ = ['EVENTS', 'draw']
--- a/standins/experiment/troubles.py
+++ b/standins/experiment/troubles.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+from standins.experiment import single_events
 from standins.site import sheet as sheets
 from standins.soak import odd_answers
 from standins.soak import plan
@@ -62,6 +63,7 @@
 ODD: dict[str, typing.Iterable[str]] = {
     'none': (),
     'unsaid': odd_answers.REJECTIONS,
+    'failures': odd_answers.FAILURES,
     'denials': odd_answers.DENIALS,
     'order': plan.DISORDERS,
     'breaks': ('breaks',),
@@ -92,9 +94,18 @@
 
 
 def draw(
-    seed: int, length_s: float, sheet: sheets.Sheet, odd: str
+    seed: int,
+    length_s: float,
+    sheet: sheets.Sheet,
+    odd: str,
+    event: str = '',
 ) -> list[plan.Fault]:
-    """Return the troubles of a play in order; they overlap."""
+    """Return the troubles of a play in order; they overlap.
+
+    With an event it is the only one.
+    """
+    if event:
+        return single_events.draw(event, seed, ODD[odd])
     if odd in LADDER:
         return [
             _on_time(fault)
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -32,6 +32,9 @@
 REFUSED_STATUS = 503
 # With which a store that is busy answers all.
 BUSY_STATUSES = {'busy': 429, 'overloaded': 503}
+# Of a route's timeout, while routes change, and how long each change stands.
+ROUTE_TIMEOUT_SHARE = 0.4
+ROUTE_GAP_S = 0.3
 # How long a late heartbeat stands for its replica's entry; the platform's.
 BEAT_S = 1.2
 _FAULTS: dict[str, dict[str, typing.Any]] = {
@@ -175,6 +178,8 @@
             'notice': self._give_notice,
             'answer': self._spoil_answers,
             'order': self._spoil_order,
+            'makers': self._strike_makers,
+            'routes': self._change_routes,
         }
         await strikes[fault.where](fault)
 
@@ -380,6 +385,30 @@
             self._note_break(found.name, from_s)
         found.faults = replicas.Faults(self.bad_parts, self._starts_over)
 
+    async def _strike_makers(self, fault: plan.Fault) -> None:
+        """Strike all that decode at once."""
+        async with trio.open_nursery() as nursery:
+            for number, found in enumerate(self.site.replicas):
+                if found.stage == 'decode':
+                    nursery.start_soon(
+                        self._strike_replica, fault._replace(whom=number)
+                    )
+
+    async def _change_routes(self, fault: plan.Fault) -> None:
+        """Change what may be repeated, and for how long, in quick turns."""
+        first = self._config['routes']
+        changed = copy.deepcopy(first)
+        for route in changed:
+            route['timeout_ms'] *= ROUTE_TIMEOUT_SHARE
+            if route['type'] == 'idempotent':
+                route['type'] = 'non_idempotent'
+        ends_s = trio.current_time() + fault.lasts_s
+        while trio.current_time() < ends_s:
+            for routes in (changed, first):
+                self._config['routes'] = routes
+                await self._change(fault)
+                await trio.sleep(ROUTE_GAP_S)
+
     async def _spoil_answers(self, fault: plan.Fault) -> None:
         """Have answers come before a replica's own, or refuse what ran."""
         if fault.what in _FAULTS:
--- a/test/gateway/test_verdict_logs.py
+++ b/test/gateway/test_verdict_logs.py
@@ -77,6 +77,26 @@
     assert line['connection'] == 'kept'
 
 
+async def test_refusal_after_a_prefill_says_so(tmp_path, lines):
+    # Guards against a refusal that can't be told from one of what ran.
+    found = [r for r in sites.default_replicas() if r.stage]
+    for replica in found:
+        if replica.stage == 'decode':
+            # So slow at prompts that they are read apart.
+            replica.tokens_per_s = 1000.0
+    async with sites.running(found) as site:
+        async with gateways.running(site, tmp_path) as (gateway,):
+            for replica in found:
+                replica.faults.full = replica.stage == 'decode'
+            answer = await gateway.call(
+                'POST', '/draft/one', 'r1', **gateways.PROMPT
+            )
+    line = only(lines, events.ANSWER)
+    assert answer.status_code == 503
+    assert line['verdict'] == 'NOT_RUN'
+    assert line['attempts'][:2] == ['prefill', 'answer']
+
+
 def test_reason_is_that_of_the_highest_verdict():
     # Guards against a reason in a request's last line that is another try's.
     runs = run_verdict.RunVerdict()
