--- a/test/standins/test_experiment.py
+++ b/test/standins/test_experiment.py
@@ -10,9 +10,11 @@
 from standins.experiment import play
 from standins.experiment import readings
 from standins.experiment import requesters
+from standins.experiment import single_events
 from standins.experiment import troubles
 from standins.site import replica as replicas
 from standins.site import sheet as sheets
+from standins.soak import odd_answers
 from standins.soak import order
 from standins.soak import record
 
@@ -164,6 +166,35 @@
     assert result.ran_twice == []
 
 
+@pytest.mark.parametrize('event', ['replica-drains', 'vm-paused'])
+def test_single_event_beside_failures_refuses_nothing_that_ran(
+    sheet, tmp_path, monkeypatch, event
+):
+    # Guards against refusals of what ran that only one event brings about.
+    monkeypatch.setattr(play, 'MIN_VMS', 2)
+    setting = play.Setting(
+        sheet._replace(vms=2), 1, 10.0, 1.0, 'failures', None, event=event
+    )
+    result = trio.run(play.play, setting, tmp_path)
+    assert sum(result.statuses.values()) > 20
+    assert result.ran['work began'] == []
+    assert result.ran_twice == []
+
+
+@pytest.mark.parametrize('event', single_events.EVENTS)
+def test_single_event_is_drawn_with_odd_answers_around_it(event):
+    # Guards against odd answers that are over before their event begins.
+    where, what, _ = single_events.EVENTS[event]
+    drawn = single_events.draw(event, 7, odd_answers.FAILURES)
+    assert drawn == single_events.draw(event, 7, odd_answers.FAILURES)
+    (struck,) = [f for f in drawn if (f.where, f.what) == (where, what)]
+    odd = [fault for fault in drawn if fault is not struck]
+    assert len(odd) == single_events.ODD_REPLICAS
+    for fault in odd:
+        assert fault.at_s < struck.at_s
+        assert fault.at_s + fault.lasts_s > struck.at_s + struck.lasts_s
+
+
 def test_prompts_of_a_sheet_are_read(tmp_path):
     told = SHEET.replace(
         'gap_aim_ms = 300',
