Test crowds of callers that do not behave, and fix their size and bounds

In a trial of the users' such callers ended a process for want of memory. Before any change of the product: a gateway as a process of its own, with memory_mb of 100 or 120 sockets in the test's settings, and a small crowd.

--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -31,8 +31,8 @@
 ready = "127.0.0.1:{ready}"
 control = "127.0.0.1:{control}"
 [limits]
-memory_mb = 300
-max_fds = 4100
+memory_mb = {memory_mb}
+max_fds = {max_fds}
 [bounds]
 drain_ms = 2000
 grace_s = {grace_s}
@@ -82,6 +82,9 @@
         self.file = folder / f'{self.vm}.toml'
         self.log = folder / f'{self.vm}.jsonl'
         self.process: subprocess.Popen | None = None
+        # What its settings grant the process.
+        self.memory_mb = 300
+        self.max_fds = 4100
         # Where the lines of this start begin in the log.
         self._log_bytes = 0
 
@@ -108,9 +111,18 @@
                 bootstrap=str(bootstrap).lower(),
                 lease_ms=LEASE_MS,
                 grace_s=GRACE_S,
+                memory_mb=self.memory_mb,
+                max_fds=self.max_fds,
                 **self.ports,
             )
         )
+        self._start_process()
+
+    def start_again(self) -> None:
+        """Start the process once more, with the settings that it had."""
+        self._start_process()
+
+    def _start_process(self) -> None:
         if self.log.exists():
             self._log_bytes = self.log.stat().st_size
         environ = {
@@ -160,6 +172,20 @@
             except httpx.TransportError:
                 return False
 
+    async def ready_to_accept(self) -> None:
+        """Return as soon as callers can connect."""
+        with trio.fail_after(START_S):
+            while True:
+                try:
+                    stream = await trio.open_tcp_stream(
+                        '127.0.0.1', self.ports['front']
+                    )
+                except OSError:
+                    await trio.sleep(0.01)
+                    continue
+                await trio.aclose_forcefully(stream)
+                return
+
     async def ready(self) -> None:
         """Return when the balancer would send callers here."""
         with trio.move_on_after(START_S):
--- a/standins/site/replica.py
+++ b/standins/site/replica.py
@@ -177,6 +177,8 @@
         self.stage = stage
         self.events = events
         self.tokens_per_s = tokens_per_s
+        # Bytes that fill up its answers to requests without a prompt.
+        self.padding_bytes = 0
         # How long it works on an event.
         self.event_s = event_s
         # Of its software; its events say it.
--- a/standins/site/replica_app.py
+++ b/standins/site/replica_app.py
@@ -175,7 +175,8 @@
     if quart.request.path in replica.faults.ends_under:
         replica.end(headers.get('x-request-id', ''))
     if replica.breaks == breaks:
-        return _signed(replica, f'done by {replica.name}')
+        text = f'done by {replica.name}'
+        return _signed(replica, text.ljust(replica.padding_bytes))
 
     async def break_off() -> collections.abc.AsyncIterator[bytes]:
         raise ConnectionAbortedError('ended')
