Let the watch of a crowd's process bear that it ends meanwhile

A planned stop ended the process between the question whether it runs and the reading of its cost: FileNotFoundError once in five plays of silent-at-a-stop, a RuntimeError once more for a process that had ended and was not yet gone. The watch looks on after the restart now, which it did not: stricter. Crowds and bounds are as they were.

--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -338,16 +338,18 @@
 def cost(pid: int) -> Cost:
     """Return what a process holds now; raise OSError if it is gone."""
     status = pathlib.Path(f'/proc/{pid}/status').read_text()
-    peak_kb = next(
+    peaks_kb = [
         int(line.split()[1])
         for line in status.splitlines()
         if line.startswith('VmHWM:')
-    )
+    ]
+    if not peaks_kb:
+        raise ProcessLookupError(f'{pid} has ended')
     sockets = 0
     for entry in pathlib.Path(f'/proc/{pid}/fd').iterdir():
         with contextlib.suppress(OSError):
             sockets += str(entry.readlink()).startswith(('socket:', 'pipe:'))
-    return Cost(peak_kb * 1024 / MEGABYTE, sockets)
+    return Cost(peaks_kb[0] * 1024 / MEGABYTE, sockets)
 
 
 __all__ = ['Cost', 'Crowd', 'connector', 'cost']
--- a/test/gateway/test_crowds.py
+++ b/test/gateway/test_crowds.py
@@ -121,14 +121,19 @@
         self.sockets = 0
 
     async def run(self):
-        while self.look():
+        while True:
+            self.look()
             await trio.sleep(SAMPLE_S)
 
     def look(self):
         """Look once; return whether the process is there."""
         if not self._gateway.is_running():
             return False
-        found = crowd.cost(self._gateway.process.pid)
+        try:
+            found = crowd.cost(self._gateway.process.pid)
+        except OSError:
+            # It ended just now.
+            return False
         self.peak_mb = max(self.peak_mb, found.peak_mb)
         self.sockets = max(self.sockets, found.sockets)
         return True
