Bound callers' connections, and the heads that never end

Callers saw nothing; on the users' machines a gateway has max_fds descriptors and no more, and a crowd that opens connections and sends nothing, or heads that never end, took them all: 213 sockets where 120 are granted (rows silent, heads-that-drip, bodies-begun, silent-at-ready, -control, -at-a-stop of test_crowds.py), heads open after 30 s where header_timeout_ms is 500. Cause: nothing bounded connections, Limits.header_timeout_s and Deployment.memory_mb were decoded and used by nobody, max_fds for tunnels only.

Each address has a bound from max_fds and memory_mb. A connection that never sent a whole head gives way first, then the longest idle one, then one whose request is not all there; one whose request is under way to nothing. A head that is not whole header_timeout_s after its first byte is answered 408, HTTP/2 without a request likewise closed.

--- a/gentianstair/gateway/main.py
+++ b/gentianstair/gateway/main.py
@@ -11,7 +11,9 @@
 
 from gentianstair import errors
 from gentianstair.core import grace_period
+from gentianstair.core import process_limits
 from gentianstair.gateway import background
+from gentianstair.gateway import catalog
 from gentianstair.gateway import deployment
 from gentianstair.gateway import environment
 from gentianstair.gateway import handler
@@ -64,6 +66,16 @@
     return active_catalog.limits.idle_timeout_s if active_catalog else 0.0
 
 
+def _head_limits(node: nodes.Node) -> serving.HeadLimits:
+    """Return the limits of the head of a caller's request."""
+    active_catalog = node.active_config.catalog
+    limits = active_catalog.limits if active_catalog else catalog.Limits()
+    return serving.HeadLimits(
+        serving.RAW_HEAD_SHARE * limits.max_header_bytes,
+        limits.header_timeout_s,
+    )
+
+
 async def _drain(node: nodes.Node, stop_requested: trio.Event) -> None:
     """Wait for a stop, then drain until the load balancer has noticed."""
     await stop_requested.wait()
@@ -83,7 +95,13 @@
     """Serve until stopped, then let running requests complete."""
     stop_requested = stop_signals.watch_stop_signals()
     live = deployment.LiveSettings(vm_settings)
-    callers = serving.listen(vm_settings.callers_address)
+    own_limits = process_limits.derive(
+        vm_settings.memory_mb, vm_settings.max_fds
+    )
+    callers = serving.listen(
+        vm_settings.callers_address,
+        receive_buffer_bytes=own_limits.receive_buffer_bytes,
+    )
     ready_sock = serving.listen(vm_settings.ready_address)
     async with trio.open_nursery() as nursery:
         running = tasks.Tasks(nursery)
@@ -99,6 +117,7 @@
             ready_sock,
             monitoring.serve_until_cancelled,
             READY_GRACE_S,
+            own_limits.operator_connections,
         )
         if env_settings.metrics_port is not None:
             address = f'{vm_settings.ip}:{env_settings.metrics_port}'
@@ -110,6 +129,7 @@
                 serving.listen(address),
                 monitoring.serve_until_cancelled,
                 READY_GRACE_S,
+                own_limits.operator_connections,
             )
         running.keep_running(
             'background',
@@ -130,6 +150,8 @@
                 - BALANCER_DRAIN_S,
                 keep_alive_s=env_settings.keep_alive_s,
                 min_keep_alive_s=functools.partial(_idle_limit_s, node),
+                max_connections=own_limits.caller_connections,
+                head_limits=functools.partial(_head_limits, node),
             )
             duty_nursery.cancel_scope.cancel()
         with trio.move_on_after(node.grace_period.remaining_s()):
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -7,6 +7,7 @@
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
+from gentianstair.core import process_limits
 from gentianstair.core import prompt_faults
 from gentianstair.core import recent_rejections
 from gentianstair.core import upstream_backoffs
@@ -91,6 +92,7 @@
     replica_client: replica_client.ReplicaClient
     tunnel_peers: tunnel_peers.TunnelPeers
     tunnel_server: tunnel.TunnelServer
+    process_limits: process_limits.ProcessLimits
     path_keeper: path_keeper.PathKeeper
     store: stores.Store
     usage_counter: usage_counter.UsageCounter
--- a/gentianstair/gateway/peer_links.py
+++ b/gentianstair/gateway/peer_links.py
@@ -419,7 +419,9 @@
 async def run(node: nodes.Node, updates: peer_updates.PeerUpdates) -> None:
     """Keep this process's links, as a hub or a leaf, until cancelled."""
     deployment = node.deployment
-    network = link.WebsocketNetwork(deployment.peer_address, None)
+    network = link.WebsocketNetwork(
+        deployment.peer_address, None, node.process_limits.peer_connections
+    )
     links = PeerLinks(node, network, updates, random.Random(deployment.vm))
     client = hub_client.HubClient(node, network, updates)
     async with trio.open_nursery() as nursery:
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -13,6 +13,7 @@
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
 from gentianstair.core import peer_choice
+from gentianstair.core import process_limits
 from gentianstair.core import prompt_fault_rows
 from gentianstair.core import prompt_faults
 from gentianstair.core import recent_rejections
@@ -238,6 +239,9 @@
 ) -> nodes.Node:
     now = clock.boottime_s
     vm_settings = live.current
+    own_limits = process_limits.derive(
+        vm_settings.memory_mb, vm_settings.max_fds
+    )
     load_tracker = replica_load.LoadTracker(now)
     index = prefix_index.PrefixIndex()
     registry = replicas.Registry(now)
@@ -353,6 +357,7 @@
         replica_client=client,
         tunnel_peers=peers,
         tunnel_server=tunnel_server,
+        process_limits=own_limits,
         path_keeper=path_keeper.PathKeeper(
             connector, replica_transport, now, random.Random(vm_settings.vm)
         ),
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -236,10 +236,15 @@
     """Open and accept websockets on TCP, with mutual TLS if set."""
 
     def __init__(
-        self, listen: str, credentials: tls.Credentials | None
+        self,
+        listen: str,
+        credentials: tls.Credentials | None,
+        max_accepted: int | None = None,
     ) -> None:
         self._listen = listen
         self._credentials = credentials
+        # Connections of peers that are served at the same time.
+        self._max_accepted = max_accepted
 
     @contextlib.asynccontextmanager
     async def open(self, address: str) -> typing.AsyncIterator[Channel]:
@@ -297,7 +302,9 @@
                 nursery.start_soon(self._credentials.watch_files)
             await websockets.trio.server.serve(
                 accept,
-                listeners=[batch_listener.BatchListener(sock)],
+                listeners=[
+                    batch_listener.BatchListener(sock, self._max_accepted)
+                ],
                 ssl=self._credentials.server if self._credentials else None,
                 compression=None,
                 open_timeout=OPEN_TIMEOUT_S,
--- a/gentianstair/util/batch_listener.py
+++ b/gentianstair/util/batch_listener.py
@@ -17,8 +17,13 @@
     those that came later wait in the kernel's queue.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(
+        self, sock: socket.socket, max_open: int | None = None
+    ) -> None:
         self._sock = sock
+        # New connections beyond so many open ones are closed at once.
+        self._max_open = max_open
+        self._open: list[trio.SocketStream] = []
         self._listener = trio.SocketListener(
             trio.socket.from_stdlib_socket(sock)
         )
@@ -37,10 +42,27 @@
         While there are accepted ones it doesn't yield, so that none of them
         is left behind by a cancellation.
         """
-        if not self._accepted:
-            self._accepted.append(await self._listener.accept())
-            self._accept_waiting()
-        return self._accepted.popleft()
+        while True:
+            if not self._accepted:
+                self._accepted.append(await self._listener.accept())
+                self._accept_waiting()
+            stream = self._accepted.popleft()
+            if self._admit(stream):
+                return stream
+            stream.socket.close()
+
+    def _admit(self, stream: trio.SocketStream) -> bool:
+        """Return whether a connection is not one too many."""
+        if self._max_open is None:
+            return True
+        if len(self._open) >= self._max_open:
+            self._open = [
+                one for one in self._open if one.socket.fileno() >= 0
+            ]
+        if len(self._open) >= self._max_open:
+            return False
+        self._open.append(stream)
+        return True
 
     def _accept_waiting(self) -> None:
         """Accept what waits; leave an error to the next call of accept."""
--- a/gentianstair/util/connection_server.py
+++ b/gentianstair/util/connection_server.py
@@ -20,10 +20,13 @@
 from gentianstair.util import end_reasons
 from gentianstair.util import http1
 from gentianstair.util import idle_timeout
+from gentianstair.util import partial_head
 
 # Longest wait for a caller to take one chunk of a response.
 SEND_STALL_S = 10.0
 SEND_CHUNK_BYTES = 65536
+# Read at a time; each connection may hold some such pieces.
+READ_BYTES = 16384
 # Closing a socket with this option resets its connection.
 LINGER_0_S = struct.pack('ii', 1, 0)
 
@@ -65,6 +68,24 @@
         self._reader_scope = trio.CancelScope()
         self._receive_scope = trio.CancelScope()
         self._send_scope = trio.CancelScope()
+        self._run_scope = trio.CancelScope()
+        self._gives_way = False
+        self._head = partial_head.PartialHead(config.current_head_limits)
+        self.connection.abort = self._abort
+
+    def give_way(self) -> None:
+        """Close, as another connection needs the place."""
+        self.connection.note_end(connections.EndReason.GAVE_WAY)
+        # At once, as its descriptor is needed.
+        self._raw_socket().close()
+        if not hasattr(self, 'protocol'):
+            # Still in its TLS handshake.
+            self._run_scope.cancel()
+
+    def _abort(self) -> None:
+        """Close at once, as what is under way gives way to others."""
+        self._gives_way = True
+        self._send_scope.cancel()
 
     def stop(self) -> None:
         """Close once no request is in flight, or when the grace expires."""
@@ -94,16 +115,34 @@
                 if not data:
                     break
                 self._note_idle_http2()
+                self._head.look(self.protocol.protocol, trio.current_time())
+                if self._head.is_too_long:
+                    self.connection.note_end(
+                        connections.EndReason.INVALID_HTTP
+                    )
+                    await self._head.refuse(
+                        self.protocol.protocol,
+                        partial_head.HTTP_HEADERS_TOO_LARGE,
+                    )
+                    break
         await self.protocol.handle(events.Closed())
 
     async def _receive(self) -> bytes | None:
         """Return data, b'' at the end of the stream, None if closed."""
         while True:
             self._receive_scope = trio.CancelScope(
-                deadline=self._idle_timer.deadline_s
+                deadline=min(
+                    self._idle_timer.deadline_s, self._head.deadline_s
+                )
             )
             with self._receive_scope:
                 return await self._receive_some()
+            if trio.current_time() >= self._head.deadline_s:
+                self.connection.note_end(connections.EndReason.HEAD_TIMEOUT)
+                await self._head.refuse(
+                    self.protocol.protocol, partial_head.HTTP_TIMEOUT
+                )
+                return None
             if (
                 self._idle_timer.has_expired(trio.current_time())
                 and self._end_reading_if_idle()
@@ -112,7 +151,7 @@
 
     async def _receive_some(self) -> bytes | None:
         try:
-            data = await self.stream.receive_some(tcp_server.MAX_RECV)
+            data = await self.stream.receive_some(READ_BYTES)
         except trio.BrokenResourceError:
             self.connection.note_end(connections.EndReason.CALLER_RESET)
             return None
@@ -151,7 +190,8 @@
         if isinstance(self.stream, trio.SocketStream):
             self._fd = self.stream.socket.fileno()
         try:
-            await super().run()
+            with self._run_scope:
+                await super().run()
         except BaseException as error:
             self.connection.note_failure(
                 end_reasons.reason_for_error(error, self._grace)
@@ -284,10 +324,15 @@
             self._send_scope = trio.CancelScope(
                 deadline=deadline_s, shield=True
             )
+            if self._gives_way:
+                self.connection.note_end(connections.EndReason.GAVE_WAY)
+                return False
             with self._send_scope:
                 await self.stream.send_all(
                     data[start : start + SEND_CHUNK_BYTES]
                 )
             if self._send_scope.cancelled_caught:
+                if self._gives_way:
+                    self.connection.note_end(connections.EndReason.GAVE_WAY)
                 return False
         return True
--- a/gentianstair/util/connections.py
+++ b/gentianstair/util/connections.py
@@ -1,5 +1,6 @@
 """Track each caller's connection, why it ended and who closed it."""
 
+import collections.abc
 import enum
 import time
 import typing
@@ -9,8 +10,10 @@
 
 from gentianstair.generated import events
 
-# Key of the connection in the state of a request's ASGI scope.
+# Keys of the connection, and of one request's progress, in the state of a
+# request's ASGI scope.
 STATE_KEY = 'gentianstair.connection'
+PROGRESS_KEY = 'gentianstair.progress'
 
 CONNECTIONS_ENDED = prometheus_client.Counter(
     'gentianstair_connections_ended',
@@ -50,6 +53,10 @@
     # The application aborted a response that had not been completed.
     RESPONSE_ABORTED = 'answer-cut'
     FAULT = 'fault'
+    # It gave way to another connection, or to another request's bytes.
+    GAVE_WAY = 'gave-way'
+    # The head of a request took too long.
+    HEAD_TIMEOUT = 'head-too-slow'
 
     @property
     def closed_by(self) -> Side:
@@ -67,11 +74,26 @@
 )
 
 
+class Phase(enum.Enum):
+    """What a caller's connection is used for now."""
+
+    # No whole head of a request has come.
+    NEW = 'new'
+    IDLE = 'idle'
+    # A request is being sent.
+    READING = 'reading'
+    # A whole request is being served.
+    SERVING = 'serving'
+
+
 class Connection:
     """The state of one caller's connection, for logs and metrics."""
 
     __slots__ = (
+        'abort',
         'end_reason',
+        'on_phase',
+        'phase',
         'request_id',
         'request_count',
         '_request_began_s',
@@ -81,6 +103,8 @@
         '_opened_s',
         '_active_requests',
         '_in_flight',
+        '_reading',
+        '_serving',
     )
 
     def __init__(self) -> None:
@@ -93,6 +117,26 @@
         self._active_requests = 0
         self._in_flight = False
         self._is_aborted = False
+        # Closes the connection at once, whatever is under way.
+        self.abort: collections.abc.Callable[[], None] | None = None
+        self.phase = Phase.NEW
+        # Called with the connection and its phase before, as that changes.
+        self.on_phase: (
+            collections.abc.Callable[[Connection, Phase], None] | None
+        ) = None
+        self._reading = self._serving = 0
+
+    def count_requests(self, reading: int, serving: int) -> None:
+        """Count so many more requests that are sent, and served."""
+        self._reading += reading
+        self._serving += serving
+        before, self.phase = self.phase, Phase.IDLE
+        if self._serving:
+            self.phase = Phase.SERVING
+        elif self._reading:
+            self.phase = Phase.READING
+        if self.phase is not before and self.on_phase is not None:
+            self.on_phase(self, before)
 
     @property
     def has_request_in_flight(self) -> bool:
@@ -182,6 +226,34 @@
         ).info('connection ended with a request in flight: {}', end.value)
 
 
+class RequestProgress:
+    """Whether one request on a connection is all there."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+        self._is_whole = False
+        connection.count_requests(reading=1, serving=0)
+
+    def note_whole(self) -> None:
+        """Note that the whole request has been read."""
+        if not self._is_whole:
+            self._is_whole = True
+            self._connection.count_requests(reading=-1, serving=1)
+
+    def note_end(self) -> None:
+        """Note that nothing is done for the request any more."""
+        whole = int(self._is_whole)
+        self._connection.count_requests(reading=whole - 1, serving=-whole)
+
+
+def progress_of_scope(
+    scope: typing.Mapping[str, typing.Any],
+) -> RequestProgress:
+    """Return the progress of a request by its ASGI scope."""
+    found = scope.get('state', {}).get(PROGRESS_KEY)
+    return found if found is not None else RequestProgress(of_scope(scope))
+
+
 def of_scope(scope: typing.Mapping[str, typing.Any]) -> Connection:
     """Return the connection of a request's ASGI scope."""
     found = scope.get('state', {}).get(STATE_KEY)
--- a/gentianstair/util/end_reasons.py
+++ b/gentianstair/util/end_reasons.py
@@ -91,12 +91,15 @@
         connection = connections.of_scope(scope)
         is_http2 = scope['http_version'] == '2'
         connection.note_request()
+        progress = connections.RequestProgress(connection)
+        scope.setdefault('state', {})[connections.PROGRESS_KEY] = progress
         try:
             await app(scope, receive, send)
         except BaseException as error:
             _note_error(connection, reason_for_error(error, grace), is_http2)
             raise
         finally:
+            progress.note_end()
             connection.note_handler_exit(is_http2)
 
     return serve_one
