Bound the bytes held of requests and answers together

In the users' trial such callers ended a process for want of memory: many bodies of legal size, most one byte short of their end. Nothing bounded bodies together (a list of parts, joined, joined with the head to be sent), nor answers that nobody reads.

One account for the process, from memory_mb, counts bytes as they come, and room for an answer before it is read. Without room, what has made no progress for longest gives way (16 KB are progress, a trickle is none); a complete request gives way to nothing, and the last eighth is for small ones. A body is held once and sent without a copy. Requests under way are bounded by the descriptors that they need; max_header_bytes of the configuration is kept.

--- a/gentianstair/core/exchange.py
+++ b/gentianstair/core/exchange.py
@@ -13,6 +13,7 @@
 import trio
 
 from gentianstair import errors
+from gentianstair.core import byte_account
 from gentianstair.util import connections
 
 Headers = list[tuple[bytes, bytes]]
@@ -25,6 +26,8 @@
 # the caller disconnected, or this process closed the connection.
 HTTP_CALLER_DISCONNECTED = 499
 HTTP_CLOSED_BY_SERVER = 444
+# Most of a body that is given to the server at once, which copies it.
+WRITE_BYTES = 32768
 
 
 class CallerDisconnectedError(errors.GentianstairError):
@@ -60,12 +63,15 @@
         # Called when the response starts; returns whether to close the
         # connection after it.
         self.should_close: collections.abc.Callable[[], bool] | None = None
+        # What is held of the request and its answer, if that is bounded.
+        self.holding: byte_account.Holding | None = None
+        self._progress = connections.progress_of_scope(scope)
         self._body_read = False
         self._is_http1 = scope.get('http_version', '1.1').startswith('1')
         self._receive = receive
         self._send = send
 
-    def check_header_size(self) -> None:
+    def check_header_size(self, limit_bytes: int = MAX_HEADERS_BYTES) -> None:
         """Raise RequestError if the headers together are too long.
 
         The server's own limit only applies to headers received in parts.
@@ -73,11 +79,11 @@
         size_bytes = sum(
             len(key) + len(value) for key, value in self.raw_headers
         )
-        if size_bytes > MAX_HEADERS_BYTES:
+        if size_bytes > limit_bytes:
             raise errors.RequestError(
                 HTTP_HEADERS_TOO_LARGE,
                 'headers-too-long',
-                f'headers may have {MAX_HEADERS_BYTES} bytes',
+                f'headers may have {limit_bytes} bytes',
             )
 
     def header(self, name: str) -> str | None:
@@ -130,9 +136,11 @@
         )
         if self._declared_bytes() > limit_bytes:
             raise too_long
-        parts: list[bytes] = []
-        size_bytes = 0
+        body = bytearray()
+        holding = self.holding
         with trio.move_on_after(timeout_s) as scope:
+            if holding is not None:
+                holding.wait_for_caller(scope.cancel)
             more = True
             while more:
                 message = await self._receive()
@@ -140,19 +148,33 @@
                     raise CallerDisconnectedError(
                         'the caller disconnected while sending its body'
                     )
-                parts.append(message.get('body', b''))
-                size_bytes += len(parts[-1])
-                if size_bytes > limit_bytes:
+                part = message.get('body', b'')
+                if len(body) + len(part) > limit_bytes:
                     raise too_long
+                self._hold(len(part))
+                body += part
                 more = message.get('more_body', False)
             self._body_read = True
+            self._progress.note_whole()
+            if holding is not None:
+                holding.settle()
+        if holding is not None and holding.is_evicted:
+            raise byte_account.no_room_for_body()
         if scope.cancelled_caught:
             raise errors.RequestError(
                 HTTP_TIMEOUT,
                 'body-timeout',
                 f'the body did not arrive within {timeout_s:g} s',
             )
-        return b''.join(parts)
+        return bytes(body)
+
+    def _hold(self, size_bytes: int) -> None:
+        """Hold more bytes of the body; raise RequestError without room."""
+        if self.holding is None:
+            return
+        self.holding.record_bytes(size_bytes)
+        if not self.holding.grow(size_bytes):
+            raise byte_account.no_room_for_body()
 
     def disconnect_status(self) -> int:
         """Return the logged status of a request whose connection ended."""
@@ -182,9 +204,13 @@
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body, waiting while the caller reads slowly."""
-        await self._send(
-            {'type': 'http.response.body', 'body': data, 'more_body': True}
-        )
+        for begin in range(0, len(data), WRITE_BYTES):
+            part = data[begin : begin + WRITE_BYTES]
+            await self._send(
+                {'type': 'http.response.body', 'body': part, 'more_body': True}
+            )
+            if self.holding is not None:
+                self.holding.record_bytes(len(part))
 
     async def end(self, data: bytes = b'') -> None:
         """Send the last part of the body.
--- a/gentianstair/gateway/forward.py
+++ b/gentianstair/gateway/forward.py
@@ -12,6 +12,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import byte_account
 from gentianstair.core import refusals
 from gentianstair.gateway import calls
 from gentianstair.gateway import end_proofs
@@ -136,9 +137,31 @@
         ).info('reached a replica through a peer')
 
 
-async def read_body(response: httpx.Response) -> bytes:
-    """Return a whole body; raise UpstreamError if it is incomplete."""
-    return await transport.read_all(response, MAX_RESPONSE_BYTES)
+async def read_body(
+    response: httpx.Response, holding: byte_account.Holding | None = None
+) -> bytes:
+    """Return a whole body; raise UpstreamError if it is incomplete.
+
+    Raise RequestError if holding has no room for it.
+    """
+    if holding is None:
+        return await transport.read_all(response, MAX_RESPONSE_BYTES)
+
+    # Room for all of it, so that no two wait for each other's rest.
+    reserved_bytes = _length(response)
+    if not await holding.wait_to_grow(reserved_bytes):
+        raise byte_account.no_room_for_answer()
+
+    def hold(size_bytes: int) -> None:
+        nonlocal reserved_bytes
+        reserved_bytes -= size_bytes
+        if reserved_bytes >= 0:
+            return
+        if not holding.grow(-reserved_bytes):
+            raise byte_account.no_room_for_answer()
+        reserved_bytes = 0
+
+    return await transport.read_all(response, MAX_RESPONSE_BYTES, hold)
 
 
 def ends_with_connection(response: httpx.Response) -> bool:
@@ -174,14 +197,24 @@
     raise errors.UnprovenEndError('the end of an answer is not proven')
 
 
-async def read_response(response: httpx.Response) -> ReplicaResponse:
-    """Return a response with its body; raise UpstreamError.
+def _length(response: httpx.Response) -> int:
+    """Return the bytes to expect by a response's headers, 0 if unknown."""
+    text = response.headers.get('content-length', '')
+    if not (text.isascii() and text.isdigit()):
+        return 0
+    return min(int(text), MAX_RESPONSE_BYTES)
+
+
+async def read_response(
+    response: httpx.Response, holding: byte_account.Holding | None = None
+) -> ReplicaResponse:
+    """Return a response with its body; raise UpstreamError or RequestError.
 
     That nothing has run is said by the headers, whatever becomes of the body.
     """
     verdict = denials.verdict_of(response)
     try:
-        body = await read_body(response)
+        body = await read_body(response, holding)
     except errors.UpstreamError as error:
         if verdict is not verdicts.Verdict.NOT_RUN:
             raise
@@ -214,11 +247,14 @@
 
 
 async def fetch_response(
-    node: nodes.Node, call: calls.Call, attempt: calls.Attempt
+    node: nodes.Node,
+    call: calls.Call,
+    attempt: calls.Attempt,
+    holding: byte_account.Holding | None = None,
 ) -> ReplicaResponse:
     """Send a call and return its whole response; raise UpstreamError."""
     async with open_response(node, call, attempt) as response:
-        return await read_response(response)
+        return await read_response(response, holding)
 
 
 async def fetch_report(
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -10,6 +10,7 @@
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 from gentianstair.core import asgi
+from gentianstair.core import byte_account
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import refusals
 from gentianstair.core import request_lifetime
@@ -64,6 +65,7 @@
         # While the process drains, responses ask callers to close their
         # connections.
         exchange.should_close = node.draining.is_set
+        self._holding = exchange.holding = node.byte_account.open()
         self._arrived_s = node.clock()
         self._call: calls.Call | None = None
         self._request: request_state.RequestState | None = None
@@ -94,6 +96,7 @@
             await self._respond(500, [], b'')
         finally:
             RUNNING.dec()
+            self._holding.release()
             # A request without a status was cancelled: the grace period is
             # over, or the process ends.
             self._status = self._status or exchanges.HTTP_CLOSED_BY_SERVER
@@ -224,6 +227,10 @@
             headers, body = http_codec.error_headers(request_id, None), b''
         self._status = told
         headers = [*headers, (b'content-length', b'%d' % len(body))]
+        if self._exchange.connection.abort is not None:
+            self._holding.wait_for_caller(
+                self._exchange.connection.abort, byte_account.ANSWER_PATIENCE_S
+            )
         await self._exchange.start(told, headers)
         await self._exchange.end(body)
 
@@ -241,6 +248,7 @@
             if node.active_config.catalog
             else (catalog.Limits())
         )
+        exchange.check_header_size(limits.max_header_bytes)
         # Read the body before any response: a connection with an unread body
         # can't be reused, and the caller would not know.
         body = await exchange.read_body(
@@ -264,9 +272,10 @@
         node.retry_budget.record_request(request.service)
         permit = await self._charge(active_catalog, request)
         try:
-            await self._run_to_deadline(
-                request, active_catalog.services.get(request.service)
-            )
+            with node.places.take():
+                await self._run_to_deadline(
+                    request, active_catalog.services.get(request.service)
+                )
         finally:
             if permit and request.verdict is verdicts.Verdict.NOT_RUN:
                 permit.refund()
--- a/gentianstair/gateway/node.py
+++ b/gentianstair/gateway/node.py
@@ -4,9 +4,11 @@
 
 import trio
 
+from gentianstair.core import byte_account
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
+from gentianstair.core import places
 from gentianstair.core import process_limits
 from gentianstair.core import prompt_faults
 from gentianstair.core import recent_rejections
@@ -93,6 +95,9 @@
     tunnel_peers: tunnel_peers.TunnelPeers
     tunnel_server: tunnel.TunnelServer
     process_limits: process_limits.ProcessLimits
+    byte_account: byte_account.ByteAccount
+    # Of requests under way at replicas.
+    places: places.Places
     path_keeper: path_keeper.PathKeeper
     store: stores.Store
     usage_counter: usage_counter.UsageCounter
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -9,10 +9,12 @@
 
 from gentianstair import errors
 from gentianstair.control import lease
+from gentianstair.core import byte_account
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
 from gentianstair.core import peer_choice
+from gentianstair.core import places
 from gentianstair.core import process_limits
 from gentianstair.core import prompt_fault_rows
 from gentianstair.core import prompt_faults
@@ -358,6 +360,8 @@
         tunnel_peers=peers,
         tunnel_server=tunnel_server,
         process_limits=own_limits,
+        byte_account=byte_account.ByteAccount(own_limits.held_bytes),
+        places=places.Places(own_limits.requests),
         path_keeper=path_keeper.PathKeeper(
             connector, replica_transport, now, random.Random(vm_settings.vm)
         ),
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -318,7 +318,9 @@
     ) -> None:
         """Handle a response that is no stream; raise if it is a failure."""
         request = self._request
-        replica_response = await forward.read_response(response)
+        replica_response = await forward.read_response(
+            response, request.exchange.holding
+        )
         if replica_response.may_be_part:
             await forward.check_end(self._node, request.call, replica)
         if not replica_response.is_failure and verdict is verdicts.Verdict.RAN:
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -81,7 +81,11 @@
 
     async def fetch() -> None:
         call = request.make_attempt(replica)
-        found.append(await forward.fetch_response(node, request.call, call))
+        found.append(
+            await forward.fetch_response(
+                node, request.call, call, request.exchange.holding
+            )
+        )
 
     load = node.load_tracker.begin(replica.name)
     try:
--- a/gentianstair/upstreams/transport.py
+++ b/gentianstair/upstreams/transport.py
@@ -25,6 +25,8 @@
 
 # Bounds the idle connections to one address.
 MAX_IDLE_CONNECTIONS = 256
+# Longest body that is sent in one piece with its head.
+COPIED_BYTES = 65536
 # How long the answer to a connection's first question is waited for.
 QUESTION_LIMIT_S = 0.25
 # Nine digits are more than any timeout.
@@ -158,6 +160,17 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
+async def _send_request(
+    stream: trio.abc.Stream, request: httpx.Request
+) -> None:
+    """Send a request; a long body is sent without a copy of it."""
+    if len(request.content) <= COPIED_BYTES:
+        await stream.send_all(_encode_head(request) + request.content)
+        return
+    await stream.send_all(_encode_head(request))
+    await stream.send_all(request.content)
+
+
 def _make_parser(
     answer_id: bytes | None, was_kept: bool
 ) -> response_parser.ResponseParser:
@@ -370,7 +383,7 @@
         if record_send is not None:
             record_send()
         try:
-            await stream.send_all(_encode_head(request) + request.content)
+            await _send_request(stream, request)
         except trio.BrokenResourceError as error:
             raise errors.ConnectionBrokenError(
                 'the connection broke while sending'
@@ -454,13 +467,25 @@
                 await trio.aclose_forcefully(idle.pop().stream)
 
 
-async def read_all(response: httpx.Response, limit_bytes: int) -> bytes:
-    """Return the whole body; raise UpstreamError if it is too long."""
+def _hold_nothing(_: int) -> None:
+    pass
+
+
+async def read_all(
+    response: httpx.Response,
+    limit_bytes: int,
+    hold: collections.abc.Callable[[int], None] = _hold_nothing,
+) -> bytes:
+    """Return the whole body; raise UpstreamError if it is too long.
+
+    hold is called with the size of each part, and may raise.
+    """
     body_parts = []
     size = 0
     async for part in response.stream:
         body_parts.append(part)
         size += len(part)
+        hold(len(part))
         if size > limit_bytes:
             raise errors.UpstreamError(
                 'the answer is too long', verdicts.Verdict.RAN
