Bound what callers take of entry and control too

The same cause stood there: entry kept bodies without a bound for all of them, and parsed them into many times their size; neither bounded its connections. entry has settings memory_mb and max_fds now, the account, the table of connections and the limits of heads; control takes 256 connections. Their tests pass (492 of entry, settings, docs, control, path); a crowd was not played at them.

--- a/gentianstair/control/main.py
+++ b/gentianstair/control/main.py
@@ -33,6 +33,8 @@
 from gentianstair.util import stop_signals
 from gentianstair.util import tasks
 
+# Of operators and other processes of this kind, at the same time.
+MAX_CONNECTIONS = 256
 # Time that open HTTP requests have at a stop; also the interval at which the
 # candidates are updated.
 SHUTDOWN_GRACE_S = 1.0
@@ -186,6 +188,7 @@
             sock,
             stop_requested.wait,
             SHUTDOWN_GRACE_S,
+            max_connections=MAX_CONNECTIONS,
         )
         loguru.logger.info(
             'stopping: releasing {} leases', len(lease_manager.held)
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -11,6 +11,7 @@
 
 from gentianstair import errors
 from gentianstair import verdict as verdicts
+from gentianstair.core import byte_account
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import refusals
 from gentianstair.core import request_digest
@@ -32,6 +33,8 @@
 NOT_FRESH_RETRY_AFTER_S = 1.0
 # Set by common client libraries to the number of earlier tries.
 RETRY_COUNT_HEADER = 'x-stainless-retry-count'
+# What a byte of a completion's body becomes at most as it is parsed.
+PARSED_BYTES_PER_BYTE = 16
 # Prompt tokens and max tokens that admission counts for a service call.
 SERVICE_CALL_TOKENS = 1
 
@@ -83,6 +86,7 @@
         self._status = 0
         self._verdict = verdicts.Verdict.NOT_RUN
         self._runs = run_verdict.RunVerdict()
+        self._holding = exchange.holding = node.byte_account.open()
 
     async def serve(self) -> None:
         """Serve the request; every failure ends in an error response."""
@@ -106,6 +110,7 @@
             await self._send_failure(_internal_error())
         finally:
             RUNNING_REQUESTS.dec()
+            self._holding.release()
             # Without a status the request was cancelled, by the end of the
             # grace period or of the process.
             self._status = self._status or exchanges.HTTP_CLOSED_BY_SERVER
@@ -199,6 +204,8 @@
         self, caller: callers.Caller, body: bytes, deadline_s: float
     ) -> None:
         node = self._node
+        if not self._holding.grow(PARSED_BYTES_PER_BYTE * len(body)):
+            raise byte_account.no_room_for_body()
         completion = completions.parse(self._exchange.path, body)
         bundle = node.view.active_bundle()
         model = callers.resolve_model(bundle, caller, completion.model)
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -11,7 +11,9 @@
 from gentianstair import daemon
 from gentianstair import errors
 from gentianstair.config import view as views
+from gentianstair.core import byte_account
 from gentianstair.core import grace_period
+from gentianstair.core import process_limits
 from gentianstair.entry import admission
 from gentianstair.entry import admission_types
 from gentianstair.entry import app as apps
@@ -134,6 +136,9 @@
         path_keeper=parts.path_keeper,
         permits=parts.permits,
         grace=grace_period.GracePeriod(),
+        byte_account=byte_account.ByteAccount(
+            process_limits.derive(config.memory_mb, config.max_fds).held_bytes
+        ),
     )
     return node, peer
 
@@ -210,7 +215,12 @@
     tls.check_plaintext_allowed(
         config.operator_listen, config.insecure_plain, '--operator-listen'
     )
-    sock = serving.listen(config.listen, reuse_port=True)
+    own_limits = process_limits.derive(config.memory_mb, config.max_fds)
+    sock = serving.listen(
+        config.listen,
+        reuse_port=True,
+        receive_buffer_bytes=own_limits.receive_buffer_bytes,
+    )
     operator_sock = serving.listen(config.operator_listen)
     leaving = trio.Event()
 
@@ -252,6 +262,7 @@
             operator_sock,
             trio.sleep_forever,
             OPERATOR_DRAIN_TIMEOUT_S,
+            own_limits.operator_connections,
         )
         print(f'listening {host}:{port} {operator_port}', flush=True)
         if credentials:
@@ -263,6 +274,7 @@
             config.drain_timeout_s,
             credentials.server if credentials else None,
             send_stall_s=config.caller_stall_s,
+            max_connections=own_limits.caller_connections,
         )
         if peer.tunnel_server is not None:
             with trio.move_on_after(node.grace.remaining_s()):
--- a/gentianstair/entry/node.py
+++ b/gentianstair/entry/node.py
@@ -3,6 +3,7 @@
 import typing
 
 from gentianstair.config import view as views
+from gentianstair.core import byte_account
 from gentianstair.core import ejection
 from gentianstair.core import grace_period
 from gentianstair.core import path_keeper
@@ -46,6 +47,7 @@
     permits: upstream_permits.EntryPermits
     grace: grace_period.GracePeriod
     held_requests: held_requests.HeldRequests
+    byte_account: byte_account.ByteAccount
 
     @property
     def ejector(self) -> ejection.Ejector:
--- a/test/entry/test_cut_connections.py
+++ b/test/entry/test_cut_connections.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from gentianstair.core import byte_account
 from gentianstair.core import exchange as exchanges
 from gentianstair.entry import explain
 from gentianstair.entry import handler as handlers
@@ -67,7 +68,9 @@
     }
     explanations = explain.make_explanations()
     node = types.SimpleNamespace(
-        clock=time.monotonic, explanations=explanations
+        clock=time.monotonic,
+        explanations=explanations,
+        byte_account=byte_account.ByteAccount(1000),
     )
     monkeypatch.setattr(handlers.Handler, '_handle', handle)
     handler = handlers.Handler(node, exchanges.Exchange(scope, None, None))
