--- a/gentianstair/util/partial_head.py
+++ b/gentianstair/util/partial_head.py
@@ -37,11 +37,14 @@
         limits = self._limits()
         pending_bytes = self._bytes_of(protocol)
         largest = limits.raw_bytes
+        kept_bytes = pending_bytes
         if self._watched is not None:
+            # A head may be under way beside requests that are served.
+            kept_bytes = self._pending_bytes
             largest = max(
                 largest, 2 * protocol.config.h2_max_inbound_frame_size
             )
-        self.is_too_long = pending_bytes > largest
+        self.is_too_long = kept_bytes > largest
         if not pending_bytes:
             self.deadline_s = math.inf
         elif math.isinf(self.deadline_s):
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -230,16 +230,24 @@
     return call
 
 
-def http2_endless_head(frames: int, frame_bytes: int) -> Caller:
-    """Send a header block that CONTINUATION frames never end."""
+def http2_endless_head(
+    frames: int, frame_bytes: int, beside: bool = False
+) -> Caller:
+    """Send a header block that CONTINUATION frames never end.
+
+    With beside, a request is begun on the connection before.
+    """
 
     def frame(kind: int, payload: bytes) -> bytes:
         size = len(payload).to_bytes(3, 'big')
-        return size + bytes([kind, 0]) + (1).to_bytes(4, 'big') + payload
+        stream_id = 3 if beside else 1
+        return size + bytes([kind, 0]) + stream_id.to_bytes(4, 'big') + payload
 
-    async def call(stream: trio.abc.Stream, _: int) -> None:
+    async def call(stream: trio.abc.Stream, number: int) -> None:
         protocol = _http2()
         protocol.initiate_connection()
+        if beside:
+            protocol.send_headers(1, _http2_headers(number))
         # A literal field whose value is long, without its end.
         block = b'\x00\x01x\x7f\xff\xff\xff\x07' + b'y' * frame_bytes
         await stream.send_all(
--- a/test/gateway/test_crowds.py
+++ b/test/gateway/test_crowds.py
@@ -82,6 +82,9 @@
     'http-2-endless-heads': scarce_memory(
         crowd.http2_endless_head(60, 16000), 100
     ),
+    'http-2-endless-heads-beside-a-request': scarce_memory(
+        crowd.http2_endless_head(60, 16000, beside=True), 100
+    ),
     'http-2-resets': scarce_memory(crowd.http2_resets(300), 10),
     'http-2-pings': scarce_memory(crowd.http2_pings(3000), 10),
     'answers-unread': scarce_memory(
