Let a VM that nobody has told anything grant no trial

Cause: a VM that has just started hears no hub, takes itself for the keeper of trials and grants one by the two ends that the store had, as the third came after the last heartbeat. Ruled out: keepers that grant wrongly; the links were not open. Class: silence taken for absence at the start. Change: a VM that knows of others and has heard of none yet denies, for 5 s at most.

--- a/gentianstair/gateway/part_trials.py
+++ b/gentianstair/gateway/part_trials.py
@@ -33,6 +33,9 @@
     def is_own(self, name: str) -> bool:
         """Return whether this VM keeps what is known by this name."""
 
+    def awaits_reports(self) -> bool:
+        """Return whether this VM is new and no hub has told it anything."""
+
     def link_towards(self, name: str) -> link.Channel | None:
         """Return the link on which to ask the keeper, if there is one."""
 
@@ -60,6 +63,9 @@
         """
         name = key.hex()
         if self._keepers.is_own(name):
+            if self._keepers.awaits_reports():
+                # What it has read in the store may lack the latest ends.
+                return Grant(False, UNANSWERED_WAIT_S)
             return self._faults.grant_trial(key, interval_s)
         channel = self._keepers.link_towards(name)
         known = self._faults.get(key)
--- a/gentianstair/gateway/permit_keepers.py
+++ b/gentianstair/gateway/permit_keepers.py
@@ -19,6 +19,9 @@
 # A hub that is silent for this long keeps no permits. Hubs report several
 # times a second.
 HUB_TIMEOUT_S = 1.2
+# How long a VM that has started waits for the first report of a hub. Hubs list
+# the VMs, and then link to a new one, within about two seconds.
+FIRST_REPORT_S = 5.0
 # Links that a question passes: from a leaf to its hub, to the keeper as that
 # hub sees it, and to the keeper as this one sees it.
 MAX_HOPS = 3
@@ -48,6 +51,8 @@
         self._fleet = fleet
         self._known = known
         self._clock = clock
+        self._started_s = clock()
+        self._has_heard = False
         self._own = permit_keeper.PermitKeeper(clock)
         self._questions = permit_questions.Questions()
         # When each hub that keeps permits last reported, by address.
@@ -63,11 +68,21 @@
 
     def record_report(self, address: str, keeps: bool) -> None:
         """Record a hub's report, and whether it keeps permits."""
+        self._has_heard = True
         if keeps:
             self._heard_s[address] = self._clock()
         else:
             self._heard_s.pop(address, None)
 
+    def awaits_reports(self) -> bool:
+        """Return whether this VM is new and no hub has told it anything.
+
+        Silence does not mean yet that there is no other hub.
+        """
+        if self._has_heard or self._fleet.vm_count() <= 1:
+            return False
+        return self._clock() - self._started_s < FIRST_REPORT_S
+
     def keeper_of(self, name: str) -> str | None:
         """Return the address of a keeper as this hub sees it.
 
--- a/test/gateway/test_part_trials.py
+++ b/test/gateway/test_part_trials.py
@@ -15,13 +15,17 @@
 class Keepers:
     """Where this VM finds the keeper: at itself, or on a link."""
 
-    def __init__(self, channel=None, own=False):
+    def __init__(self, channel=None, own=False, is_new=False):
         self.channel = channel
         self.own = own
+        self.is_new = is_new
 
     def is_own(self, name):
         return self.own
 
+    def awaits_reports(self):
+        return self.is_new
+
     def link_towards(self, name):
         return self.channel
 
@@ -105,6 +109,15 @@
     assert grant.wait_s > 0
 
 
+async def test_vm_that_nobody_has_told_grants_no_trial():
+    # Guards against a VM that has just started and grants a trial by what
+    # the store had of the ends, as it hears no other keeper yet.
+    vm = Vm(Keepers(own=True, is_new=True))
+    grant = await vm.trials.ask(BAD.key, 0.5)
+    assert not grant.is_granted
+    assert grant.wait_s > 0
+
+
 async def test_odd_question_is_told_apart():
     keeper = Vm(Keepers(own=True))
     with pytest.raises(errors.DecodeError):
--- a/test/gateway/test_permit_keepers.py
+++ b/test/gateway/test_permit_keepers.py
@@ -235,3 +235,35 @@
         stopping.record_report(other.address, False)
     assert stopping.keeper_of(run.name) == stopping.address
     assert (await stopping.ask(ask(run))).is_granted
+
+
+NEW_ROWS = {
+    'just-started': ((4, 0.0, False), True),
+    'alone': ((1, 0.0, False), False),
+    'told': ((4, 0.0, True), False),
+    'others-gone': ((4, permit_keepers.FIRST_REPORT_S + 0.1, False), False),
+}
+
+
+@pytest.mark.parametrize(('state', 'awaits'), NEW_ROWS.values(), ids=NEW_ROWS)
+async def test_new_vm_awaits_a_report_for_a_while(
+    autojump_clock, state, awaits
+):
+    # Guards against silence taken for the absence of others at the start,
+    # and against a last VM that waits for them for ever.
+    vm_count, age_s, has_heard = state
+    keepers = permit_keepers.PermitKeepers(
+        permit_keepers.Fleet(
+            'own:1',
+            lambda: True,
+            lambda: False,
+            lambda: 1.0,
+            lambda: vm_count,
+        ),
+        upstream_limits.UpstreamLimits(clocks.trio_time_s),
+        clocks.trio_time_s,
+    )
+    if has_heard:
+        keepers.record_report('other:1', False)
+    await trio.sleep(age_s)
+    assert keepers.awaits_reports() is awaits
--- a/test/gateway/test_requests_that_end_replicas.py
+++ b/test/gateway/test_requests_that_end_replicas.py
@@ -49,6 +49,8 @@
     # How long a replica takes to end.
     takes_s: float = 0.0
     killed_vms: int = 0
+    # Whether the VM that takes their place is asked as soon as it serves.
+    asks_fresh: bool = False
     # Replicas that end by themselves, one each second.
     others_end: int = 0
 
@@ -64,6 +66,9 @@
     'repeated-at-once': Row(repeats=30, pause_s=0.1),
     'under-way-at-once': Row(repeats=30, pause_s=0.2, takes_s=0.5),
     'vms-killed': Row(vms=4, repeats=14, killed_vms=2),
+    'fresh-vm-asked-at-once': Row(
+        vms=4, repeats=14, killed_vms=2, asks_fresh=True
+    ),
     'others-end-beside': Row(others_end=6),
     'safe-without-prompt': Row((), '', LOOKUP, SOUND_LOOKUP),
     'safe-at-one-vm': Row((), '', LOOKUP, SOUND_LOOKUP, vms=1),
@@ -112,6 +117,16 @@
     await ends_play.replace_vms(play, tmp_path, count)
 
 
+async def ask_fresh(play, row):
+    """Send the request to the VM that joins, once it serves."""
+    known = set(play.vms)
+    while not row.asks_fresh or set(play.vms) <= known:
+        await trio.sleep(0.01)
+    for _ in range(4):
+        await play.ask('bad', row.shared, len(play.vms) - 1, row.own, row.way)
+        await trio.sleep(0.1)
+
+
 async def end_others(play, count):
     """End so many decode replicas for no reason of a request."""
     for replica in ends_play.makers(play.site)[:count]:
@@ -146,6 +161,7 @@
         all_.start_soon(end_others, play, row.others_end)
         if row.killed_vms:
             all_.start_soon(kill_vms, play, tmp_path, row.killed_vms)
+            all_.start_soon(ask_fresh, play, row)
         await repeat(play, row)
         ends = play.ends('bad')
         all_.cancel_scope.cancel()
