Bound the connections at an entry's addresses for peers and claims

Cause of two that failed: the listeners for peers and for claims accepted without a bound, so that 200 silent connections took 214 sockets where 120 were granted. Now each takes half of what is granted to peers (29 sockets in all there); one beyond is closed at once, and its process links again.

--- a/gentianstair/entry/claim_links.py
+++ b/gentianstair/entry/claim_links.py
@@ -246,10 +246,14 @@
     claims: claimses.Claims,
     store: stores.Store,
     clock: clocks.Clock,
+    max_accepted: int,
 ) -> Links:
-    """Return links by the settings; the name is unique to this process."""
+    """Return links by the settings; the name is unique to this process.
+
+    At most max_accepted links of other processes are served.
+    """
     network = link.make_network(
-        config._replace(peer_listen=config.claim_listen)
+        config._replace(peer_listen=config.claim_listen), max_accepted
     )
     name = f'{config.vm_name}.{confirmed_write.new_nonce()}'
 
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -30,6 +30,7 @@
 from gentianstair.entry import upstream_parts
 from gentianstair.entry import usage as usages
 from gentianstair.generated import settings as generated
+from gentianstair.peers import link
 from gentianstair.peers import node as peers
 from gentianstair.store import call_budget
 from gentianstair.store import http_store
@@ -41,6 +42,9 @@
 
 # How long the operator listener waits for its requests at shutdown.
 OPERATOR_DRAIN_TIMEOUT_S = 1.0
+# Addresses at which other processes of the fleet connect: for peers and for
+# claims. They share the connections that are granted to peers.
+PEER_LISTENERS = 2
 
 
 def _make_weight_lookup(view: views.View) -> typing.Callable[[str], float]:
@@ -67,6 +71,12 @@
     return limits_of
 
 
+def _own_limits(
+    config: generated.EntrySettings,
+) -> process_limits.ProcessLimits:
+    return process_limits.derive(config.memory_mb, config.max_fds)
+
+
 def make_node(
     config: generated.EntrySettings,
     running: tasks.Tasks,
@@ -84,7 +94,11 @@
         config,
         now,
     )
-    peer = peers.make_node(config, view, store, now)
+    own_limits = _own_limits(config)
+    peer_network = link.make_network(
+        config, own_limits.peer_connections // PEER_LISTENERS
+    )
+    peer = peers.make_node(config, view, store, now, peer_network)
     parts = upstream_parts.make_upstream_parts(
         config, view, peer, running, leaving
     )
@@ -136,9 +150,7 @@
         path_keeper=parts.path_keeper,
         permits=parts.permits,
         grace=grace_period.GracePeriod(),
-        byte_account=byte_account.ByteAccount(
-            process_limits.derive(config.memory_mb, config.max_fds).held_bytes
-        ),
+        byte_account=byte_account.ByteAccount(own_limits.held_bytes),
     )
     return node, peer
 
@@ -215,7 +227,7 @@
     tls.check_plaintext_allowed(
         config.operator_listen, config.insecure_plain, '--operator-listen'
     )
-    own_limits = process_limits.derive(config.memory_mb, config.max_fds)
+    own_limits = _own_limits(config)
     sock = serving.listen(
         config.listen,
         reuse_port=True,
@@ -244,7 +256,11 @@
         running = tasks.Tasks(nursery)
         node, peer = make_node(config, running, leaving)
         links = claim_links.connect(
-            config, node.claims, node.claims.store, node.clock
+            config,
+            node.claims,
+            node.claims.store,
+            node.clock,
+            own_limits.peer_connections // PEER_LISTENERS,
         )
         running.keep_running('peers', peer.run)
         await peer.started.wait()
--- a/gentianstair/peers/link.py
+++ b/gentianstair/peers/link.py
@@ -315,9 +315,12 @@
             )
 
 
-def make_network(settings: typing.Any) -> WebsocketNetwork:
+def make_network(
+    settings: typing.Any, max_accepted: int | None = None
+) -> WebsocketNetwork:
     """Return the network that the settings describe.
 
+    It serves at most max_accepted connections of peers at the same time.
     Raise SettingsError when links would be unencrypted beyond loopback
     without insecure_plain, or when the TLS files do not load.
     """
@@ -331,4 +334,4 @@
         tls.check_plaintext_allowed(
             settings.peer_listen, settings.insecure_plain, '--peer-listen'
         )
-    return WebsocketNetwork(settings.peer_listen, credentials)
+    return WebsocketNetwork(settings.peer_listen, credentials, max_accepted)
--- a/standins/crowd.py
+++ b/standins/crowd.py
@@ -8,6 +8,7 @@
 import contextlib
 import pathlib
 import ssl
+import subprocess
 import typing
 
 import h2.config
@@ -21,6 +22,7 @@
 PIECE_BYTES = 4096
 # Longest wait for one write, or for an answer.
 STEP_S = 3.0
+SAMPLE_S = 0.02
 MEGABYTE = 1_000_000
 
 Connect = collections.abc.Callable[
@@ -31,6 +33,9 @@
     [trio.abc.Stream, int], collections.abc.Awaitable[None]
 ]
 
+# Returns the process that runs at present; it may be started again.
+Current = collections.abc.Callable[[], subprocess.Popen]
+
 
 def head(
     number: int,
@@ -76,11 +81,14 @@
     missing: int = 1,
     size_line: str = '{:x}',
     ends: bool = False,
+    **request: str,
 ) -> Caller:
     """Send a body in chunks, and stop short of the end of the last one."""
 
     async def call(stream: trio.abc.Stream, number: int) -> None:
-        await stream.send_all(head(number, 'transfer-encoding: chunked'))
+        await stream.send_all(
+            head(number, 'transfer-encoding: chunked', **request)
+        )
         line = f'{size_line.format(chunk_bytes)}\r\n'.encode()
         chunk = line + bytes(chunk_bytes) + b'\r\n'
         whole = max(1, body_bytes // chunk_bytes)
@@ -93,11 +101,15 @@
     return call
 
 
-def endless_chunks(chunk_bytes: int, limit_bytes: int) -> Caller:
+def endless_chunks(
+    chunk_bytes: int, limit_bytes: int, **request: str
+) -> Caller:
     """Send chunks on and on, far over any limit."""
 
     async def call(stream: trio.abc.Stream, number: int) -> None:
-        await stream.send_all(head(number, 'transfer-encoding: chunked'))
+        await stream.send_all(
+            head(number, 'transfer-encoding: chunked', **request)
+        )
         chunk = f'{chunk_bytes:x}\r\n'.encode() + bytes(chunk_bytes) + b'\r\n'
         for _ in range(limit_bytes // chunk_bytes):
             await stream.send_all(chunk)
@@ -118,14 +130,41 @@
     return call
 
 
-def unread(requests: int, body_bytes: int = 0) -> Caller:
+def unread(requests: int, body_bytes: int = 0, **request: str) -> Caller:
     """Send whole requests one behind the other, and read no answer."""
 
     async def call(stream: trio.abc.Stream, number: int) -> None:
         for place in range(requests):
             name = number * 1_000_000 + place
             lines = [f'content-length: {body_bytes}']
-            await stream.send_all(head(name, *lines) + bytes(body_bytes))
+            whole = head(name, *lines, **request) + bytes(body_bytes)
+            await stream.send_all(whole)
+
+    return call
+
+
+def whole(body: bytes, **request: str) -> Caller:
+    """Send one whole request, and read no answer."""
+
+    async def call(stream: trio.abc.Stream, number: int) -> None:
+        line = f'content-length: {len(body)}'
+        await stream.send_all(head(number, line, **request) + body)
+
+    return call
+
+
+def begun_handshake(sent_bytes: int) -> Caller:
+    """Begin a TLS handshake, and stop short of its end."""
+
+    async def call(stream: trio.abc.Stream, _: int) -> None:
+        outgoing = ssl.MemoryBIO()
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+        context.check_hostname = False
+        context.verify_mode = ssl.CERT_NONE
+        shaking = context.wrap_bio(ssl.MemoryBIO(), outgoing)
+        with contextlib.suppress(ssl.SSLWantReadError):
+            shaking.do_handshake()
+        await stream.send_all(outgoing.read()[:sent_bytes])
 
     return call
 
@@ -154,10 +193,12 @@
     )
 
 
-def _http2_headers(number: int) -> list[tuple[str, str]]:
+def _http2_headers(
+    number: int, path: str = '/register/x'
+) -> list[tuple[str, str]]:
     return [
         (':method', 'POST'),
-        (':path', '/register/x'),
+        (':path', path),
         (':scheme', 'http'),
         (':authority', 'judging.example'),
         ('host', 'judging.example'),
@@ -167,7 +208,7 @@
     ]
 
 
-def http2_bodies(streams: int, body_bytes: int) -> Caller:
+def http2_bodies(streams: int, body_bytes: int, **request: str) -> Caller:
     """Send a body short of its end on each of many HTTP/2 streams."""
 
     async def call(stream: trio.abc.Stream, number: int) -> None:
@@ -176,7 +217,8 @@
         left = {}
         for place in range(streams):
             name = protocol.get_next_available_stream_id()
-            protocol.send_headers(name, _http2_headers(1000 * number + place))
+            headers = _http2_headers(1000 * number + place, **request)
+            protocol.send_headers(name, headers)
             left[name] = body_bytes - 1
         await stream.send_all(protocol.data_to_send())
         while left:
@@ -360,4 +402,33 @@
     return Cost(peaks_kb[0] * 1024 / MEGABYTE, sockets)
 
 
-__all__ = ['Cost', 'Crowd', 'connector', 'cost']
+class Watch:
+    """The most that a process holds, and whether it lives on."""
+
+    def __init__(self, current: Current) -> None:
+        self._current = current
+        self.peak_mb = 0.0
+        self.sockets = 0
+
+    async def run(self) -> None:
+        """Look at it again and again."""
+        while True:
+            self.look()
+            await trio.sleep(SAMPLE_S)
+
+    def look(self) -> bool:
+        """Look once; return whether the process is there."""
+        process = self._current()
+        if process.poll() is not None:
+            return False
+        try:
+            found = cost(process.pid)
+        except OSError:
+            # It ended just now.
+            return False
+        self.peak_mb = max(self.peak_mb, found.peak_mb)
+        self.sockets = max(self.sockets, found.sockets)
+        return True
+
+
+__all__ = ['Cost', 'Crowd', 'Watch', 'connector', 'cost']
--- a/test/gateway/test_crowds.py
+++ b/test/gateway/test_crowds.py
@@ -21,7 +21,6 @@
 MEBIBYTE = 1024 * 1024
 # Of the descriptors, those for files.
 FILES = 200
-SAMPLE_S = 0.02
 ANSWER_S = 20.0
 # Far longer than a planned stop may take.
 STOP_S = 60.0
@@ -115,33 +114,6 @@
 }
 
 
-class Watch:
-    """The most that a process held, and whether it lived on."""
-
-    def __init__(self, gateway):
-        self._gateway = gateway
-        self.peak_mb = 0.0
-        self.sockets = 0
-
-    async def run(self):
-        while True:
-            self.look()
-            await trio.sleep(SAMPLE_S)
-
-    def look(self):
-        """Look once; return whether the process is there."""
-        if not self._gateway.is_running():
-            return False
-        try:
-            found = crowd.cost(self._gateway.process.pid)
-        except OSError:
-            # It ended just now.
-            return False
-        self.peak_mb = max(self.peak_mb, found.peak_mb)
-        self.sockets = max(self.sockets, found.sockets)
-        return True
-
-
 async def ask(gateway, name, body=b''):
     """Return the status of one ordinary request, None without an answer."""
     headers = {
@@ -186,7 +158,7 @@
 class Played(typing.NamedTuple):
     """What a play showed."""
 
-    watch: Watch
+    watch: crowd.Watch
     # Of ordinary requests: while the crowd was there, and afterwards.
     beside: int | None
     afterwards: int | None
@@ -211,7 +183,7 @@
             for replica in found:
                 replica.faults.silent = row.moment == 'replicas-hang'
             async with trio.open_nursery() as nursery:
-                watch = Watch(gateway)
+                watch = crowd.Watch(lambda: gateway.process)
                 nursery.start_soon(watch.run)
                 present = crowd.Crowd(
                     crowd.connector(gateway.ports[row.address]), row.caller
