Count what a connection over TLS takes

Cause: an entry granted its callers' connections 16 KB each, and over TLS one takes 71 KB when idle and up to 300 with a body under way: the read-ahead of 64 KB at a time stays in TLS's own buffer, where no window slows its caller. The row bodies-over-tls: 129 MB with 120 granted. Without TLS nothing changes.

--- a/gentianstair/core/process_limits.py
+++ b/gentianstair/core/process_limits.py
@@ -19,8 +19,10 @@
 HELD_SHARE = 0.15
 CONNECTIONS_SHARE = 0.1
 UNREAD_SHARE = 1 / 6
-# What an open connection takes, without a request.
+# What an open connection takes, without what is held of a request; over TLS
+# also what has come and is not decrypted yet.
 CONNECTION_BYTES = 16384
+TLS_CONNECTION_BYTES = 262144
 MIN_RECEIVE_BUFFER_BYTES = 16384
 
 
@@ -39,18 +41,25 @@
     receive_buffer_bytes: int
 
 
-def derive(memory_mb: float, max_fds: int) -> ProcessLimits:
+def derive(
+    memory_mb: float, max_fds: int, callers_use_tls: bool = False
+) -> ProcessLimits:
     """Return the limits of a process that is granted so much.
 
     >>> derive(300, 4100).caller_connections, derive(300, 4100).held_bytes
     (1560, 45000000)
+    >>> derive(300, 4100, callers_use_tls=True).caller_connections
+    114
     """
     sockets = max(MIN_SOCKETS, max_fds - FILE_DESCRIPTORS)
     memory_bytes = memory_mb * MEGABYTE
+    connection_bytes = (
+        TLS_CONNECTION_BYTES if callers_use_tls else CONNECTION_BYTES
+    )
     callers = int(
         min(
             sockets * CALLERS_SHARE,
-            memory_bytes * CONNECTIONS_SHARE / CONNECTION_BYTES,
+            memory_bytes * CONNECTIONS_SHARE / connection_bytes,
         )
     )
     return ProcessLimits(
--- a/gentianstair/entry/main.py
+++ b/gentianstair/entry/main.py
@@ -74,7 +74,9 @@
 def _own_limits(
     config: generated.EntrySettings,
 ) -> process_limits.ProcessLimits:
-    return process_limits.derive(config.memory_mb, config.max_fds)
+    return process_limits.derive(
+        config.memory_mb, config.max_fds, bool(config.tls_cert_file)
+    )
 
 
 def make_node(
--- a/gentianstair/util/serving.py
+++ b/gentianstair/util/serving.py
@@ -21,6 +21,7 @@
 from gentianstair.util import connection_table
 from gentianstair.util import connections
 from gentianstair.util import end_reasons
+from gentianstair.util import short_reads
 
 BACKLOG = 4096
 MAX_HEADER_BYTES = 32768
@@ -101,7 +102,9 @@
     listener = batch_listener.BatchListener(sock)
     if context is None:
         return listener
-    return trio.SSLListener(listener, context, https_compatible=True)
+    return trio.SSLListener(
+        short_reads.ShortReadListener(listener), context, https_compatible=True
+    )
 
 
 class HeadLimits(typing.NamedTuple):
--- a/test/entry/test_crowds.py
+++ b/test/entry/test_crowds.py
@@ -130,6 +130,9 @@
     'silent-before-a-handshake': scarce_descriptors(
         crowd.silent, has_tls=True, shakes_hands=False
     ),
+    'bodies-over-tls': scarce_memory(
+        crowd.announced(MEBIBYTE, path=PATH), has_tls=True
+    ),
     'silent-at-control': at_control(crowd.silent, 500),
     'bodies-at-control': at_control(
         crowd.announced(4 * MEBIBYTE, path='/x'), 120
