Play pairs of events on a described site

--event pair: two of the events, drawn by the seed, the second within a second of the first. Single events are drawn as before.

--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -42,9 +42,10 @@
     parser.add_argument('--product', type=pathlib.Path, help='a checkout')
     parser.add_argument(
         '--event',
-        choices=('each', *single_events.EVENTS),
+        choices=('each', single_events.PAIR, *single_events.EVENTS),
         default='',
-        help='the only trouble; each: one play for each of them',
+        help='the only trouble; each: one play for each of them; pair: two '
+        'of them that the seed draws',
     )
     found = parser.parse_args()
     events = [found.event]
--- a/standins/experiment/play.py
+++ b/standins/experiment/play.py
@@ -35,7 +35,7 @@
     starts_over: str = ''
     # The share of tries at resumable streams that callers leave.
     leaves: float = 0.0
-    # One of single_events.EVENTS, which is then the only trouble.
+    # One of single_events.EVENTS, or its PAIR, which is then the only trouble.
     event: str = ''
 
 
--- a/standins/experiment/single_events.py
+++ b/standins/experiment/single_events.py
@@ -1,4 +1,4 @@
-"""Draw plays of a described site with one event each.
+"""Draw plays of a described site with one event each, or two.
 
 Answers that are odd may come around it, from replicas that are drawn.
 """
@@ -12,6 +12,9 @@
 BEGINS_S = (4.0, 8.0)
 ODD_AROUND_S = 0.5
 ODD_REPLICAS = 2
+# Stands for two events, drawn by the seed, and how soon the second follows.
+PAIR = 'pair'
+PAIR_APART_S = 1.0
 
 # What happens, by the name of the event: where, what, how long it lasts.
 EVENTS: dict[str, tuple[str, str, float]] = {
@@ -37,11 +40,23 @@
 
 
 def draw(event: str, seed: int, odd: typing.Iterable[str]) -> list[plan.Fault]:
-    """Return the event and the odd answers around it, in order."""
+    """Return the events and the odd answers around them, in order.
+
+    event names one of EVENTS, or is PAIR.
+    """
     chance = random.Random(f'event/{event}/{seed}')
-    where, what, lasts_s = EVENTS[event]
+    names = chance.sample(sorted(EVENTS), 2) if event == PAIR else [event]
     at_s = chance.uniform(*BEGINS_S)
-    found = [plan.Fault(at_s, where, what, chance.randrange(1000), lasts_s)]
+    begins_s = at_s
+    found = []
+    for name in names:
+        where, what, lasts_s = EVENTS[name]
+        if found:
+            begins_s += chance.uniform(0.0, PAIR_APART_S)
+        found.append(
+            plan.Fault(begins_s, where, what, chance.randrange(1000), lasts_s)
+        )
+    ends_s = max(fault.at_s + fault.lasts_s for fault in found)
     kinds = sorted(odd)
     for _ in range(ODD_REPLICAS if kinds else 0):
         found.append(
@@ -50,10 +65,10 @@
                 'answer',
                 chance.choice(kinds),
                 chance.randrange(1000),
-                lasts_s + 2 * ODD_AROUND_S,
+                ends_s - at_s + 2 * ODD_AROUND_S,
             )
         )
     return sorted(found)
 
 
-__all__ = ['EVENTS', 'draw']
+__all__ = ['EVENTS', 'PAIR', 'draw']
--- a/test/standins/test_experiment.py
+++ b/test/standins/test_experiment.py
@@ -195,6 +195,22 @@
         assert fault.at_s + fault.lasts_s > struck.at_s + struck.lasts_s
 
 
+@pytest.mark.parametrize('seed', range(5))
+def test_pair_of_events_is_drawn_with_odd_answers_around_both(seed):
+    # Guards against pairs that are one event, or far apart.
+    kinds = {value[:2] for value in single_events.EVENTS.values()}
+    drawn = single_events.draw(single_events.PAIR, seed, odd_answers.FAILURES)
+    first, second = [f for f in drawn if (f.where, f.what) in kinds]
+    assert first[1:3] != second[1:3]
+    assert second.at_s - first.at_s <= single_events.PAIR_APART_S
+    odd = [fault for fault in drawn if fault not in (first, second)]
+    assert len(odd) == single_events.ODD_REPLICAS
+    for fault in odd:
+        assert fault.at_s < first.at_s
+        for struck in (first, second):
+            assert fault.at_s + fault.lasts_s > struck.at_s + struck.lasts_s
+
+
 def test_prompts_of_a_sheet_are_read(tmp_path):
     told = SHEET.replace(
         'gap_aim_ms = 300',
