--- a/test/entry/test_crowds.py
+++ b/test/entry/test_crowds.py
@@ -183,12 +183,7 @@
             **CALLERS,
             'upstream/engine': test_path.upstream(engine.url),
         }
-        for name, value in objects.items():
-            httpx.put(
-                f'{platform.url}/v1/objects/{name}',
-                params={'expect_version': 0},
-                json=value,
-            ).raise_for_status()
+        test_path.store(platform.url, objects)
         common = ['--failure-domain=north', f'--platform-url={platform.url}']
         if self._row.address == 'control':
             control = group.start(
--- a/test/test_path.py
+++ b/test/test_path.py
@@ -65,6 +65,16 @@
     }
 
 
+def store(platform_url, objects):
+    """Put objects into an empty store."""
+    for name, value in objects.items():
+        httpx.put(
+            f'{platform_url}/v1/objects/{name}',
+            params={'expect_version': 0},
+            json=value,
+        ).raise_for_status()
+
+
 def wait_ready(url):
     end_s = time.monotonic() + LIMIT_S
     while time.monotonic() < end_s:
@@ -97,9 +107,7 @@
         objects['upstream/service'] = upstream(
             group.processes['service'].url, 'service', 'registration'
         )
-        for path, value in objects.items():
-            url = f'{platform.url}/v1/objects/{path}?expect_version=0'
-            httpx.put(url, json=value).raise_for_status()
+        store(platform.url, objects)
         with concurrent.futures.ThreadPoolExecutor() as pool:
             for number in (1, 2):
                 pool.submit(start_entry, group, number, platform.url)
--- a/test/test_usage_killed.py
+++ b/test/test_usage_killed.py
@@ -39,12 +39,7 @@
         **test_path.OBJECTS,
         'upstream/engine': test_path.upstream(engine.url),
     }
-    for name, value in objects.items():
-        httpx.put(
-            f'{platform.url}/v1/objects/{name}',
-            params={'expect_version': 0},
-            json=value,
-        ).raise_for_status()
+    test_path.store(platform.url, objects)
     common = (*FLAGS, f'--platform-url={platform.url}')
     run.start(
         'control',
