Play a crowd at one VM as an event of a described site

600 callers that stop a byte short of the longest body, or send nothing, come to a VM for two seconds while requesters ask all.

--- a/standins/experiment/single_events.py
+++ b/standins/experiment/single_events.py
@@ -35,6 +35,8 @@
     'makers-full': ('makers', 'full', 1.0),
     'makers-end': ('makers', 'ends', 0.0),
     'makers-silent': ('makers', 'silent', 1.0),
+    'crowd-of-bodies': ('crowd', 'bodies', 2.0),
+    'crowd-silent': ('crowd', 'silent', 2.0),
     'calm': ('change', 'config', 0.0),
 }
 
--- a/standins/soak/plan.py
+++ b/standins/soak/plan.py
@@ -175,7 +175,7 @@
     at_s: float
     # 'process', 'hub', 'replica', 'store', 'store-link', 'replica-link',
     # 'change', 'paths', 'limit', 'version', 'part', 'notice', 'answer',
-    # 'order', 'release', 'clock', 'outage', 'makers', 'routes'.
+    # 'order', 'release', 'clock', 'outage', 'makers', 'routes', 'crowd'.
     where: str
     what: str
     # Chooses whom it hits, modulo how many there are.
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -11,6 +11,7 @@
 
 from gentianstair.gateway import hubs
 from gentianstair.gateway import main as gateways
+from standins import crowd
 from standins.site import processes
 from standins.site import replica as replicas
 from standins.site import site as sites
@@ -37,6 +38,8 @@
 ROUTE_GAP_S = 0.3
 # How long a late heartbeat stands for its replica's entry; the platform's.
 BEAT_S = 1.2
+# Whose bodies together are more than what a gateway of a run may hold.
+CROWD_SIZE = 600
 _FAULTS: dict[str, dict[str, typing.Any]] = {
     **odd_answers.FAILURES,
     **odd_answers.REJECTIONS,
@@ -180,6 +183,7 @@
             'order': self._spoil_order,
             'makers': self._strike_makers,
             'routes': self._change_routes,
+            'crowd': self._send_crowd,
         }
         await strikes[fault.where](fault)
 
@@ -409,6 +413,21 @@
                 await self._change(fault)
                 await trio.sleep(ROUTE_GAP_S)
 
+    async def _send_crowd(self, fault: plan.Fault) -> None:
+        """Have callers that do not behave come to a VM, and stay so long."""
+        gateway = self.gateways[fault.whom % len(self.gateways)]
+        caller = crowd.silent
+        if fault.what == 'bodies':
+            caller = crowd.announced(
+                self._config['limits']['max_body_bytes'],
+                path=self._config['routes'][0]['path_prefix'] + 'crowd',
+            )
+        present = crowd.Crowd(crowd.connector(gateway.ports['front']), caller)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(present.run, CROWD_SIZE)
+            await trio.sleep(fault.lasts_s)
+            present.leave()
+
     async def _spoil_answers(self, fault: plan.Fault) -> None:
         """Have answers come before a replica's own, or refuse what ran."""
         if fault.what in _FAULTS:
--- a/test/standins/test_experiment.py
+++ b/test/standins/test_experiment.py
@@ -166,7 +166,9 @@
     assert result.ran_twice == []
 
 
-@pytest.mark.parametrize('event', ['replica-drains', 'vm-paused'])
+@pytest.mark.parametrize(
+    'event', ['replica-drains', 'vm-paused', 'crowd-of-bodies']
+)
 def test_single_event_beside_failures_refuses_nothing_that_ran(
     sheet, tmp_path, monkeypatch, event
 ):
