--- a/standins/site/processes.py
+++ b/standins/site/processes.py
@@ -77,7 +77,8 @@
         self.failure_domain = 'a'
         self.keep_alive_s = keep_alive_s
         self.ports = {
-            n: ports.free_port() for n in ('front', 'ready', 'control')
+            n: ports.free_port()
+            for n in ('front', 'ready', 'control', 'metrics')
         }
         self.file = folder / f'{self.vm}.toml'
         self.log = folder / f'{self.vm}.jsonl'
@@ -85,6 +86,8 @@
         # What its settings grant the process.
         self.memory_mb = 300
         self.max_fds = 4100
+        # Whether it serves operators its metrics, at a port of that name.
+        self.has_metrics = False
         # Where the lines of this start begin in the log.
         self._log_bytes = 0
 
@@ -130,6 +133,9 @@
             'GENTIANSTAIR_NODE_FILE': str(self.file),
             environment.KEEP_ALIVE_VARIABLE: str(self.keep_alive_s),
         }
+        if self.has_metrics:
+            port = self.ports['metrics']
+            environ[environment.METRICS_PORT_VARIABLE] = str(port)
         if self.product is not None:
             environ['PYTHONPATH'] = str(self.product)
         with self.log.open('a') as log:
--- a/test/gateway/test_crowds.py
+++ b/test/gateway/test_crowds.py
@@ -42,6 +42,8 @@
     padding_bytes: int = 0
     # What happens beside it: start, stop, reload or replicas-hang.
     moment: str = ''
+    # How often the crowd comes.
+    times: int = 1
 
 
 def scarce_memory(caller, size=120, **more):
@@ -98,6 +100,16 @@
     'bodies-begun': scarce_descriptors(crowd.announced(MEBIBYTE, MEBIBYTE)),
     'silent-at-ready': scarce_descriptors(crowd.silent, address='ready'),
     'silent-at-control': scarce_descriptors(crowd.silent, address='control'),
+    'silent-at-metrics': scarce_descriptors(crowd.silent, address='metrics'),
+    'bodies-at-metrics': scarce_memory(
+        crowd.announced(MEBIBYTE), address='metrics'
+    ),
+    'bodies-again-and-again': scarce_memory(
+        crowd.announced(MEBIBYTE), times=5
+    ),
+    'http-2-bodies-again-and-again': scarce_memory(
+        crowd.http2_bodies(40, MEBIBYTE), 4, times=5
+    ),
     'bodies-at-ready': scarce_memory(
         crowd.announced(MEBIBYTE), address='ready'
     ),
@@ -174,6 +186,7 @@
         gateway = processes.Gateway(folder, 0)
         gateway.memory_mb = row.grants['memory_mb']
         gateway.max_fds = row.grants['max_fds']
+        gateway.has_metrics = row.address == 'metrics'
         gateway.start(
             site.store_port, site.cloud_port, gateway.ports['control']
         )
@@ -185,12 +198,15 @@
             async with trio.open_nursery() as nursery:
                 watch = crowd.Watch(lambda: gateway.process)
                 nursery.start_soon(watch.run)
-                present = crowd.Crowd(
-                    crowd.connector(gateway.ports[row.address]), row.caller
-                )
+                connect = crowd.connector(gateway.ports[row.address])
+                present = crowd.Crowd(connect, row.caller)
                 if row.moment == 'start':
                     await gateway.ready_to_accept()
                 await nursery.start(present.run, row.size)
+                for _ in range(row.times - 1):
+                    present.leave()
+                    present = crowd.Crowd(connect, row.caller)
+                    await nursery.start(present.run, row.size)
                 if row.moment == 'reload':
                     gateway.signal(signal.SIGHUP)
                 if row.moment == 'stop':
