Promise nothing of a run-once request whose prompt a replica has read

Callers saw, by one reading of the users' rules, a 503 of a request on which a replica had begun to work: a stream that may run once was prefilled apart, and then every decode replica was full or gone. A prefill that was denied counts for nothing, and what may be repeated is still refused. The test failed before (503 for all that had been read) and passes now.

--- a/gentianstair/core/refusals.py
+++ b/gentianstair/core/refusals.py
@@ -22,6 +22,11 @@
     'Refusals that were not told, as the request may have run',
     ['status', 'verdict'],
 )
+AFTER_PREFILL = prometheus_client.Counter(
+    'gentianstair_refusals_after_prefill',
+    'Refusals that were not told, as the prompt had been read',
+    ['status'],
+)
 
 
 def is_untrue(status: int, verdict: verdicts.Verdict) -> bool:
@@ -38,12 +43,26 @@
 
 
 def told_status(
-    status: int, verdict: verdicts.Verdict, request_id: str
+    status: int,
+    verdict: verdicts.Verdict,
+    request_id: str,
+    was_read: bool = False,
 ) -> int:
     """Return the status to tell a caller.
 
-    It is TOLD_STATUS, counted and logged, in place of an untrue refusal.
+    It is TOLD_STATUS, counted and logged, in place of an untrue refusal. So
+    it is for a request that may run once and of which a replica has read the
+    prompt: that runs nothing, and yet is work on it, which a refusal denies.
     """
+    if was_read and is_untrue(status, verdicts.Verdict.MAY_HAVE_RUN):
+        AFTER_PREFILL.labels(str(status)).inc()
+        loguru.logger.bind(
+            event=events.REFUSAL_AFTER_PREFILL,
+            request_id=request_id,
+            status=status,
+            verdict=verdict.name,
+        ).info('{} would refuse a request whose prompt was read', status)
+        return TOLD_STATUS
     if not is_untrue(status, verdict):
         return status
     UNTRUE.labels(str(status), verdict.name).inc()
--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -16,13 +16,15 @@
     SENT = 'sent'
     # Its prompt was sent to be prefilled only, which runs nothing.
     PREFILL = 'prefill'
+    # The same, and the upstream's answer denies that it was.
+    PREFILL_DENIED = 'prefill-denied'
     # The upstream's own answer.
     ANSWER = 'answer'
     # A failure of what was sent.
     FAILURE = 'failure'
 
 
-_NOTHING_RUNS = (Reason.NOT_SENT, Reason.PREFILL)
+_NOTHING_RUNS = (Reason.NOT_SENT, Reason.PREFILL, Reason.PREFILL_DENIED)
 
 
 class AttemptRun:
@@ -57,6 +59,9 @@
 
     def record_answer(self, verdict: verdicts.Verdict) -> None:
         """Record what the attempt's own answer says; it may lower."""
+        is_denied = verdict is verdicts.Verdict.NOT_RUN
+        if self.reason is Reason.PREFILL and is_denied:
+            self.reason = Reason.PREFILL_DENIED
         if self.was_sent:
             self.verdict = verdict
             self.reason = Reason.ANSWER
@@ -96,6 +101,22 @@
             reversed(self._attempts), key=lambda attempt: attempt.verdict
         )
 
+    @property
+    def was_read(self) -> bool:
+        """Return whether an upstream may have read the prompt apart.
+
+        >>> runs = RunVerdict()
+        >>> runs.begin().record_prefill()
+        >>> runs.verdict.name, runs.was_read
+        ('NOT_RUN', True)
+        >>> runs.latest.record_answer(verdicts.Verdict.NOT_RUN)
+        >>> runs.was_read
+        False
+        """
+        return any(
+            attempt.reason is Reason.PREFILL for attempt in self._attempts
+        )
+
     def reasons(self) -> list[Reason]:
         """Return what set the verdict on each attempt, in order.
 
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -221,7 +221,12 @@
     ) -> None:
         """Send a whole response; no refusal of what may have run."""
         request_id = self._request_id_field()['request_id']
-        told = refusals.told_status(status, self._verdict(), request_id)
+        told = refusals.told_status(
+            status,
+            self._verdict(),
+            request_id,
+            self._request is not None and self._request.was_read,
+        )
         if told != status:
             # Under another status a replica's headers would prove nothing.
             headers, body = http_codec.error_headers(request_id, None), b''
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -145,6 +145,11 @@
         """Return whether the request may have run so far."""
         return self.runs.verdict
 
+    @property
+    def was_read(self) -> bool:
+        """Return whether it may run once, and its prompt was read apart."""
+        return self.runs.was_read and not self.route.retryable
+
     @property
     def customer_name(self) -> str | None:
         """Return the customer's name, None on a public route."""
--- a/test/gateway/test_refusals.py
+++ b/test/gateway/test_refusals.py
@@ -334,3 +334,40 @@
         seen = await play(site, tmp_path, path)
     assert not seen.runs
     assert set(seen.statuses()) == {503}
+
+
+PREFILLED = {
+    # Path, and what its caller is told: a stream that may be resumed loses
+    # nothing by a refusal.
+    'once': (STREAM, 502),
+    'resumable': (RESUMABLE, 503),
+}
+
+
+@pytest.mark.parametrize(('path', 'status'), PREFILLED.values(), ids=PREFILLED)
+async def test_what_was_read_and_may_run_once_is_not_refused(
+    tmp_path, path, status
+):
+    # Guards against a promise that nothing was done for a request on which a
+    # replica has begun to work.
+    async with sites.running(sites.default_replicas()) as site:
+        async with gateways.running(site, tmp_path) as (gateway,):
+            for replica in site.replicas:
+                replica.faults.full = replica.stage == 'decode'
+            seen = await ask(site, gateway, path)
+    read = {name for replica in site.replicas for name in replica.reads}
+    assert read
+    assert not seen.runs
+    told = {name: answer.status_code for name, answer in seen.answers.items()}
+    assert {told[name] for name in read} == {status}
+    assert {told[name] for name in told if name not in read} <= {503}
+
+
+async def test_what_no_replica_read_is_refused(tmp_path):
+    # Guards against callers who do not come back though nothing was done.
+    async with sites.running(sites.default_replicas()) as site:
+        for replica in site.replicas:
+            replica.faults.full = bool(replica.stage)
+        seen = await play(site, tmp_path, STREAM)
+    assert not seen.runs
+    assert set(seen.statuses()) == {503}
