--- a/review/second/http1_play.py
+++ b/review/second/http1_play.py
@@ -101,6 +101,22 @@
     return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
 
 
+LAST_CHUNK = b'0\r\n\r\n'
+
+
+def encode_chunked_head(status: int, headers: list[tuple[str, str]]) -> bytes:
+    """Return the head of a response whose body comes in chunks."""
+    lines = [f'HTTP/1.1 {status} {REASONS.get(status, "Other")}']
+    lines += [f'{name}: {value}' for name, value in headers]
+    lines.append('Transfer-Encoding: chunked')
+    return '\r\n'.join([*lines, '', '']).encode('latin-1')
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Return a chunk of a body."""
+    return b'%x\r\n%b\r\n' % (len(data), data)
+
+
 def encode_request(
     method: str,
     target: str,
--- a/review/second/site_play.py
+++ b/review/second/site_play.py
@@ -27,6 +27,7 @@
 KEY = '3fexd9dnn2ctnfzs989a'
 TENANT = 'hule930'
 HEARTBEAT_S = 1.2
+STREAM_EVENTS = 10
 # The bounds of the small site that the claims name.
 BOUNDS = {
     'seed_lag_s': 3,
@@ -292,11 +293,13 @@
         work_s: float,
         slots: int = 6,
         version: str = 'v1',
-        headers: tuple[tuple[str, str], ...] = (),
+        newline: bytes = b'',
     ) -> None:
-        # Headers that it adds to the answers of what it ran.
-        self._headers = headers
+        # What ends the lines of its streams; without, its answers are whole.
+        self._newline = newline
         self.version = version
+        # Streams that it sent to their end.
+        self.streamed: list[str] = []
         self.server = http1.Server(self._handle)
         self._store = store
         self._record = record
@@ -397,6 +400,8 @@
         if self.active >= self._slots:
             common.append(('X-Not-Executed', '1'))
             return http1.encode_response(503, common, b'')
+        if self._newline:
+            return await self._stream(request_id, common, writer)
         return await self._run(request_id, common)
 
     async def _run(
@@ -414,10 +419,38 @@
         finally:
             self.active -= 1
         common.append(('X-Response-Signature', f'{self.name}.{request_id}'))
-        common.extend(self._headers)
         body = f'done by {self.name} for {request_id}'.encode()
         return http1.encode_response(200, common, body)
 
+    async def _stream(
+        self,
+        request_id: str,
+        common: list[tuple[str, str]],
+        writer: asyncio.StreamWriter,
+    ) -> bytes:
+        """Send the events of a stream; return the end of its body."""
+        self.active += 1
+        self.runs.append(Arrival(self._record.now_s(), request_id, self.name))
+        common.append(('X-Response-Signature', f'{self.name}.{request_id}'))
+        common.append(('Content-Type', 'text/event-stream'))
+        writer.write(http1.encode_chunked_head(200, common))
+        try:
+            for number in range(1, STREAM_EVENTS + 1):
+                await asyncio.sleep(self._work_s)
+                lines = (
+                    b'id: %d' % number,
+                    b'data: word%d' % number,
+                    b'',
+                    b'',
+                )
+                writer.write(http1.encode_chunk(self._newline.join(lines)))
+                await writer.drain()
+        finally:
+            self.active -= 1
+        self.streamed.append(request_id)
+        self._record.add(f'{self.name} has sent all of {request_id}')
+        return http1.LAST_CHUNK
+
 
 def route(
     name: str, service: str, kind: str, timeout_ms: int = 4000, **more: object
@@ -639,7 +672,12 @@
         return f'{prefix}{self._count:05d}'
 
     def encode(
-        self, method: str, path: str, request_id: str, deadline_ms: int
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        deadline_ms: int,
+        prompt: bool = False,
     ) -> bytes:
         """Return the bytes of a request."""
         headers = [
@@ -648,6 +686,15 @@
             ('X-Request-Deadline-Ms', str(deadline_ms)),
             ('Authorization', f'Bearer {KEY}'),
         ]
+        if prompt:
+            headers += [
+                ('X-Model', 'm'),
+                ('X-Token-Count', '1460,80'),
+                (
+                    'X-Prefix-Hash',
+                    f'5c1e07a2:350,{request_id.encode().hex()}:1110',
+                ),
+            ]
         body = b'' if method == 'GET' else b'entry of a turned bowl'
         return http1.encode_request(method, path, headers, body)
 
@@ -658,6 +705,7 @@
         path: str,
         request_id: str,
         deadline_ms: int = 4000,
+        prompt: bool = False,
     ) -> Answer:
         """Send a request; return and record its answer."""
         address = gateway.address('front')
@@ -674,7 +722,7 @@
                 channel = await http1.Channel.open(address)
             try:
                 found = await channel.call(
-                    self.encode(method, path, request_id, deadline_ms),
+                    self.encode(method, path, request_id, deadline_ms, prompt),
                     deadline_ms / 1000 + 0.5,
                 )
             except BaseException:
