Put the cases of the second review in their form

The stand-ins stand beside the cases, as no folder of review/ but a case's is one; each case reads TROUBLE itself.

--- a/review/second/site_play.py
+++ b/review/second_site.py
@@ -20,9 +20,9 @@
 import typing
 import urllib.parse
 
-import http1_play as http1
+import second_http1 as http1
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = 'ficu95.example'
 KEY = '3fexd9dnn2ctnfzs989a'
 TENANT = 'hule930'
@@ -868,7 +868,8 @@
     return 1 if broken else 0
 
 
-def main(play: Play, folder: pathlib.Path, machines: int = 6) -> int:
+def main(
+    play: Play, folder: pathlib.Path, is_troubled: bool, machines: int = 6
+) -> int:
     """Play a case; return 1 if the rule was broken, 0 if not, 2 if not run."""
-    is_troubled = os.environ.get('TROUBLE', '1') != '0'
     return asyncio.run(_play(play, folder, machines, is_troubled))
