Say in the first 200 characters what a refusal rests on

What callers saw: refusals of run-once requests that count as run by the users' record.

Change: answer, refusal and try-failed lines have outcomes (503 denied, sent) and no_retry (no-budget, no-replica, ...) before level and build; a metric counts the reasons. Nothing of a decision is changed.

Test: test_what_a_verdict_rests_on_survives_a_cut and test_refusal_says_why_no_attempt_followed, which the code before can't pass, as it has neither field.

--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -8,6 +8,8 @@
 
 from gentianstair import verdict as verdicts
 
+MAX_LOGGED_ATTEMPTS = 8
+
 
 class Reason(enum.Enum):
     """What set the verdict on an attempt last."""
@@ -42,6 +44,8 @@
     def __init__(self) -> None:
         self.verdict = verdicts.Verdict.NOT_RUN
         self.reason = Reason.NOT_SENT
+        # Of its own answer, if one has come.
+        self._answer = ''
 
     @property
     def was_sent(self) -> bool:
@@ -57,15 +61,37 @@
         """Record that the first byte of a prefill is written now."""
         self.reason = Reason.PREFILL
 
-    def record_answer(self, verdict: verdicts.Verdict) -> None:
+    def record_answer(
+        self, verdict: verdicts.Verdict, status: int | None = None
+    ) -> None:
         """Record what the attempt's own answer says; it may lower."""
         is_denied = verdict is verdicts.Verdict.NOT_RUN
+        if status is not None:
+            self._answer = f'{status} denied' if is_denied else str(status)
         if self.reason is Reason.PREFILL and is_denied:
             self.reason = Reason.PREFILL_DENIED
         if self.was_sent:
             self.verdict = verdict
             self.reason = Reason.ANSWER
 
+    def outcome(self) -> str:
+        """Return its answer's status and what set the verdict, for logs.
+
+        >>> attempt = AttemptRun()
+        >>> attempt.outcome()
+        'not-sent'
+        >>> attempt.record_send()
+        >>> attempt.record_answer(verdicts.Verdict.NOT_RUN, 503)
+        >>> attempt.outcome()
+        '503 denied'
+        >>> attempt.raise_to(verdicts.Verdict.MAY_HAVE_RUN)
+        >>> attempt.outcome()
+        '503 denied failure'
+        """
+        if self._answer and self.reason is Reason.ANSWER:
+            return self._answer
+        return f'{self._answer} {self.reason.value}'.strip()
+
     def raise_to(self, verdict: verdicts.Verdict) -> None:
         """Take a failure's verdict if it is higher."""
         if verdict > self.verdict:
@@ -128,6 +154,18 @@
         """
         return [attempt.reason for attempt in self._attempts[1:]]
 
+    def outcomes(self) -> str:
+        """Return the outcomes of the first attempts in order, for logs.
+
+        >>> runs = RunVerdict()
+        >>> runs.begin().record_prefill()
+        >>> runs.begin().record_send()
+        >>> runs.outcomes()
+        'prefill, sent'
+        """
+        first = self._attempts[1 : 1 + MAX_LOGGED_ATTEMPTS]
+        return ', '.join(attempt.outcome() for attempt in first)
+
     def begin(self) -> AttemptRun:
         """Return the next attempt, of which nothing has been sent."""
         self.latest = AttemptRun()
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -14,6 +14,7 @@
 from gentianstair.core import exchange as exchanges
 from gentianstair.core import refusals
 from gentianstair.core import request_lifetime
+from gentianstair.core import run_verdict
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import forward
@@ -40,7 +41,6 @@
 # Reserved before a caller's deadline so that a timeout response still reaches
 # the caller in time.
 RESPONSE_MARGIN_S = 0.05
-MAX_LOGGED_ATTEMPTS = 8
 
 REQUESTS = prometheus_client.Counter(
     'gentianstair_gateway_requests',
@@ -158,10 +158,13 @@
         if request is None:
             return {}
         return {
+            **request.outcome_fields(),
             'verdict_by': request.runs.decisive.reason.value,
             'attempts': [
                 reason.value
-                for reason in request.runs.reasons()[:MAX_LOGGED_ATTEMPTS]
+                for reason in request.runs.reasons()[
+                    : run_verdict.MAX_LOGGED_ATTEMPTS
+                ]
             ],
             'replica': request.replica_name,
             **request.answer_fields(),
@@ -212,6 +215,7 @@
             status=error.status,
             kind=error.kind,
             verdict=error.verdict.name,
+            **(self._request.outcome_fields() if self._request else {}),
             retry_after_s=error.retry_after_s,
         ).info('refused: {}', error.detail)
         await self._respond(error.status, headers, b'')
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -21,6 +21,7 @@
 from gentianstair.gateway import request_errors
 from gentianstair.gateway import request_parts
 from gentianstair.gateway import request_permits
+from gentianstair.gateway import retry_ends
 from gentianstair.generated import events
 
 # Attempts beyond the route's maximum. A replica that is full or draining
@@ -125,6 +126,8 @@
         # Whether a replica turned it away.
         self._was_rejected = False
         self._next_retry_is_paid = False
+        # Why no further attempt follows, once that is decided.
+        self._no_retry: retry_ends.NoRetry | None = None
         self.permits = request_permits.RequestPermits(
             node.upstream_permits, call.request_id, node.clock
         )
@@ -190,7 +193,7 @@
 
         def record_answer(answer: calls.Answer) -> None:
             self._answer = answer
-            run.record_answer(answer.verdict)
+            run.record_answer(answer.verdict, answer.status)
 
         return calls.Attempt(
             replica,
@@ -210,6 +213,13 @@
         """Record which start of a replica ends if its connection breaks."""
         self._begun_at = self.node.registry.newest_run(replica)
 
+    def outcome_fields(self) -> dict[str, str]:
+        """Return how attempts ended and why none follows, for logs."""
+        fields = {'outcomes': self.runs.outcomes()}
+        if self._no_retry is not None:
+            fields['no_retry'] = self._no_retry.value
+        return fields
+
     def answer_fields(self) -> dict[str, typing.Any]:
         """Return what is known of the latest attempt's answer, for logs."""
         answer = self._answer
@@ -433,6 +443,7 @@
             replica=replica.name,
             started_ms=replica.started_ms,
             verdict=run.verdict.name,
+            **self.outcome_fields(),
             broke=isinstance(error, errors.ConnectionBrokenError),
             digest=self.digest,
             parts=self._logged_parts(),
@@ -455,23 +466,37 @@
     def may_retry(self, error: errors.UpstreamError) -> bool:
         """Return whether another attempt may follow a failed one."""
         verdict = verdicts.combine(error.verdict, self.runs.latest.verdict)
+        found = self._no_retry_after(self.possible_runs)
         if verdict is not verdicts.Verdict.NOT_RUN and not (
             self.route.retryable
         ):
-            return False
-        return self._may_retry_after(self.possible_runs)
-
-    def _may_retry_after(self, runs: int) -> bool:
-        """Return whether an attempt may follow so many possible runs."""
-        if self.remaining_s() < MIN_REMAINING_S or self.parts.is_held:
-            return False
+            found = retry_ends.NoRetry.RUN_ONCE
+        if found is not None:
+            self.record_no_retry(found)
+        return found is None
+
+    def record_no_retry(self, reason: retry_ends.NoRetry) -> None:
+        """Record why no attempt follows; a request without any has none."""
+        if not self.tried_replicas:
+            return
+        self._no_retry = reason
+        retry_ends.WITHHELD.labels(reason.value).inc()
+
+    def _no_retry_after(self, runs: int) -> retry_ends.NoRetry | None:
+        """Return why no attempt may follow so many possible runs."""
+        if self.remaining_s() < MIN_REMAINING_S:
+            return retry_ends.NoRetry.NO_TIME
+        if self.parts.is_held:
+            return retry_ends.NoRetry.HELD
         max_runs = self.route.max_attempts
         if runs >= max_runs or self.attempts >= max_runs + EXTRA_ATTEMPTS:
-            return False
+            return retry_ends.NoRetry.MAX_ATTEMPTS
         if self.unreachable_attempts and self._reaches_no_candidate():
             # The next would most likely fail, too; the caller goes elsewhere.
-            return False
-        return self.unreachable_attempts < MAX_UNREACHABLE_ATTEMPTS
+            return retry_ends.NoRetry.UNREACHABLE
+        if self.unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS:
+            return retry_ends.NoRetry.UNREACHABLE
+        return None
 
     def _reaches_no_candidate(self) -> bool:
         """Return whether the last connect to each candidate has failed."""
@@ -482,8 +507,9 @@
 
     def may_replace_attempt(self) -> bool:
         """Return whether a retry may replace the attempt in flight."""
-        return self.route.retryable and self._may_retry_after(
-            self.possible_runs + 1
+        return (
+            self.route.retryable
+            and self._no_retry_after(self.possible_runs + 1) is None
         )
 
     def reserve_retry(self) -> bool:
@@ -521,7 +547,10 @@
         if self._next_retry_is_paid:
             self._next_retry_is_paid = False
             return True
-        return self.node.retry_budget.try_spend(self.service)
+        if self.node.retry_budget.try_spend(self.service):
+            return True
+        self.record_no_retry(retry_ends.NoRetry.NO_BUDGET)
+        return False
 
     def log(self, event: str, message: str, **fields: typing.Any) -> None:
         """Log an event of this request."""
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -21,6 +21,7 @@
 from gentianstair.gateway import remote_prefill
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
+from gentianstair.gateway import retry_ends
 from gentianstair.gateway import run_record
 from gentianstair.gateway import stream_planner
 from gentianstair.gateway import stream_version
@@ -82,6 +83,7 @@
             while True:
                 plan = await self._planner.make()
                 if plan is None:
+                    request.record_no_retry(retry_ends.NoRetry.NO_REPLICA)
                     break
                 if not request.spend_retry():
                     break
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -6,6 +6,7 @@
 from gentianstair.gateway import late_attempt
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_state
+from gentianstair.gateway import retry_ends
 
 # An attempt is late after this many times the route's objective. It is then
 # retried elsewhere, if a retry is possible and had as much time at the start.
@@ -19,7 +20,10 @@
     """Return a replica's response; raise RequestError if there is none."""
     while True:
         replica = await _choose(request)
-        if replica is None or not request.spend_retry():
+        if replica is None:
+            request.record_no_retry(retry_ends.NoRetry.NO_REPLICA)
+            break
+        if not request.spend_retry():
             break
         started_s = request.begin_attempt(replica)
         try:
--- a/gentianstair/util/logs.py
+++ b/gentianstair/util/logs.py
@@ -23,9 +23,18 @@
     'upstream',
     'verdict',
 )
-# What tells a line from others comes first, as whoever collects lines may cut
-# them; what is long or the same on many comes last.
-FIRST_FIELDS = ('event', 'request_id', 'status', 'verdict', 'build')
+# What tells a line from others, and what a verdict rests on, comes first, as
+# whoever collects lines may cut them; what is long or the same on many comes
+# last.
+FIRST_FIELDS = (
+    'event',
+    'request_id',
+    'status',
+    'verdict',
+    'outcomes',
+    'no_retry',
+)
+SECOND_FIELDS = ('build',)
 LAST_FIELDS = ('vm', 'failure_domain')
 REDACTED = '[redacted]'
 MAX_TEXT_CHARS = 8000
@@ -96,12 +105,11 @@
 
 def to_line(record: typing.Any) -> str:
     """Return a loguru record as one line of JSON."""
-    line = {
-        'at': record['time'].isoformat(timespec='milliseconds'),
-        'level': record['level'].name,
-    }
+    line = {'at': record['time'].isoformat(timespec='milliseconds')}
     extra = record['extra']
     _add_fields(line, extra, FIRST_FIELDS)
+    line['level'] = record['level'].name
+    _add_fields(line, extra, SECOND_FIELDS)
     line['message'] = _sanitize(record['message'])
     _add_fields(line, extra, (n for n in extra if n not in LAST_FIELDS))
     line.setdefault('module', record['name'])
--- a/test/gateway/test_verdict_logs.py
+++ b/test/gateway/test_verdict_logs.py
@@ -8,6 +8,7 @@
 from gentianstair.core import run_verdict
 from gentianstair.generated import events
 from gentianstair.util import build_info
+from standins.site import replica as replicas
 from standins.site import site as sites
 from test.gateway import gateways
 
@@ -63,6 +64,35 @@
     assert found == expected
 
 
+@pytest.mark.parametrize(
+    ('full', 'values', 'path', 'outcomes', 'no_retry'),
+    [
+        (1, {}, ONCE, '503 denied', 'no-replica'),
+        (3, {}, ONCE, '503 denied, 503 denied', 'max-attempts'),
+        (3, {'budget_ratio': 0.0, 'retry_slack': 0}, ONCE, '503 denied',
+         'no-budget'),
+        (3, {'budget_ratio': 0.0, 'retry_slack': 0}, '/lookup/2f',
+         '503 denied', 'no-budget'),
+    ],
+    ids=['one-replica', 'all-allowed', 'no-budget', 'no-budget-look-up'],
+)  # fmt: skip
+async def test_refusal_says_why_no_attempt_followed(
+    tmp_path, lines, full, values, path, outcomes, no_retry
+):
+    # Guards against a refusal beside free replicas that nothing explains.
+    found = [replicas.Replica(f'i-{n}', 'desk', 'a') for n in range(full)]
+    for replica in found:
+        replica.faults.full = True
+    async with sites.running(found) as site:
+        async with gateways.running(site, tmp_path, **values) as (gateway,):
+            answer = await gateway.call('POST', path, 'r1')
+    assert answer.status_code in (502, 503)
+    for event in (events.REFUSAL, events.ANSWER):
+        line = only(lines, event)
+        found = (line['outcomes'], line['no_retry'])
+        assert found == (outcomes, no_retry)
+
+
 async def test_failed_try_says_what_its_answer_was(tmp_path, lines):
     # Guards against a try whose answer nobody can tell from its verdict.
     replica = [r for r in sites.default_replicas() if not r.stage][0]
--- a/test/util/test_logs.py
+++ b/test/util/test_logs.py
@@ -46,6 +46,8 @@
 
 
 # Log calls that include a key.
+# Of a line; a collector may drop what stands behind.
+CUT_CHARS = 200
 LOG_CALLS = [
     lambda key: loguru.logger.info(f'header Authorization: Bearer {key}'),
     lambda key: loguru.logger.info('sent {}', {'authorization': key}),
@@ -97,15 +99,19 @@
         request_id='r1',
         status=503,
         verdict='NOT_RUN',
+        no_retry='no-budget',
+        outcomes='503 denied',
     ).info('answered 503')
     (line,) = lines()
     assert list(line) == [
         'at',
-        'level',
         'event',
         'request_id',
         'status',
         'verdict',
+        'outcomes',
+        'no_retry',
+        'level',
         'build',
         'message',
         'customer',
@@ -113,3 +119,39 @@
         'vm',
         'failure_domain',
     ]
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'outcomes', 'no_retry'),
+    [
+        ('NOT_RUN', '503 denied, 503 denied', 'max-attempts'),
+        ('NOT_RUN', 'prefill-denied, 503 denied', 'no-budget'),
+        ('NOT_RUN', 'prefill, not-sent', 'unreachable'),
+        ('MAY_HAVE_RUN', '200 failure', 'max-attempts'),
+        ('MAY_HAVE_RUN', '503 denied, sent', 'run-once'),
+    ],
+)
+@pytest.mark.parametrize('event', ['answer', 'refusal', 'try-failed'])
+def test_what_a_verdict_rests_on_survives_a_cut(
+    event, verdict, outcomes, no_retry
+):
+    # Guards against a record of a case that says not why it is one.
+    fields = {
+        'event': event,
+        'request_id': '0123456789abcdef',
+        'status': 503,
+        'verdict': verdict,
+        'outcomes': outcomes,
+        'no_retry': no_retry,
+    }
+    written = io.StringIO()
+    logs.setup('DEBUG', 'vm-1', 'a', written)
+    loguru.logger.bind(**fields).info('refused')
+    loguru.logger.remove()
+    kept = written.getvalue()[:CUT_CHARS]
+    missing = [
+        name
+        for name, value in fields.items()
+        if json.dumps({name: value})[1:-1] not in kept
+    ]
+    assert missing == [], kept
