Play replicas that turn requests away for seconds on a described site

--odd turned-away draws it; each play also lays the VMs' last lines beside what callers and replicas saw, by id: another status (another door), sent though the line says not, ran though it says not.

--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -11,6 +11,7 @@
 from standins.experiment import play
 from standins.experiment import single_events
 from standins.experiment import troubles
+from standins.experiment import vm_lines
 from standins.site import sheet as sheets
 
 LENGTH_S = 60.0
@@ -92,11 +93,13 @@
     print(
         f'seed {setting.seed} {setting.event}: '
         f'{sum(result.statuses.values())} requests ({told}), '
-        f'{result.refused} of run-once ones refused, '
+        f'{result.run_once} may run once, {result.run_once_served} of them '
+        f'served, {result.refused} refused, '
         f'{len(result.after_prefill)} after a prefill, '
         f'{len(result.ran_twice)} ran twice',
         flush=True,
     )
+    _print_differences(result.differences)
     streams = result.streams
     print(
         f'  {streams.followed} streams, {streams.resumed} resumed by callers, '
@@ -118,5 +121,18 @@
         shown.update(lines)
 
 
+def _print_differences(found: vm_lines.Differences) -> None:
+    print(
+        f'  of {found.compared} with a line of their VM: '
+        f'{len(found.other_status)} told another status, '
+        f'{len(found.sent_unsaid)} sent though it says not, '
+        f'{len(found.ran_unsaid)} ran though it says not',
+        flush=True,
+    )
+    for ids in found[1:]:
+        for request_id in ids[:MAX_SHOWN]:
+            print(f'    {request_id}', flush=True)
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/standins/experiment/play.py
+++ b/standins/experiment/play.py
@@ -9,6 +9,7 @@
 from standins.experiment import readings
 from standins.experiment import requesters
 from standins.experiment import troubles
+from standins.experiment import vm_lines
 from standins.site import sheet as sheets
 from standins.site import site as sites
 from standins.soak import record
@@ -43,6 +44,9 @@
     """What a play showed."""
 
     statuses: collections.Counter[int]
+    # Of requests that may run once: how many were asked, served, refused.
+    run_once: int
+    run_once_served: int
     refused: int
     # Refused requests that have run, under each reading, as records.
     ran: dict[str, list[str]]
@@ -51,6 +55,7 @@
     after_prefill: list[str]
     ran_twice: list[str]
     streams: readings.Streams
+    differences: vm_lines.Differences
 
 
 async def play(setting: Setting, folder: pathlib.Path) -> Result:
@@ -88,13 +93,21 @@
             finally:
                 await soak.kill_all()
             nursery.cancel_scope.cancel()
-    return _result(callers, soak)
+    lines = vm_lines.read(gateway.log for gateway in soak.gateways)
+    return _result(callers, soak, lines)
 
 
-def _result(callers: requesters.Requesters, soak: strikes.Soak) -> Result:
+def _result(
+    callers: requesters.Requesters,
+    soak: strikes.Soak,
+    lines: dict[str, vm_lines.Line],
+) -> Result:
     told, found = callers.told, soak.site.replicas
+    run_once = [one for one in told if not one.repeatable]
     return Result(
         collections.Counter(one.status for one in told),
+        len(run_once),
+        sum(one.status == requesters.OK for one in run_once),
         len(readings.refused(told)),
         {
             name: [record.line(one, found) for one in ran]
@@ -106,4 +119,5 @@
         ],
         [record.line(one, found) for one in readings.ran_twice(told, found)],
         readings.streams(callers.followed, found, sheets.MAX_EVENTS),
+        vm_lines.differences(told, found, lines),
     )
--- a/standins/experiment/troubles.py
+++ b/standins/experiment/troubles.py
@@ -4,6 +4,7 @@
 import typing
 
 from standins.experiment import single_events
+from standins.experiment import turned_away
 from standins.site import sheet as sheets
 from standins.soak import odd_answers
 from standins.soak import plan
@@ -77,7 +78,10 @@
     'releases-resets': ('resets',),
 }
 RELEASES = 'releases'
-ODD.update(dict.fromkeys((RELEASES, *LADDER), ()))
+# Plain replicas that turn all away for seconds, and no other trouble than
+# what the module of that name draws.
+TURNED_AWAY = 'turned-away'
+ODD.update(dict.fromkeys((RELEASES, TURNED_AWAY, *LADDER), ()))
 # Those that only replicas that write streams do.
 OF_STREAMS = ('order', 'breaks')
 
@@ -106,6 +110,8 @@
     """
     if event:
         return single_events.draw(event, seed, ODD[odd])
+    if odd == TURNED_AWAY:
+        return turned_away.draw(seed, length_s, sheet)
     if odd in LADDER:
         return [
             _on_time(fault)
