Choose replicas first that have not turned requests away lately

What callers saw: plain requests refused (503) after one attempt beside replicas that were free. A replica that turns requests away has no load for that, so it was chosen first again and again; what replicas rejected lately was asked only after a first rejection, and the repeats spent the service's retry budget: of 84 requests that were refused after a denial 73 had no budget left for another attempt.

Change: a plain request goes to the replica with the least share of slots used plus share of requests that it turned away lately. One answer moves that share by 0.4, and it falls to a third in 4 s, so that a replica that has room again is soon asked.

test_first_attempt_goes_to_a_replica_that_accepts failed before in both rows.

--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -14,6 +14,7 @@
 import random
 import typing
 
+from gentianstair.core import upstream_limits
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import plans
@@ -72,14 +73,20 @@
         self._random = rng
 
     def choose_unary(
-        self, candidates: list[replicas.Replica]
+        self,
+        candidates: list[replicas.Replica],
+        rejected_share: typing.Callable[[upstream_limits.UpstreamRun], float],
     ) -> replicas.Replica | None:
-        """Return the least loaded replica for a unary request."""
+        """Return the least loaded replica for a unary request.
+
+        One that turned all requests away lately counts as full.
+        """
         best = None
         for replica in candidates:
             running = self._load_tracker.load_of(replica.name).running
             is_local = replica.failure_domain == self._failure_domain
             used = (running + (0 if is_local else 0.5)) / max(1, replica.slots)
+            used += rejected_share(replica.run)
             rank = (used, self._random.random())
             if best is None or rank < best[0]:
                 best = (rank, replica)
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -45,8 +45,11 @@
     request: request_state.RequestState,
 ) -> replicas.Replica | None:
     """Return a replica of which there is a permit, None if there is none."""
+    node = request.node
     while True:
-        replica = request.node.placement.choose_unary(request.candidates())
+        replica = node.placement.choose_unary(
+            request.candidates(), node.recent_rejections.share
+        )
         if replica is None:
             if not await request.wait_for_turn():
                 return None
--- a/test/core/test_recent_rejections.py
+++ b/test/core/test_recent_rejections.py
@@ -33,6 +33,45 @@
     assert rejections.is_rejecting(run) is expected
 
 
+@pytest.mark.parametrize(
+    ('answers', 'later_s', 'least', 'most'),
+    [
+        ('', 0.0, 0.0, 0.0),
+        ('r', 0.0, 0.35, 0.45),
+        ('rrrrrr', 0.0, 0.9, 1.0),
+        ('rrrrrrs', 0.0, 0.5, 0.6),
+        ('rrrrrrsssss', 0.0, 0.0, 0.1),
+        ('sssss', 0.0, 0.0, 0.0),
+        ('rrrrrr', 10.0, 0.0, 0.1),
+    ],
+    ids=[
+        'unknown',
+        'once',
+        'all',
+        'served-once-since',
+        'serves-again',
+        'serves',
+        'long-ago',
+    ],
+)
+def test_share_follows_what_an_upstream_answered_lately(
+    answers, later_s, least, most
+):
+    # Guards against an upstream that is chosen first as often while it turns
+    # all away, or never again once it serves.
+    times_s = [REJECTED_S]
+    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
+    for answer in answers:
+        times_s[0] += 0.01
+        if answer == 'r':
+            rejections.record_rejection(RUN)
+        else:
+            rejections.record_served(RUN, times_s[0])
+    times_s[0] += later_s
+    assert least <= rejections.share(RUN) <= most
+    assert rejections.share(NEXT_START) == 0.0
+
+
 def test_upstreams_that_are_gone_are_forgotten():
     # Guards against memory that grows with each start of a replica.
     times_s = [0.0]
@@ -41,3 +80,4 @@
         times_s[0] += 0.1
         rejections.record_rejection(upstream_limits.UpstreamRun('i-1', number))
     assert len(rejections._rejected_s) <= recent_rejections.MAX_AGE_S / 0.1 + 1
+    assert len(rejections._shares) < 200
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -129,7 +129,32 @@
     for name, count in (('near', near), ('far', far)):
         for _ in range(count):
             scheduler.load.begin(name)
-    assert scheduler.placement.choose_unary(candidates).name == chosen
+    found = scheduler.placement.choose_unary(candidates, lambda run: 0.0)
+    assert found.name == chosen
+
+
+@pytest.mark.parametrize(
+    ('far_running', 'near_share', 'chosen'),
+    [
+        (0, 0.0, 'near'),
+        (0, 0.4, 'far'),
+        (6, 0.4, 'near'),
+        (6, 1.0, 'near'),
+        (5, 1.0, 'far'),
+    ],
+)
+def test_unary_request_goes_first_where_it_is_likely_accepted(
+    far_running, near_share, chosen
+):
+    # Guards against first choices of a replica that turns all away, which
+    # has no load for that.
+    scheduler = Scheduler()
+    far, near = replica('far', '', 'b', 6), replica('near', '', 'a', 6)
+    for _ in range(far_running):
+        scheduler.load.begin('far')
+    shares = {far.run: 0.0, near.run: near_share}
+    found = scheduler.placement.choose_unary([far, near], shares.__getitem__)
+    assert found.name == chosen
 
 
 @pytest.mark.parametrize(
--- a/test/gateway/test_replicas_that_reject.py
+++ b/test/gateway/test_replicas_that_reject.py
@@ -7,6 +7,7 @@
 from test.gateway import gateways
 
 FULL, FREE = 6, 2
+NO_BUDGET = {'budget_ratio': 0.0, 'retry_slack': 0}
 # The first requests of a VM may find out which replicas are full.
 FINDING, AFTER = 6, 10
 
@@ -46,3 +47,20 @@
             ]
     statuses = [answer.status_code for answer in answers]
     assert statuses[FINDING:] == [200] * AFTER, statuses
+
+
+@pytest.mark.parametrize('path', ['/lookup/x', '/register/x'])
+async def test_first_attempt_goes_to_a_replica_that_accepts(tmp_path, path):
+    # Guards against requests that are refused beside free replicas once the
+    # budget for retries is spent, as their only attempt went to a full one.
+    found = make_replicas('')
+    async with sites.running(found) as site:
+        async with gateways.running(site, tmp_path, **NO_BUDGET) as (gateway,):
+            answers = [
+                await gateway.call('POST', path, f'r{number}')
+                for number in range(FULL + AFTER)
+            ]
+    statuses = [answer.status_code for answer in answers]
+    assert statuses.count(200) >= AFTER, statuses
+    # Each full one has to be found out.
+    assert sum(replica.arrivals for replica in found[:FULL]) <= FULL
