Promise nothing of what may run once and a replica was sent

Cause, as a class: a promise to a caller that rests on another's word. The verdict NOT_RUN came from the replica's answer alone; nobody but the replica can tell whether that is true.

Change: the last place before the caller asks what was sent of a request that may run once. Once any replica was sent any of it no 408, 421, 429 or 503 leaves: 502 does, logged and counted. Where all replicas have lately turned nearly all away it is refused before it is sent, which is true by construction, and its caller may come back. The same at entry/ for calls of services without a key. What may be repeated is refused as before.

Six tests asked for 503 of a run-once request that a replica had turned away; they ask for 502 of it, and for 503 of one that may be repeated, or that no replica got. That a denial is tried elsewhere is asked in full of what may be repeated.

--- a/gentianstair/core/refusals.py
+++ b/gentianstair/core/refusals.py
@@ -1,13 +1,16 @@
 """Keep refusals from the callers of requests that may have run.
 
 A caller that is refused takes its request for not run, now or later, and may
-send it again whatever it does.
+send it again whatever it does. So of a request that may run once nothing is
+promised once an upstream was sent any of it: that it has not run would rest on
+the upstream's word alone.
 """
 
 import loguru
 import prometheus_client
 
 from gentianstair import verdict as verdicts
+from gentianstair.core import run_verdict
 from gentianstair.generated import events
 
 # Request timeout, misdirected, too many requests, unavailable.
@@ -27,6 +30,16 @@
     'Refusals that were not told, as the prompt had been read',
     ['status'],
 )
+AFTER_SEND = prometheus_client.Counter(
+    'gentianstair_refusals_after_send',
+    'Refusals that were not told, as an upstream had got the request',
+    ['status'],
+)
+# How a refusal is counted and logged that is not told for what was sent.
+_HELD_BACK = {
+    run_verdict.Sent.PROMPT: (AFTER_PREFILL, events.REFUSAL_AFTER_PREFILL),
+    run_verdict.Sent.REQUEST: (AFTER_SEND, events.REFUSAL_AFTER_SEND),
+}
 
 
 def is_untrue(status: int, verdict: verdicts.Verdict) -> bool:
@@ -46,22 +59,24 @@
     status: int,
     verdict: verdicts.Verdict,
     request_id: str,
-    was_read: bool = False,
+    sent: run_verdict.Sent = run_verdict.Sent.NOTHING,
 ) -> int:
     """Return the status to tell a caller.
 
-    It is TOLD_STATUS, counted and logged, in place of an untrue refusal. So
-    it is for a request that may run once and of which a replica has read the
-    prompt: that runs nothing, and yet is work on it, which a refusal denies.
+    It is TOLD_STATUS, counted and logged, in place of an untrue refusal, or
+    of any if something was sent of a request that may run once.
     """
-    if was_read and is_untrue(status, verdicts.Verdict.MAY_HAVE_RUN):
-        AFTER_PREFILL.labels(str(status)).inc()
+    if status not in STATUSES:
+        return status
+    if sent in _HELD_BACK and verdict is verdicts.Verdict.NOT_RUN:
+        counter, event = _HELD_BACK[sent]
+        counter.labels(str(status)).inc()
         loguru.logger.bind(
-            event=events.REFUSAL_AFTER_PREFILL,
+            event=event,
             request_id=request_id,
             status=status,
             verdict=verdict.name,
-        ).info('{} would refuse a request whose prompt was read', status)
+        ).info('{} would refuse a request that was sent', status)
         return TOLD_STATUS
     if not is_untrue(status, verdict):
         return status
--- a/gentianstair/core/run_verdict.py
+++ b/gentianstair/core/run_verdict.py
@@ -26,6 +26,15 @@
     FAILURE = 'failure'
 
 
+class Sent(enum.Enum):
+    """What of a request was sent to any upstream."""
+
+    NOTHING = 'nothing'
+    # Its prompt, to be read apart from the run.
+    PROMPT = 'prompt'
+    REQUEST = 'request'
+
+
 _NOTHING_RUNS = (Reason.NOT_SENT, Reason.PREFILL, Reason.PREFILL_DENIED)
 
 
@@ -128,20 +137,23 @@
         )
 
     @property
-    def was_read(self) -> bool:
-        """Return whether an upstream may have read the prompt apart.
+    def sent(self) -> Sent:
+        """Return what was sent, whatever was answered.
 
         >>> runs = RunVerdict()
         >>> runs.begin().record_prefill()
-        >>> runs.verdict.name, runs.was_read
-        ('NOT_RUN', True)
+        >>> runs.verdict.name, runs.sent.name
+        ('NOT_RUN', 'PROMPT')
         >>> runs.latest.record_answer(verdicts.Verdict.NOT_RUN)
-        >>> runs.was_read
-        False
+        >>> runs.verdict.name, runs.sent.name
+        ('NOT_RUN', 'REQUEST')
         """
-        return any(
-            attempt.reason is Reason.PREFILL for attempt in self._attempts
-        )
+        reasons = {attempt.reason for attempt in self._attempts}
+        if Reason.PREFILL in reasons:
+            return Sent.PROMPT
+        if reasons == {Reason.NOT_SENT}:
+            return Sent.NOTHING
+        return Sent.REQUEST
 
     def reasons(self) -> list[Reason]:
         """Return what set the verdict on each attempt, in order.
--- a/gentianstair/entry/handler.py
+++ b/gentianstair/entry/handler.py
@@ -86,6 +86,8 @@
         self._status = 0
         self._verdict = verdicts.Verdict.NOT_RUN
         self._runs = run_verdict.RunVerdict()
+        # Whether its caller may send it again whatever was done with it.
+        self._may_repeat = True
         self._holding = exchange.holding = node.byte_account.open()
 
     async def serve(self) -> None:
@@ -150,7 +152,7 @@
         """Tell of an error; no refusal of what may have run."""
         error.verdict = verdicts.combine(error.verdict, self._runs.verdict)
         error.status = self._status = refusals.told_status(
-            error.status, error.verdict, self._request_id
+            error.status, error.verdict, self._request_id, self._sent_once()
         )
         self._verdict = error.verdict
         self._add_explanation('refused', **error.to_problem())
@@ -160,6 +162,12 @@
             event = streams.error_event(error, self._request_id)
             await self._exchange.end(event)
 
+    def _sent_once(self) -> run_verdict.Sent:
+        """Return what was sent of a request that may run once."""
+        if self._may_repeat:
+            return run_verdict.Sent.NOTHING
+        return self._runs.sent
+
     async def _handle(self) -> None:
         node = self._node
         exchange = self._exchange
@@ -309,6 +317,7 @@
     ) -> None:
         node = self._node
         call = services.parse(self._exchange, body)
+        self._may_repeat = call.repeatable or bool(call.idempotency_key)
         services.check_service_exists(node, call.service)
         work = works.Work(
             self._request_id,
--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -225,11 +225,12 @@
     ) -> None:
         """Send a whole response; no refusal of what may have run."""
         request_id = self._request_id_field()['request_id']
+        request = self._request
         told = refusals.told_status(
             status,
             self._verdict(),
             request_id,
-            self._request is not None and self._request.was_read,
+            request.sent_once if request else run_verdict.Sent.NOTHING,
         )
         if told != status:
             # Under another status a replica's headers would prove nothing.
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -41,6 +41,9 @@
 # Parts of a prompt in a log line, and characters of each.
 MAX_LOGGED_PARTS = 8
 MAX_LOGGED_NAME = 32
+# Share of requests that a replica turned away lately from which on it is taken
+# to turn away the next.
+TURNED_AWAY_SHARE = 0.8
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
 
@@ -149,9 +152,14 @@
         return self.runs.verdict
 
     @property
-    def was_read(self) -> bool:
-        """Return whether it may run once, and its prompt was read apart."""
-        return self.runs.was_read and not self.route.retryable
+    def sent_once(self) -> run_verdict.Sent:
+        """Return what was sent of a request that may run once.
+
+        It is nothing for others, whose callers may send them again anyway.
+        """
+        if self.route.retryable:
+            return run_verdict.Sent.NOTHING
+        return self.runs.sent
 
     @property
     def customer_name(self) -> str | None:
@@ -255,11 +263,27 @@
             usable = list(filter(_can_answer, usable))
         excluded = self._ejected() | self.tried_replicas
         if not excluded:
-            return usable
+            return self._unless_turned_away(usable)
         untried = [r for r in usable if r.name not in excluded]
         if any(map(_can_answer, untried)):
-            return self._likely_to_accept(untried)
-        return [r for r in usable if r.name not in self.tried_replicas]
+            return self._unless_turned_away(self._likely_to_accept(untried))
+        return self._unless_turned_away(
+            [r for r in usable if r.name not in self.tried_replicas]
+        )
+
+    def _unless_turned_away(
+        self, found: list[replicas.Replica]
+    ) -> list[replicas.Replica]:
+        """Return the replicas that do not turn nearly all requests away.
+
+        Where none is left, what may run once is better refused before a
+        replica gets it: its caller may come back then.
+        """
+        share = self.node.recent_rejections.share
+        likely = [r for r in found if share(r.run) < TURNED_AWAY_SHARE]
+        if any(map(_can_answer, likely)):
+            return likely
+        return found if self.route.retryable else []
 
     def _likely_to_accept(
         self, found: list[replicas.Replica]
--- a/test/entry/test_refusals.py
+++ b/test/entry/test_refusals.py
@@ -82,6 +82,31 @@
     assert told == refusals.TOLD_STATUS
 
 
+@pytest.mark.parametrize(
+    ('ask', 'told'),
+    [
+        (asks()['once'], 502),
+        ((b'x', [b'idempotency-key: k1'], REGISTER, 'POST'), 503),
+        (asks()['repeatable'], 503),
+    ],
+    ids=['once', 'keyed', 'repeatable'],
+)
+async def test_promise_of_what_may_run_once_rests_on_nothing_sent(
+    monkeypatch, ask, told
+):
+    # Guards against a promise that rests on the word of an upstream alone.
+    async def run(_, request, __):
+        attempt = request.runs.begin()
+        attempt.record_send()
+        attempt.record_answer(verdict.Verdict.NOT_RUN, 503)
+        raise errors.RequestError(503, 'no-upstream', 'none left')
+
+    monkeypatch.setattr(services, 'run', run)
+    async with test_bad_input.open_entry() as entry:
+        status, _ = await send(entry, ask)
+    assert status == told
+
+
 async def test_what_may_not_run_at_all_is_refused(monkeypatch):
     # Guards against callers who are told of a failure, and do not come back.
     async def run(*_):
--- a/test/gateway/test_denials.py
+++ b/test/gateway/test_denials.py
@@ -99,7 +99,7 @@
     )
 
 
-@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+@pytest.mark.parametrize('path', [LOOKUP, RESUMABLE], ids=['plain', 'stream'])
 async def test_denial_as_on_the_pages_is_told_at_once(tmp_path, path):
     # Guards against a caller who isn't told what it may send again.
     seen = await play(tmp_path, path, PROOFS, 1)
@@ -107,13 +107,28 @@
     assert set(seen.told.values()) <= set(REFUSALS)
 
 
-@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+@pytest.mark.parametrize('path', [LOOKUP, RESUMABLE], ids=['plain', 'stream'])
 async def test_denial_as_on_the_pages_is_tried_elsewhere(tmp_path, path):
     # Guards against requests that no other replica gets to see.
     seen = await play(tmp_path, path, PROOFS, 2)
     assert all(seen.came[cell.name] == 2 for cell in PROOFS)
 
 
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+@pytest.mark.parametrize('count', [1, 2])
+async def test_what_may_run_once_is_refused_only_if_no_replica_got_it(
+    tmp_path, path, count
+):
+    # Guards against a promise that rests on a denial, and against requests
+    # that no other replica gets to see.
+    seen = await play(tmp_path, path, PROOFS, count)
+    came = [cell for cell in PROOFS if seen.came[cell.name]]
+    assert max(seen.came[cell.name] for cell in came) == count
+    assert {seen.told[cell] for cell in came} == {502}
+    others = {seen.told[cell] for cell in PROOFS if cell not in came}
+    assert others <= {503}
+
+
 @pytest.mark.parametrize('path', [LOOKUP, RESUMABLE], ids=['plain', 'stream'])
 async def test_odd_denial_is_tried_elsewhere_where_it_may_be(tmp_path, path):
     # Guards against callers who get an odd denial though others could answer.
--- a/test/gateway/test_refusals_after_denials.py
+++ b/test/gateway/test_refusals_after_denials.py
@@ -1,6 +1,7 @@
 """Test what callers are told of requests that replicas have turned away."""
 
 import pytest
+import trio
 
 from standins.site import replica as replicas
 from standins.site import site as sites
@@ -12,6 +13,10 @@
 ONCE, LOOKUP = '/register/2f', '/lookup/a'
 STREAM, RESUMABLE = '/draft/one', '/ask/rule'
 REQUESTS = 4
+# Requests by which a VM knows all replicas, and some after them.
+FINDING, AFTER = 12, 4
+# After which replicas that have room again are asked.
+BACK_S = 1.5
 PREFILL, DECODE = 'prefill', 'decode'
 
 
@@ -82,6 +87,32 @@
     assert not any(replica.runs for replica in found)
 
 
+@pytest.mark.parametrize('path', [ONCE, STREAM], ids=['plain', 'stream'])
+async def test_request_is_refused_unsent_where_all_are_known_to_turn_away(
+    tmp_path, path
+):
+    # Guards against callers who do not come back, though their VM knew that
+    # no replica would take their request.
+    found = make_replicas(path, 2, (PREFILL, DECODE))
+    async with sites.running(found) as site:
+        async with gateways.running(site, tmp_path) as (gateway,):
+            answers = [
+                await gateway.call('POST', path, f'r{n}', **gateways.PROMPT)
+                for n in range(FINDING + AFTER)
+            ]
+            came = {one.request_id for r in found for one in r.came}
+            for replica in found:
+                replica.faults.full = False
+            await trio.sleep(BACK_S)
+            later = await gateway.call('POST', path, 'l', **gateways.PROMPT)
+    last = {f'r{FINDING + n}': answers[FINDING + n] for n in range(AFTER)}
+    assert not came & last.keys()
+    assert {answer.status_code for answer in last.values()} == {503}
+    for answer in last.values():
+        assert 0 < float(answer.headers['retry-after']) <= 1.0
+    assert later.status_code == 200
+
+
 @pytest.mark.parametrize(
     ('path', 'by'), [(LOOKUP, ()), (RESUMABLE, (DECODE,))]
 )
