--- a/test/test_refusal_doors.py
+++ b/test/test_refusal_doors.py
@@ -8,7 +8,9 @@
 import trio
 
 from gentianstair import gateway as package
+from gentianstair import verdict as verdicts
 from gentianstair.core import refusals
+from gentianstair.core import run_verdict
 from standins.site import site as sites
 from test.gateway import gateways
 
@@ -18,17 +20,50 @@
 DOORS = {
     ('core/exchange.py', 'respond'): 'its callers are listed',
     ('core/exchange.py', 'send_error'): 'its callers are listed',
-    ('gateway/handler.py', '_respond'): 'asks for the verdict',
+    (
+        'gateway/handler.py',
+        '_respond',
+    ): 'asks for the verdict, and what was sent',
     ('gateway/streaming.py', '_start_response'): 'sends 200 only',
     ('gateway/monitoring.py', '_not_found'): 'no request of a caller',
     ('gateway/monitoring.py', 'serve'): 'no request of a caller',
     ('gateway/operator_parts.py', '_respond'): 'no request of a caller',
-    ('entry/handler.py', '_send_failure'): 'asks for the verdict',
+    (
+        'entry/handler.py',
+        '_send_failure',
+    ): 'asks for the verdict, and what was sent',
     ('entry/handler.py', '_send_response'): 'asks for the verdict',
     ('entry/handler.py', '_relay_completion'): 'no status of a refusal',
     ('entry/relay.py', '_start_response'): 'sends 200 only',
     ('entry/relay.py', '_forward_refusal'): 'no status of a refusal',
 }
+# What makes a promise by itself, and what that rests on: that nothing was sent
+# yet, or the last place before the caller, which asks what was.
+UNSENT, ASKED = 'nothing was sent', 'the last place asks'
+PROMISES = {
+    ('core/byte_account.py', 'no-room'): UNSENT,
+    ('core/exchange.py', 'body-timeout'): UNSENT,
+    ('core/places.py', 'no-place'): UNSENT,
+    ('entry/admission.py', 'decision.reason'): UNSENT,
+    ('entry/attempts.py', 'no-upstream'): ASKED,
+    ('entry/attempts.py', 'upstream-limits'): ASKED,
+    ('entry/callers.py', 'no-bundle'): UNSENT,
+    ('entry/claims.py', 'claim-unavailable'): UNSENT,
+    ('entry/handler.py', 'not-fresh'): UNSENT,
+    ('entry/held_requests.py', 'request-held'): ASKED,
+    ('entry/limits.py', 'kind'): UNSENT,
+    ('gateway/handler.py', 'no-configuration'): UNSENT,
+    ('gateway/request_errors.py', 'no-replica'): ASKED,
+    ('gateway/request_errors.py', 'no-time'): ASKED,
+    ('gateway/request_errors.py', 'prompt-part-held'): ASKED,
+    ('gateway/request_errors.py', 'replica-backoff'): ASKED,
+    ('gateway/request_errors.py', 'replica-limits'): ASKED,
+    ('gateway/request_errors.py', 'version-gone'): ASKED,
+    ('gateway/stream_version.py', 'stream-version-unknown'): UNSENT,
+    ('limits/limiter.py', 'rate-limit'): UNSENT,
+}
+# Statuses of errors that are no numbers in the code.
+NAMED_STATUSES = {'HTTP_UNAVAILABLE': 503, 'HTTP_TIMEOUT': 408}
 HEAD = (
     b'POST /register/2f HTTP/1.1\r\nhost: judging.example\r\n'
     b'x-request-id: %s\r\nx-request-deadline-ms: 600\r\n'
@@ -71,6 +106,54 @@
     assert _doors() - outer == set(DOORS)
 
 
+def _promise(node):
+    """Return the kind of an error that promises, None of other nodes."""
+    if not isinstance(node, ast.Call) or len(node.args) < 2:
+        return None
+    if not ast.unparse(node.func).endswith('RequestError'):
+        return None
+    status, kind = node.args[:2]
+    parts = list(ast.walk(status))
+    numbers = {p.value for p in parts if isinstance(p, ast.Constant)}
+    numbers |= {
+        NAMED_STATUSES.get(part.id)
+        for part in parts
+        if isinstance(part, ast.Name)
+    }
+    if not refusals.STATUSES & numbers:
+        return None
+    if isinstance(kind, ast.Constant):
+        return kind.value
+    return ast.unparse(kind)
+
+
+def test_each_promise_names_what_it_rests_on():
+    # Guards against a new promise that rests on the word of another.
+    found = set()
+    for folder in ('core', 'gateway', 'entry', 'control', 'limits'):
+        for file in sorted((SOURCES / folder).glob('*.py')):
+            tree = ast.parse(file.read_text())
+            kinds = set(filter(None, map(_promise, ast.walk(tree))))
+            found |= {(str(file.relative_to(SOURCES)), k) for k in kinds}
+    assert found == set(PROMISES)
+
+
+@pytest.mark.parametrize('sent', run_verdict.Sent)
+@pytest.mark.parametrize('status', sorted(refusals.STATUSES | {404, 502}))
+@pytest.mark.parametrize('verdict', verdicts.Verdict)
+def test_last_place_promises_only_what_was_never_sent(status, sent, verdict):
+    # Guards against a door that lets a promise pass by the verdict alone.
+    told = refusals.told_status(status, verdict, 'r1', sent)
+    is_true = (
+        sent is run_verdict.Sent.NOTHING
+        and verdict is verdicts.Verdict.NOT_RUN
+    )
+    if status in refusals.STATUSES and not is_true:
+        assert told == refusals.TOLD_STATUS
+    else:
+        assert told == status
+
+
 async def _statuses(port, parts):
     """Send parts on one connection; return the statuses that come back."""
     stream = await trio.open_tcp_stream('127.0.0.1', port)
