Give the choice of a request's replicas a module of its own

The shares of rejections are looked up only where there are any, so that a choice among thousands of replicas costs what it did. No decision is changed; the rows of placement, choices and refusals pass as before.

--- a/gentianstair/core/recent_rejections.py
+++ b/gentianstair/core/recent_rejections.py
@@ -71,6 +71,13 @@
         age_s = self._clock() - known.at_s
         return known.share * math.exp(-age_s / FADE_S)
 
+    def shares(self) -> dict[upstream_limits.UpstreamRun, float]:
+        """Return the shares of all upstreams that turned requests away.
+
+        They are few, whatever the size of the fleet.
+        """
+        return {run: self.share(run) for run in self._shares}
+
     def _move_share(
         self, run: upstream_limits.UpstreamRun, answer: float
     ) -> None:
--- a/gentianstair/gateway/placement.py
+++ b/gentianstair/gateway/placement.py
@@ -75,7 +75,7 @@
     def choose_unary(
         self,
         candidates: list[replicas.Replica],
-        rejected_share: typing.Callable[[upstream_limits.UpstreamRun], float],
+        rejected_shares: typing.Mapping[upstream_limits.UpstreamRun, float],
     ) -> replicas.Replica | None:
         """Return the least loaded replica for a unary request.
 
@@ -86,7 +86,8 @@
             running = self._load_tracker.load_of(replica.name).running
             is_local = replica.failure_domain == self._failure_domain
             used = (running + (0 if is_local else 0.5)) / max(1, replica.slots)
-            used += rejected_share(replica.run)
+            if rejected_shares:
+                used += rejected_shares.get(replica.run, 0.0)
             rank = (used, self._random.random())
             if best is None or rank < best[0]:
                 best = (rank, replica)
--- a/gentianstair/gateway/process_parts.py
+++ b/gentianstair/gateway/process_parts.py
@@ -43,7 +43,7 @@
 from gentianstair.gateway import replica_client
 from gentianstair.gateway import replica_load
 from gentianstair.gateway import replicas
-from gentianstair.gateway import request_state
+from gentianstair.gateway import request_choices
 from gentianstair.gateway import retry_budget
 from gentianstair.gateway import roster as rosters
 from gentianstair.gateway import store_watch
@@ -283,7 +283,7 @@
         known_limits,
         backoffs,
         now,
-        lambda: request_state.sure_to_serve_s(live.current.bounds.drain_s),
+        lambda: request_choices.sure_to_serve_s(live.current.bounds.drain_s),
     )
     keepers = permit_keepers.PermitKeepers(
         permit_keepers.Fleet(
--- a/gentianstair/gateway/remote_prefill.py
+++ b/gentianstair/gateway/remote_prefill.py
@@ -119,7 +119,7 @@
             if not self._attempts:
                 request.node.retry_budget.spend(request.service)
             self._attempts += 1
-        request.tried_replicas.add(replica.name)
+        request.choices.tried.add(replica.name)
         request.attempts += 1
         request.record_failure(replica, error, started_s, reads=True)
 
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -15,8 +15,8 @@
 from gentianstair.gateway import forward
 from gentianstair.gateway import known_starts
 from gentianstair.gateway import node as nodes
-from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_choices
 from gentianstair.gateway import request_ends
 from gentianstair.gateway import request_errors
 from gentianstair.gateway import request_parts
@@ -30,9 +30,6 @@
 # Most replicas that one request may fail to connect to. Each failure may take
 # the whole connect timeout.
 MAX_UNREACHABLE_ATTEMPTS = 4
-# How long a replica may have been draining before this VM learns of it, plus
-# the time to copy KV cache from it.
-DRAIN_NOTICE_DELAY_S = 0.8
 # Least time without an answer after which the path to a replica is checked.
 MIN_SILENCE_S = 0.3
 # Share of the time to its objective that the most urgent request waits for its
@@ -41,18 +38,10 @@
 # Parts of a prompt in a log line, and characters of each.
 MAX_LOGGED_PARTS = 8
 MAX_LOGGED_NAME = 32
-# Share of requests that a replica turned away lately from which on it is taken
-# to turn away the next.
-TURNED_AWAY_SHARE = 0.8
 # No attempt is made with less time than this to the deadline.
 MIN_REMAINING_S = 0.03
 
 
-def _can_answer(replica: replicas.Replica) -> bool:
-    """Return whether a replica produces what a caller gets."""
-    return replica.stage != prefill_costs.PREFILL
-
-
 def _is_sound(error: errors.UpstreamError) -> bool:
     """Return whether an upstream may serve other requests as it should.
 
@@ -71,11 +60,6 @@
     )
 
 
-def sure_to_serve_s(drain_s: float) -> float:
-    """Return for how long a replica that is found to drain surely serves."""
-    return drain_s - DRAIN_NOTICE_DELAY_S
-
-
 class RequestState:
     """A request, its deadline, and the outcome of its attempts so far."""
 
@@ -121,13 +105,6 @@
         self._runs_at: replicas.Replica | None = None
         # The newest start there as the latest attempt, or its answer, began.
         self._begun_at: upstream_limits.UpstreamRun | None = None
-        self.tried_replicas: set[str] = set()
-        # Whose events the caller has, and whose may follow; None for any.
-        self.producer: known_starts.Producer | None = None
-        # Names of replicas that were left out as they asked for a pause.
-        self.backed_off: set[str] = set()
-        # Whether a replica turned it away.
-        self._was_rejected = False
         self._next_retry_is_paid = False
         # Why no further attempt follows, once that is decided.
         self._no_retry: retry_ends.NoRetry | None = None
@@ -141,6 +118,9 @@
             request_parts.parts_of(service, call),
             node.clock,
         )
+        self.choices = request_choices.RequestChoices(
+            node, service, route.retryable, self.permits, self.parts
+        )
         self.ends = request_ends.RequestEnds(node, self.parts, call.request_id)
         # The latest error response of a replica, for the caller if no other
         # attempt succeeds.
@@ -250,102 +230,21 @@
             'started_ms': producer.run and producer.run.started_ms,
         }
 
-    def candidates(self) -> list[replicas.Replica]:
-        """Return the replicas that this request has not tried yet.
-
-        Ejected replicas are left out while there are others, and always
-        those of which there is no permit. A request that was turned away
-        goes to one that turned none away lately, if it can.
-        """
-        usable = self.permits.choices(self._usable())
-        if self.parts.is_trial:
-            # A trial reaches one replica only.
-            usable = list(filter(_can_answer, usable))
-        excluded = self._ejected() | self.tried_replicas
-        if not excluded:
-            return self._unless_turned_away(usable)
-        untried = [r for r in usable if r.name not in excluded]
-        if any(map(_can_answer, untried)):
-            return self._unless_turned_away(self._likely_to_accept(untried))
-        return self._unless_turned_away(
-            [r for r in usable if r.name not in self.tried_replicas]
-        )
+    @property
+    def producer(self) -> known_starts.Producer | None:
+        """Return whose events the caller has, None if any may follow."""
+        return self.choices.producer
 
-    def _unless_turned_away(
-        self, found: list[replicas.Replica]
-    ) -> list[replicas.Replica]:
-        """Return the replicas that do not turn nearly all requests away.
+    def bind(self, producer: known_starts.Producer | None) -> None:
+        """Let events come only from starts that may follow a producer.
 
-        Where none is left, what may run once is better refused before a
-        replica gets it: its caller may come back then.
-        """
-        share = self.node.recent_rejections.share
-        likely = [r for r in found if share(r.run) < TURNED_AWAY_SHARE]
-        if any(map(_can_answer, likely)):
-            return likely
-        return found if self.route.retryable else []
-
-    def _likely_to_accept(
-        self, found: list[replicas.Replica]
-    ) -> list[replicas.Replica]:
-        if not self._was_rejected:
-            return found
-        is_rejecting = self.node.recent_rejections.is_rejecting
-        likely = [r for r in found if not is_rejecting(r.run)]
-        return likely if any(map(_can_answer, likely)) else found
-
-    def bind(self, producer: known_starts.Producer) -> None:
-        """Let events come only from starts that may follow a producer."""
-        self.producer = producer
-
-    def _usable(self) -> list[replicas.Replica]:
-        """Return the replicas that may serve this request now."""
-        fitting = self._fitting()
-        backoffs = self.node.upstream_backoffs
-        if backoffs.is_empty():
-            return fitting
-        found = [r for r in fitting if not backoffs.is_backed_off(r.run)]
-        if len(found) < len(fitting):
-            self.backed_off |= {r.name for r in fitting} - {
-                r.name for r in found
-            }
-        return found
-
-    def _fitting(self) -> list[replicas.Replica]:
-        """Return the replicas that may serve this request some time.
-
-        A prefill replica of any version may, as no event comes from it. If
-        all others of a bound version drain, they may while they are sure to
-        serve: nobody else can go on with the stream.
+        With None they come from any.
         """
-        usable = self.node.registry.usable(self.service)
-        if self.producer is None:
-            return usable
-        found = [r for r in usable if self._fits(r)]
-        if any(map(_can_answer, found)):
-            return found
-        return found + [
-            replica
-            for replica in self._serving()
-            if _can_answer(replica) and self._fits(replica)
-        ]
-
-    def _fits(self, replica: replicas.Replica) -> bool:
-        if self.producer is None or not _can_answer(replica):
-            return True
-        registry = self.node.registry
-        return registry.starts.may_follow(
-            registry.newest_run(replica), self.producer
-        )
-
-    def _serving(self) -> list[replicas.Replica]:
-        """Return all replicas that are sure to serve for a while."""
-        limit_s = sure_to_serve_s(self.node.deployment.bounds.drain_s)
-        return self.node.registry.copy_sources(self.service, limit_s)
+        self.choices.producer = producer
 
     def has_unlimited_candidate(self) -> bool:
         """Return whether a candidate can run the request without a limit."""
-        return self.permits.any_unlimited(self.candidates())
+        return self.permits.any_unlimited(self.choices.candidates())
 
     async def wait_for_turn(self) -> bool:
         """Wait for a permit of a limited replica; return false without one.
@@ -354,7 +253,7 @@
         """
         patience_s = TURN_SHARE * self.objective_left_s()
         return await self.permits.wait_for_turn(
-            self._usable_untried(), patience_s / (1 + self.priority())
+            self.choices.untried(), patience_s / (1 + self.priority())
         )
 
     async def take_prefill_turn(self) -> bool:
@@ -362,35 +261,7 @@
 
         It is for a request that would be late without.
         """
-        return await self.permits.take_prefill_turn(self._usable_untried())
-
-    def _usable_untried(self) -> list[replicas.Replica]:
-        return [
-            replica
-            for replica in self._usable()
-            if replica.name not in self.tried_replicas
-        ]
-
-    def kv_copy_sources(self) -> list[replicas.Replica]:
-        """Return the replicas from which KV cache may be copied.
-
-        Replicas that may be gone before the copy ends are left out: the
-        prefill would start over and delay what is queued behind it.
-        """
-        sources = self._serving()
-        ejected = self._ejected()
-        if not ejected:
-            return sources
-        return [r for r in sources if r.name not in ejected]
-
-    def _ejected(self) -> set[str]:
-        """Return the names of the service's replicas that are ejected."""
-        prefix = forward.ejector_key(self.service, '')
-        return {
-            key.removeprefix(prefix)
-            for key in self.node.ejector.unavailable(self.node.clock())
-            if key.startswith(prefix)
-        }
+        return await self.permits.take_prefill_turn(self.choices.untried())
 
     def _ejector_key(self, replica: replicas.Replica) -> str:
         return forward.ejector_key(self.service, replica.name)
@@ -399,7 +270,7 @@
         """Record the start of an attempt; return its time."""
         now_s = self.node.clock()
         self.attempts += 1
-        self.tried_replicas.add(replica.name)
+        self.choices.tried.add(replica.name)
         self.node.ejector.record_start(self._ejector_key(replica), now_s)
         return now_s
 
@@ -443,7 +314,7 @@
             else:
                 self.attempts -= 1
         if isinstance(error, errors.NoLongerSendableError):
-            self.tried_replicas.discard(replica.name)
+            self.choices.tried.discard(replica.name)
         elif isinstance(error, errors.UnreachableError):
             self.unreachable_attempts += 1
             self.node.ejector.eject_unreachable(key, now_s)
@@ -457,7 +328,7 @@
         if isinstance(error, errors.ConnectionBrokenError):
             self.ends.record_broken(replica, self._begun_at or replica.run)
         if isinstance(error, errors.UpstreamRejectedError):
-            self._was_rejected = True
+            self.choices.was_rejected = True
             self.node.recent_rejections.record_rejection(replica.run)
         run.raise_to(error.verdict)
         self.record_attempt_end()
@@ -501,7 +372,7 @@
 
     def record_no_retry(self, reason: retry_ends.NoRetry) -> None:
         """Record why no attempt follows; a request without any has none."""
-        if not self.tried_replicas:
+        if not self.choices.tried:
             return
         self._no_retry = reason
         retry_ends.WITHHELD.labels(reason.value).inc()
@@ -526,7 +397,7 @@
         """Return whether the last connect to each candidate has failed."""
         return all(
             self.node.paths.is_unreached(replica.address)
-            for replica in self.candidates()
+            for replica in self.choices.candidates()
         )
 
     def may_replace_attempt(self) -> bool:
@@ -620,9 +491,11 @@
             return self.parts.held_error()
         if self.permits.turn_in_s is not None:
             return request_errors.no_turn(self.permits.turn_in_s)
-        if any(map(_can_answer, self._usable())):
+        if any(map(request_choices.can_answer, self.choices.usable())):
             return request_errors.none_could_take()
-        fitting = list(filter(_can_answer, self._fitting()))
+        fitting = list(
+            filter(request_choices.can_answer, self.choices.fitting())
+        )
         if fitting:
             return request_errors.all_backed_off(
                 self.node.upstream_backoffs.return_in_s(
--- a/gentianstair/gateway/stream_planner.py
+++ b/gentianstair/gateway/stream_planner.py
@@ -44,7 +44,7 @@
                 self._prompt,
                 self._engine,
                 len(request.body),
-                request.kv_copy_sources(),
+                request.choices.kv_copy_sources(),
                 request.objective_left_s(),
             )
             if plan is None:
@@ -78,7 +78,7 @@
         A stream that goes on has its prompt read where it is decoded: from
         another's KV cache a replica may begin with the first event.
         """
-        found = self._request.candidates()
+        found = self._request.choices.candidates()
         if not self._request.order.has_events:
             return found
         return [r for r in found if r.stage != prefill_costs.PREFILL]
@@ -121,7 +121,7 @@
             version=plan.decode_replica.version,
             started_ms=plan.decode_replica.started_ms,
             events=self._request.order.event_count,
-            backed_off=sorted(request.backed_off),
+            backed_off=sorted(request.choices.backed_off),
             reader=plan.prefill_replica.name if plan.prefill_replica else None,
             unread_tokens=plan.uncached_tokens,
             copied_tokens=plan.copy.tokens,
@@ -158,11 +158,11 @@
         """
         request = self._request
         while True:
-            replica = request.permits.reserved(request.candidates())
+            replica = request.permits.reserved(request.choices.candidates())
             if replica is not None:
                 return replica
             replica = self._node.placement.choose_decode_replica(
-                request.candidates(), len(request.body)
+                request.choices.candidates(), len(request.body)
             )
             if replica is None and not await request.wait_for_turn():
                 raise errors.UpstreamError(
--- a/gentianstair/gateway/stream_version.py
+++ b/gentianstair/gateway/stream_version.py
@@ -193,7 +193,8 @@
             await self._confirm(origin)
         except errors.OtherStartError:
             # The caller has no event, so any replica may send the first.
-            request.producer = self._origin = None
+            request.bind(None)
+            self._origin = None
             raise
 
     def _go_on(self, run: known_starts.Run | None) -> None:
--- a/gentianstair/gateway/unary.py
+++ b/gentianstair/gateway/unary.py
@@ -48,7 +48,7 @@
     node = request.node
     while True:
         replica = node.placement.choose_unary(
-            request.candidates(), node.recent_rejections.share
+            request.choices.candidates(), node.recent_rejections.shares()
         )
         if replica is None:
             if not await request.wait_for_turn():
--- a/test/gateway/test_placement.py
+++ b/test/gateway/test_placement.py
@@ -129,7 +129,7 @@
     for name, count in (('near', near), ('far', far)):
         for _ in range(count):
             scheduler.load.begin(name)
-    found = scheduler.placement.choose_unary(candidates, lambda run: 0.0)
+    found = scheduler.placement.choose_unary(candidates, {})
     assert found.name == chosen
 
 
@@ -153,7 +153,7 @@
     for _ in range(far_running):
         scheduler.load.begin('far')
     shares = {far.run: 0.0, near.run: near_share}
-    found = scheduler.placement.choose_unary([far, near], shares.__getitem__)
+    found = scheduler.placement.choose_unary([far, near], shares)
     assert found.name == chosen
 
 
