Give each start of a stand-in replica a lifespan of its own

Cause: all starts of a replica share one application, whose nursery is that of the newest one. The shutdown of the start before sets that nursery's deadline 5 s ahead, which ends the newest start's lifespan; its own shutdown then meets a closed channel. And an error cancels the wait for the first gateway that is killed, so the others were never signalled.

Change: a start answers its server's lifespan by itself; all gateways are signalled before any is waited for.

Tests: test_replica_that_starts_again_beside_a_run_serves_on and test_all_processes_end_where_a_play_ends_with_an_error failed before.

--- a/standins/experiment/__main__.py
+++ b/standins/experiment/__main__.py
@@ -129,9 +129,9 @@
         f'{len(found.ran_unsaid)} ran though it says not',
         flush=True,
     )
-    for ids in found[1:]:
-        for request_id in ids[:MAX_SHOWN]:
-            print(f'    {request_id}', flush=True)
+    for texts in found[1:]:
+        for text in texts[:MAX_SHOWN]:
+            print(f'    {text}', flush=True)
 
 
 if __name__ == '__main__':
--- a/standins/experiment/vm_lines.py
+++ b/standins/experiment/vm_lines.py
@@ -22,7 +22,7 @@
 
 
 class Differences(typing.NamedTuple):
-    """Requests of which the lines tell something else, by their ids."""
+    """Requests of which the lines tell something else, as text."""
 
     # How many requests have both a line and an answer.
     compared: int
@@ -72,20 +72,27 @@
     ]
     return Differences(
         len(pairs),
-        [one.request_id for one, line in pairs if one.status != line.status],
+        [_text(*pair) for pair in pairs if pair[0].status != pair[1].status],
         [
-            one.request_id
+            _text(one, line)
             for one, line in pairs
             if one.request_id in came and _says_not_sent(line)
         ],
         [
-            one.request_id
+            _text(one, line)
             for one, line in pairs
             if one.request_id in began and line.verdict == 'NOT_RUN'
         ],
     )
 
 
+def _text(told: record.Told, line: Line) -> str:
+    return (
+        f'id {told.request_id} {told.kind} at {told.vm} told {told.status}, '
+        f'its line: {line.status} {line.verdict} ({line.outcomes})'
+    )
+
+
 def _says_not_sent(line: Line) -> bool:
     return set(filter(None, line.outcomes.split(', '))) <= {NOT_SENT}
 
--- a/standins/site/site.py
+++ b/standins/site/site.py
@@ -1,5 +1,6 @@
 """Run a whole small site in one process: store, cloud and replicas."""
 
+import collections.abc
 import contextlib
 import functools
 import socket
@@ -251,6 +252,10 @@
     born_ms = replica.born_ms
 
     async def answer(scope: typing.Any, *rest: typing.Any) -> None:
+        if scope['type'] == 'lifespan':
+            # The application's own is one for all starts.
+            await _answer_lifespan(*rest)
+            return
         if scope['type'] == 'http' and replica.born_ms != born_ms:
             # Its process is gone; the connection is about to be closed.
             await trio.sleep_forever()
@@ -259,6 +264,21 @@
     return answer
 
 
+async def _answer_lifespan(
+    receive: collections.abc.Callable[
+        [], collections.abc.Awaitable[dict[str, typing.Any]]
+    ],
+    send: collections.abc.Callable[
+        [dict[str, typing.Any]], collections.abc.Awaitable[None]
+    ],
+) -> None:
+    """Tell a server that its application has started, and has ended."""
+    kind = ''
+    while kind != 'lifespan.shutdown':
+        kind = (await receive())['type']
+        await send({'type': f'{kind}.complete'})
+
+
 async def _serve_start(
     app: typing.Any,
     sock: socket.socket,
--- a/standins/soak/strikes.py
+++ b/standins/soak/strikes.py
@@ -146,6 +146,7 @@
         """End all processes that this object started."""
         for gateway in self.gateways:
             gateway.signal(signal.SIGKILL)
+        for gateway in self.gateways:
             with contextlib.suppress(AssertionError):
                 await gateway.wait()
 
--- a/test/standins/test_turned_away.py
+++ b/test/standins/test_turned_away.py
@@ -2,6 +2,7 @@
 
 import json
 
+import httpx
 import pytest
 import trio
 
@@ -10,10 +11,13 @@
 from standins.experiment import vm_lines
 from standins.site import replica as replicas
 from standins.site import sheet as sheets
+from standins.site import site as sites
 from standins.soak import record
+from standins.soak import strikes
 from test.standins import test_experiment
 
 LENGTH_S = 25.0
+RUN_S, AGAIN_S = 0.4, 5.5
 
 
 @pytest.fixture
@@ -107,3 +111,43 @@
     assert result.differences[1:] == ([], [], [])
     assert result.ran['work began'] == []
     assert result.ran_twice == []
+
+
+async def test_replica_that_starts_again_beside_a_run_serves_on():
+    # Guards against a site that ends as a replica starts a third time, more
+    # than the library's 5 s for tasks in the background after the second.
+    replica = replicas.Replica('i-1', 'desk', 'a')
+    replica.faults.late_s = RUN_S
+    async with sites.running([replica]):
+        async with httpx.AsyncClient(trust_env=False) as client:
+
+            async def ask(request_id):
+                answer = await client.post(
+                    f'http://{replica.address}/register/x',
+                    headers={
+                        'x-request-id': request_id,
+                        'x-expect-instance': replica.name,
+                    },
+                )
+                assert answer.status_code == 200
+
+            for number in range(3):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(ask, f'q{number}')
+                    await trio.sleep(RUN_S / 2)
+                    replica.start_again()
+                await trio.sleep(AGAIN_S)
+
+
+async def test_all_processes_end_where_a_play_ends_with_an_error(tmp_path):
+    # Guards against gateways that run on after a play that was cut short.
+    async with sites.running([]) as site:
+        soak = strikes.Soak(site, tmp_path, vms=2)
+        for number in range(2):
+            soak.start(number, bootstrap=True)
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await soak.kill_all()
+        with trio.fail_after(LENGTH_S):
+            while any(gateway.is_running() for gateway in soak.gateways):
+                await trio.sleep(0.05)
