Read the other items of a page that holds a string of no text

Cause: the decoder refuses such a string wherever it stands, also in an item that is to be decoded later by itself, so that the page can't be read.

Change: a page that can't be decoded is decoded once more with each string that holds no text, and each value nested too deep, replaced by a mark, by which its item alone is skipped.

--- a/gentianstair/platform/object_codec.py
+++ b/gentianstair/platform/object_codec.py
@@ -109,7 +109,7 @@
 def decode_list(answer: Answer) -> ListPage:
     """Return a page of a listing; raise StoreUnavailableError.
 
-    One object that is nested too deep must not hide all others.
+    One object that can't be read must not hide all others.
     """
     return _decode(answer.body, ListPage, json_codec.decode_cut)
 
@@ -143,7 +143,7 @@
     """
     try:
         if json_codec.CUT in bytes(raw):
-            raise errors.NestingError('nested too deep')
+            raise errors.DecodeError('a part of it can not be read')
         found = json_codec.decode(raw, _Object)
     except errors.DecodeError as error:
         loguru.logger.bind(event=events.OBJECT_UNREADABLE, kind=kind).warning(
--- a/gentianstair/util/json_codec.py
+++ b/gentianstair/util/json_codec.py
@@ -10,11 +10,11 @@
 # What is nested deeper is of no type that this package reads, and still well
 # within what can be decoded.
 MAX_DEPTH = 200
-# Stands in place of what was nested too deep.
-CUT = b'"cut: nested too deep"'
-_BRACKETS_AND_STRINGS = re.compile(
-    rb'[\[\]{}]|"[^"\\]*(?:\\.[^"\\]*)*"', re.DOTALL
-)
+# Stands in place of what was nested too deep, or of a string of no text.
+CUT = b'"cut: unreadable"'
+_STRING = rb'"[^"\\]*(?:\\.[^"\\]*)*"'
+_STRINGS = re.compile(_STRING, re.DOTALL)
+_BRACKETS_AND_STRINGS = re.compile(rb'[\[\]{}]|' + _STRING, re.DOTALL)
 
 # A number that fits into 64 bits, as all codecs and clocks here need.
 Int64 = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
@@ -49,7 +49,7 @@
     """Return JSON with CUT in place of what is nested deeper than max_depth.
 
     >>> cut_nested(b'{"a": [[1], "]"], "b": [2]}', 2)
-    b'{"a": ["cut: nested too deep", "]"], "b": [2]}'
+    b'{"a": ["cut: unreadable", "]"], "b": [2]}'
     """
     parts = []
     depth, kept_to = 0, 0
@@ -68,15 +68,34 @@
     return b''.join(parts)
 
 
+def cut_strings(data: bytes) -> bytes:
+    """Return JSON with CUT in place of each string that holds no text.
+
+    >>> cut_strings(b'{"a": "\\\\ud800", "b": "\\\\ud83d\\\\ude00"}')
+    b'{"a": "cut: unreadable", "b": "\\\\ud83d\\\\ude00"}'
+    """
+    return _STRINGS.sub(
+        lambda found: found[0] if _holds_text(found[0]) else CUT, data
+    )
+
+
+def _holds_text(string: bytes) -> bool:
+    try:
+        msgspec.json.decode(string, type=str)
+    except _DECODE_ERRORS:
+        return False
+    return True
+
+
 def decode_cut(data: bytes, kind: typing.Any) -> typing.Any:
-    """Return the value of a kind in data, cut where it is nested too deep.
+    """Return the value of a kind in data, cut where it can't be read.
 
     Raise DecodeError.
     """
     try:
         return decode(data, kind)
-    except errors.NestingError:
-        return decode(cut_nested(data), kind)
+    except errors.DecodeError:
+        return decode(cut_strings(cut_nested(data)), kind)
 
 
 __all__ = ['CUT', 'Int64', 'decode', 'decode_cut']
--- a/test/platform/test_object_store.py
+++ b/test/platform/test_object_store.py
@@ -245,8 +245,20 @@
         b'{"slots":1e999}',
         b'{"slots":' + b'9' * 5000 + b'}',
         b'{"zone":"\xff"}',
+        b'{"owner":"\\ud800","sequence":1}',
+        b'{"owner":"\\udc00\\ud800","models":' + NESTED + b'}',
+    ],
+    ids=[
+        'field',
+        'unknown-field',
+        'all',
+        'maps',
+        'float',
+        'digits',
+        'text',
+        'lone-surrogate',
+        'lone-surrogates-and-nested',
     ],
-    ids=['field', 'unknown-field', 'all', 'maps', 'float', 'digits', 'text'],
 )
 @pytest.mark.parametrize('place', [0, 1, 2], ids=['first', 'among', 'last'])
 @pytest.mark.parametrize('watches', [False, True], ids=['list', 'watch'])
