End events at an empty line, whatever ends a line

Cause: the end of an event was taken for two line feeds in a row.

Change: an event ends at an empty line behind another; lines end with CR LF, LF or CR, as the definition of event streams has it, and as event_order.py reads them already. Streams of engines at entry/ with CR LF are read as with LF.

--- a/gentianstair/entry/streams.py
+++ b/gentianstair/entry/streams.py
@@ -130,6 +130,8 @@
         if self._partial:
             data = self._partial + data
             self._partial = b''
+        if b'\r' in data:
+            data = data.replace(b'\r\n', b'\n')
         if not data.endswith(EVENT_END):
             end = data.rfind(EVENT_END) + len(EVENT_END)
             if end < len(EVENT_END):
--- a/gentianstair/gateway/event_stream.py
+++ b/gentianstair/gateway/event_stream.py
@@ -1,9 +1,12 @@
 """Split a server-sent event stream so that only whole events are forwarded."""
 
+import re
+
 from gentianstair import errors
 from gentianstair import verdict as verdicts
 
-_EVENT_END = b'\n\n'
+# An empty line behind another; lines end with a return, a line feed or both.
+_EVENT_END = re.compile(rb'\n\r?\n|\r\r')
 # An event holds a few tokens.
 MAX_EVENT_BYTES = 1024 * 1024
 
@@ -29,12 +32,17 @@
         >>> buffer.at_event_boundary()
         False
         """
-        *whole, self._partial = (self._partial + data).split(_EVENT_END)
+        data = self._partial + data
+        whole, begin = [], 0
+        for end in _EVENT_END.finditer(data):
+            whole.append(data[begin : end.end()])
+            begin = end.end()
+        self._partial = data[begin:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise errors.UpstreamError(
                 'an event is too long', verdicts.Verdict.RAN
             )
-        return [event + _EVENT_END for event in whole]
+        return whole
 
     def at_event_boundary(self) -> bool:
         """Return whether no incomplete event is buffered."""
--- a/test/entry/test_streams_fuzz.py
+++ b/test/entry/test_streams_fuzz.py
@@ -53,6 +53,17 @@
     return b''.join(out), text, usage, whole
 
 
+@pytest.mark.parametrize('step', [1, 3, 1000])
+def test_lines_may_end_with_a_return_and_a_line_feed(step):
+    # Guards against streams of engines of which nothing is forwarded.
+    event = {'choices': [{'index': 0, 'delta': {'content': 'one'}}]}
+    data = f'data: {json.dumps(event)}\n\ndata: [DONE]\n\n'.encode()
+    crlf = data.replace(b'\n', b'\r\n')
+    parts = [crlf[n : n + step] for n in range(0, len(crlf), step)]
+    assert read_stream(parts, b'') == read_stream([data], b'')
+    assert read_stream([data], b'')[1] == 'one'
+
+
 @hypothesis.settings(derandomize=True, max_examples=500, deadline=None)
 @hypothesis.given(data=STREAM)
 def test_invalid_events_raise_no_internal_error(data):
