--- a/standins/experiment/turned_away.py
+++ b/standins/experiment/turned_away.py
@@ -40,31 +40,41 @@
     for numbers in plain.values():
         count = max(1, round(FULL_SHARE * len(numbers)))
         full = chance.sample(numbers, min(count, max(1, len(numbers) - 1)))
-        for series in _series(chance, length_s):
-            found += [
-                series._replace(whom=number, what='full') for number in full
-            ]
+        found += _draw_full(chance, length_s, full)
         free = [number for number in numbers if number not in full]
-        found += [
-            fault._replace(whom=chance.choice(free))
-            for fault in plan.draw_series(
-                chance,
-                length_s if free else 0.0,
-                [('replica', 'busy')],
-                BUSY_GAP_S,
-                BUSY_S,
-            )
-        ]
+        if free:
+            found += _draw_busy(chance, length_s, free)
     return sorted(found)
 
 
+def _draw_full(
+    chance: random.Random, length_s: float, numbers: list[int]
+) -> list[plan.Fault]:
+    """Return spans in which replicas of these numbers turn all away."""
+    return [
+        span._replace(whom=number)
+        for span in _series(chance, length_s)
+        for number in numbers
+    ]
+
+
+def _draw_busy(
+    chance: random.Random, length_s: float, numbers: list[int]
+) -> list[plan.Fault]:
+    """Return spans in which one of these replicas has too much to do."""
+    spans = plan.draw_series(
+        chance, length_s, [('replica', 'busy')], BUSY_GAP_S, BUSY_S
+    )
+    return [span._replace(whom=chance.choice(numbers)) for span in spans]
+
+
 def _series(chance: random.Random, length_s: float) -> list[plan.Fault]:
-    """Return spans in which some replicas turn all away, with pauses."""
+    """Return spans in which some turn all away, with pauses between."""
     found = []
     at_s = chance.uniform(*BEGINS_S)
     while at_s < length_s:
         lasts_s = chance.uniform(*LASTS_S)
-        found.append(plan.Fault(at_s, 'replica', '', 0, lasts_s))
+        found.append(plan.Fault(at_s, 'replica', 'full', 0, lasts_s))
         at_s += lasts_s + chance.uniform(*BEGINS_S)
     return found
 
