Let one task at a time send on a link's connection

Cause: an answer that a link adds and the end of the answers of its replica are sent by two tasks; the second did not wait for the first.

test_replica_that_ends_beside_an_added_answer_ends_no_link failed before.

--- a/standins/soak/proxy.py
+++ b/standins/soak/proxy.py
@@ -129,7 +129,8 @@
                 await near.send_all(data)
             self.record.note_answers(data, near)
         await self._hold(Mode.ONE_WAY)
-        await near.send_eof()
+        async with answering:
+            await near.send_eof()
 
     async def _hold(self, stops_at: Mode) -> None:
         """Return when bytes may pass: not while SILENT or stops_at."""
--- a/test/standins/test_link_record.py
+++ b/test/standins/test_link_record.py
@@ -8,6 +8,7 @@
 import trio
 import trio.testing
 
+from standins.soak import odd_answers
 from standins.soak import proxy
 
 LATE_S = 0.4
@@ -96,3 +97,19 @@
         assert link.record.limit_named_s('5') is None
         link.record.forget_limits()
         assert link.record.limit_named_s('0.5') is None
+
+
+async def test_replica_that_ends_beside_an_added_answer_ends_no_link():
+    # Guards against a soak that ends as two tasks send on one connection.
+    async with passing() as (link, caller, far):
+        # More than a caller that does not read has room for.
+        link.added = bytes(50_000_000)
+        for number in range(odd_answers.ADDED_EACH):
+            caller.sendall(REQUEST)
+            if number < odd_answers.ADDED_EACH - 1:
+                assert await far.receive_some() == REQUEST
+        await trio.sleep(0.2)
+        await far.send_eof()
+        await trio.sleep(0.2)
+        with socket.create_connection(('127.0.0.1', link.port)):
+            await trio.sleep(0.1)
