Ask for 502 of a run-once refusal without a length, too

It asks for 502 of that, and now for 503 of a look-up beside it; that no replica is asked for its report holds for both.

--- a/test/gateway/test_unproven_ends.py
+++ b/test/gateway/test_unproven_ends.py
@@ -233,9 +233,13 @@
     async with running(tmp_path) as (gateway, servers):
         for server in servers:
             server.answer = full
-        for _ in range(2):
-            assert (await ask(gateway, '/register/x', 0))[0] == 503
+        told = [
+            (await ask(gateway, path, 0))[0]
+            for path in 2 * ('/register/x', '/lookup/x')
+        ]
         asked = sum(server.asked for server in servers)
+    # What may run once is told a failure, as it reached a replica.
+    assert told == 2 * [502, 503]
     assert asked == 0
 
 
