Blame no part of a prompt for ends of replicas that turned all away

Callers saw 503 on every request of a service for 2 s to 120 s after all of its replicas had ended twice in turn by themselves: a part that all prompts share was held back.

Cause, from logs of the failing row with each end marked: a replica that is back after an end turns all away for 2 s and ends again meanwhile. A request that lies in its connection's buffer then breaks without a byte of an answer (MAY_HAVE_RUN), the check says truly that the start has ended, and the end was counted as one under the request, though that start had run nothing. No answer comes from anywhere in that time, so four such ends in turn hold the part.

Class: an end laid to what was sent, where it may only be laid to what ran.

Change: an end is not counted under a request of which nothing tells that it began there, where the start turned away the last two requests or more that this VM sent it, the latest within 2 s. A busy replica that turns half away does so by chance in a quarter of its ends. The check is still made and tells of the next start. Logged as end-not-counted.

--- a/gentianstair/core/recent_rejections.py
+++ b/gentianstair/core/recent_rejections.py
@@ -13,6 +13,9 @@
 
 # How long a rejection counts, unless its upstream has served since.
 MAX_AGE_S = 2.0
+# From so many rejections on, with nothing served in between, an upstream
+# turns all away; one that is only busy seldom does so by chance.
+IN_TURN = 2
 # Share by which one answer moves what is known of an upstream.
 ANSWER_WEIGHT = 0.4
 # Time in which that falls to about a third, so that an upstream that has room
@@ -22,6 +25,13 @@
 MIN_SHARE = 0.02
 
 
+class _Rejected(typing.NamedTuple):
+    """The rejections of an upstream since it served last."""
+
+    count: int
+    latest_s: float
+
+
 class _Share(typing.NamedTuple):
     """The share of requests that an upstream turned away, as of a time."""
 
@@ -34,15 +44,16 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        # When each did so last, the oldest first.
-        self._rejected_s: dict[upstream_limits.UpstreamRun, float] = {}
+        # What each has done since it served, the latest rejection last.
+        self._rejected: dict[upstream_limits.UpstreamRun, _Rejected] = {}
         # The one that changed longest ago comes first.
         self._shares: dict[upstream_limits.UpstreamRun, _Share] = {}
 
     def record_rejection(self, run: upstream_limits.UpstreamRun) -> None:
         """Record that an upstream has turned a request away now."""
-        self._rejected_s.pop(run, None)
-        self._rejected_s[run] = self._clock()
+        before = self._rejected.pop(run, None)
+        count = 1 if before is None else before.count + 1
+        self._rejected[run] = _Rejected(count, self._clock())
         self._move_share(run, 1.0)
         self._forget_old()
 
@@ -52,15 +63,26 @@
         """Record that an upstream served a request sent at sent_s."""
         if run in self._shares:
             self._move_share(run, 0.0)
-        rejected_s = self._rejected_s.get(run)
-        if rejected_s is not None and sent_s >= rejected_s:
-            del self._rejected_s[run]
+        rejected = self._rejected.get(run)
+        if rejected is not None and sent_s >= rejected.latest_s:
+            del self._rejected[run]
 
     def is_rejecting(self, run: upstream_limits.UpstreamRun) -> bool:
         """Return whether an upstream would likely turn a request away."""
-        rejected_s = self._rejected_s.get(run)
+        return self._has_rejected(run, 1)
+
+    def is_rejecting_all(self, run: upstream_limits.UpstreamRun) -> bool:
+        """Return whether what an upstream got lately was all turned away."""
+        return self._has_rejected(run, IN_TURN)
+
+    def _has_rejected(
+        self, run: upstream_limits.UpstreamRun, least: int
+    ) -> bool:
+        rejected = self._rejected.get(run)
         return (
-            rejected_s is not None and self._clock() - rejected_s < MAX_AGE_S
+            rejected is not None
+            and rejected.count >= least
+            and self._clock() - rejected.latest_s < MAX_AGE_S
         )
 
     def share(self, run: upstream_limits.UpstreamRun) -> float:
@@ -88,11 +110,11 @@
 
     def _forget_old(self) -> None:
         oldest_s = self._clock() - MAX_AGE_S
-        while self._rejected_s:
-            oldest = next(iter(self._rejected_s))
-            if self._rejected_s[oldest] > oldest_s:
+        while self._rejected:
+            oldest = next(iter(self._rejected))
+            if self._rejected[oldest].latest_s > oldest_s:
                 break
-            del self._rejected_s[oldest]
+            del self._rejected[oldest]
         while self._shares:
             oldest = next(iter(self._shares))
             if self.share(oldest) > MIN_SHARE:
--- a/gentianstair/gateway/request_ends.py
+++ b/gentianstair/gateway/request_ends.py
@@ -1,5 +1,6 @@
 """Find out whether replicas have ended under one request."""
 
+import loguru
 import trio
 
 from gentianstair.core import prompt_faults
@@ -8,6 +9,7 @@
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_parts
+from gentianstair.generated import events
 
 # How long an attempt waits to know whether the replica before it has ended.
 # One that has ended mostly refuses a connection at once.
@@ -35,16 +37,24 @@
         self._checked.set()
 
     def record_broken(
-        self, replica: replicas.Replica, run: upstream_limits.UpstreamRun
+        self,
+        replica: replicas.Replica,
+        run: upstream_limits.UpstreamRun,
+        has_begun: bool = True,
     ) -> None:
         """Record that the connection to a replica broke during an attempt.
 
-        The start was its newest one as the attempt began.
+        The start was its newest one as the attempt began; has_begun is false
+        if nothing tells that it began to run the request there.
 
-        One that drains or has no entry was stopped.
+        One that drains or has no entry was stopped. One that turned all away
+        did not end under a request that it had not begun.
         """
         listed = self._node.registry.get(replica.name)
         end = self._parts.end_of(replica)
+        is_under = has_begun or not (
+            self._node.recent_rejections.is_rejecting_all(run)
+        )
         if listed is not None and not listed.draining:
             self._breaks += 1
             self._checked = trio.Event()
@@ -53,7 +63,7 @@
                 self._check,
                 replica,
                 run,
-                end,
+                end if is_under else None,
                 self._checked,
                 request_id=self._request_id,
                 replica=replica.name,
@@ -63,12 +73,18 @@
         self,
         replica: replicas.Replica,
         run: upstream_limits.UpstreamRun,
-        end: prompt_faults.End,
+        end: prompt_faults.End | None,
         checked: trio.Event,
     ) -> None:
+        """Record the end, if there was one, unless it is none's fault."""
         try:
-            if await self._node.end_checks.has_ended(replica, run):
+            has_ended = await self._node.end_checks.has_ended(replica, run)
+            if has_ended and end is not None:
                 self._parts.record_end(end)
+            elif has_ended:
+                loguru.logger.bind(
+                    event=events.END_NOT_COUNTED, started_ms=run.started_ms
+                ).info('a replica that turned all requests away has ended')
         finally:
             # The request waits for this, whatever has become of the check.
             checked.set()
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -326,7 +326,11 @@
                 key, False, now_s - started_s, now_s
             )
         if isinstance(error, errors.ConnectionBrokenError):
-            self.ends.record_broken(replica, self._begun_at or replica.run)
+            self.ends.record_broken(
+                replica,
+                self._begun_at or replica.run,
+                error.verdict is verdicts.Verdict.RAN,
+            )
         if isinstance(error, errors.UpstreamRejectedError):
             self.choices.was_rejected = True
             self.node.recent_rejections.record_rejection(replica.run)
--- a/test/core/test_recent_rejections.py
+++ b/test/core/test_recent_rejections.py
@@ -33,6 +33,42 @@
     assert rejections.is_rejecting(run) is expected
 
 
+@pytest.mark.parametrize(
+    ('answers', 'later_s', 'expected'),
+    [
+        ('', 0.0, False),
+        ('r', 0.0, False),
+        ('rr', 0.0, True),
+        ('srr', 0.0, True),
+        ('rsr', 0.0, False),
+        ('rrs', 0.0, False),
+        ('rr', recent_rejections.MAX_AGE_S, False),
+    ],
+    ids=[
+        'unknown',
+        'once',
+        'all',
+        'served-before',
+        'some',
+        'serves-again',
+        'long-ago',
+    ],
+)
+def test_upstream_rejects_all_until_it_serves(answers, later_s, expected):
+    # Guards against a busy upstream that is taken for one that serves nobody.
+    times_s = [REJECTED_S]
+    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
+    for answer in answers:
+        times_s[0] += 0.01
+        if answer == 'r':
+            rejections.record_rejection(RUN)
+        else:
+            rejections.record_served(RUN, times_s[0])
+    times_s[0] += later_s
+    assert rejections.is_rejecting_all(RUN) is expected
+    assert not rejections.is_rejecting_all(NEXT_START)
+
+
 @pytest.mark.parametrize(
     ('answers', 'later_s', 'least', 'most'),
     [
@@ -79,5 +115,5 @@
     for number in range(1000):
         times_s[0] += 0.1
         rejections.record_rejection(upstream_limits.UpstreamRun('i-1', number))
-    assert len(rejections._rejected_s) <= recent_rejections.MAX_AGE_S / 0.1 + 1
+    assert len(rejections._rejected) <= recent_rejections.MAX_AGE_S / 0.1 + 1
     assert len(rejections._shares) < 200
--- a/test/gateway/test_request_ends.py
+++ b/test/gateway/test_request_ends.py
@@ -6,6 +6,7 @@
 import trio
 
 from gentianstair.core import prompt_faults
+from gentianstair.core import recent_rejections
 from gentianstair.gateway import replicas
 from gentianstair.gateway import request_ends
 from gentianstair.util import tasks
@@ -46,6 +47,9 @@
     node = types.SimpleNamespace(
         tasks=tasks.Tasks(nursery),
         end_checks=Checks(took_s),
+        recent_rejections=recent_rejections.RecentRejections(
+            trio.current_time
+        ),
         registry=types.SimpleNamespace(get=lambda name: listed),
     )
     return request_ends.RequestEnds(node, parts, 'r1')
@@ -75,6 +79,25 @@
     assert waited_s == pytest.approx(CHECK_S if expected else 0.0)
 
 
+@pytest.mark.parametrize(
+    ('rejections', 'has_begun', 'expected'),
+    [(2, False, []), (2, True, [END]), (1, False, [END]), (0, False, [END])],
+    ids=['rejects-all', 'had-begun', 'rejected-once', 'serves'],
+)
+async def test_end_of_what_turned_all_away_is_no_requests_fault(
+    autojump_clock, nursery, rejections, has_begun, expected
+):
+    # Guards against parts that are held back for ends of replicas that ran
+    # nothing, as of some that end again and again while they start.
+    parts = Parts(END)
+    ends = make_ends(nursery, parts)
+    for _ in range(rejections):
+        ends._node.recent_rejections.record_rejection(REPLICA.run)
+    ends.record_broken(REPLICA, REPLICA.run, has_begun)
+    await ends.wait_for_check()
+    assert parts.ends == expected
+
+
 async def test_attempt_waits_for_a_long_check_for_a_moment_only(
     autojump_clock, nursery
 ):
