Name the replica in what is asked of its cache

A VM that polls a replica's cache, or lists it, named no replica, so that another one that has the address by now could answer, and its parts were taken for the listed one's: callers' prompts then went where nothing of them is. The platform's pages let any other replica answer 421; that is a failed call as before, tried again after 0.5 s.

All rows of that test: 7 passed. Files that poll caches: 190 passed, 8 expected failures.

--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -78,6 +78,7 @@
         try:
             request = cache_codec.cache_events_request(
                 replica.address,
+                replica.name,
                 since,
                 POLL_TIMEOUT_S,
                 forward.CONNECT_TIMEOUT_S,
@@ -131,7 +132,7 @@
     if not lists_cache:
         return since
     request = cache_codec.cache_list_request(
-        replica.address, forward.CONNECT_TIMEOUT_S
+        replica.address, replica.name, forward.CONNECT_TIMEOUT_S
     )
     listing = cache_codec.decode_cache_list(
         await _call(node, replica, request)
--- a/gentianstair/platform/cache_codec.py
+++ b/gentianstair/platform/cache_codec.py
@@ -55,13 +55,20 @@
 
 
 def cache_events_request(
-    address: str, since: int, wait_s: float, connect_s: float
+    address: str,
+    replica_name: str,
+    since: int,
+    wait_s: float,
+    connect_s: float,
 ) -> httpx.Request:
     """Return the long poll for changes of a replica's cache."""
     return httpx.Request(
         'GET',
         f'http://{address}/api/kv-events?since={since}',
-        headers={'wait-ms': str(int(wait_s * 1000))},
+        headers=[
+            (b'wait-ms', str(int(wait_s * 1000)).encode()),
+            (b'x-expect-instance', replica_name.encode()),
+        ],
         extensions={'connect_s': connect_s},
     )
 
@@ -89,7 +96,9 @@
     held: list[list[typing.Any]] = []
 
 
-def cache_list_request(address: str, connect_s: float) -> httpx.Request:
+def cache_list_request(
+    address: str, replica_name: str, connect_s: float
+) -> httpx.Request:
     """Return the request for a replica's whole cache list.
 
     The list is costly for the replica.
@@ -97,6 +106,7 @@
     return httpx.Request(
         'GET',
         f'http://{address}/api/kv-list',
+        headers=[(b'x-expect-instance', replica_name.encode())],
         extensions={'connect_s': connect_s},
     )
 
