Poll a new start's cache from its first change on

Where the epoch of a replica's cache had changed, the poll went on at the number of the start before, so that the new start's first changes were left out until its entry came, and prompts were read anew that it had.

What came with the new epoch is passed over and asked for again from 0, after the usual pause: a replica whose epoch changes with each answer would else be polled without one (rows other-epoch of test_cache_watch.py, seen on the way).

--- a/gentianstair/gateway/cache_watch.py
+++ b/gentianstair/gateway/cache_watch.py
@@ -88,10 +88,15 @@
             )
             if epoch is not None and changes.epoch != epoch:
                 node.cache_updates.forget(replica.name)
-            epoch, since = changes.epoch, changes.next_sequence
-            _apply(node, replica, changes, node.roster.shares_cache_updates())
-            if changes.lost:
-                since = await _resync(node, replica, since)
+                # A new start counts its changes anew.
+                since = 0
+            else:
+                since = changes.next_sequence
+                shared = node.roster.shares_cache_updates()
+                _apply(node, replica, changes, shared)
+                if changes.lost:
+                    since = await _resync(node, replica, since)
+            epoch = changes.epoch
         except (errors.UpstreamError, errors.DecodeError) as error:
             loguru.logger.bind(
                 event=events.CACHE_WATCH_FAILED, replica=replica.name
