--- a/gentianstair/gateway/handler.py
+++ b/gentianstair/gateway/handler.py
@@ -181,15 +181,16 @@
             **request.producer_fields(),
             'objective_s': request.route.objective_s,
             'pause_s': request.route.max_pause_s,
-            'longest_pause_s': round(request.longest_pause_s, 3),
+            'longest_pause_s': round(request.event_times.longest_pause_s, 3),
             'prompt_tokens': prompt.tokens if prompt else 0,
         }
 
     def _time_to_first_event_s(self) -> float | None:
         """Return the time from arrival to a stream's first event."""
-        if self._request is None or self._request.first_event_s is None:
+        if self._request is None:
             return None
-        return round(self._request.first_event_s - self._arrived_s, 3)
+        first_s = self._request.event_times.first_s
+        return None if first_s is None else round(first_s - self._arrived_s, 3)
 
     async def _send_error(self, error: errors.RequestError) -> None:
         self._status = error.status
--- a/gentianstair/gateway/request_choices.py
+++ b/gentianstair/gateway/request_choices.py
@@ -1,10 +1,12 @@
 """Choose the replicas that one request may be sent to next."""
 
+from gentianstair import errors
 from gentianstair.gateway import forward
 from gentianstair.gateway import known_starts
 from gentianstair.gateway import node as nodes
 from gentianstair.gateway import prefill_costs
 from gentianstair.gateway import replicas
+from gentianstair.gateway import request_errors
 from gentianstair.gateway import request_parts
 from gentianstair.gateway import request_permits
 
@@ -173,5 +175,24 @@
             if key.startswith(prefix)
         }
 
+    def not_run_error(self) -> errors.RequestError:
+        """Return the error of a request that no replica has run."""
+        if self._parts.is_held:
+            return self._parts.held_error()
+        if self._permits.turn_in_s is not None:
+            return request_errors.no_turn(self._permits.turn_in_s)
+        if any(map(can_answer, self.usable())):
+            return request_errors.none_could_take()
+        fitting = list(filter(can_answer, self.fitting()))
+        if fitting:
+            return request_errors.all_backed_off(
+                self._node.upstream_backoffs.return_in_s(
+                    replica.run for replica in fitting
+                )
+            )
+        if self.producer is not None:
+            return request_errors.version_gone()
+        return request_errors.none_listed()
+
 
 __all__ = ['RequestChoices', 'can_answer', 'sure_to_serve_s']
--- a/gentianstair/gateway/request_state.py
+++ b/gentianstair/gateway/request_state.py
@@ -12,6 +12,7 @@
 from gentianstair.gateway import calls
 from gentianstair.gateway import catalog
 from gentianstair.gateway import event_order
+from gentianstair.gateway import event_times
 from gentianstair.gateway import forward
 from gentianstair.gateway import known_starts
 from gentianstair.gateway import node as nodes
@@ -91,10 +92,7 @@
         # Attempts that reached a replica, or may have.
         self.attempts = 0
         self.unreachable_attempts = 0
-        # Times at which the first and the latest event went to the caller.
-        self.first_event_s: float | None = None
-        self.last_event_s: float | None = None
-        self.longest_pause_s = 0.0
+        self.event_times = event_times.EventTimes(node.clock)
         # The events of a stream that its caller has.
         self.order = event_order.EventOrder(call.last_event_id)
         # Failed prefill attempts, which are counted in ``attempts`` too.
@@ -427,14 +425,6 @@
         )
         return self._next_retry_is_paid
 
-    def record_event_sent(self) -> None:
-        """Record that an event of a stream goes to the caller now."""
-        now_s = self.node.clock()
-        if self.last_event_s is not None:
-            pause_s = now_s - self.last_event_s
-            self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_event_s = now_s
-
     def spend_retry(self) -> bool:
         """Charge the retry budget; return whether the next attempt may go.
 
@@ -485,27 +475,7 @@
     def final_error(self) -> errors.RequestError:
         """Return the error that ends the request, according to its verdict."""
         if self.verdict is verdicts.Verdict.NOT_RUN:
-            return self._not_run_error()
+            return self.choices.not_run_error()
         if self.remaining_s() < MIN_REMAINING_S:
             return request_errors.deadline_passed(self.verdict)
         return request_errors.replica_failed(self.verdict)
-
-    def _not_run_error(self) -> errors.RequestError:
-        if self.parts.is_held:
-            return self.parts.held_error()
-        if self.permits.turn_in_s is not None:
-            return request_errors.no_turn(self.permits.turn_in_s)
-        if any(map(request_choices.can_answer, self.choices.usable())):
-            return request_errors.none_could_take()
-        fitting = list(
-            filter(request_choices.can_answer, self.choices.fitting())
-        )
-        if fitting:
-            return request_errors.all_backed_off(
-                self.node.upstream_backoffs.return_in_s(
-                    replica.run for replica in fitting
-                )
-            )
-        if self.producer is not None:
-            return request_errors.version_gone()
-        return request_errors.none_listed()
--- a/gentianstair/gateway/streaming.py
+++ b/gentianstair/gateway/streaming.py
@@ -246,7 +246,7 @@
                 run.waiting_since_s = None
                 if run.record_event():
                     await self._start_response(response)
-                request.record_event_sent()
+                request.event_times.record_sent()
                 request.parts.record_progress(run.since_first_event_s())
                 await request.exchange.write(b''.join(complete_events))
             if disorder is not None:
@@ -307,7 +307,7 @@
     async def _start_response(self, response: httpx.Response) -> None:
         request = self._request
         if not request.exchange.started:
-            request.first_event_s = request.node.clock()
+            request.event_times.record_begin()
             await request.exchange.start(
                 200, http_codec.response_headers(response)
             )
