--- a/gentianstair/gateway/request_ends.py
+++ b/gentianstair/gateway/request_ends.py
@@ -76,7 +76,7 @@
         end: prompt_faults.End | None,
         checked: trio.Event,
     ) -> None:
-        """Record the end, if there was one, unless it is none's fault."""
+        """Record an end if there was one; without it, only log that."""
         try:
             has_ended = await self._node.end_checks.has_ended(replica, run)
             if has_ended and end is not None:
