--- a/test/core/test_recent_rejections.py
+++ b/test/core/test_recent_rejections.py
@@ -33,6 +33,20 @@
     assert rejections.is_rejecting(run) is expected
 
 
+def after(answers, later_s):
+    """Return what is known so long after rejections (r) and served ones."""
+    times_s = [REJECTED_S]
+    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
+    for answer in answers:
+        times_s[0] += 0.01
+        if answer == 'r':
+            rejections.record_rejection(RUN)
+        else:
+            rejections.record_served(RUN, times_s[0])
+    times_s[0] += later_s
+    return rejections
+
+
 @pytest.mark.parametrize(
     ('answers', 'later_s', 'expected'),
     [
@@ -56,15 +70,7 @@
 )
 def test_upstream_rejects_all_until_it_serves(answers, later_s, expected):
     # Guards against a busy upstream that is taken for one that serves nobody.
-    times_s = [REJECTED_S]
-    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
-    for answer in answers:
-        times_s[0] += 0.01
-        if answer == 'r':
-            rejections.record_rejection(RUN)
-        else:
-            rejections.record_served(RUN, times_s[0])
-    times_s[0] += later_s
+    rejections = after(answers, later_s)
     assert rejections.is_rejecting_all(RUN) is expected
     assert not rejections.is_rejecting_all(NEXT_START)
 
@@ -95,15 +101,7 @@
 ):
     # Guards against an upstream that is chosen first as often while it turns
     # all away, or never again once it serves.
-    times_s = [REJECTED_S]
-    rejections = recent_rejections.RecentRejections(lambda: times_s[0])
-    for answer in answers:
-        times_s[0] += 0.01
-        if answer == 'r':
-            rejections.record_rejection(RUN)
-        else:
-            rejections.record_served(RUN, times_s[0])
-    times_s[0] += later_s
+    rejections = after(answers, later_s)
     assert least <= rejections.share(RUN) <= most
     assert rejections.share(NEXT_START) == 0.0
 
