--- a/gentianstair/core/recent_rejections.py
+++ b/gentianstair/core/recent_rejections.py
@@ -13,8 +13,8 @@
 
 # How long a rejection counts, unless its upstream has served since.
 MAX_AGE_S = 2.0
-# From so many rejections on, with nothing served in between, an upstream
-# turns all away; one that is only busy seldom does so by chance.
+# From so many rejections on, with nothing served in between, an upstream is
+# taken to turn all away.
 IN_TURN = 2
 # Share by which one answer moves what is known of an upstream.
 ANSWER_WEIGHT = 0.4
